--- /dev/null
+++ b/packages/daemon/src/observability/logger.ts
@@ -0,0 +1,107 @@
+/**
+ * Logs: one line of key=value pairs for each event.
+ *
+ * @module
+ */
+
+import { type ConsolaInstance, createConsola } from "consola";
+
+export const LOG_LEVELS = ["error", "warn", "info", "debug"] as const;
+export type LogLevel = (typeof LOG_LEVELS)[number];
+
+const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = {
+  error: 0,
+  warn: 1,
+  info: 3,
+  debug: 4,
+};
+
+export type LogValue = string | number | boolean | undefined;
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+export interface Logger {
+  error(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  debug(event: string, fields?: LogFields): void;
+}
+
+/**
+ * Makes a logger whose lines all carry the given fields.
+ *
+ * @example
+ * ```ts
+ * const logger = createLogger("info", { vm: "vm-a1" });
+ * logger.info("configurationAdopted", { generation: 7 });
+ * // time=… level=info event=configurationAdopted vm=vm-a1 generation=7
+ * ```
+ */
+export function createLogger(level: LogLevel, common: LogFields): Logger {
+  const consola = createConsola({
+    level: CONSOLA_LEVELS[level],
+    reporters: [{
+      log: (entry) => process.stderr.write(`${entry.args.join(" ")}\n`),
+    }],
+  });
+  return {
+    error: (event, fields) => {
+      write({
+        consola,
+        level: "error",
+        event,
+        fields: { ...common, ...fields },
+      });
+    },
+    warn: (event, fields) => {
+      write({
+        consola,
+        level: "warn",
+        event,
+        fields: { ...common, ...fields },
+      });
+    },
+    info: (event, fields) => {
+      write({
+        consola,
+        level: "info",
+        event,
+        fields: { ...common, ...fields },
+      });
+    },
+    debug: (event, fields) => {
+      write({
+        consola,
+        level: "debug",
+        event,
+        fields: { ...common, ...fields },
+      });
+    },
+  };
+}
+
+interface LogEntry {
+  readonly consola: ConsolaInstance;
+  readonly level: LogLevel;
+  readonly event: string;
+  readonly fields: LogFields;
+}
+
+function write(entry: LogEntry): void {
+  const time = new Date().toISOString();
+  const head = `time=${time} level=${entry.level} event=${entry.event}`;
+  entry.consola[entry.level](formatFields(head, entry.fields));
+}
+
+function formatFields(head: string, fields: LogFields): string {
+  let line = head;
+  for (const [key, value] of Object.entries(fields)) {
+    if (value === undefined) continue;
+    line += ` ${key}=${formatValue(value)}`;
+  }
+  return line;
+}
+
+function formatValue(value: string | number | boolean): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/daemon/src/observability/metrics.ts
@@ -0,0 +1,105 @@
+/**
+ * Counters, gauges and latency records of the daemon, in the Prometheus text
+ * form.
+ *
+ * @module
+ */
+
+import type { ProblemReason } from "@sassafrasstage/protocol/problems";
+import { Counter, Gauge, Registry } from "prom-client";
+
+const PREFIX = "sassafrasstage_";
+
+/** Why a stage was tried again. */
+export type RetryReason =
+  | "connectFailed"
+  | "refusedByServer"
+  | "failed"
+  | "timedOut"
+  | "streamBroken"
+  | "foreignResult"
+  | "ownerSilent"
+  | "hedge";
+
+/** Why a result, a frame or a message was thrown away. */
+export type DropReason =
+  | "lateResult"
+  | "foreignResult"
+  | "doubledResult"
+  | "badFrame"
+  | "wrongSharedKey"
+  | "unknownPermit"
+  | "staleGeneration";
+
+/** All counters of the daemon. One instance for each process. */
+export class Metrics {
+  readonly registry = new Registry();
+  readonly #refusals = this.#counter("refusals_total", "Refused requests", [
+    "reason",
+  ]);
+  readonly #retries = this.#counter(
+    "retries_total",
+    "Repeated stage attempts",
+    [
+      "service",
+      "reason",
+    ],
+  );
+  readonly #drops = this.#counter("drops_total", "Results and frames dropped", [
+    "reason",
+  ]);
+  readonly #answers = this.#counter("answers_total", "Whole answers given", [
+    "pipeline",
+    "withinDeadline",
+  ]);
+  readonly #events = this.#counter("events_total", "Other counted events", [
+    "event",
+  ]);
+  readonly #gauges = new Gauge({
+    name: `${PREFIX}value`,
+    help: "Present values",
+    labelNames: ["name"],
+    registers: [this.registry],
+  });
+
+  countRefusal(reason: ProblemReason): void {
+    this.#refusals.inc({ reason });
+  }
+
+  countRetry(service: string, reason: RetryReason): void {
+    this.#retries.inc({ service, reason });
+  }
+
+  countDrop(reason: DropReason): void {
+    this.#drops.inc({ reason });
+  }
+
+  countAnswer(pipeline: string, isWithinDeadline: boolean): void {
+    this.#answers.inc({ pipeline, withinDeadline: String(isWithinDeadline) });
+  }
+
+  /**
+   * Counts an event that needs no labels of its own.
+   *
+   * @example
+   * ```ts
+   * metrics.countEvent("platformCall");
+   * ```
+   */
+  countEvent(event: string, count = 1): void {
+    this.#events.inc({ event }, count);
+  }
+
+  setValue(name: string, value: number): void {
+    this.#gauges.set({ name }, value);
+  }
+
+  #counter(name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({
+      name: PREFIX + name,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/permit_source.ts
@@ -0,0 +1,42 @@
+/**
+ * Where the pipelines get the right to call a backend server.
+ *
+ * @module
+ */
+
+import type {
+  AttemptId,
+  PoolId,
+  ServiceName,
+} from "@sassafrasstage/protocol/ids";
+import type {
+  Permit,
+  PermitAsk,
+  PermitDecision,
+  PermitRelease,
+} from "@sassafrasstage/protocol/permits";
+
+export interface PermitSource {
+  /**
+   * Asks the pool's owner for a permit and waits for its decision. Never
+   * rejects: an owner that is silent, or an aborted signal, is a refusal.
+   * When `signal` aborts, a permit that still arrives is given back.
+   */
+  acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision>;
+  /** Gives a permit back. Must be called once for each granted permit. */
+  release(permit: Permit, release: PermitRelease): void;
+  /**
+   * True until the permit's deadline by the asker's own clock. To be checked
+   * right before a call is sent: a process that was paused may hold a permit
+   * that its owner no longer counts.
+   */
+  isSpendable(permit: Permit, nowMs: number): boolean;
+  /** The pools that may run the service now, the best one first. */
+  candidatePools(service: ServiceName, nowMs: number): PoolId[];
+}
+
+/** An attempt that waits for its decision. */
+export interface PendingAsk {
+  readonly attemptId: AttemptId;
+  readonly pool: PoolId;
+}
--- /dev/null
+++ b/packages/daemon/src/settings/settings.ts
@@ -0,0 +1,131 @@
+/**
+ * The daemon's settings: their names, forms and defaults, all in one place.
+ *
+ * @module
+ */
+
+import type { DataCentreName, VmId } from "@sassafrasstage/protocol/ids";
+import {
+  dataCentreNameSchema,
+  vmIdSchema,
+} from "@sassafrasstage/protocol/register";
+import { z } from "zod";
+import { LOG_LEVELS } from "../observability/logger.js";
+
+/** A TCP address to listen on or to connect to. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Another entry VM that is known from the settings. */
+export interface PeerSeed {
+  readonly vmId: VmId;
+  readonly dataCentre: DataCentreName;
+  readonly address: Address;
+}
+
+const MAX_PORT = 65_535;
+
+const addressSchema = z.string().transform((text, context): Address => {
+  const match = /^(?<host>.+):(?<port>\d{1,5})$/.exec(text);
+  const host = match?.groups?.["host"];
+  const port = Number(match?.groups?.["port"]);
+  if (host !== undefined && port <= MAX_PORT) return { host, port };
+  context.addIssue({ code: "custom", message: "Expected host:port" });
+  return z.NEVER;
+});
+
+const seedSchema = z.string().transform((text, context): PeerSeed => {
+  const [vmId, dataCentre, address] = text.split("@");
+  const parsed = z.strictObject({
+    vmId: vmIdSchema,
+    dataCentre: dataCentreNameSchema,
+    address: addressSchema,
+  }).safeParse({ vmId, dataCentre, address });
+  if (parsed.success) return parsed.data;
+  context.addIssue({
+    code: "custom",
+    message: "Expected vm-id@data-centre@host:port",
+  });
+  return z.NEVER;
+});
+
+const seedListSchema = z.string()
+  .transform((text) => text.split(",").map((part) => part.trim()))
+  .transform((parts) => parts.filter((part) => part !== ""))
+  .pipe(z.array(seedSchema));
+
+const sha256Schema = z.string().regex(
+  /^[0-9a-f]{64}$/,
+  "Expected 64 lower-case hexadecimal digits",
+);
+
+function wholeNumber(min: number, max: number): z.ZodCoercedNumber {
+  return z.coerce.number().int().min(min).max(max);
+}
+
+/** The schema of a settings file: one object for each INI section. */
+export const settingsSchema = z.strictObject({
+  vm: z.strictObject({
+    id: vmIdSchema,
+    data_centre: dataCentreNameSchema,
+  }),
+  listen: z.strictObject({
+    /** Callers, operators, probes and metrics. */
+    http: addressSchema,
+    /** Other daemons. */
+    peers: addressSchema,
+  }),
+  peers: z.strictObject({
+    /** Proves to other daemons that this one belongs to the system. */
+    shared_key: z.string().min(16, "Expected at least 16 characters"),
+    seeds: seedListSchema.prefault(""),
+    heartbeat_interval_ms: wholeNumber(20, 10_000).default(200),
+    /** Silence after which a peer counts as silent. */
+    heartbeat_timeout_ms: wholeNumber(100, 60_000).default(1000),
+  }),
+  platform: z.strictObject({
+    url: z.url({ protocol: /^https?$/ }),
+    call_timeout_ms: wholeNumber(50, 60_000).default(2000),
+    max_calls_in_flight: wholeNumber(1, 1000).default(16),
+  }),
+  admin: z.strictObject({
+    key_sha256: sha256Schema,
+  }),
+  requests: z.strictObject({
+    max_body_bytes: wholeNumber(1024, 64_000_000).default(1_000_000),
+  }).prefault({}),
+  policy: z.strictObject({
+    /** "baseline" shares no limits between daemons; for comparison only. */
+    name: z.enum(["current", "baseline"]).default("current"),
+    queue_order: z.enum(["slack", "arrival", "deadline", "excessWait"])
+      .default("slack"),
+    /** Whether an owner prefers servers that hold the request's prefix. */
+    prefix_affinity: z.enum(["on", "off"]).default("off"),
+  }).prefault({}),
+  pools: z.strictObject({
+    /** How long an owner may act on the support of a majority. */
+    lease_ms: wholeNumber(200, 60_000).default(1500),
+    max_queue_length: wholeNumber(1, 1_000_000).default(2000),
+    max_queue_age_ms: wholeNumber(10, 600_000).default(30_000),
+    /** Retries for each 100 first attempts of a service. */
+    retry_budget_percent: wholeNumber(0, 100).default(10),
+  }).prefault({}),
+  claims: z.strictObject({
+    partitions: wholeNumber(1, 4096).default(16),
+    gather_min_ms: wholeNumber(0, 1000).default(2),
+    gather_max_ms: wholeNumber(0, 5000).default(200),
+  }).prefault({}),
+  shutdown: z.strictObject({
+    /** How long the listener stays open for the balancer to notice. */
+    accept_for_ms: wholeNumber(0, 120_000).default(2000),
+    /** The longest wait for requests in flight. */
+    drain_ms: wholeNumber(0, 600_000).default(60_000),
+  }).prefault({}),
+  log: z.strictObject({
+    level: z.enum(LOG_LEVELS).default("info"),
+  }).prefault({}),
+});
+
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/packages/protocol/src/configuration.ts
@@ -0,0 +1,194 @@
+/**
+ * A whole configuration: register and rules with the generation under which
+ * they were accepted, and the checks that need both.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { type Register, registerSchema } from "./register.js";
+import { type Rules, rulesSchema } from "./rules.js";
+
+/** What an operator submits. */
+export const configurationContentSchema = z.strictObject({
+  register: registerSchema,
+  rules: rulesSchema,
+});
+
+export interface ConfigurationContent {
+  readonly register: Register;
+  readonly rules: Rules;
+}
+
+/** An accepted configuration. Generations start at 1 and only ever rise. */
+export interface Configuration extends ConfigurationContent {
+  readonly generation: number;
+}
+
+/** One fault in a submitted configuration and where it stands. */
+export interface ConfigurationFault {
+  /** For example "rules.pipelines.2.stages.0.service". */
+  readonly path: string;
+  readonly message: string;
+}
+
+export type ConfigurationCheck =
+  | { readonly kind: "valid"; readonly content: ConfigurationContent }
+  | { readonly kind: "invalid"; readonly faults: ConfigurationFault[] };
+
+/**
+ * Checks the form of a submitted configuration and every reference in it.
+ *
+ * @example
+ * ```ts
+ * const check = checkConfiguration(JSON.parse(text));
+ * if (check.kind === "invalid") console.error(check.faults[0].path);
+ * ```
+ */
+export function checkConfiguration(submitted: unknown): ConfigurationCheck {
+  const parsed = configurationContentSchema.safeParse(submitted);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) => ({
+      path: issue.path.join("."),
+      message: issue.message,
+    }));
+    return { kind: "invalid", faults };
+  }
+  const faults = [
+    ...findRepeatedNames(parsed.data),
+    ...findUnknownReferences(parsed.data),
+  ];
+  if (faults.length > 0) return { kind: "invalid", faults };
+  return { kind: "valid", content: parsed.data };
+}
+
+interface NamedList {
+  readonly path: string;
+  readonly names: readonly string[];
+}
+
+function findRepeatedNames(
+  content: ConfigurationContent,
+): ConfigurationFault[] {
+  const { register, rules } = content;
+  const lists: NamedList[] = [
+    {
+      path: "register.dataCentres",
+      names: register.dataCentres.map((entry) => entry.name),
+    },
+    {
+      path: "register.models",
+      names: register.models.map((entry) => entry.name),
+    },
+    {
+      path: "register.services",
+      names: register.services.map((entry) => entry.name),
+    },
+    {
+      path: "register.backendServers",
+      names: register.backendServers.map((entry) => entry.id),
+    },
+    {
+      path: "rules.pipelines",
+      names: rules.pipelines.map((entry) => entry.name),
+    },
+    {
+      path: "rules.clientAccounts",
+      names: rules.clientAccounts.map((entry) => entry.id),
+    },
+    {
+      path: "rules.clientAccounts.keySha256",
+      names: rules.clientAccounts.flatMap((entry) => entry.keySha256),
+    },
+    ...rules.pipelines.map((pipeline, index) => ({
+      path: `rules.pipelines.${index}.stages`,
+      names: pipeline.stages.map((stage) => stage.name),
+    })),
+  ];
+  return lists.flatMap(findRepeatedNamesInList);
+}
+
+function findRepeatedNamesInList(list: NamedList): ConfigurationFault[] {
+  const seen = new Set<string>();
+  const faults: ConfigurationFault[] = [];
+  for (const [index, name] of list.names.entries()) {
+    if (seen.has(name)) {
+      faults.push({
+        path: `${list.path}.${index}`,
+        message: `The name "${name}" stands twice`,
+      });
+    }
+    seen.add(name);
+  }
+  return faults;
+}
+
+function findUnknownReferences(
+  content: ConfigurationContent,
+): ConfigurationFault[] {
+  const { register, rules } = content;
+  const dataCentres = new Set<string>(register.dataCentres.map((d) => d.name));
+  const models = new Set<string>(register.models.map((m) => m.name));
+  const services = new Set<string>(register.services.map((s) => s.name));
+  const servers = new Set<string>(register.backendServers.map((b) => b.id));
+  const faults: ConfigurationFault[] = [];
+
+  function expectKnown(
+    known: ReadonlySet<string>,
+    name: string,
+    where: { readonly path: string; readonly kind: string },
+  ): void {
+    if (known.has(name)) return;
+    faults.push({
+      path: where.path,
+      message: `No ${where.kind} is named "${name}"`,
+    });
+  }
+
+  for (const [index, service] of register.services.entries()) {
+    const path = `register.services.${index}`;
+    if (service.coldLimit > service.warmLimit) {
+      faults.push({
+        path: `${path}.coldLimit`,
+        message: "The cold limit is above the warm limit",
+      });
+    }
+    if (service.kind !== "modelEngine") continue;
+    expectKnown(models, service.model, {
+      path: `${path}.model`,
+      kind: "model",
+    });
+  }
+  for (const [index, server] of register.backendServers.entries()) {
+    const path = `register.backendServers.${index}`;
+    expectKnown(services, server.service, {
+      path: `${path}.service`,
+      kind: "service",
+    });
+    expectKnown(dataCentres, server.dataCentre, {
+      path: `${path}.dataCentre`,
+      kind: "data centre",
+    });
+  }
+  for (const [index, pipeline] of rules.pipelines.entries()) {
+    for (const [stageIndex, stage] of pipeline.stages.entries()) {
+      expectKnown(services, stage.service, {
+        path: `rules.pipelines.${index}.stages.${stageIndex}.service`,
+        kind: "service",
+      });
+    }
+  }
+  for (const [index, name] of rules.dataCentresOut.entries()) {
+    expectKnown(dataCentres, name, {
+      path: `rules.dataCentresOut.${index}`,
+      kind: "data centre",
+    });
+  }
+  for (const [index, id] of rules.backendServersOut.entries()) {
+    expectKnown(servers, id, {
+      path: `rules.backendServersOut.${index}`,
+      kind: "backend server",
+    });
+  }
+  return faults;
+}
--- /dev/null
+++ b/packages/protocol/src/peer_messages.ts
@@ -0,0 +1,186 @@
+/**
+ * The messages between daemons. Each is one `cbor-x` frame.
+ *
+ * @module
+ */
+
+import type { ClaimKey, ClaimOutcome, ClaimRecord } from "./claims.js";
+import type { Configuration } from "./configuration.js";
+import type {
+  AttemptId,
+  BackendServerId,
+  DataCentreName,
+  Incarnation,
+  PoolId,
+  VmId,
+} from "./ids.js";
+import type {
+  Permit,
+  PermitAsk,
+  PermitDecision,
+  PermitRelease,
+} from "./permits.js";
+
+/** Raised whenever a message changes its form. */
+export const PEER_PROTOCOL_VERSION = 1;
+/** A longer frame closes the connection. */
+export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+/** First on every connection, from the side that accepted it. */
+export interface ChallengeMessage {
+  readonly type: "challenge";
+  readonly nonce: string;
+}
+
+/** Answers a challenge, in both directions, before anything else is read. */
+export interface HelloMessage {
+  readonly type: "hello";
+  readonly vmId: VmId;
+  readonly incarnation: Incarnation;
+  readonly dataCentre: DataCentreName;
+  readonly protocolVersion: number;
+  readonly generation: number;
+  /** A nonce of the sender for the other side to prove itself with. */
+  readonly nonce: string;
+  /** HMAC-SHA-256 of the other side's nonce with the shared key, in hex. */
+  readonly proof: string;
+}
+
+/** Sent at a fixed interval to each peer of the data centre. */
+export interface HeartbeatMessage {
+  readonly type: "heartbeat";
+  readonly sequence: number;
+  readonly generation: number;
+  readonly leaving: boolean;
+  /** Pools that the sender owns or wants to own. */
+  readonly ownedPools: readonly PoolId[];
+}
+
+/** Answers a heartbeat. */
+export interface HeartbeatReplyMessage {
+  readonly type: "heartbeatReply";
+  readonly sequence: number;
+  readonly generation: number;
+  /** Those of the asked pools for which the replier backs the asker. */
+  readonly supportedPools: readonly PoolId[];
+}
+
+export interface PermitAskMessage {
+  readonly type: "permitAsk";
+  readonly ask: PermitAsk;
+}
+
+export interface PermitDecisionMessage {
+  readonly type: "permitDecision";
+  readonly attemptId: AttemptId;
+  readonly decision: PermitDecision;
+}
+
+/** The asker no longer waits; a permit that crosses this is released. */
+export interface PermitCancelMessage {
+  readonly type: "permitCancel";
+  readonly pool: PoolId;
+  readonly attemptId: AttemptId;
+}
+
+export interface PermitReleaseMessage {
+  readonly type: "permitRelease";
+  readonly pool: PoolId;
+  readonly release: PermitRelease;
+}
+
+/** A new owner asks what was granted before it took the pool over. */
+export interface OutstandingRequestMessage {
+  readonly type: "outstandingRequest";
+  readonly pool: PoolId;
+  readonly requestNumber: number;
+}
+
+export interface OutstandingPermit {
+  readonly permit: Permit;
+  readonly remainingMs: number;
+}
+
+/** What the replier last knew of a backend server's warmth. */
+export interface WarmthObservation {
+  readonly backendServerId: BackendServerId;
+  readonly warmth: "cold" | "warm";
+  readonly ageMs: number;
+}
+
+export interface OutstandingReplyMessage {
+  readonly type: "outstandingReply";
+  readonly pool: PoolId;
+  readonly requestNumber: number;
+  readonly permits: readonly OutstandingPermit[];
+  readonly observations: readonly WarmthObservation[];
+}
+
+/** The sender has a lower generation than it has heard of. */
+export interface ConfigurationRequestMessage {
+  readonly type: "configurationRequest";
+  readonly knownGeneration: number;
+}
+
+export interface ConfigurationMessage {
+  readonly type: "configuration";
+  readonly configuration: Configuration;
+}
+
+/** Asks the VM that gathers a partition's claims to commit one. */
+export interface ClaimRequestMessage {
+  readonly type: "claimRequest";
+  readonly requestNumber: number;
+  readonly record: ClaimRecord;
+}
+
+export type ClaimReply =
+  | { readonly kind: "committed" }
+  | { readonly kind: "existing"; readonly record: ClaimRecord }
+  | { readonly kind: "unavailable" };
+
+export interface ClaimReplyMessage {
+  readonly type: "claimReply";
+  readonly requestNumber: number;
+  readonly reply: ClaimReply;
+}
+
+export interface ClaimOutcomeMessage {
+  readonly type: "claimOutcome";
+  readonly requestNumber: number;
+  readonly key: ClaimKey;
+  readonly attemptId: AttemptId;
+  readonly outcome: ClaimOutcome;
+}
+
+export interface ClaimOutcomeReplyMessage {
+  readonly type: "claimOutcomeReply";
+  readonly requestNumber: number;
+  readonly recorded: boolean;
+}
+
+/** An orderly end: the sender takes no new work and gives up its pools. */
+export interface LeavingMessage {
+  readonly type: "leaving";
+  readonly vmId: VmId;
+}
+
+/** Messages that may follow the hello. */
+export type PeerMessage =
+  | HeartbeatMessage
+  | HeartbeatReplyMessage
+  | PermitAskMessage
+  | PermitDecisionMessage
+  | PermitCancelMessage
+  | PermitReleaseMessage
+  | OutstandingRequestMessage
+  | OutstandingReplyMessage
+  | ConfigurationRequestMessage
+  | ConfigurationMessage
+  | ClaimRequestMessage
+  | ClaimReplyMessage
+  | ClaimOutcomeMessage
+  | ClaimOutcomeReplyMessage
+  | LeavingMessage;
+
+export type PeerMessageType = PeerMessage["type"];
