--- /dev/null
+++ b/packages/stand-ins/src/backend_servers/farm_server.ts
@@ -0,0 +1,20 @@
+/**
+ * One stand-in backend server in the list that `bin/server_farm.ts` reads.
+ *
+ * @module
+ */
+
+import type { EngineOptions } from "./engine_stand_in.js";
+import type { PlainServiceOptions } from "./plain_service_stand_in.js";
+
+export type FarmServer =
+  | {
+    readonly id: string;
+    readonly kind: "modelEngine";
+    readonly options: EngineOptions;
+  }
+  | {
+    readonly id: string;
+    readonly kind: "plain";
+    readonly options: PlainServiceOptions;
+  };
--- /dev/null
+++ b/packages/stand-ins/src/backend_servers/prefix_cache.ts
@@ -0,0 +1,95 @@
+/**
+ * The bounded cache of prompt prefixes in a stand-in engine, and its events,
+ * which are published late and with gaps.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import type { SeededRandom } from "../random/seeded_random.js";
+
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: "stored" | "evicted";
+  readonly prefixKey: string;
+}
+
+export interface PrefixCacheOptions {
+  readonly capacity: number;
+  readonly eventLagMs: number;
+  /** Share of events that are never published. */
+  readonly eventGapRatio: number;
+}
+
+export const DEFAULT_PREFIX_CACHE: PrefixCacheOptions = {
+  capacity: 64,
+  eventLagMs: 300,
+  eventGapRatio: 0.05,
+};
+
+interface TimedEvent extends CacheEvent {
+  readonly publishedAtMs: number;
+}
+
+/** Characters of the prompt that count as its prefix. */
+export const PREFIX_LENGTH = 64;
+const MAX_EVENTS = 2000;
+
+/** The cache key of a prompt: the digest of its first characters. */
+export function prefixKeyOf(prompt: string): string {
+  return createHash("sha256").update(prompt.slice(0, PREFIX_LENGTH))
+    .digest("hex").slice(0, 16);
+}
+
+/** Least recently used prefixes are evicted first. */
+export class PrefixCache {
+  readonly #options: PrefixCacheOptions;
+  readonly #random: SeededRandom;
+  readonly #keys = new Set<string>();
+  #events: TimedEvent[] = [];
+  #sequence = 0;
+
+  constructor(options: PrefixCacheOptions, random: SeededRandom) {
+    this.#options = options;
+    this.#random = random;
+  }
+
+  /** Whether the prefix was held; it is afterwards. */
+  touch(prompt: string, nowMs: number): boolean {
+    const key = prefixKeyOf(prompt);
+    const isHit = this.#keys.delete(key);
+    this.#keys.add(key);
+    if (isHit) return true;
+    this.#publish({ kind: "stored", prefixKey: key }, nowMs);
+    const [oldest] = this.#keys;
+    if (this.#keys.size > this.#options.capacity && oldest !== undefined) {
+      this.#keys.delete(oldest);
+      this.#publish({ kind: "evicted", prefixKey: oldest }, nowMs);
+    }
+    return false;
+  }
+
+  /** Events after a sequence number that are published by now. */
+  eventsAfter(sequence: number, nowMs: number): CacheEvent[] {
+    return this.#events
+      .filter((event) =>
+        event.sequence > sequence && event.publishedAtMs <= nowMs
+      )
+      .map(({ sequence, kind, prefixKey }) => ({ sequence, kind, prefixKey }));
+  }
+
+  clear(): void {
+    this.#keys.clear();
+  }
+
+  #publish(event: Omit<CacheEvent, "sequence">, nowMs: number): void {
+    this.#sequence++;
+    if (this.#random.isHit(this.#options.eventGapRatio)) return;
+    this.#events.push({
+      ...event,
+      sequence: this.#sequence,
+      publishedAtMs: nowMs + this.#options.eventLagMs,
+    });
+    if (this.#events.length > MAX_EVENTS) this.#events.shift();
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/http/stand_in_server.ts
@@ -0,0 +1,189 @@
+/**
+ * The HTTP listener that every stand-in is built on: a data port that can be
+ * taken down, and a control port that stays reachable meanwhile.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import restana from "restana";
+
+export type HttpRequest = IncomingMessage;
+export type HttpResponse = ServerResponse;
+export type HttpHandler = (
+  request: HttpRequest,
+  response: HttpResponse,
+) => Promise<void> | void;
+
+export type HttpMethod = "get" | "post" | "put" | "delete";
+
+export interface Route {
+  readonly method: HttpMethod;
+  /** May end in "*". */
+  readonly path: string;
+  readonly handler: HttpHandler;
+}
+
+export interface StandInRoutes {
+  /** Served on the data port, and subject to faults. */
+  readonly data: readonly Route[];
+  /** Served on both ports, never subject to faults. */
+  readonly control: readonly Route[];
+}
+
+const HOST = "127.0.0.1";
+const REOPEN_ATTEMPTS = 50;
+const REOPEN_DELAY_MS = 20;
+
+/** Listens for one stand-in. */
+export class StandInServer {
+  readonly #data: Server;
+  readonly #control: Server;
+  #dataPort = 0;
+  #isDown = false;
+
+  constructor(routes: StandInRoutes) {
+    this.#data = createRouter([...routes.control, ...routes.data]);
+    this.#control = createRouter(routes.control);
+  }
+
+  /** The address that the system under test calls. */
+  get url(): string {
+    return `http://${HOST}:${this.#dataPort}`;
+  }
+
+  /** The address for faults and records. */
+  get controlUrl(): string {
+    return `http://${HOST}:${portOf(this.#control)}`;
+  }
+
+  async start(): Promise<void> {
+    await listen(this.#control, 0);
+    await listen(this.#data, 0);
+    this.#dataPort = portOf(this.#data);
+  }
+
+  /** Closes the data port and its connections, or opens it again. */
+  async setDown(isDown: boolean): Promise<void> {
+    if (isDown === this.#isDown) return;
+    this.#isDown = isDown;
+    if (isDown) {
+      await close(this.#data);
+      return;
+    }
+    await this.#reopen();
+  }
+
+  async stop(): Promise<void> {
+    if (!this.#isDown) await close(this.#data);
+    await close(this.#control);
+  }
+
+  async #reopen(): Promise<void> {
+    for (let attempt = 1; attempt < REOPEN_ATTEMPTS; attempt++) {
+      try {
+        await listen(this.#data, this.#dataPort);
+        return;
+      } catch {
+        await new Promise((resolve) => setTimeout(resolve, REOPEN_DELAY_MS));
+      }
+    }
+    await listen(this.#data, this.#dataPort);
+  }
+}
+
+function createRouter(routes: readonly Route[]): Server {
+  const server = createServer({ keepAliveTimeout: 60_000 });
+  const service = restana({ server, prioRequestsProcessing: false });
+  for (const route of routes) {
+    service[route.method](route.path, async (request, response) => {
+      try {
+        await route.handler(request, response);
+      } catch (error) {
+        answerError(response, error);
+      }
+    });
+  }
+  return server;
+}
+
+function answerError(response: HttpResponse, error: unknown): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const message = error instanceof Error ? error.message : "Unknown error";
+  sendJson(response, { status: 400, body: { message } });
+}
+
+function listen(server: Server, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, HOST, () => {
+      server.removeListener("error", reject);
+      resolve();
+    });
+  });
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
+
+function portOf(server: Server): number {
+  return (server.address() as AddressInfo).port;
+}
+
+export interface JsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Answers with JSON. */
+export function sendJson(response: HttpResponse, answer: JsonAnswer): void {
+  if (response.destroyed) return;
+  response.writeHead(answer.status, {
+    "content-type": "application/json",
+    ...answer.headers,
+  });
+  response.end(JSON.stringify(answer.body));
+}
+
+/** Reads a JSON body; an empty one reads as an empty object. */
+export async function readJson(request: HttpRequest): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString("utf8");
+  return text === "" ? {} : JSON.parse(text);
+}
+
+/** The request's URL with its query parameters. */
+export function urlOf(request: HttpRequest): URL {
+  return new URL(request.url ?? "/", `http://${HOST}`);
+}
+
+/** The first value of a header. */
+export function headerOf(
+  request: HttpRequest,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Waits for the given time. */
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/stand-ins/src/proxy/proxied_connection.ts
@@ -0,0 +1,156 @@
+/**
+ * One connection through the fault-injecting proxy.
+ *
+ * @module
+ */
+
+import { connect, type Socket } from "node:net";
+import type { LinkMode } from "./link_mode.js";
+
+export interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+type Direction = "toTarget" | "toSource";
+
+export interface ConnectionOptions {
+  readonly source: Socket;
+  readonly target: Endpoint;
+  readonly mode: LinkMode;
+  readonly onClose: () => void;
+  /** The target refused the connection. */
+  readonly onRefused: () => void;
+}
+
+/** Forwards both directions, each chunk according to the present mode. */
+export class ProxiedConnection {
+  readonly #source: Socket;
+  readonly #target: Socket;
+  #mode: LinkMode;
+  #forwardedBytes = 0;
+  #isClosed = false;
+
+  constructor(options: ConnectionOptions) {
+    this.#source = options.source;
+    this.#mode = options.mode;
+    this.#target = connect(options.target);
+    this.#source.setNoDelay(true);
+    this.#target.setNoDelay(true);
+    this.#target.on("error", (error: NodeJS.ErrnoException) => {
+      if (error.code === "ECONNREFUSED") options.onRefused();
+    });
+    this.#source.on("error", () => undefined);
+    for (const socket of [this.#source, this.#target]) {
+      socket.once("close", () => {
+        this.#close(options.onClose);
+      });
+    }
+    this.#forward("toTarget");
+    this.#forward("toSource");
+    this.setMode(options.mode);
+  }
+
+  setMode(mode: LinkMode): void {
+    this.#mode = mode;
+    if (mode.kind === "cut") {
+      this.reset();
+      return;
+    }
+    for (const socket of [this.#source, this.#target]) {
+      if (mode.kind === "freeze") socket.pause();
+      else socket.resume();
+    }
+  }
+
+  reset(): void {
+    this.#source.resetAndDestroy();
+    this.#target.resetAndDestroy();
+  }
+
+  #close(onClose: () => void): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    // A reset must look like one to the other side.
+    for (const socket of [this.#source, this.#target]) {
+      if (!socket.destroyed) socket.resetAndDestroy();
+    }
+    onClose();
+  }
+
+  #forward(direction: Direction): void {
+    const from = direction === "toTarget" ? this.#source : this.#target;
+    const to = direction === "toTarget" ? this.#target : this.#source;
+    from.on("data", (chunk: Buffer) => {
+      this.#transfer(direction, chunk);
+    });
+    from.on("end", () => {
+      this.#whenPassing(() => {
+        to.end();
+      });
+    });
+  }
+
+  #transfer(direction: Direction, chunk: Buffer): void {
+    const from = direction === "toTarget" ? this.#source : this.#target;
+    const to = direction === "toTarget" ? this.#target : this.#source;
+    const mode = this.#mode;
+    switch (mode.kind) {
+      case "pass":
+        this.#write({ from, to, chunk });
+        return;
+      case "freeze":
+        // Read before the pause took hold: give it back.
+        from.pause();
+        from.unshift(chunk);
+        return;
+      case "cut":
+        this.reset();
+        return;
+      case "delay":
+        setTimeout(() => {
+          this.#write({ from, to, chunk });
+        }, mode.delayMs);
+        return;
+      case "halfOpen":
+        if (mode.dropped !== direction) this.#write({ from, to, chunk });
+        return;
+      case "resetAfter":
+        this.#forwardUpTo(mode.bytes, { from, to, chunk });
+    }
+  }
+
+  #forwardUpTo(maxBytes: number, transfer: Transfer): void {
+    const remaining = maxBytes - this.#forwardedBytes;
+    this.#forwardedBytes += transfer.chunk.length;
+    if (transfer.chunk.length <= remaining) {
+      this.#write(transfer);
+      return;
+    }
+    transfer.to.write(transfer.chunk.subarray(0, Math.max(remaining, 0)));
+    setImmediate(() => {
+      this.reset();
+    });
+  }
+
+  #write(transfer: Transfer): void {
+    const { from, to, chunk } = transfer;
+    if (to.destroyed || to.write(chunk)) return;
+    from.pause();
+    to.once("drain", () => {
+      if (this.#mode.kind !== "freeze") from.resume();
+    });
+  }
+
+  /** Runs at once, or after the delay of the present mode. */
+  #whenPassing(action: () => void): void {
+    if (this.#mode.kind === "delay") setTimeout(action, this.#mode.delayMs);
+    else action();
+  }
+}
+
+interface Transfer {
+  readonly from: Socket;
+  readonly to: Socket;
+  readonly chunk: Buffer;
+}
