Start whole clusters of real processes for tests, demo and bench

A cluster is platform, backend servers and daemons as processes, each link of a daemon optionally through the fault proxy. The source of a proxied connection is found by its port, since all daemons share one register and so one address for each backend server. First the test file did not end: the held ports of daemons that were never started kept it alive; they are freed by stop() now.

--- /dev/null
+++ b/packages/stand-ins/src/cluster/cluster.ts
@@ -0,0 +1,224 @@
+/**
+ * A whole cluster of real processes: platform, backend servers and daemons.
+ *
+ * @module
+ */
+
+import type { ListedVm } from "@sassafrasstage/protocol/platform_objects";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { LinkMode } from "../proxy/link_mode.js";
+import { startBackendFarm } from "./backend_farm.js";
+import { Caller } from "./caller.js";
+import { type ClusterPlan, planVms } from "./cluster_plan.js";
+import {
+  type BackendServerControl,
+  PlatformControl,
+} from "./control_client.js";
+import { prepareDaemons } from "./daemon_launch.js";
+import type { AdminAnswer, DaemonHandle } from "./daemon_handle.js";
+import { ManagedProcess } from "./managed_process.js";
+import { ClusterNetwork, PLATFORM_TARGET } from "./network.js";
+import {
+  planConfiguration,
+  type SubmittedConfiguration,
+} from "./planned_configuration.js";
+import { binPath } from "./program_paths.js";
+import { listVms } from "./vm_listing.js";
+
+/** The operators' key of every cluster. */
+export const ADMIN_KEY = "operator-key-of-the-harness";
+
+const READY_TIMEOUT_MS = 20_000;
+
+interface ClusterParts {
+  readonly plan: ClusterPlan;
+  readonly folder: string;
+  readonly platform: PlatformControl;
+  readonly servers: readonly BackendServerControl[];
+  readonly daemons: readonly DaemonHandle[];
+  readonly network: ClusterNetwork;
+  readonly processes: readonly ManagedProcess[];
+  readonly configuration: SubmittedConfiguration;
+  readonly vms: readonly ListedVm[];
+}
+
+/** A running cluster. */
+export class Cluster {
+  readonly plan: ClusterPlan;
+  readonly platform: PlatformControl;
+  readonly servers: readonly BackendServerControl[];
+  readonly daemons: readonly DaemonHandle[];
+  readonly network: ClusterNetwork;
+  readonly caller = new Caller();
+  /** What the platform listed at the start. */
+  readonly vms: readonly ListedVm[];
+  /** What was put into force at the start. */
+  readonly configuration: SubmittedConfiguration;
+  readonly #folder: string;
+  readonly #processes: readonly ManagedProcess[];
+
+  constructor(parts: ClusterParts) {
+    this.plan = parts.plan;
+    this.platform = parts.platform;
+    this.servers = parts.servers;
+    this.daemons = parts.daemons;
+    this.network = parts.network;
+    this.vms = parts.vms;
+    this.configuration = parts.configuration;
+    this.#folder = parts.folder;
+    this.#processes = parts.processes;
+  }
+
+  daemon(vmId: string): DaemonHandle {
+    return requireFound(this.daemons.find((one) => one.vmId === vmId), vmId);
+  }
+
+  server(id: string): BackendServerControl {
+    return requireFound(this.servers.find((one) => one.id === id), id);
+  }
+
+  daemonsIn(dataCentre: string): DaemonHandle[] {
+    return this.daemons.filter((one) => one.dataCentre === dataCentre);
+  }
+
+  serversOf(service: string, dataCentre?: string): BackendServerControl[] {
+    return this.servers.filter((one) =>
+      one.service === service &&
+      (dataCentre === undefined || one.dataCentre === dataCentre)
+    );
+  }
+
+  /** Starts every daemon that isn't running. */
+  async startDaemons(): Promise<void> {
+    const stopped = this.daemons.filter((one) => !one.isRunning);
+    await Promise.all(stopped.map((one) => one.start()));
+  }
+
+  /** Puts a configuration into force through a daemon (the first one). */
+  submitConfiguration(
+    configuration: SubmittedConfiguration,
+    through: DaemonHandle | undefined = this.daemons[0],
+  ): Promise<AdminAnswer> {
+    return requireFound(through, "daemon").admin("/admin/v1/configuration", {
+      method: "POST",
+      body: configuration,
+    });
+  }
+
+  async waitUntilReady(timeoutMs = READY_TIMEOUT_MS): Promise<void> {
+    const running = this.daemons.filter((one) => one.isRunning);
+    await Promise.all(running.map((one) => one.waitUntilReady(timeoutMs)));
+  }
+
+  cutDataCentres(a: string, b: string, mode?: LinkMode): void {
+    this.network.cutDataCentres(a, b, mode);
+  }
+
+  cutFromPlatform(dataCentre: string, mode?: LinkMode): void {
+    this.network.cutFromPlatform(dataCentre, mode);
+  }
+
+  heal(): void {
+    this.network.heal();
+  }
+
+  /** Ends every process that was started for the cluster. */
+  async stop(): Promise<void> {
+    await this.caller.close();
+    await Promise.all(this.daemons.map((one) => one.end()));
+    await Promise.all(this.#processes.map((one) => one.kill()));
+    await this.network.stop();
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+}
+
+/**
+ * Starts a cluster and puts its configuration into force.
+ *
+ * @example
+ * ```ts
+ * const cluster = await startCluster(plan);
+ * try {
+ *   await cluster.caller.send(cluster.daemons[0].httpUrl, call);
+ * } finally {
+ *   await cluster.stop();
+ * }
+ * ```
+ */
+export async function startCluster(plan: ClusterPlan): Promise<Cluster> {
+  const cluster = await prepareCluster(plan);
+  try {
+    await cluster.startDaemons();
+    const answer = await cluster.submitConfiguration(cluster.configuration);
+    if (answer.status >= 300) {
+      const body = JSON.stringify(answer.body);
+      throw new Error(`Configuration refused with ${answer.status}: ${body}`);
+    }
+    if (plan.waitsUntilReady !== false) await cluster.waitUntilReady();
+    return cluster;
+  } catch (error) {
+    await cluster.stop();
+    throw error;
+  }
+}
+
+/** Starts everything but the daemons. */
+export async function prepareCluster(plan: ClusterPlan): Promise<Cluster> {
+  const folder = mkdtempSync(join(tmpdir(), "sassafrasstage-"));
+  const network = new ClusterNetwork({
+    isProxied: plan.isProxied ?? false,
+    sources: planVms(plan),
+  });
+  const platformProcess = new ManagedProcess({
+    script: binPath("platform"),
+    args: ["--seed", String(plan.seed ?? 1)],
+    logFile: join(folder, "platform.log"),
+  });
+  const [announcement] = await platformProcess.readAnnouncements(1);
+  const platform = new PlatformControl(requireFound(announcement, "platform"));
+  const farm = await startBackendFarm(plan, folder);
+  const urls = await proxyServers(farm.servers, network);
+  const platformUrl = await network.addUrlTarget(
+    { name: PLATFORM_TARGET, dataCentre: undefined },
+    platform.url,
+  );
+  const prepared = await prepareDaemons(plan, {
+    folder,
+    network,
+    platformUrl,
+    adminKey: ADMIN_KEY,
+  });
+  const vms = listVms(plan, prepared.peerAddresses);
+  await platform.setVms(vms);
+  await platform.setFaults(plan.platformFaults ?? {});
+  return new Cluster({
+    plan,
+    folder,
+    platform,
+    servers: farm.servers,
+    daemons: prepared.daemons,
+    network,
+    processes: [platformProcess, ...farm.processes],
+    configuration: planConfiguration(plan, urls),
+    vms,
+  });
+}
+
+async function proxyServers(
+  servers: readonly BackendServerControl[],
+  network: ClusterNetwork,
+): Promise<Map<string, string>> {
+  const urls = new Map<string, string>();
+  for (const server of servers) {
+    const target = { name: server.id, dataCentre: server.dataCentre };
+    urls.set(server.id, await network.addUrlTarget(target, server.url));
+  }
+  return urls;
+}
+
+function requireFound<Item>(item: Item | undefined, name: string): Item {
+  if (item === undefined) throw new Error(`The cluster has no ${name}`);
+  return item;
+}
--- /dev/null
+++ b/packages/stand-ins/src/cluster/cluster_plan.ts
@@ -0,0 +1,122 @@
+/**
+ * What a test, demo or bench asks the harness to start.
+ *
+ * @module
+ */
+
+import type { EngineOptions } from "../backend_servers/engine_stand_in.js";
+import type { PlainServiceOptions } from "../backend_servers/plain_service_stand_in.js";
+import type { PlatformFaults } from "../platform/platform_faults.js";
+
+export interface DataCentrePlan {
+  readonly name: string;
+  readonly region?: string;
+  readonly entryVmCount: number;
+}
+
+interface ServiceLimits {
+  readonly name: string;
+  readonly serversPerDataCentre: number;
+  /** Where it runs; every data centre by default. */
+  readonly dataCentres?: readonly string[];
+  readonly warmLimit: number;
+  readonly coldLimit: number;
+  readonly warmAfterCompletions?: number;
+  readonly coldAfterIdleMs?: number;
+}
+
+export type ServicePlan =
+  | ServiceLimits & {
+    readonly kind: "modelEngine";
+    readonly model?: string;
+    readonly behaviour?: EngineOptions;
+  }
+  | ServiceLimits & {
+    readonly kind: "plain";
+    readonly behaviour?: PlainServiceOptions;
+  };
+
+export interface StagePlan {
+  readonly name: string;
+  readonly service: string;
+  readonly operation: string;
+  readonly idempotent?: boolean;
+  readonly maxTokens?: number;
+}
+
+export interface PipelinePlan {
+  readonly name: string;
+  readonly urgency: "counter" | "deferrable";
+  readonly deadlineMs: number;
+  readonly stages: readonly StagePlan[];
+}
+
+export interface ClientAccountPlan {
+  readonly id: string;
+  readonly key: string;
+  readonly share?: number;
+}
+
+export type SettingsSection = Readonly<Record<string, string | number>>;
+export type SettingsOverrides = Readonly<Record<string, SettingsSection>>;
+
+export interface ClusterPlan {
+  readonly dataCentres: readonly DataCentrePlan[];
+  readonly services: readonly ServicePlan[];
+  readonly pipelines: readonly PipelinePlan[];
+  readonly clientAccounts: readonly ClientAccountPlan[];
+  /** Laid over the harness's settings, by INI section. */
+  readonly settings?: SettingsOverrides;
+  /** Whether every link of a daemon goes through the fault proxy. */
+  readonly isProxied?: boolean;
+  readonly platformFaults?: Partial<PlatformFaults>;
+  /** Another build of the daemon's program. */
+  readonly daemonProgram?: string;
+  readonly seed?: number;
+  /** Whether to wait until every daemon is ready; true by default. */
+  readonly waitsUntilReady?: boolean;
+}
+
+/** One entry VM of a plan. */
+export interface PlannedVm {
+  readonly vmId: string;
+  readonly dataCentre: string;
+}
+
+/** One backend server of a plan. */
+export interface PlannedServer {
+  readonly id: string;
+  readonly vmId: string;
+  readonly dataCentre: string;
+  readonly service: ServicePlan;
+}
+
+/** The entry VMs, named "vm-palermo-1" and so on. */
+export function planVms(plan: ClusterPlan): PlannedVm[] {
+  return plan.dataCentres.flatMap(({ name, entryVmCount }) =>
+    countTo(entryVmCount).map((number) => ({
+      vmId: `vm-${name}-${number}`,
+      dataCentre: name,
+    }))
+  );
+}
+
+/** The backend servers, named "encoder-palermo-1" and so on. */
+export function planServers(plan: ClusterPlan): PlannedServer[] {
+  const servers: PlannedServer[] = [];
+  for (const service of plan.services) {
+    const names = service.dataCentres ??
+      plan.dataCentres.map((dataCentre) => dataCentre.name);
+    for (const dataCentre of names) {
+      for (const number of countTo(service.serversPerDataCentre)) {
+        const id = `${service.name}-${dataCentre}-${number}`;
+        servers.push({ id, vmId: `vm-${id}`, dataCentre, service });
+      }
+    }
+  }
+  return servers;
+}
+
+function countTo(count: number): number[] {
+  return Array.from({ length: count }, (_, index) => index + 1);
+}
--- /dev/null
+++ b/packages/stand-ins/src/cluster/daemon_handle.ts
@@ -0,0 +1,191 @@
+/**
+ * One daemon of a cluster, as the one who tests holds it.
+ *
+ * @module
+ */
+
+import { request } from "undici";
+import { type ExitStatus, ManagedProcess } from "./managed_process.js";
+
+export interface DaemonOptions {
+  readonly vmId: string;
+  readonly dataCentre: string;
+  readonly httpUrl: string;
+  readonly adminKey: string;
+  readonly program: string;
+  readonly settingsFile: string;
+  readonly logFile: string;
+  /** Frees the ports that are held for it; may be called twice. */
+  readonly releasePorts: () => Promise<void>;
+  readonly onStarted: (processId: number) => void;
+  readonly onEnded: (processId: number) => void;
+}
+
+export interface AdminAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const POLL_INTERVAL_MS = 25;
+const PROBE_TIMEOUT_MS = 1000;
+const START_ATTEMPTS = 3;
+
+/** Starts, signals and asks one daemon. */
+export class DaemonHandle {
+  readonly vmId: string;
+  readonly dataCentre: string;
+  readonly httpUrl: string;
+  readonly #options: DaemonOptions;
+  #process: ManagedProcess | undefined;
+
+  constructor(options: DaemonOptions) {
+    this.vmId = options.vmId;
+    this.dataCentre = options.dataCentre;
+    this.httpUrl = options.httpUrl;
+    this.#options = options;
+  }
+
+  get isRunning(): boolean {
+    return this.#process?.isRunning ?? false;
+  }
+
+  get processId(): number {
+    return this.#running().processId;
+  }
+
+  /** Starts the process; a port that was taken meanwhile is tried again. */
+  async start(): Promise<void> {
+    if (this.isRunning) throw new Error(`${this.vmId} is running`);
+    await this.#options.releasePorts();
+    for (let attempt = 1; attempt <= START_ATTEMPTS; attempt++) {
+      if (await this.#tryStart()) return;
+    }
+    throw new Error(`${this.vmId} did not start: ${this.readLog()}`);
+  }
+
+  /** SIGKILL. */
+  async kill(): Promise<void> {
+    const running = this.#running();
+    await running.kill();
+    this.#options.onEnded(running.processId);
+  }
+
+  /** SIGSTOP. */
+  freeze(): void {
+    this.#running().freeze();
+  }
+
+  /** SIGCONT. */
+  thaw(): void {
+    this.#running().thaw();
+  }
+
+  /** SIGTERM; resolves when the process has ended. */
+  async terminate(): Promise<ExitStatus> {
+    const running = this.#running();
+    const status = await running.terminate();
+    this.#options.onEnded(running.processId);
+    return status;
+  }
+
+  /** Ends it by SIGKILL if it still runs. */
+  async end(): Promise<void> {
+    if (this.isRunning) await this.kill();
+    await this.#options.releasePorts();
+  }
+
+  /** Waits until `/readyz` answers 200. */
+  waitUntilReady(timeoutMs: number): Promise<void> {
+    return this.#waitForProbe("/readyz", timeoutMs);
+  }
+
+  /** Waits until the HTTP listener answers. */
+  waitUntilListening(timeoutMs: number): Promise<void> {
+    return this.#waitForProbe("/healthz", timeoutMs);
+  }
+
+  /** Calls the administration API. */
+  async admin(
+    path: string,
+    call: { readonly method?: "GET" | "POST"; readonly body?: unknown } = {},
+  ): Promise<AdminAnswer> {
+    const answer = await request(`${this.httpUrl}${path}`, {
+      method: call.method ?? "GET",
+      headers: {
+        authorization: `Bearer ${this.#options.adminKey}`,
+        "content-type": "application/json",
+      },
+      body: call.body === undefined ? null : JSON.stringify(call.body),
+    });
+    const text = await answer.body.text();
+    return { status: answer.statusCode, body: parseJson(text) };
+  }
+
+  /** The text of `/metrics`. */
+  async metrics(): Promise<string> {
+    const answer = await request(`${this.httpUrl}/metrics`);
+    return await answer.body.text();
+  }
+
+  readLog(): string {
+    return this.#process?.readLog() ?? "";
+  }
+
+  #running(): ManagedProcess {
+    const current = this.#process;
+    if (current?.isRunning !== true) {
+      throw new Error(`${this.vmId} isn't running`);
+    }
+    return current;
+  }
+
+  async #tryStart(): Promise<boolean> {
+    const started = new ManagedProcess({
+      script: this.#options.program,
+      args: ["--settings", this.#options.settingsFile],
+      logFile: this.#options.logFile,
+    });
+    started.ignoreOutput();
+    this.#process = started;
+    this.#options.onStarted(started.processId);
+    while (started.isRunning) {
+      if (await this.#probe("/healthz")) return true;
+      await sleep(POLL_INTERVAL_MS);
+    }
+    this.#options.onEnded(started.processId);
+    return false;
+  }
+
+  async #waitForProbe(path: string, timeoutMs: number): Promise<void> {
+    const endAtMs = performance.now() + timeoutMs;
+    while (performance.now() < endAtMs) {
+      if (await this.#probe(path)) return;
+      await sleep(POLL_INTERVAL_MS);
+    }
+    throw new Error(`${this.vmId} answers no ${path}: ${this.readLog()}`);
+  }
+
+  async #probe(path: string): Promise<boolean> {
+    try {
+      const answer = await request(`${this.httpUrl}${path}`, {
+        signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/stand-ins/src/cluster/network.ts
@@ -0,0 +1,161 @@
+/**
+ * The links of a cluster's daemons: to each other, to the platform and to the
+ * backend servers, each through the fault proxy if the plan says so.
+ *
+ * @module
+ */
+
+import { type LinkMode, PASS } from "../proxy/link_mode.js";
+import { SourceFinder } from "../proxy/source_finder.js";
+import { TcpProxy } from "../proxy/tcp_proxy.js";
+
+/** A party that daemons connect to. */
+export interface LinkTarget {
+  readonly name: string;
+  /** Undefined for the platform, which is in no data centre. */
+  readonly dataCentre: string | undefined;
+}
+
+interface ProxiedTarget extends LinkTarget {
+  readonly proxy: TcpProxy;
+}
+
+interface LinkSource {
+  readonly vmId: string;
+  readonly dataCentre: string;
+}
+
+/** The name of the platform as a link target. */
+export const PLATFORM_TARGET = "platform";
+
+const FROZEN: LinkMode = { kind: "freeze" };
+
+/** All proxied links. Without proxies, addresses are given back unchanged. */
+export class ClusterNetwork {
+  readonly #isProxied: boolean;
+  readonly #sourceFinder = new SourceFinder();
+  readonly #targets = new Map<string, ProxiedTarget>();
+  readonly #sources: readonly LinkSource[];
+
+  constructor(
+    options: {
+      readonly isProxied: boolean;
+      readonly sources: readonly LinkSource[];
+    },
+  ) {
+    this.#isProxied = options.isProxied;
+    this.#sources = options.sources;
+  }
+
+  /** The "host:port" under which daemons reach the target. */
+  async addTarget(target: LinkTarget, address: string): Promise<string> {
+    if (!this.#isProxied) return address;
+    const { hostname, port } = new URL(`http://${address}`);
+    const proxy = new TcpProxy({
+      target: { host: hostname, port: Number(port) },
+      findSource: (sourcePort) => this.#sourceFinder.find(sourcePort),
+    });
+    await proxy.start();
+    this.#targets.set(target.name, { ...target, proxy });
+    return proxy.address;
+  }
+
+  /** The URL under which daemons reach the target. */
+  async addUrlTarget(target: LinkTarget, url: string): Promise<string> {
+    return `http://${await this.addTarget(target, new URL(url).host)}`;
+  }
+
+  /** Connections of this process are the VM's from now on. */
+  addSource(processId: number, vmId: string): void {
+    this.#sourceFinder.add(processId, vmId);
+  }
+
+  removeSource(processId: number): void {
+    this.#sourceFinder.remove(processId);
+  }
+
+  /** The target has ended: its port refuses until it listens again. */
+  refuseUntilTargetListens(name: string): void {
+    this.#targets.get(name)?.proxy.refuseUntilTargetListens();
+  }
+
+  /**
+   * Sets the mode of one link.
+   *
+   * @example
+   * ```ts
+   * network.setLink("vm-a-1", { target: "vm-b-1", mode: { kind: "cut" } });
+   * ```
+   */
+  setLink(
+    vmId: string,
+    link: { readonly target: string; readonly mode: LinkMode },
+  ): void {
+    this.#requireProxies();
+    const target = this.#targets.get(link.target);
+    if (target === undefined) throw new Error(`No target "${link.target}"`);
+    target.proxy.setMode(link.mode, vmId);
+  }
+
+  /** Sets the mode of all links from one data centre into the other. */
+  setDataCentreLinks(
+    from: string,
+    link: { readonly to: string; readonly mode: LinkMode },
+  ): void {
+    this.#requireProxies();
+    for (const target of this.#targets.values()) {
+      if (target.dataCentre !== link.to) continue;
+      this.#setFromDataCentre(from, target.proxy, link.mode);
+    }
+  }
+
+  /** By default packets vanish, as in a network partition. */
+  cutDataCentres(a: string, b: string, mode: LinkMode = FROZEN): void {
+    this.setDataCentreLinks(a, { to: b, mode });
+    this.setDataCentreLinks(b, { to: a, mode });
+  }
+
+  cutFromPlatform(dataCentre: string, mode: LinkMode = FROZEN): void {
+    this.#requireProxies();
+    const platform = this.#targets.get(PLATFORM_TARGET);
+    if (platform === undefined) return;
+    this.#setFromDataCentre(dataCentre, platform.proxy, mode);
+  }
+
+  /** One VM reaches nobody and is reached by no other VM. */
+  cutVm(vmId: string, mode: LinkMode = FROZEN): void {
+    this.#requireProxies();
+    for (const target of this.#targets.values()) {
+      if (target.name === vmId) {
+        for (const source of this.#sources) {
+          target.proxy.setMode(mode, source.vmId);
+        }
+      } else {
+        target.proxy.setMode(mode, vmId);
+      }
+    }
+  }
+
+  heal(): void {
+    for (const target of this.#targets.values()) target.proxy.heal();
+  }
+
+  async stop(): Promise<void> {
+    const targets = [...this.#targets.values()];
+    await Promise.all(targets.map((target) => target.proxy.stop()));
+  }
+
+  #setFromDataCentre(
+    dataCentre: string,
+    proxy: TcpProxy,
+    mode: LinkMode = PASS,
+  ): void {
+    for (const source of this.#sources) {
+      if (source.dataCentre === dataCentre) proxy.setMode(mode, source.vmId);
+    }
+  }
+
+  #requireProxies(): void {
+    if (!this.#isProxied) throw new Error("The cluster has no proxies");
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/cluster/server_sent_events.ts
@@ -0,0 +1,47 @@
+/**
+ * Reads server-sent events from a stream of bytes.
+ *
+ * @module
+ */
+
+export interface ServerSentEvent {
+  /** "message" when the event names none. */
+  readonly name: string;
+  readonly data: string;
+}
+
+/**
+ * Yields each whole event; an unfinished one at the end is left out.
+ *
+ * @example
+ * ```ts
+ * for await (const event of readServerSentEvents(body)) use(event.data);
+ * ```
+ */
+export async function* readServerSentEvents(
+  body: AsyncIterable<Uint8Array>,
+): AsyncGenerator<ServerSentEvent> {
+  const decoder = new TextDecoder();
+  let buffered = "";
+  for await (const chunk of body) {
+    buffered += decoder.decode(chunk, { stream: true });
+    for (;;) {
+      const end = buffered.indexOf("\n\n");
+      if (end < 0) break;
+      yield parseEvent(buffered.slice(0, end));
+      buffered = buffered.slice(end + 2);
+    }
+  }
+}
+
+function parseEvent(block: string): ServerSentEvent {
+  let name = "message";
+  const data: string[] = [];
+  for (const line of block.split("\n")) {
+    if (line.startsWith("event:")) name = line.slice("event:".length).trim();
+    if (line.startsWith("data:")) {
+      data.push(line.slice("data:".length).trimStart());
+    }
+  }
+  return { name, data: data.join("\n") };
+}
--- /dev/null
+++ b/packages/stand-ins/src/cluster/vm_listing.ts
@@ -0,0 +1,34 @@
+/**
+ * The platform's VM list of a planned cluster.
+ *
+ * @module
+ */
+
+import type { DataCentreName, VmId } from "@sassafrasstage/protocol/ids";
+import { toId } from "@sassafrasstage/protocol/ids";
+import type { ListedVm } from "@sassafrasstage/protocol/platform_objects";
+import { type ClusterPlan, planServers, planVms } from "./cluster_plan.js";
+
+/** All VMs as live; `peerAddresses` is by entry VM. */
+export function listVms(
+  plan: ClusterPlan,
+  peerAddresses: ReadonlyMap<string, string>,
+): ListedVm[] {
+  const entryVms = planVms(plan).map((vm): ListedVm => {
+    const peerAddress = peerAddresses.get(vm.vmId);
+    return {
+      vmId: toId<VmId>(vm.vmId),
+      dataCentre: toId<DataCentreName>(vm.dataCentre),
+      role: "entry",
+      state: "live",
+      ...(peerAddress === undefined ? {} : { peerAddress }),
+    };
+  });
+  const serverVms = planServers(plan).map((server): ListedVm => ({
+    vmId: toId<VmId>(server.vmId),
+    dataCentre: toId<DataCentreName>(server.dataCentre),
+    role: "backendServer",
+    state: "live",
+  }));
+  return [...entryVms, ...serverVms];
+}
