Run pipelines: deadlines, attempts, claims, and the callers' API

Cause: nothing took a request yet. Ruled out: canceling plain service calls at the deadline, since such a server runs on unseen and its permit would be given back too early; the call keeps its permit until it ends, while the caller is answered at once. Ruled out as well: answering a keyed non-idempotent request only when its outcome is recorded, as a platform outage would then delay the answer. Before: no code. Conclusion: ready to be wired to permits, claims and configuration.

--- /dev/null
+++ b/packages/daemon/src/backend_servers/create_stage_caller.ts
@@ -0,0 +1,50 @@
+/**
+ * The one entrance to all backend server adapters.
+ *
+ * @module
+ */
+
+import { Agent } from "undici";
+import type { Clock } from "../clock.js";
+import { ModelEngineCaller } from "./model_engine_caller.js";
+import { PlainServiceCaller } from "./plain_service_caller.js";
+import type { CallResult, StageCall, StageCaller } from "./stage_call.js";
+
+const CONNECT_TIMEOUT_MS = 1000;
+const KEEP_ALIVE_MS = 4000;
+
+export interface RunningStageCaller extends StageCaller {
+  close(): Promise<void>;
+}
+
+/**
+ * Makes the caller that picks the adapter by the kind of service.
+ *
+ * @example
+ * ```ts
+ * const caller = createStageCaller(MONOTONIC_CLOCK);
+ * ```
+ */
+export function createStageCaller(clock: Clock): RunningStageCaller {
+  const dispatcher = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    // Every call has its own deadline, by its signal.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: 1,
+  });
+  const plainServiceCaller = new PlainServiceCaller(dispatcher);
+  const modelEngineCaller = new ModelEngineCaller({ dispatcher, clock });
+
+  function call(call: StageCall, signal: AbortSignal): Promise<CallResult> {
+    switch (call.service.kind) {
+      case "plain":
+        return plainServiceCaller.call(call, signal);
+      case "modelEngine":
+        return modelEngineCaller.call(call, signal);
+    }
+  }
+
+  return { call, close: () => dispatcher.destroy() };
+}
--- /dev/null
+++ b/packages/daemon/src/backend_servers/model_engine_caller.ts
@@ -0,0 +1,168 @@
+/**
+ * Adapter towards model engines: streaming completions over HTTP.
+ *
+ * @module
+ */
+
+import { createParser } from "eventsource-parser";
+import { type Dispatcher, request } from "undici";
+import { z } from "zod";
+import type { Urgency } from "@sassafrasstage/protocol/rules";
+import type { Clock } from "../clock.js";
+import {
+  failureOfError,
+  failureOfStatus,
+  foreignResult,
+} from "./call_failure.js";
+import type {
+  CallResult,
+  FailedCall,
+  StageCall,
+  StageCaller,
+} from "./stage_call.js";
+
+const END_OF_STREAM = "[DONE]";
+const ENGINE_PRIORITY: Readonly<Record<Urgency, number>> = {
+  counter: 0,
+  deferrable: 10,
+};
+
+const chunkSchema = z.object({
+  id: z.string(),
+  choices: z.array(z.object({ text: z.string() })),
+});
+
+export interface ModelEngineCallerOptions {
+  readonly dispatcher: Dispatcher;
+  readonly clock: Clock;
+}
+
+/**
+ * Calls `POST {url}/v1/completions` and takes the whole stream: every chunk
+ * has to carry the attempt's id, and the end mark has to be seen.
+ *
+ * @example
+ * ```ts
+ * const caller = new ModelEngineCaller({ dispatcher, clock });
+ * const result = await caller.call(call, signal);
+ * ```
+ */
+export class ModelEngineCaller implements StageCaller {
+  readonly #dispatcher: Dispatcher;
+  readonly #clock: Clock;
+
+  constructor(options: ModelEngineCallerOptions) {
+    this.#dispatcher = options.dispatcher;
+    this.#clock = options.clock;
+  }
+
+  async call(call: StageCall, signal: AbortSignal): Promise<CallResult> {
+    try {
+      return await this.#send(call, signal);
+    } catch (error) {
+      return failureOfError(error, signal);
+    }
+  }
+
+  async #send(call: StageCall, signal: AbortSignal): Promise<CallResult> {
+    const startedAtMs = this.#clock.nowMs();
+    const response = await request(`${call.url}/v1/completions`, {
+      dispatcher: this.#dispatcher,
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        "x-request-id": call.attemptId,
+      },
+      body: JSON.stringify(makeCompletionRequest(call)),
+      signal,
+    });
+    if (response.statusCode !== 200) {
+      await response.body.dump();
+      return failureOfStatus(response.statusCode);
+    }
+    const reader = new CompletionReader(call, this.#clock);
+    response.body.setEncoding("utf8");
+    for await (const text of response.body) reader.feed(text as string);
+    return reader.finish(startedAtMs);
+  }
+}
+
+function makeCompletionRequest(call: StageCall): Record<string, unknown> {
+  const model = call.service.kind === "modelEngine" ? call.service.model : "";
+  return {
+    model,
+    prompt: toPrompt(call.input),
+    max_tokens: call.maxTokens,
+    stream: true,
+    priority: ENGINE_PRIORITY[call.urgency],
+  };
+}
+
+function toPrompt(input: unknown): string {
+  return typeof input === "string" ? input : JSON.stringify(input);
+}
+
+/** Gathers one stream. */
+class CompletionReader {
+  readonly #call: StageCall;
+  readonly #clock: Clock;
+  readonly #parser = createParser({
+    onEvent: (event) => {
+      this.#takeData(event.data);
+    },
+  });
+  #text = "";
+  #tokens = 0;
+  #firstTokenAtMs: number | undefined;
+  #foreignId: string | undefined;
+  #isEnded = false;
+
+  constructor(call: StageCall, clock: Clock) {
+    this.#call = call;
+    this.#clock = clock;
+  }
+
+  feed(text: string): void {
+    this.#parser.feed(text);
+  }
+
+  finish(startedAtMs: number): CallResult {
+    if (this.#foreignId !== undefined) return foreignResult(this.#foreignId);
+    if (!this.#isEnded) return brokenStream(this.#tokens);
+    const firstTokenMs = (this.#firstTokenAtMs ?? this.#clock.nowMs()) -
+      startedAtMs;
+    return {
+      kind: "completed",
+      output: this.#text,
+      firstTokenMs,
+      tokens: this.#tokens,
+    };
+  }
+
+  #takeData(data: string): void {
+    if (data === END_OF_STREAM) {
+      this.#isEnded = true;
+      return;
+    }
+    const chunk = chunkSchema.parse(JSON.parse(data));
+    if (chunk.id !== this.#call.attemptId) {
+      this.#foreignId = chunk.id;
+      return;
+    }
+    const text = chunk.choices[0]?.text ?? "";
+    if (text === "" || this.#foreignId !== undefined) return;
+    this.#firstTokenAtMs ??= this.#clock.nowMs();
+    this.#tokens += 1;
+    this.#text += text;
+    this.#call.onToken?.(text);
+  }
+}
+
+function brokenStream(tokens: number): FailedCall {
+  return {
+    kind: "failed",
+    cause: "streamBroken",
+    detail: `The stream ended after ${tokens} tokens without its end mark`,
+    mayHaveRun: true,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/callers/requests_in_flight.ts
@@ -0,0 +1,39 @@
+/**
+ * Counts the requests whose work is not over, for a graceful shutdown.
+ *
+ * @module
+ */
+
+/**
+ * @example
+ * ```ts
+ * inFlight.track(running.finished);
+ * await inFlight.drained();
+ * ```
+ */
+export class RequestsInFlight {
+  #count = 0;
+  #waiting: (() => void)[] = [];
+
+  get count(): number {
+    return this.#count;
+  }
+
+  /** Counts until the promise settles, whichever way. */
+  track(work: Promise<unknown>): void {
+    this.#count += 1;
+    const finish = (): void => {
+      this.#count -= 1;
+      if (this.#count > 0) return;
+      for (const resolve of this.#waiting.splice(0)) resolve();
+    };
+    work.then(finish, finish);
+  }
+
+  drained(): Promise<void> {
+    if (this.#count === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#waiting.push(resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pipelines/acquire_permit.ts
@@ -0,0 +1,125 @@
+/**
+ * Gets a permit for one attempt of a stage from the best pool that grants one.
+ *
+ * @module
+ */
+
+import type { AttemptId, BackendServerId } from "@sassafrasstage/protocol/ids";
+import type {
+  PermitAsk,
+  PermitDecision,
+} from "@sassafrasstage/protocol/permits";
+import type { PipelineEnvironment } from "./pipeline_environment.js";
+import { refuse } from "./refuse.js";
+import type { Refusal } from "./pipeline_request.js";
+import { planStage } from "./stage_plan.js";
+import type { GrantedServer, StageRun } from "./stage_run.js";
+
+const NO_SERVER_RETRY_MS = 1000;
+
+export interface AttemptRequest {
+  readonly run: StageRun;
+  readonly attemptId: AttemptId;
+  readonly excluded: readonly BackendServerId[];
+}
+
+export type AcquireResult =
+  | { readonly kind: "granted"; readonly granted: GrantedServer }
+  | Refusal;
+
+/**
+ * Asks the candidate pools one after the other, the best one first.
+ *
+ * @example
+ * ```ts
+ * const acquired = await acquirePermit(environment, { run, attemptId, excluded });
+ * ```
+ */
+export async function acquirePermit(
+  environment: PipelineEnvironment,
+  attempt: AttemptRequest,
+): Promise<AcquireResult> {
+  const { run } = attempt;
+  const pools = environment.permits.candidatePools(
+    run.service.name,
+    environment.clock.nowMs(),
+  );
+  let refusal = refuse(run.lifetime, {
+    reason: "noBackendServer",
+    detail: `No data centre in service offers "${run.service.name}"`,
+    retryAfterMs: NO_SERVER_RETRY_MS,
+  });
+  for (const pool of pools) {
+    const ask = makeAsk(environment, attempt);
+    if (ask.latestStartInMs <= 0) return refuseForDeadline(run);
+    const decision = await environment.permits.acquire(
+      { ...ask, pool },
+      run.lifetime.wantedSignal,
+    );
+    const result = toAcquireResult(environment, run, decision);
+    if (result.kind === "granted") return result;
+    refusal = result;
+    if (run.lifetime.wantedSignal.aborted) return refusal;
+  }
+  return refusal;
+}
+
+function makeAsk(
+  environment: PipelineEnvironment,
+  attempt: AttemptRequest,
+): Omit<PermitAsk, "pool"> {
+  const { request, stage } = attempt.run;
+  const nowMs = environment.clock.nowMs();
+  const plan = planStage({
+    pipeline: request.pipeline,
+    stage,
+    deadlineAtMs: request.deadlineAtMs,
+    estimates: environment.estimates,
+  }, nowMs);
+  return {
+    requestId: request.requestId,
+    attemptId: attempt.attemptId,
+    clientAccountId: request.clientAccountId,
+    urgency: request.pipeline.urgency,
+    latestStartInMs: plan.latestStartAtMs - nowMs,
+    deadlineInMs: request.deadlineAtMs - nowMs,
+    likelyDurationMs: plan.likelyDurationMs,
+    prefixKey: `${request.clientAccountId}/${request.pipeline.name}`,
+    excluded: attempt.excluded,
+  };
+}
+
+function toAcquireResult(
+  environment: PipelineEnvironment,
+  run: StageRun,
+  decision: PermitDecision,
+): AcquireResult {
+  if (decision.kind === "refused") return refuse(run.lifetime, decision);
+  const { permit } = decision;
+  const server = run.request.configuration.register.backendServers.find(
+    (entry) => entry.id === permit.backendServerId,
+  );
+  if (server !== undefined) {
+    return { kind: "granted", granted: { permit, server } };
+  }
+  // The owner already knows a newer register than this request's.
+  environment.permits.release(permit, {
+    permitId: permit.permitId,
+    backendServerId: permit.backendServerId,
+    outcome: "notSent",
+    durationMs: 0,
+  });
+  return refuse(run.lifetime, {
+    reason: "noBackendServer",
+    detail: "The register changed while the request waited",
+    retryAfterMs: 0,
+  });
+}
+
+function refuseForDeadline(run: StageRun): Refusal {
+  return refuse(run.lifetime, {
+    reason: "deadlineWouldBeMissed",
+    detail: `Stage "${run.stage.name}" can't end before the deadline`,
+    retryAfterMs: 0,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/pipelines/refuse.ts
@@ -0,0 +1,49 @@
+/**
+ * Builds refusals whose `notRun` follows from what was sent.
+ *
+ * @module
+ */
+
+import type { ProblemReason } from "@sassafrasstage/protocol/problems";
+import type { Refusal } from "./pipeline_request.js";
+import type { RequestLifetime } from "./request_lifetime.js";
+
+export interface RefusalDetails {
+  readonly reason: ProblemReason;
+  readonly detail: string;
+  readonly retryAfterMs?: number;
+}
+
+/**
+ * @example
+ * ```ts
+ * return refuse(lifetime, { reason: "queueFull", detail: "…", retryAfterMs: 250 });
+ * ```
+ */
+export function refuse(
+  lifetime: RequestLifetime,
+  details: RefusalDetails,
+): Refusal {
+  const refusal: Refusal = {
+    kind: "refused",
+    reason: details.reason,
+    detail: details.detail,
+    notRun: !lifetime.mayHaveRun,
+  };
+  if (details.retryAfterMs === undefined) return refusal;
+  return { ...refusal, retryAfterMs: details.retryAfterMs };
+}
+
+/** The refusal of a request whose deadline passed or whose caller left. */
+export function refuseUnwanted(lifetime: RequestLifetime): Refusal {
+  if (lifetime.deadlineSignal.aborted) {
+    return refuse(lifetime, {
+      reason: "deadlineExceeded",
+      detail: "The deadline has passed",
+    });
+  }
+  return refuse(lifetime, {
+    reason: "callerDisconnected",
+    detail: "The caller has gone away",
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/pipelines/request_lifetime.ts
@@ -0,0 +1,62 @@
+/**
+ * How long the work for a request is wanted.
+ *
+ * @module
+ */
+
+import { CallTimeoutError } from "../call_timeout_error.js";
+
+export interface RequestLifetimeOptions {
+  /** Time left until the deadline. */
+  readonly remainingMs: number;
+  readonly callerSignal: AbortSignal;
+}
+
+/**
+ * Two signals: one for the deadline alone, and one that also ends when the
+ * caller goes away. Remembers whether a non-idempotent call may have left.
+ *
+ * @example
+ * ```ts
+ * const lifetime = new RequestLifetime({ remainingMs: 5000, callerSignal });
+ * try { await work(lifetime.wantedSignal); } finally { lifetime.end(); }
+ * ```
+ */
+export class RequestLifetime {
+  readonly deadlineSignal: AbortSignal;
+  /** Aborts at the deadline or when the caller goes away. */
+  readonly wantedSignal: AbortSignal;
+  readonly #timer: NodeJS.Timeout;
+  #mayHaveRun = false;
+
+  constructor(options: RequestLifetimeOptions) {
+    const deadline = new AbortController();
+    this.deadlineSignal = deadline.signal;
+    this.wantedSignal = AbortSignal.any([
+      deadline.signal,
+      options.callerSignal,
+    ]);
+    this.#timer = setTimeout(() => {
+      deadline.abort(new CallTimeoutError("The deadline has passed"));
+    }, options.remainingMs);
+  }
+
+  /** Whether a non-idempotent call of the request may have run. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  /** To be called before the first byte of a non-idempotent call leaves. */
+  markSent(): void {
+    this.#mayHaveRun = true;
+  }
+
+  /** To be called when that call is proved never to have been sent. */
+  markNotSent(): void {
+    this.#mayHaveRun = false;
+  }
+
+  end(): void {
+    clearTimeout(this.#timer);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pipelines/run_call.ts
@@ -0,0 +1,159 @@
+/**
+ * Makes one call under a permit and gives the permit back when the backend
+ * server is really done with it.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import type { AttemptId } from "@sassafrasstage/protocol/ids";
+import {
+  type CallResult,
+  type FailedCall,
+  type StageCall,
+  toCallOutcome,
+} from "../backend_servers/stage_call.js";
+import { CallTimeoutError } from "../call_timeout_error.js";
+import type { PipelineEnvironment } from "./pipeline_environment.js";
+import type { FinishedCall, GrantedServer, StageRun } from "./stage_run.js";
+
+/** How long after the deadline a call that can't be canceled may run on. */
+const LATE_CALL_MS = 30_000;
+/** How long an engine may need to notice that a call was canceled. */
+const CANCEL_SETTLE_MS = 100;
+
+export interface CallRequest {
+  readonly run: StageRun;
+  readonly attemptId: AttemptId;
+  readonly granted: GrantedServer;
+}
+
+/**
+ * Resolves with the call's end, or at once when the result is no longer
+ * wanted. Plain services don't notice that a caller is gone, so their calls
+ * run on, and hold their permits, until they end; engines cancel.
+ *
+ * @example
+ * ```ts
+ * const finished = await runCall(environment, { run, attemptId, granted });
+ * ```
+ */
+export async function runCall(
+  environment: PipelineEnvironment,
+  request: CallRequest,
+): Promise<FinishedCall> {
+  const { run } = request;
+  const startedAtMs = environment.clock.nowMs();
+  const limit = limitCall(environment, request);
+  const ended = environment.stageCaller.call(
+    makeStageCall(request),
+    limit.signal,
+  )
+    .then((result) => {
+      limit.clear();
+      const callMs = environment.clock.nowMs() - startedAtMs;
+      void releasePermit(environment, request, { result, callMs });
+      return result;
+    });
+  // The result of a non-idempotent call is recorded however late it comes.
+  const result = run.stage.idempotent
+    ? await Promise.race([ended, whenUnwanted(run.lifetime.wantedSignal)])
+    : await ended;
+  return { result, callMs: environment.clock.nowMs() - startedAtMs };
+}
+
+interface CallLimit {
+  readonly signal: AbortSignal;
+  clear(): void;
+}
+
+function limitCall(
+  environment: PipelineEnvironment,
+  request: CallRequest,
+): CallLimit {
+  const { run } = request;
+  const late = new AbortController();
+  const remainingMs = run.request.deadlineAtMs - environment.clock.nowMs();
+  const timer = setTimeout(() => {
+    late.abort(new CallTimeoutError("The call took far too long"));
+  }, remainingMs + LATE_CALL_MS);
+  timer.unref();
+  const isCancelable = run.service.kind === "modelEngine" &&
+    run.stage.idempotent;
+  const signal = isCancelable
+    ? AbortSignal.any([late.signal, run.lifetime.wantedSignal])
+    : late.signal;
+  return {
+    signal,
+    clear: () => {
+      clearTimeout(timer);
+    },
+  };
+}
+
+function makeStageCall(request: CallRequest): StageCall {
+  const { run, granted, attemptId } = request;
+  const { idempotencyKey, listener } = run.request;
+  const isLastStage = run.request.pipeline.stages.at(-1) === run.stage;
+  return {
+    attemptId,
+    service: run.service,
+    url: granted.server.url,
+    operation: run.stage.operation,
+    input: run.input,
+    maxTokens: run.stage.maxTokens,
+    urgency: run.request.pipeline.urgency,
+    ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+    ...(listener === undefined || !isLastStage ? {} : {
+      onToken: (text: string) => {
+        listener.onToken(text);
+      },
+    }),
+  };
+}
+
+async function releasePermit(
+  environment: PipelineEnvironment,
+  request: CallRequest,
+  finished: FinishedCall,
+): Promise<void> {
+  const { permit } = request.granted;
+  const { result, callMs } = finished;
+  const wasCut = result.kind === "failed" &&
+    (result.cause === "canceled" || result.cause === "timedOut");
+  if (wasCut && permit.warmth === "cold") await sleep(CANCEL_SETTLE_MS);
+  environment.permits.release(permit, {
+    permitId: permit.permitId,
+    backendServerId: permit.backendServerId,
+    outcome: toCallOutcome(result),
+    durationMs: callMs,
+    ...(result.kind === "completed" ? pickTokens(result) : {}),
+  });
+}
+
+function pickTokens(
+  result: Extract<CallResult, { kind: "completed" }>,
+): { readonly firstTokenMs?: number; readonly tokens?: number } {
+  return {
+    ...(result.firstTokenMs === undefined
+      ? {}
+      : { firstTokenMs: result.firstTokenMs }),
+    ...(result.tokens === undefined ? {} : { tokens: result.tokens }),
+  };
+}
+
+function whenUnwanted(signal: AbortSignal): Promise<FailedCall> {
+  return new Promise((resolve) => {
+    function finish(): void {
+      const isTimeout = signal.reason instanceof CallTimeoutError;
+      resolve({
+        kind: "failed",
+        cause: isTimeout ? "timedOut" : "canceled",
+        detail: "The result is no longer wanted",
+        mayHaveRun: true,
+      });
+    }
+    if (signal.aborted) finish();
+    else signal.addEventListener("abort", finish, { once: true });
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/pipelines/run_pipeline_test.ts
@@ -0,0 +1,258 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+  type BackendServerId,
+  type ClientAccountId,
+  type DataCentreName,
+  type PermitId,
+  type RequestId,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import type {
+  PermitDecision,
+  PermitRelease,
+} from "@sassafrasstage/protocol/permits";
+import type { ClaimOutcome } from "@sassafrasstage/protocol/claims";
+import type {
+  CallResult,
+  FailedCall,
+  StageCall,
+} from "../backend_servers/stage_call.js";
+import { MONOTONIC_CLOCK } from "../clock.js";
+import { LatencyRecords } from "../observability/latency_records.js";
+import { createLogger } from "../observability/logger.js";
+import { Metrics } from "../observability/metrics.js";
+import { makeSampleConfiguration } from "../testing/sample_configuration.js";
+import type { PipelineEnvironment } from "./pipeline_environment.js";
+import type { PipelineRequest, PipelineResult } from "./pipeline_request.js";
+import { RetryBudget } from "./retry_budget.js";
+import { startPipeline } from "./run_pipeline.js";
+import { StageEstimates } from "./stage_estimates.js";
+
+const CONFIGURATION = makeSampleConfiguration();
+const COMPLETED: CallResult = { kind: "completed", output: "done" };
+
+function failedCall(
+  cause: FailedCall["cause"],
+  mayHaveRun: boolean,
+): FailedCall {
+  return { kind: "failed", cause, detail: cause, mayHaveRun };
+}
+
+/** Backend servers, owner and claims as scripted by one test. */
+class Script {
+  readonly calls: StageCall[] = [];
+  readonly releases: PermitRelease[] = [];
+  readonly outcomes: ClaimOutcome[] = [];
+  readonly #answers: (() => Promise<CallResult>)[];
+
+  constructor(answers: readonly (() => Promise<CallResult>)[]) {
+    this.#answers = [...answers];
+  }
+
+  environment(): PipelineEnvironment {
+    return {
+      permits: {
+        acquire: (ask) => Promise.resolve(this.#grant(ask)),
+        release: (_permit, release) => {
+          this.releases.push(release);
+        },
+        isSpendable: () => true,
+        candidatePools: (service) => [
+          { service, dataCentre: toId<DataCentreName>("palermo") },
+        ],
+      },
+      stageCaller: {
+        call: (call) => {
+          this.calls.push(call);
+          return this.#answers.shift()?.() ?? Promise.resolve(COMPLETED);
+        },
+      },
+      claims: {
+        claim: ({ key, attemptId }) =>
+          Promise.resolve({ kind: "held", claim: { key, attemptId } }),
+        recordOutcome: (_claim, outcome) => {
+          this.outcomes.push(outcome);
+          return Promise.resolve(true);
+        },
+        flush: () => Promise.resolve(),
+      },
+      estimates: new StageEstimates(),
+      retryBudget: new RetryBudget(10),
+      clock: MONOTONIC_CLOCK,
+      metrics: new Metrics(),
+      latencies: new LatencyRecords(),
+      logger: createLogger("error", {}),
+    };
+  }
+
+  #grant(
+    ask: Parameters<PipelineEnvironment["permits"]["acquire"]>[0],
+  ): PermitDecision {
+    const prefix = ask.pool.service === "generator" ? "engine" : "registry";
+    const backendServerId = ["1", "2"]
+      .map((number) => toId<BackendServerId>(`${prefix}-${number}`))
+      .find((id) => !ask.excluded.includes(id));
+    if (backendServerId === undefined) {
+      return {
+        kind: "refused",
+        reason: "noBackendServer",
+        detail: "",
+        retryAfterMs: 1,
+      };
+    }
+    return {
+      kind: "granted",
+      permit: {
+        permitId: toId<PermitId>(ask.attemptId),
+        attemptId: ask.attemptId,
+        pool: ask.pool,
+        backendServerId,
+        warmth: "warm",
+      },
+    };
+  }
+}
+
+function makeRequest(
+  pipelineName: string,
+  overrides: Partial<PipelineRequest> = {},
+): PipelineRequest {
+  const pipeline = CONFIGURATION.rules.pipelines.find((entry) =>
+    entry.name === pipelineName
+  );
+  if (pipeline === undefined) throw new Error(`No pipeline ${pipelineName}`);
+  const receivedAtMs = MONOTONIC_CLOCK.nowMs();
+  return {
+    requestId: toId<RequestId>("request-1"),
+    clientAccountId: toId<ClientAccountId>("shop"),
+    pipeline,
+    configuration: CONFIGURATION,
+    input: { text: "hello" },
+    contentSha256: "00",
+    receivedAtMs,
+    deadlineAtMs: receivedAtMs + 1000,
+    callerSignal: new AbortController().signal,
+    ...overrides,
+  };
+}
+
+async function run(
+  script: Script,
+  request: PipelineRequest,
+): Promise<PipelineResult> {
+  return await startPipeline(script.environment(), request).result;
+}
+
+function answer(result: CallResult): () => Promise<CallResult> {
+  return () => Promise.resolve(result);
+}
+
+describe("startPipeline", () => {
+  it("repeats an idempotent stage on another backend server", async () => {
+    const script = new Script([answer(failedCall("failed", true))]);
+    const result = await run(script, makeRequest("draft"));
+    expect(result.kind).toEqual("answered");
+    if (result.kind !== "answered") return;
+    expect(result.answer.stages[0]?.attempts).toEqual(2);
+    expect(result.answer.stages[0]?.backendServerId).toEqual(
+      toId<BackendServerId>("engine-2"),
+    );
+    expect(script.releases.length).toEqual(2);
+  });
+
+  it("never sends a non-idempotent call again once it may have run", async () => {
+    const script = new Script([answer(failedCall("failed", true))]);
+    const result = await run(script, makeRequest("issue"));
+    expect(script.calls.length).toEqual(1);
+    expect(result).toLooseEqual({
+      kind: "refused",
+      reason: "outcomeUnknown",
+      detail: "failed; the call may have run",
+      notRun: false,
+    });
+  });
+
+  it("moves a non-idempotent call on after a refused connection", async () => {
+    const script = new Script([answer(failedCall("connectFailed", false))]);
+    const result = await run(script, makeRequest("issue"));
+    expect(result.kind).toEqual("answered");
+    expect(script.calls.length).toEqual(2);
+  });
+
+  it("says not run when no server could be connected to", async () => {
+    const script = new Script([
+      answer(failedCall("connectFailed", false)),
+      answer(failedCall("connectFailed", false)),
+    ]);
+    const result = await run(
+      script,
+      makeRequest("issue", { idempotencyKey: "key-1" }),
+    );
+    if (result.kind !== "refused") throw new Error("Expected a refusal");
+    expect(result.notRun).toEqual(true);
+    expect(script.outcomes).toEqual([{ kind: "notRun" }]);
+  });
+
+  it("answers at the deadline and still records the late outcome", async () => {
+    const script = new Script([
+      () =>
+        new Promise((resolve) => {
+          setTimeout(() => {
+            resolve(COMPLETED);
+          }, 120);
+        }),
+    ]);
+    const request = makeRequest("issue", {
+      idempotencyKey: "key-1",
+      deadlineAtMs: MONOTONIC_CLOCK.nowMs() + 30,
+    });
+    const running = startPipeline(script.environment(), request);
+    const result = await running.result;
+    if (result.kind !== "refused") throw new Error("Expected a refusal");
+    expect(result.reason).toEqual("deadlineExceeded");
+    expect(result.notRun).toEqual(false);
+    expect(script.outcomes).toEqual([]);
+    await running.finished;
+    expect(script.outcomes.map((outcome) => outcome.kind)).toEqual([
+      "answered",
+    ]);
+  });
+
+  it("stops retrying when the budget is spent", async () => {
+    const script = new Script([]);
+    const environment = script.environment();
+    const failing: PipelineEnvironment = {
+      ...environment,
+      stageCaller: {
+        call: () => {
+          script.calls.push({} as StageCall);
+          return Promise.resolve(failedCall("failed", true));
+        },
+      },
+    };
+    const requests = 200;
+    for (let index = 0; index < requests; index += 1) {
+      await startPipeline(failing, makeRequest("draft")).result;
+    }
+    // 10 in 100 from the budget, and the few a new service starts with.
+    expect(script.calls.length <= requests * 1.1 + 3).toEqual(true);
+  });
+
+  it("gives up at once when the caller goes away", async () => {
+    const caller = new AbortController();
+    const script = new Script([
+      () => {
+        caller.abort();
+        return new Promise(() => undefined);
+      },
+    ]);
+    const result = await run(
+      script,
+      makeRequest("draft", { callerSignal: caller.signal }),
+    );
+    expect(result.kind === "refused" && result.reason).toEqual(
+      "callerDisconnected",
+    );
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/pipelines/run_stage.ts
@@ -0,0 +1,158 @@
+/**
+ * Runs one stage: attempts on different backend servers until one completes.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import {
+  type AttemptId,
+  type BackendServerId,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import type { FailedCall } from "../backend_servers/stage_call.js";
+import type { RetryReason } from "../observability/metrics.js";
+import { acquirePermit } from "./acquire_permit.js";
+import type { PipelineEnvironment } from "./pipeline_environment.js";
+import type { Refusal } from "./pipeline_request.js";
+import { refuse, refuseUnwanted } from "./refuse.js";
+import { runCall } from "./run_call.js";
+import type {
+  FinishedCall,
+  GrantedServer,
+  StageResult,
+  StageRun,
+} from "./stage_run.js";
+
+const MAX_ATTEMPTS = 4;
+const FAILURE_RETRY_AFTER_MS = 500;
+
+/**
+ * Resolves with the result of the one attempt that is current, or with the
+ * refusal of the whole request.
+ *
+ * @example
+ * ```ts
+ * const result = await runStage(environment, run);
+ * ```
+ */
+export async function runStage(
+  environment: PipelineEnvironment,
+  run: StageRun,
+): Promise<StageResult> {
+  const excluded: BackendServerId[] = [];
+  environment.retryBudget.earn(run.service.name);
+  for (let attempts = 1;; attempts += 1) {
+    const attemptId = toId<AttemptId>(randomUUID());
+    const acquired = await acquirePermit(environment, {
+      run,
+      attemptId,
+      excluded,
+    });
+    if (acquired.kind === "refused") {
+      return run.lifetime.wantedSignal.aborted
+        ? refuseUnwanted(run.lifetime)
+        : acquired;
+    }
+    const { granted } = acquired;
+    const finished = await spendPermit(environment, run, {
+      granted,
+      attemptId,
+    });
+    const { result, callMs } = finished;
+    if (result.kind === "completed") {
+      return { kind: "completed", call: result, granted, attempts, callMs };
+    }
+    const refusal = decideAfterFailure(environment, run, {
+      failure: result,
+      attempts,
+    });
+    if (refusal !== undefined) return refusal;
+    excluded.push(granted.permit.backendServerId);
+  }
+}
+
+interface Attempt {
+  readonly granted: GrantedServer;
+  readonly attemptId: AttemptId;
+}
+
+async function spendPermit(
+  environment: PipelineEnvironment,
+  run: StageRun,
+  attempt: Attempt,
+): Promise<FinishedCall> {
+  const { permit } = attempt.granted;
+  if (!environment.permits.isSpendable(permit, environment.clock.nowMs())) {
+    environment.permits.release(permit, {
+      permitId: permit.permitId,
+      backendServerId: permit.backendServerId,
+      outcome: "notSent",
+      durationMs: 0,
+    });
+    return { result: EXPIRED_PERMIT, callMs: 0 };
+  }
+  if (run.stage.idempotent) {
+    return await runCall(environment, { run, ...attempt });
+  }
+  run.lifetime.markSent();
+  const finished = await runCall(environment, { run, ...attempt });
+  if (finished.result.kind === "failed" && !finished.result.mayHaveRun) {
+    run.lifetime.markNotSent();
+  }
+  return finished;
+}
+
+const EXPIRED_PERMIT: FailedCall = {
+  kind: "failed",
+  cause: "connectFailed",
+  detail: "The permit expired before the call",
+  mayHaveRun: false,
+};
+
+interface FailedAttempt {
+  readonly failure: FailedCall;
+  readonly attempts: number;
+}
+
+/** Undefined when the stage may be tried again. */
+function decideAfterFailure(
+  environment: PipelineEnvironment,
+  run: StageRun,
+  attempt: FailedAttempt,
+): Refusal | undefined {
+  const { failure } = attempt;
+  const service = run.service.name;
+  if (failure.cause === "foreignResult") {
+    environment.metrics.countDrop("foreignResult");
+  }
+  environment.logger.debug("attemptFailed", {
+    request: run.request.requestId,
+    service,
+    cause: failure.cause,
+    detail: failure.detail,
+  });
+  if (run.lifetime.wantedSignal.aborted) return refuseUnwanted(run.lifetime);
+  if (!run.stage.idempotent && failure.mayHaveRun) {
+    return refuse(run.lifetime, {
+      reason: "outcomeUnknown",
+      detail: `${failure.detail}; the call may have run`,
+    });
+  }
+  const mayRetry = attempt.attempts < MAX_ATTEMPTS;
+  const isFree = failure.cause === "connectFailed";
+  if (!mayRetry || !(isFree || environment.retryBudget.trySpend(service))) {
+    return refuse(run.lifetime, {
+      reason: mayRetry ? "retryBudgetSpent" : "backendServerFailed",
+      detail: failure.detail,
+      retryAfterMs: FAILURE_RETRY_AFTER_MS,
+    });
+  }
+  environment.metrics.countRetry(service, toRetryReason(failure));
+  run.request.listener?.onRestart();
+  return undefined;
+}
+
+function toRetryReason(failure: FailedCall): RetryReason {
+  return failure.cause === "canceled" ? "failed" : failure.cause;
+}
--- /dev/null
+++ b/packages/daemon/src/pipelines/stage_estimates.ts
@@ -0,0 +1,109 @@
+/**
+ * How long stages took lately, for planning against deadlines.
+ *
+ * @module
+ */
+
+import { build, type Histogram } from "hdr-histogram-js";
+import type { PipelineName, StageName } from "@sassafrasstage/protocol/ids";
+
+const WINDOW_MS = 10_000;
+const REFRESH_MS = 250;
+const MIN_SAMPLES = 5;
+const LONGEST_MS = 600_000;
+const SIGNIFICANT_DIGITS = 2;
+const LIKELY_PERCENTILE = 75;
+
+/** Names one stage of one pipeline. */
+export interface StageRef {
+  readonly pipeline: PipelineName;
+  readonly stage: StageName;
+}
+
+interface StageWindow {
+  current: Histogram;
+  previous: Histogram;
+  startedAtMs: number;
+  likelyMs: number;
+  refreshedAtMs: number;
+}
+
+/**
+ * Two rotating windows of durations for each stage. A stage that has not run
+ * for two windows has no estimate, so that an old slow time can't keep
+ * requests out for ever.
+ *
+ * @example
+ * ```ts
+ * estimates.record({ pipeline, stage }, durationMs, nowMs);
+ * estimates.likelyMs({ pipeline, stage }, nowMs);
+ * ```
+ */
+export class StageEstimates {
+  readonly #windows = new Map<string, StageWindow>();
+
+  record(ref: StageRef, durationMs: number, nowMs: number): void {
+    const window = this.#windowOf(ref, nowMs);
+    window.current.recordValue(Math.min(LONGEST_MS, Math.round(durationMs)));
+  }
+
+  /** Zero while too little is known. */
+  likelyMs(ref: StageRef, nowMs: number): number {
+    const window = this.#windowOf(ref, nowMs);
+    if (nowMs - window.refreshedAtMs >= REFRESH_MS) {
+      window.likelyMs = computeLikelyMs(window);
+      window.refreshedAtMs = nowMs;
+    }
+    return window.likelyMs;
+  }
+
+  #windowOf(ref: StageRef, nowMs: number): StageWindow {
+    const key = `${ref.pipeline}/${ref.stage}`;
+    let window = this.#windows.get(key);
+    if (window === undefined) {
+      window = makeWindow(nowMs);
+      this.#windows.set(key, window);
+    }
+    rotate(window, nowMs);
+    return window;
+  }
+}
+
+function makeHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: LONGEST_MS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+  });
+}
+
+function makeWindow(nowMs: number): StageWindow {
+  return {
+    current: makeHistogram(),
+    previous: makeHistogram(),
+    startedAtMs: nowMs,
+    likelyMs: 0,
+    refreshedAtMs: Number.NEGATIVE_INFINITY,
+  };
+}
+
+function rotate(window: StageWindow, nowMs: number): void {
+  const ageMs = nowMs - window.startedAtMs;
+  if (ageMs < WINDOW_MS) return;
+  const spare = window.previous;
+  window.previous = window.current;
+  window.current = spare;
+  window.current.reset();
+  if (ageMs >= 2 * WINDOW_MS) window.previous.reset();
+  window.startedAtMs = nowMs;
+}
+
+function computeLikelyMs(window: StageWindow): number {
+  if (window.current.totalCount >= MIN_SAMPLES) {
+    return window.current.getValueAtPercentile(LIKELY_PERCENTILE);
+  }
+  if (window.previous.totalCount >= MIN_SAMPLES) {
+    return window.previous.getValueAtPercentile(LIKELY_PERCENTILE);
+  }
+  return 0;
+}
--- /dev/null
+++ b/packages/daemon/src/pipelines/stage_plan.ts
@@ -0,0 +1,48 @@
+/**
+ * When a stage has to start so that the stages after it still fit.
+ *
+ * @module
+ */
+
+import type { Pipeline, Stage } from "@sassafrasstage/protocol/rules";
+import type { StageEstimates } from "./stage_estimates.js";
+
+export interface StagePlan {
+  readonly latestStartAtMs: number;
+  readonly likelyDurationMs: number;
+}
+
+export interface StagePlanRequest {
+  readonly pipeline: Pipeline;
+  readonly stage: Stage;
+  readonly deadlineAtMs: number;
+  readonly estimates: StageEstimates;
+}
+
+/**
+ * Keeps back the likely time of the stage and of all that follow it.
+ *
+ * @example
+ * ```ts
+ * const plan = planStage({ pipeline, stage, deadlineAtMs, estimates }, nowMs);
+ * if (plan.latestStartAtMs < nowMs) refuse();
+ * ```
+ */
+export function planStage(request: StagePlanRequest, nowMs: number): StagePlan {
+  const { pipeline, stage, estimates } = request;
+  const firstIndex = pipeline.stages.indexOf(stage);
+  let keptBackMs = 0;
+  for (const later of pipeline.stages.slice(firstIndex)) {
+    keptBackMs += estimates.likelyMs(
+      { pipeline: pipeline.name, stage: later.name },
+      nowMs,
+    );
+  }
+  return {
+    latestStartAtMs: request.deadlineAtMs - keptBackMs,
+    likelyDurationMs: estimates.likelyMs(
+      { pipeline: pipeline.name, stage: stage.name },
+      nowMs,
+    ),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/settings/load_settings_test.ts
@@ -0,0 +1,62 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import { formatSettingsFault, loadSettings } from "./load_settings.js";
+
+const GOOD = `
+[vm]
+id = vm-a1
+data_centre = palermo
+[listen]
+http = 127.0.0.1:8080
+peers = 127.0.0.1:7080
+[peers]
+shared_key = a-key-of-enough-length
+seeds = vm-a2@palermo@127.0.0.1:7081, vm-b1@catania@127.0.0.1:7082
+[platform]
+url = http://127.0.0.1:9000
+[admin]
+key_sha256 = ${"0".repeat(64)}
+`;
+
+function faultLines(text: string): string[] {
+  const check = loadSettings(text);
+  return check.kind === "valid" ? [] : check.faults.map(formatSettingsFault);
+}
+
+describe("loadSettings", () => {
+  it("takes a good file and fills in defaults", () => {
+    const check = loadSettings(GOOD);
+    if (check.kind === "invalid") throw new Error(JSON.stringify(check.faults));
+    expect(check.settings.peers.seeds.length).toEqual(2);
+    expect(check.settings.policy.name).toEqual("current");
+  });
+
+  it("names section, value seen and what was expected", () => {
+    expect(faultLines(GOOD.replace("id = vm-a1", "id = VM 1"))).toEqual([
+      `[vm] id: saw "VM 1", expected 1 to 63 of a-z, 0-9, '.', '_' and '-'`,
+    ]);
+    expect(faultLines(GOOD.replace("http =", "htpp ="))).toLooseEqual([
+      `[listen] http: saw nothing, invalid input: expected string, received undefined`,
+      `[listen] htpp: saw "127.0.0.1:8080", expected no such key here`,
+    ]);
+    expect(faultLines(`${GOOD}\n[extra]\na = 1\n`).length).toEqual(1);
+  });
+
+  it("never shows a secret", () => {
+    const lines = faultLines(
+      GOOD.replace("a-key-of-enough-length", "short-one"),
+    );
+    expect(lines.length).toEqual(1);
+    expect(lines.join("").includes("short-one")).toEqual(false);
+  });
+
+  it("never throws, whatever the text", () => {
+    fc.assert(
+      fc.property(fc.string(), (text) => {
+        loadSettings(text);
+      }),
+      { seed: 7, numRuns: 500 },
+    );
+  });
+});
