--- /dev/null
+++ b/packages/daemon/src/pools/baseline_permit_source.ts
@@ -0,0 +1,235 @@
+/**
+ * The `baseline` policy, for comparison: each daemon alone, round robin over
+ * the backend servers of all data centres in service, first come first served,
+ * no regard for cold servers.
+ *
+ * @module
+ */
+
+import {
+  type BackendServerId,
+  type PermitId,
+  type PoolId,
+  type ServiceName,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import type {
+  Permit,
+  PermitAsk,
+  PermitDecision,
+  PermitRelease,
+} from "@sassafrasstage/protocol/permits";
+import type { PoolStatus } from "@sassafrasstage/protocol/status";
+import type { HeartbeatContent } from "../peers/heartbeat_content.js";
+import { LayoutCache } from "./layout_cache.js";
+import { availabilityOf, type PoolEntry } from "./pool_layout.js";
+import type {
+  PermitSourceOptions,
+  RunningPermitSource,
+} from "./running_permit_source.js";
+
+const RETRY_AFTER_MS = 250;
+
+interface WaitingAsk {
+  readonly ask: PermitAsk;
+  readonly deadlineAtMs: number;
+  readonly settle: (decision: PermitDecision) => void;
+}
+
+interface ServerSlot {
+  readonly entry: PoolEntry;
+  readonly backendServerId: BackendServerId;
+}
+
+class BaselinePermitSource implements RunningPermitSource {
+  readonly heartbeatContent: HeartbeatContent = {
+    ownedPools: () => [],
+    supportFor: () => [],
+    onReply: () => undefined,
+  };
+  readonly #options: PermitSourceOptions;
+  readonly #layouts: LayoutCache;
+  readonly #inFlight = new Map<BackendServerId, number>();
+  readonly #queues = new Map<ServiceName, WaitingAsk[]>();
+  readonly #endsAtMs = new Map<PermitId, number>();
+  readonly #timers = new Set<NodeJS.Timeout>();
+  #turn = 0;
+  #permitNumber = 0;
+
+  constructor(options: PermitSourceOptions) {
+    this.#options = options;
+    this.#layouts = new LayoutCache(options);
+  }
+
+  acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision> {
+    const queue = this.#queueOf(ask.pool.service);
+    if (signal.aborted) {
+      return Promise.resolve(refuse("callerDisconnected", "Canceled"));
+    }
+    if (queue.length >= this.#options.settings.pools.max_queue_length) {
+      return Promise.resolve(refuse("queueFull", "The queue is full"));
+    }
+    return new Promise((resolve) => {
+      const deadlineAtMs = this.#options.clock.nowMs() + ask.deadlineInMs;
+      const waiting: WaitingAsk = {
+        ask,
+        deadlineAtMs,
+        settle: (decision) => {
+          clearTimeout(timer);
+          this.#timers.delete(timer);
+          resolve(decision);
+        },
+      };
+      const timer = setTimeout(() => {
+        this.#give(waiting, refuse("deadlineExceeded", "No slot in time"));
+      }, ask.deadlineInMs);
+      this.#timers.add(timer);
+      signal.addEventListener("abort", () => {
+        this.#give(waiting, refuse("callerDisconnected", "Canceled"));
+      }, { once: true });
+      queue.push(waiting);
+      this.#pump(ask.pool.service);
+    });
+  }
+
+  release(permit: Permit, release: PermitRelease): void {
+    if (!this.#endsAtMs.delete(permit.permitId)) return;
+    const id = release.backendServerId;
+    this.#inFlight.set(id, Math.max(0, (this.#inFlight.get(id) ?? 0) - 1));
+    this.#pump(permit.pool.service);
+  }
+
+  isSpendable(permit: Permit, nowMs: number): boolean {
+    return nowMs < (this.#endsAtMs.get(permit.permitId) ?? 0);
+  }
+
+  candidatePools(service: ServiceName): PoolId[] {
+    const entries = this.#layouts.layout().poolsByService.get(service) ?? [];
+    return entries
+      .filter((entry) => this.#usableServers(entry).length > 0)
+      .map((entry) => entry.pool)
+      .slice(0, 1);
+  }
+
+  statuses(): PoolStatus[] {
+    const layout = this.#layouts.layout();
+    return [...layout.pools.values()].map((entry) => ({
+      pool: entry.pool,
+      isOwnedHere: false,
+      isDataCentreOut: layout.dataCentresOut.has(entry.pool.dataCentre),
+      queueLength: this.#queues.get(entry.pool.service)?.length ?? 0,
+      coldGrants: "allowed",
+      backendServers: [],
+    }));
+  }
+
+  startLeaving(): void {
+    // A daemon that shares nothing has nothing to hand over.
+  }
+
+  close(): void {
+    for (const timer of this.#timers) clearTimeout(timer);
+    for (const queue of this.#queues.values()) {
+      for (const waiting of queue.splice(0)) {
+        waiting.settle(refuse("shuttingDown", "The daemon stops"));
+      }
+    }
+  }
+
+  #queueOf(service: ServiceName): WaitingAsk[] {
+    const queue = this.#queues.get(service) ?? [];
+    this.#queues.set(service, queue);
+    return queue;
+  }
+
+  /** Takes a waiting ask out of its queue and answers it. */
+  #give(waiting: WaitingAsk, decision: PermitDecision): void {
+    const queue = this.#queueOf(waiting.ask.pool.service);
+    const index = queue.indexOf(waiting);
+    if (index < 0) return;
+    queue.splice(index, 1);
+    waiting.settle(decision);
+  }
+
+  #pump(service: ServiceName): void {
+    const queue = this.#queueOf(service);
+    for (;;) {
+      const first = queue[0];
+      if (first === undefined) return;
+      const slot = this.#nextSlot(first.ask);
+      if (slot === undefined) return;
+      this.#give(first, this.#grant(first, slot));
+    }
+  }
+
+  #nextSlot(ask: PermitAsk): ServerSlot | undefined {
+    const entries =
+      this.#layouts.layout().poolsByService.get(ask.pool.service) ?? [];
+    const slots = entries.flatMap((entry) => this.#usableServers(entry));
+    for (let step = 0; step < slots.length; step++) {
+      const slot = slots[(this.#turn + step) % slots.length];
+      if (slot === undefined) continue;
+      if (ask.excluded.includes(slot.backendServerId)) continue;
+      const inFlight = this.#inFlight.get(slot.backendServerId) ?? 0;
+      if (inFlight >= slot.entry.service.warmLimit) continue;
+      this.#turn += step + 1;
+      return slot;
+    }
+    return undefined;
+  }
+
+  #usableServers(entry: PoolEntry): ServerSlot[] {
+    const layout = this.#layouts.layout();
+    const vms = this.#layouts.vms();
+    return entry.servers
+      .filter((server) => availabilityOf(server, layout, vms) === "inService")
+      .map((server) => ({ entry, backendServerId: server.id }));
+  }
+
+  #grant(waiting: WaitingAsk, slot: ServerSlot): PermitDecision {
+    this.#permitNumber += 1;
+    const { vmId, incarnation } = this.#options.network.self;
+    const permitId = toId<PermitId>(
+      `${vmId}/${incarnation}/${this.#permitNumber}`,
+    );
+    const id = slot.backendServerId;
+    this.#inFlight.set(id, (this.#inFlight.get(id) ?? 0) + 1);
+    this.#endsAtMs.set(permitId, waiting.deadlineAtMs);
+    return {
+      kind: "granted",
+      permit: {
+        permitId,
+        attemptId: waiting.ask.attemptId,
+        pool: slot.entry.pool,
+        backendServerId: id,
+        warmth: "warm",
+      },
+    };
+  }
+}
+
+function refuse(
+  reason:
+    | "queueFull"
+    | "deadlineExceeded"
+    | "callerDisconnected"
+    | "shuttingDown",
+  detail: string,
+): PermitDecision {
+  return { kind: "refused", reason, detail, retryAfterMs: RETRY_AFTER_MS };
+}
+
+/**
+ * Makes the permit source of the `baseline` policy.
+ *
+ * @example
+ * ```ts
+ * const permits = createBaselinePermitSource(options);
+ * const decision = await permits.acquire(ask, signal);
+ * ```
+ */
+export function createBaselinePermitSource(
+  options: PermitSourceOptions,
+): RunningPermitSource {
+  return new BaselinePermitSource(options);
+}
--- /dev/null
+++ b/packages/daemon/src/pools/pool_layout.ts
@@ -0,0 +1,133 @@
+/**
+ * The pools of a configuration, and which of their backend servers may get
+ * new work.
+ *
+ * @module
+ */
+
+import type { Configuration } from "@sassafrasstage/protocol/configuration";
+import {
+  type BackendServerId,
+  type ClientAccountId,
+  type DataCentreName,
+  type PoolId,
+  poolKey,
+  type ServiceName,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import type { BackendServer, Service } from "@sassafrasstage/protocol/register";
+
+/** One pool with its service's limits and its backend servers. */
+export interface PoolEntry {
+  readonly pool: PoolId;
+  readonly key: string;
+  readonly service: Service;
+  readonly servers: readonly BackendServer[];
+}
+
+/** All pools of one generation of the configuration. */
+export interface PoolLayout {
+  readonly generation: number;
+  readonly pools: ReadonlyMap<string, PoolEntry>;
+  readonly poolsByService: ReadonlyMap<ServiceName, readonly PoolEntry[]>;
+  readonly dataCentresOut: ReadonlySet<DataCentreName>;
+  readonly serversOut: ReadonlySet<BackendServerId>;
+  readonly shares: ReadonlyMap<ClientAccountId, number>;
+  /** No request lives longer, and so no permit. */
+  readonly longestDeadlineMs: number;
+}
+
+/**
+ * Arranges a configuration by pools.
+ *
+ * @example
+ * ```ts
+ * const layout = arrangePools(configuration);
+ * layout.pools.get(poolKey(pool))?.servers.length;
+ * ```
+ */
+export function arrangePools(configuration: Configuration): PoolLayout {
+  const { register, rules } = configuration;
+  const services = new Map(register.services.map((s) => [s.name, s]));
+  const pools = new Map<string, PoolEntry & { servers: BackendServer[] }>();
+  for (const server of register.backendServers) {
+    const service = services.get(server.service);
+    if (service === undefined) continue;
+    const pool = { service: server.service, dataCentre: server.dataCentre };
+    const key = poolKey(pool);
+    const entry = pools.get(key) ?? { pool, key, service, servers: [] };
+    entry.servers.push(server);
+    pools.set(key, entry);
+  }
+  return {
+    generation: configuration.generation,
+    pools,
+    poolsByService: groupByService([...pools.values()]),
+    dataCentresOut: new Set(rules.dataCentresOut),
+    serversOut: new Set(rules.backendServersOut),
+    shares: new Map(rules.clientAccounts.map((a) => [a.id, a.share])),
+    longestDeadlineMs: rules.pipelines.reduce(
+      (longest, pipeline) => Math.max(longest, pipeline.deadlineMs),
+      0,
+    ),
+  };
+}
+
+function groupByService(
+  entries: readonly PoolEntry[],
+): Map<ServiceName, PoolEntry[]> {
+  const groups = new Map<ServiceName, PoolEntry[]>();
+  for (const entry of entries) {
+    const group = groups.get(entry.pool.service) ?? [];
+    group.push(entry);
+    groups.set(entry.pool.service, group);
+  }
+  return groups;
+}
+
+/** Why a backend server gets no new work, or that it may. */
+export type ServerAvailability = "inService" | "out" | "leaving";
+
+/** The VMs that may not get new work, from the platform's list. */
+export interface VmAvailability {
+  isStaying(vmId: VmId): boolean;
+}
+
+/**
+ * Reads the platform's list. Without one, or with one that names no VM of
+ * backend servers at all, every VM counts as staying.
+ *
+ * @example
+ * ```ts
+ * readVmAvailability(listing).isStaying(server.vmId);
+ * ```
+ */
+export function readVmAvailability(
+  listing: VmListing | undefined,
+): VmAvailability {
+  const hosts = listing?.vms.filter((vm) => vm.role === "backendServer") ?? [];
+  if (hosts.length === 0) return { isStaying: () => true };
+  const staying = new Set(
+    hosts.filter((vm) => vm.state === "live").map((vm) => vm.vmId),
+  );
+  return { isStaying: (vmId) => staying.has(vmId) };
+}
+
+/**
+ * Whether a backend server may get new work.
+ *
+ * @example
+ * ```ts
+ * if (availabilityOf(server, layout, vms) === "inService") grant(server);
+ * ```
+ */
+export function availabilityOf(
+  server: BackendServer,
+  layout: PoolLayout,
+  vms: VmAvailability,
+): ServerAvailability {
+  if (layout.dataCentresOut.has(server.dataCentre)) return "out";
+  if (layout.serversOut.has(server.id)) return "out";
+  return vms.isStaying(server.vmId) ? "inService" : "leaving";
+}
--- /dev/null
+++ b/packages/daemon/src/pools/running_permit_source.ts
@@ -0,0 +1,37 @@
+/**
+ * The permit source with what the process that runs it needs besides.
+ *
+ * @module
+ */
+
+import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import type { PoolStatus } from "@sassafrasstage/protocol/status";
+import type { Clock } from "../clock.js";
+import type { ConfigurationSource } from "../configuration/configuration_source.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { HeartbeatContent } from "../peers/heartbeat_content.js";
+import type { PeerNetwork } from "../peers/peer_network.js";
+import type { Settings } from "../settings/settings.js";
+import type { PermitSource } from "./permit_source.js";
+
+export interface PermitSourceOptions {
+  readonly settings: Settings;
+  readonly network: PeerNetwork;
+  readonly configuration: ConfigurationSource;
+  /** The platform's lagging list; undefined before the first one. */
+  readonly listedVms: () => VmListing | undefined;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+export interface RunningPermitSource extends PermitSource {
+  /** To be handed to the peer network. */
+  readonly heartbeatContent: HeartbeatContent;
+  statuses(nowMs: number): PoolStatus[];
+  /** Gives up all pools; permits for requests in flight can still be asked. */
+  startLeaving(): void;
+  /** Stops all timers and refuses what still waits. */
+  close(): void;
+}
