--- /dev/null
+++ b/bench/src/load/arrivals_test.ts
@@ -0,0 +1,39 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { type ArrivalStream, drawArrivals } from "./arrivals.js";
+
+const STREAM: ArrivalStream = {
+  startMs: 1000,
+  endMs: 101_000,
+  requestsPerSecond: 100,
+  pipelines: [{ name: "often", weight: 3 }, { name: "seldom", weight: 1 }],
+  clientAccounts: [{ name: "only", weight: 1 }],
+};
+
+describe("drawArrivals", () => {
+  it("draws the same arrivals from the same seed alone", () => {
+    expect(drawArrivals([STREAM], 1)).toEqual(drawArrivals([STREAM], 1));
+    expect(drawArrivals([STREAM], 1)).not.toEqual(drawArrivals([STREAM], 2));
+  });
+
+  it("keeps the mean rate and the weights within four deviations", () => {
+    const arrivals = drawArrivals([STREAM], 7);
+    const expected = 10_000;
+    expect(Math.abs(arrivals.length - expected) < 4 * Math.sqrt(expected))
+      .toEqual(true);
+    const often = arrivals.filter((one) => one.pipeline === "often").length;
+    const deviation = Math.sqrt(arrivals.length * 0.75 * 0.25);
+    expect(Math.abs(often - 0.75 * arrivals.length) < 4 * deviation)
+      .toEqual(true);
+  });
+
+  it("merges streams by time and numbers them", () => {
+    const late = { ...STREAM, startMs: 50_000 };
+    const arrivals = drawArrivals([late, STREAM], 3);
+    for (const [index, arrival] of arrivals.entries()) {
+      expect(arrival.serial).toEqual(index);
+      const next = arrivals[index + 1];
+      if (next !== undefined) expect(next.atMs >= arrival.atMs).toEqual(true);
+    }
+  });
+});
--- /dev/null
+++ b/bench/src/load/pipeline_call.ts
@@ -0,0 +1,181 @@
+/**
+ * One request to the callers' API, as a caller makes it.
+ *
+ * @module
+ */
+
+import { PROBLEM_REASONS } from "@sassafrasstage/protocol/problems";
+import { type Dispatcher, request } from "undici";
+import { z } from "zod";
+import type { StageRecord } from "./load_record.js";
+import {
+  type ServerSentEvent,
+  ServerSentEventSplitter,
+} from "./server_sent_events.js";
+
+export interface PipelineCall {
+  /** "http://host:port" of the entry VM. */
+  readonly baseUrl: string;
+  readonly pipeline: string;
+  readonly key: string;
+  readonly input: unknown;
+  readonly deadlineMs?: number;
+  readonly idempotencyKey?: string;
+  readonly stream?: boolean;
+  readonly onToken?: (text: string) => void;
+}
+
+export interface PipelineAnswer {
+  readonly kind: "answer";
+  readonly requestId: string;
+  readonly output: unknown;
+  readonly stages: readonly StageRecord[];
+  readonly totalMs: number;
+}
+
+export interface PipelineProblem {
+  readonly kind: "problem";
+  readonly status: number;
+  readonly reason: (typeof PROBLEM_REASONS)[number] | "unreadable";
+  readonly notRun: boolean;
+  readonly detail: string;
+}
+
+export type PipelineReply = PipelineAnswer | PipelineProblem;
+
+export interface PipelineCallOptions {
+  readonly dispatcher: Dispatcher;
+  readonly signal: AbortSignal;
+}
+
+/** A stream that ended without its closing event. */
+export class BrokenAnswerError extends Error {
+  override readonly name = "BrokenAnswerError";
+}
+
+const answerSchema = z.object({
+  requestId: z.string(),
+  output: z.unknown(),
+  stages: z.array(z.object({
+    stage: z.string(),
+    service: z.string(),
+    backendServerId: z.string(),
+    dataCentre: z.string(),
+    attempts: z.number(),
+    durationMs: z.number(),
+  })),
+  totalMs: z.number(),
+});
+
+const problemSchema = z.object({
+  status: z.number(),
+  reason: z.enum(PROBLEM_REASONS),
+  notRun: z.boolean(),
+  detail: z.string(),
+});
+
+/**
+ * Sends one request and takes its whole answer. Rejects when the connection
+ * fails.
+ *
+ * @example
+ * ```ts
+ * const reply = await callPipeline(call, { dispatcher, signal });
+ * if (reply.kind === "problem") console.error(reply.reason);
+ * ```
+ */
+export async function callPipeline(
+  call: PipelineCall,
+  options: PipelineCallOptions,
+): Promise<PipelineReply> {
+  const response = await request(
+    `${call.baseUrl}/v1/pipelines/${call.pipeline}`,
+    {
+      ...options,
+      method: "POST",
+      headers: makeHeaders(call),
+      body: JSON.stringify({ input: call.input, stream: call.stream ?? false }),
+    },
+  );
+  const type = String(response.headers["content-type"]);
+  if (type.startsWith("text/event-stream")) {
+    return readStream(call, response.body);
+  }
+  const body = await response.body.text();
+  return response.statusCode === 200
+    ? readAnswer(body)
+    : readProblem(body, response.statusCode);
+}
+
+function makeHeaders(call: PipelineCall): Record<string, string> {
+  const headers: Record<string, string> = {
+    "authorization": `Bearer ${call.key}`,
+    "content-type": "application/json",
+  };
+  if (call.deadlineMs !== undefined) {
+    headers["deadline-ms"] = String(call.deadlineMs);
+  }
+  if (call.idempotencyKey !== undefined) {
+    headers["idempotency-key"] = call.idempotencyKey;
+  }
+  return headers;
+}
+
+async function readStream(
+  call: PipelineCall,
+  body: Dispatcher.ResponseData["body"],
+): Promise<PipelineReply> {
+  let reply: PipelineReply | undefined;
+  const splitter = new ServerSentEventSplitter();
+  body.setEncoding("utf8");
+  for await (const text of body) {
+    for (const event of splitter.feed(String(text))) {
+      reply = takeEvent(call, event) ?? reply;
+    }
+  }
+  if (reply === undefined) {
+    throw new BrokenAnswerError("The stream ended without its closing event");
+  }
+  return reply;
+}
+
+function takeEvent(
+  call: PipelineCall,
+  event: ServerSentEvent,
+): PipelineReply | undefined {
+  switch (event.event) {
+    case "token":
+      call.onToken?.(event.data);
+      return undefined;
+    case "answer":
+      return readAnswer(event.data);
+    case "problem":
+      return readProblem(event.data, 200);
+    default:
+      return undefined;
+  }
+}
+
+function readAnswer(body: string): PipelineReply {
+  const parsed = answerSchema.safeParse(JSON.parse(body));
+  if (!parsed.success) return unreadable(body, 200);
+  return { kind: "answer", ...parsed.data };
+}
+
+function readProblem(body: string, status: number): PipelineReply {
+  try {
+    return { kind: "problem", ...problemSchema.parse(JSON.parse(body)) };
+  } catch {
+    return unreadable(body, status);
+  }
+}
+
+function unreadable(body: string, status: number): PipelineProblem {
+  return {
+    kind: "problem",
+    status,
+    reason: "unreadable",
+    notRun: false,
+    detail: body.slice(0, 200),
+  };
+}
