--- /dev/null
+++ b/bench/src/load/summary_test.ts
@@ -0,0 +1,44 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { LoadRecord } from "./load_record.js";
+import { summarize } from "./summary.js";
+
+const ANSWERED: LoadRecord = {
+  atMs: 0,
+  pipeline: "lookup",
+  urgency: "counter",
+  clientAccount: "small",
+  vmId: "vm-1",
+  latencyMs: 20,
+  isWithinDeadline: true,
+  outcome: { kind: "answered", totalMs: 18, stages: [] },
+};
+const REFUSED: LoadRecord = {
+  ...ANSWERED,
+  clientAccount: "large",
+  isWithinDeadline: false,
+  outcome: { kind: "refused", status: 503, reason: "queueFull", notRun: true },
+};
+const LATE: LoadRecord = { ...ANSWERED, isWithinDeadline: false };
+const WRONG: LoadRecord = {
+  ...LATE,
+  outcome: { kind: "wrongAnswer", detail: "other" },
+};
+
+describe("summarize", () => {
+  const summary = summarize([ANSWERED, ANSWERED, REFUSED, LATE, WRONG], 2000);
+
+  it("counts only whole answers in time as attained", () => {
+    expect(summary.total.ratio).toEqual(2 / 5);
+    expect(summary.attainedPerSecond).toEqual(1);
+    expect(summary.lateAnswers).toEqual(1);
+    expect(summary.wrongAnswers).toEqual(1);
+  });
+
+  it("tells client accounts and refusal reasons apart", () => {
+    expect(summary.byClientAccount.map(({ group, sent }) => [group, sent]))
+      .toEqual([["large", 1], ["small", 4]]);
+    expect(summary.refusals).toEqual([{ name: "queueFull", count: 1 }]);
+    expect(summary.refusedNotRun).toEqual(1);
+  });
+});
