Reach the platform's object API over HTTP

Calls are bounded in time and in number, and their failures say whether the call may have taken effect.

--- /dev/null
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -0,0 +1,221 @@
+/**
+ * The platform's object API over HTTP.
+ *
+ * @module
+ */
+
+import type {
+  ObjectListing,
+  StoredObject,
+  VmListing,
+} from "@sassafrasstage/protocol/platform_objects";
+import { Agent } from "undici";
+import type { Clock } from "../clock.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { Settings } from "../settings/settings.js";
+import { CallLimiter } from "./call_limiter.js";
+import type {
+  ExpectedVersion,
+  ObjectStore,
+  UpdateResult,
+  WatchRequest,
+  WatchResult,
+} from "./object_store.js";
+import {
+  objectListingSchema,
+  objectVersionSchema,
+  storedObjectSchema,
+  vmListingSchema,
+  watchAnswerSchema,
+} from "./platform_answers.js";
+import {
+  parseReply,
+  type PlatformCall,
+  type PlatformReply,
+  sendCall,
+  unexpectedStatus,
+} from "./platform_transport.js";
+import { Reachability } from "./reachability.js";
+
+export interface PlatformClientOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+export interface PlatformClient extends ObjectStore {
+  /** False for a while after a call that brought no answer. */
+  isReachable(nowMs: number): boolean;
+  close(): Promise<void>;
+}
+
+type CallKind = "read" | "list" | "update" | "remove" | "watch" | "listVms";
+type CallInput = Omit<PlatformCall, "url" | "timeoutMs"> & {
+  readonly path: string;
+  readonly extraTimeMs?: number;
+};
+
+/**
+ * Opens a client with connections of its own.
+ *
+ * @example
+ * ```ts
+ * const platform = createPlatformClient({ settings, clock, metrics, logger });
+ * const head = await platform.read("configuration/head");
+ * await platform.close();
+ * ```
+ */
+export function createPlatformClient(
+  options: PlatformClientOptions,
+): PlatformClient {
+  return new HttpPlatformClient(options);
+}
+
+class HttpPlatformClient implements PlatformClient {
+  readonly #options: PlatformClientOptions;
+  readonly #agent: Agent;
+  readonly #limiter: CallLimiter;
+  readonly #reachability = new Reachability();
+  readonly #baseUrl: string;
+
+  constructor(options: PlatformClientOptions) {
+    const { platform } = options.settings;
+    this.#options = options;
+    this.#agent = new Agent({ connect: { timeout: platform.call_timeout_ms } });
+    this.#baseUrl = platform.url.replace(/\/+$/, "");
+    this.#limiter = new CallLimiter({
+      maxInFlight: platform.max_calls_in_flight,
+      maxWaitMs: platform.call_timeout_ms,
+    });
+  }
+
+  async read(key: string): Promise<StoredObject | undefined> {
+    const reply = await this.#call("read", {
+      method: "GET",
+      path: objectPath(key),
+    });
+    if (reply.status === 404) return undefined;
+    expectStatus(reply, 200);
+    return parseReply(reply, storedObjectSchema);
+  }
+
+  async list(prefix: string): Promise<ObjectListing> {
+    const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
+    const reply = await this.#call("list", { method: "GET", path });
+    expectStatus(reply, 200);
+    return parseReply(reply, objectListingSchema);
+  }
+
+  async update(
+    key: string,
+    value: unknown,
+    expected: ExpectedVersion,
+  ): Promise<UpdateResult> {
+    const reply = await this.#call("update", {
+      method: "PUT",
+      path: objectPath(key),
+      headers: {
+        "content-type": "application/json",
+        ...conditionHeaders(expected),
+      },
+      body: JSON.stringify(value),
+    });
+    if (reply.status === 412) return { kind: "conflict" };
+    expectStatus(reply, 200);
+    const { version } = parseReply(reply, objectVersionSchema);
+    return { kind: "updated", version };
+  }
+
+  async remove(key: string, version: number): Promise<UpdateResult> {
+    const reply = await this.#call("remove", {
+      method: "DELETE",
+      path: objectPath(key),
+      headers: conditionHeaders({ kind: "version", version }),
+    });
+    if (reply.status === 412) return { kind: "conflict" };
+    if (reply.status !== 404) expectStatus(reply, 204);
+    return { kind: "updated", version };
+  }
+
+  async watch(
+    request: WatchRequest,
+    signal: AbortSignal,
+  ): Promise<WatchResult> {
+    const query = new URLSearchParams({
+      prefix: request.prefix,
+      after: String(request.afterRevision),
+      waitMs: String(request.waitMs),
+    });
+    const reply = await this.#call("watch", {
+      method: "GET",
+      path: `/watch?${query.toString()}`,
+      extraTimeMs: request.waitMs,
+      signal,
+    });
+    if (reply.status === 410) return { kind: "tooOld" };
+    expectStatus(reply, 200);
+    return { kind: "events", answer: parseReply(reply, watchAnswerSchema) };
+  }
+
+  async listVms(): Promise<VmListing> {
+    const reply = await this.#call("listVms", { method: "GET", path: "/vms" });
+    expectStatus(reply, 200);
+    return parseReply(reply, vmListingSchema);
+  }
+
+  isReachable(nowMs: number): boolean {
+    return this.#reachability.isReachable(nowMs);
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #call(kind: CallKind, input: CallInput): Promise<PlatformReply> {
+    const { path, extraTimeMs = 0, ...rest } = input;
+    const { call_timeout_ms: callTimeoutMs } = this.#options.settings.platform;
+    const call: PlatformCall = {
+      ...rest,
+      url: this.#baseUrl + path,
+      timeoutMs: callTimeoutMs + extraTimeMs,
+    };
+    // A watch waits by design: it takes no turn from the other calls.
+    if (kind === "watch") return this.#send(kind, call);
+    return this.#limiter.run(() => this.#send(kind, call));
+  }
+
+  async #send(kind: CallKind, call: PlatformCall): Promise<PlatformReply> {
+    const { clock, metrics, logger } = this.#options;
+    metrics.countEvent(`platformCall.${kind}`);
+    try {
+      const reply = await sendCall(this.#agent, call);
+      this.#reachability.noteAnswer();
+      return reply;
+    } catch (error) {
+      if (call.signal?.aborted === true) throw error;
+      this.#reachability.noteFailure(clock.nowMs());
+      metrics.countEvent(`platformCallFailed.${kind}`);
+      logger.debug("platformCallFailed", { call: kind, error: String(error) });
+      throw error;
+    }
+  }
+}
+
+function objectPath(key: string): string {
+  return `/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
+}
+
+function conditionHeaders(expected: ExpectedVersion): Record<string, string> {
+  switch (expected.kind) {
+    case "absent":
+      return { "if-none-match": "*" };
+    case "version":
+      return { "if-match": String(expected.version) };
+  }
+}
+
+function expectStatus(reply: PlatformReply, status: number): void {
+  if (reply.status !== status) throw unexpectedStatus(reply);
+}
--- /dev/null
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -0,0 +1,124 @@
+/**
+ * One HTTP call to the platform, bounded in time, with its failures turned
+ * into `PlatformError`.
+ *
+ * @module
+ */
+
+import { type Agent, request } from "undici";
+import type { z } from "zod";
+import { PlatformError, type PlatformErrorKind } from "./platform_error.js";
+
+/** Answers that say that nothing was done. */
+const NOT_DONE_STATUSES: ReadonlySet<number> = new Set([413, 429, 503]);
+/** Failures before the first byte of the call has left. */
+const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+export interface PlatformCall {
+  readonly method: "GET" | "PUT" | "DELETE";
+  readonly url: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+export interface PlatformReply {
+  readonly status: number;
+  readonly text: string;
+}
+
+/**
+ * Sends the call and reads the whole reply. Rejects with a `PlatformError`
+ * when there is none in time or when the platform refuses for load.
+ */
+export async function sendCall(
+  agent: Agent,
+  call: PlatformCall,
+): Promise<PlatformReply> {
+  const timeout = AbortSignal.timeout(call.timeoutMs);
+  const signal = call.signal === undefined
+    ? timeout
+    : AbortSignal.any([call.signal, timeout]);
+  const reply = await exchange(agent, { ...call, signal });
+  if (!NOT_DONE_STATUSES.has(reply.status)) return reply;
+  throw new PlatformError(
+    "notDone",
+    `The platform refused the call with status ${reply.status}`,
+  );
+}
+
+async function exchange(
+  agent: Agent,
+  call: PlatformCall & { readonly signal: AbortSignal },
+): Promise<PlatformReply> {
+  try {
+    const response = await request(call.url, {
+      dispatcher: agent,
+      method: call.method,
+      signal: call.signal,
+      headers: { ...call.headers },
+      body: call.body ?? null,
+    });
+    return { status: response.statusCode, text: await response.body.text() };
+  } catch (cause) {
+    throw new PlatformError(
+      failureKind(call, cause),
+      `The platform call ${call.method} brought no answer`,
+      { cause },
+    );
+  }
+}
+
+function failureKind(call: PlatformCall, cause: unknown): PlatformErrorKind {
+  if (call.method === "GET") return "notDone";
+  return isNotConnected(cause) ? "notDone" : "outcomeUnknown";
+}
+
+function isNotConnected(cause: unknown): boolean {
+  if (cause instanceof AggregateError) {
+    return cause.errors.every(isNotConnected);
+  }
+  if (!(cause instanceof Error) || !("code" in cause)) return false;
+  return typeof cause.code === "string" && NOT_CONNECTED_CODES.has(cause.code);
+}
+
+/** Reads a reply's JSON by the schema. */
+export function parseReply<Schema extends z.ZodType>(
+  reply: PlatformReply,
+  schema: Schema,
+): z.infer<Schema> {
+  const parsed = schema.safeParse(parseJson(reply));
+  if (parsed.success) return parsed.data;
+  throw unreadable(reply, parsed.error);
+}
+
+/** The error for a status that the call doesn't know. */
+export function unexpectedStatus(reply: PlatformReply): PlatformError {
+  return new PlatformError(
+    "outcomeUnknown",
+    `The platform answered with the unexpected status ${reply.status}`,
+  );
+}
+
+function parseJson(reply: PlatformReply): unknown {
+  try {
+    return JSON.parse(reply.text);
+  } catch (cause) {
+    throw unreadable(reply, cause);
+  }
+}
+
+function unreadable(reply: PlatformReply, cause: unknown): PlatformError {
+  return new PlatformError(
+    "outcomeUnknown",
+    `The platform's answer with status ${reply.status} is unreadable`,
+    { cause },
+  );
+}
