Keep, share and accept the configuration

Accepting is one conditional update of the head after the changed parts are written; unchanged parts of the base generation are named again. Compiles and lints; not run yet, tests follow.

--- /dev/null
+++ b/packages/daemon/src/configuration/accept_configuration.ts
@@ -0,0 +1,220 @@
+/**
+ * Gets one change accepted: writes its new parts, then updates the head on the
+ * condition that nobody else did since it was read.
+ *
+ * @module
+ */
+
+import type {
+  Configuration,
+  ConfigurationContent,
+  ConfigurationFault,
+} from "@sassafrasstage/protocol/configuration";
+import type { ChangeId } from "@sassafrasstage/protocol/ids";
+import { MAX_OBJECT_BYTES } from "@sassafrasstage/protocol/platform_objects";
+import type { ObjectStore } from "../platform/object_store.js";
+import {
+  applyChange,
+  type ConfigurationChange,
+} from "./configuration_change.js";
+import { ConfigurationError } from "./configuration_error.js";
+import {
+  type AcceptedChange,
+  extendHead,
+  findChange,
+  findUnusedParts,
+  type PartReference,
+  type StoredHead,
+} from "./configuration_head.js";
+import {
+  type ConfigurationPart,
+  splitConfiguration,
+} from "./configuration_parts.js";
+import { readHead, readParts, toConfiguration } from "./read_configuration.js";
+import { updateHead } from "./update_head.js";
+import { removeParts, writeParts, type WrittenParts } from "./write_parts.js";
+
+export interface Submission {
+  readonly change: ConfigurationChange;
+  readonly changeId: ChangeId;
+  readonly author: string;
+  readonly note?: string;
+  /** The generation that the operator saw; any when absent. */
+  readonly basedOnGeneration?: number;
+}
+
+export type AcceptResult =
+  | {
+    readonly kind: "accepted";
+    readonly generation: number;
+    readonly changeId: ChangeId;
+    /** Absent when nothing had to be changed any more. */
+    readonly configuration?: Configuration;
+  }
+  | { readonly kind: "invalid"; readonly faults: ConfigurationFault[] }
+  | { readonly kind: "notFound"; readonly detail: string }
+  /** Another change was accepted first; nothing of this one took effect. */
+  | { readonly kind: "conflict"; readonly newer: AcceptedChange }
+  /** It may be accepted yet: submit again with the same change id. */
+  | { readonly kind: "outcomeUnknown"; readonly changeId: ChangeId };
+
+interface Base {
+  readonly head: StoredHead | undefined;
+  readonly parts: readonly unknown[];
+}
+
+/**
+ * Tries once. Rejects with a `ConfigurationError` or a `PlatformError` only
+ * when nothing was accepted.
+ */
+export async function acceptConfiguration(
+  store: ObjectStore,
+  submission: Submission,
+): Promise<AcceptResult> {
+  const head = await readHead(store);
+  const settled = settleFromHead(submission, head);
+  if (settled !== undefined) return settled;
+  const parts = await readBaseParts(store, { head, submission });
+  const base: Base = { head, parts };
+  const changed = applyChange(submission.change, readBaseContent(base));
+  switch (changed.kind) {
+    case "invalid":
+    case "notFound":
+      return changed;
+    case "unchanged":
+      return {
+        kind: "accepted",
+        generation: head?.accepted.generation ?? 0,
+        changeId: submission.changeId,
+      };
+    case "changed":
+      return publish(store, { submission, base, content: changed.content });
+  }
+}
+
+function settleFromHead(
+  submission: Submission,
+  head: StoredHead | undefined,
+): AcceptResult | undefined {
+  const { changeId, basedOnGeneration } = submission;
+  const earlier = findChange(head?.head, changeId);
+  if (earlier !== undefined) {
+    return { kind: "accepted", generation: earlier.generation, changeId };
+  }
+  if (head === undefined || basedOnGeneration === undefined) return undefined;
+  if (basedOnGeneration === head.accepted.generation) return undefined;
+  return { kind: "conflict", newer: head.accepted };
+}
+
+interface BaseQuery {
+  readonly head: StoredHead | undefined;
+  readonly submission: Submission;
+}
+
+async function readBaseParts(
+  store: ObjectStore,
+  query: BaseQuery,
+): Promise<unknown[]> {
+  if (query.head === undefined) return [];
+  try {
+    return await readParts(store, query.head.accepted);
+  } catch (error) {
+    const isUnreadable = error instanceof ConfigurationError &&
+      error.kind === "unreadable";
+    // A whole replacement mends an unreadable configuration.
+    if (isUnreadable && query.submission.change.kind === "replace") return [];
+    throw error;
+  }
+}
+
+/** A replacement doesn't look at it, so that it isn't checked for one. */
+function readBaseContent(base: Base): () => ConfigurationContent | undefined {
+  return () => {
+    if (base.head === undefined) return undefined;
+    return toConfiguration(base.parts, base.head.accepted.generation);
+  };
+}
+
+interface Publication {
+  readonly submission: Submission;
+  readonly base: Base;
+  readonly content: ConfigurationContent;
+}
+
+async function publish(
+  store: ObjectStore,
+  publication: Publication,
+): Promise<AcceptResult> {
+  const { submission, base, content } = publication;
+  const parts = splitConfiguration(content);
+  const faults = findOversizedParts(parts);
+  if (faults.length > 0) return { kind: "invalid", faults };
+  const written = await writeParts(store, {
+    parts,
+    reusable: reusableParts(base),
+  });
+  const change = describeChange(publication, written);
+  const head = extendHead(base.head?.head, change);
+  const { changeId } = submission;
+  const outcome = await updateHead(store, { changeId, base: base.head, head });
+  switch (outcome.kind) {
+    case "accepted": {
+      const { generation } = outcome.change;
+      if (base.head !== undefined) {
+        void removeParts(store, findUnusedParts(base.head.head, head));
+      }
+      return {
+        kind: "accepted",
+        generation,
+        changeId,
+        configuration: { ...content, generation },
+      };
+    }
+    case "conflict":
+      void removeParts(store, written.fresh);
+      return outcome;
+    case "notDone":
+      void removeParts(store, written.fresh);
+      throw outcome.error;
+    case "outcomeUnknown":
+      return { kind: "outcomeUnknown", changeId };
+  }
+}
+
+function describeChange(
+  publication: Publication,
+  written: WrittenParts,
+): AcceptedChange {
+  const { submission, base } = publication;
+  return {
+    generation: (base.head?.accepted.generation ?? 0) + 1,
+    changeId: submission.changeId,
+    author: submission.author,
+    ...submission.note === undefined ? {} : { note: submission.note },
+    acceptedAt: new Date().toISOString(),
+    parts: [...written.references],
+  };
+}
+
+function reusableParts(base: Base): Map<string, PartReference> {
+  const references = base.head?.accepted.parts ?? [];
+  const reusable = new Map<string, PartReference>();
+  for (const [index, reference] of references.entries()) {
+    const value = base.parts[index];
+    if (value !== undefined) reusable.set(JSON.stringify(value), reference);
+  }
+  return reusable;
+}
+
+function findOversizedParts(
+  parts: readonly ConfigurationPart[],
+): ConfigurationFault[] {
+  return parts
+    .filter((part) =>
+      Buffer.byteLength(JSON.stringify(part)) > MAX_OBJECT_BYTES
+    )
+    .map((part) => ({
+      path: part.kind,
+      message: `Needs more than the ${MAX_OBJECT_BYTES} bytes of one object`,
+    }));
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/adopted_configuration.ts
@@ -0,0 +1,76 @@
+/**
+ * The configuration in force in this process. Its generation only ever rises.
+ *
+ * @module
+ */
+
+import type { Configuration } from "@sassafrasstage/protocol/configuration";
+import Emittery from "emittery";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type {
+  ConfigurationEvents,
+  ConfigurationSource,
+} from "./configuration_source.js";
+
+export interface AdoptedConfigurationOptions {
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly onAdopted: (generation: number, origin: ConfigurationOrigin) => void;
+}
+
+/** Where a configuration was learned. */
+export type ConfigurationOrigin =
+  | "platform"
+  | "submission"
+  /** A daemon of this data centre. */
+  | "neighbour"
+  | "otherDataCentre";
+
+/** Adopts whole, checked configurations. */
+export class AdoptedConfiguration implements ConfigurationSource {
+  readonly events = new Emittery<ConfigurationEvents>();
+  readonly #options: AdoptedConfigurationOptions;
+  #current: Configuration | undefined;
+
+  constructor(options: AdoptedConfigurationOptions) {
+    this.#options = options;
+  }
+
+  current(): Configuration | undefined {
+    return this.#current;
+  }
+
+  /** 0 before the first one. */
+  get generation(): number {
+    return this.#current?.generation ?? 0;
+  }
+
+  /** False, with nothing changed, unless the generation is a higher one. */
+  adopt(configuration: Configuration, origin: ConfigurationOrigin): boolean {
+    const { metrics, logger, onAdopted } = this.#options;
+    const { generation } = configuration;
+    if (generation <= this.generation) {
+      metrics.countDrop("staleGeneration");
+      return false;
+    }
+    this.#current = configuration;
+    metrics.countEvent(`configurationAdopted.${origin}`);
+    metrics.setValue("configurationGeneration", generation);
+    logger.info("configurationAdopted", { generation, origin });
+    onAdopted(generation, origin);
+    void this.#emit(configuration);
+    return true;
+  }
+
+  async #emit(configuration: Configuration): Promise<void> {
+    try {
+      await this.events.emit("adopted", configuration);
+    } catch (error) {
+      this.#options.logger.error("configurationListenerFailed", {
+        generation: configuration.generation,
+        error: String(error),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/configuration_change.ts
@@ -0,0 +1,128 @@
+/**
+ * The changes that operators submit, and the content that each makes of the
+ * accepted configuration.
+ *
+ * @module
+ */
+
+import {
+  checkConfiguration,
+  type ConfigurationContent,
+  type ConfigurationFault,
+} from "@sassafrasstage/protocol/configuration";
+import type {
+  BackendServerId,
+  DataCentreName,
+} from "@sassafrasstage/protocol/ids";
+
+export type ConfigurationChange =
+  /** Register and rules as a whole, not checked yet. */
+  | { readonly kind: "replace"; readonly content: unknown }
+  | {
+    readonly kind: "dataCentre";
+    readonly name: DataCentreName;
+    readonly direction: "out" | "in";
+  }
+  | {
+    readonly kind: "backendServer";
+    readonly id: BackendServerId;
+    readonly direction: "out" | "in";
+  };
+
+export type ChangedContent =
+  | { readonly kind: "changed"; readonly content: ConfigurationContent }
+  /** The accepted configuration already says so. */
+  | { readonly kind: "unchanged" }
+  | { readonly kind: "invalid"; readonly faults: ConfigurationFault[] }
+  | { readonly kind: "notFound"; readonly detail: string };
+
+/**
+ * True when the change can be applied again on top of any other change, so
+ * that of two racing operators both get what they asked for.
+ */
+export function isCommuting(change: ConfigurationChange): boolean {
+  switch (change.kind) {
+    case "replace":
+      return false;
+    case "dataCentre":
+    case "backendServer":
+      return true;
+  }
+}
+
+/**
+ * Applies the change; the result has been checked as a whole. A replacement
+ * doesn't read the accepted configuration.
+ */
+export function applyChange(
+  change: ConfigurationChange,
+  readAccepted: () => ConfigurationContent | undefined,
+): ChangedContent {
+  switch (change.kind) {
+    case "replace":
+      return check(change.content);
+    case "dataCentre":
+      return moveDataCentre(change, readAccepted());
+    case "backendServer":
+      return moveBackendServer(change, readAccepted());
+  }
+}
+
+function moveDataCentre(
+  change: Extract<ConfigurationChange, { kind: "dataCentre" }>,
+  accepted: ConfigurationContent | undefined,
+): ChangedContent {
+  const known = accepted?.register.dataCentres.some((entry) =>
+    entry.name === change.name
+  );
+  if (accepted === undefined || known !== true) {
+    return {
+      kind: "notFound",
+      detail: `No data centre is named "${change.name}"`,
+    };
+  }
+  const before = accepted.rules.dataCentresOut;
+  const dataCentresOut = moveName(before, change.name, change.direction);
+  if (dataCentresOut.length === before.length) return { kind: "unchanged" };
+  return check({
+    register: accepted.register,
+    rules: { ...accepted.rules, dataCentresOut },
+  });
+}
+
+function moveBackendServer(
+  change: Extract<ConfigurationChange, { kind: "backendServer" }>,
+  accepted: ConfigurationContent | undefined,
+): ChangedContent {
+  const known = accepted?.register.backendServers.some((entry) =>
+    entry.id === change.id
+  );
+  if (accepted === undefined || known !== true) {
+    return {
+      kind: "notFound",
+      detail: `No backend server is named "${change.id}"`,
+    };
+  }
+  const before = accepted.rules.backendServersOut;
+  const backendServersOut = moveName(before, change.id, change.direction);
+  if (backendServersOut.length === before.length) return { kind: "unchanged" };
+  return check({
+    register: accepted.register,
+    rules: { ...accepted.rules, backendServersOut },
+  });
+}
+
+function moveName<Name extends string>(
+  names: readonly Name[],
+  name: Name,
+  direction: "out" | "in",
+): Name[] {
+  const others = names.filter((entry) => entry !== name);
+  return direction === "out" ? [...others, name] : others;
+}
+
+function check(content: unknown): ChangedContent {
+  const checked = checkConfiguration(content);
+  if (checked.kind === "invalid") return checked;
+  return { kind: "changed", content: checked.content };
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/configuration_error.ts
@@ -0,0 +1,26 @@
+/**
+ * Errors of the configuration layer.
+ *
+ * @module
+ */
+
+export type ConfigurationErrorKind =
+  /** The platform could not be asked. */
+  | "unreachable"
+  /** A stored head or part is missing, replaced or malformed. */
+  | "unreadable";
+
+/** A configuration that could not be read whole. */
+export class ConfigurationError extends Error {
+  override readonly name = "ConfigurationError";
+  readonly kind: ConfigurationErrorKind;
+
+  constructor(
+    kind: ConfigurationErrorKind,
+    message: string,
+    options?: ErrorOptions,
+  ) {
+    super(message, options);
+    this.kind = kind;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/share_configuration.ts
@@ -0,0 +1,170 @@
+/**
+ * Spreads the configuration in force between daemons. A daemon tells others
+ * its generation; whoever has a lower one asks for the whole configuration.
+ *
+ * @module
+ */
+
+import {
+  checkConfiguration,
+  type Configuration,
+} from "@sassafrasstage/protocol/configuration";
+import type { VmId } from "@sassafrasstage/protocol/ids";
+import type { Clock } from "../clock.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type {
+  Member,
+  PeerIdentity,
+  PeerNetwork,
+} from "../peers/peer_network.js";
+import type {
+  AdoptedConfiguration,
+  ConfigurationOrigin,
+} from "./adopted_configuration.js";
+
+/** Time that an asked peer has for its answer before another is asked. */
+const ANSWER_TIME_MS = 250;
+/** How often a few daemons of other data centres are told the generation. */
+const TELL_INTERVAL_MS = 1000;
+const TOLD_PER_INTERVAL = 2;
+
+export interface ConfigurationSharingOptions {
+  readonly network: PeerNetwork;
+  readonly adopted: AdoptedConfiguration;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+/** Answers, asks and tells until it is closed. */
+export class ConfigurationSharing {
+  readonly #options: ConfigurationSharingOptions;
+  readonly #stopListening: readonly (() => void)[];
+  readonly #timer: NodeJS.Timeout;
+  #askedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: ConfigurationSharingOptions) {
+    const { network } = options;
+    const { messages, life } = network;
+    this.#options = options;
+    this.#stopListening = [
+      life.on("connected", (received) => {
+        this.#tell(received.vmId);
+      }),
+      messages.on("heartbeat", (received) => {
+        this.#hear(received.from, received.message.generation);
+      }),
+      messages.on("heartbeatReply", (received) => {
+        this.#hear(received.from, received.message.generation);
+      }),
+      messages.on("configurationRequest", (received) => {
+        this.#answer(received.from, received.message.knownGeneration);
+      }),
+      messages.on("configuration", (received) => {
+        this.#receive(received.from, received.message.configuration);
+      }),
+    ];
+    this.#timer = setInterval(() => {
+      this.#tellOtherDataCentres(TOLD_PER_INTERVAL);
+    }, TELL_INTERVAL_MS);
+  }
+
+  /**
+   * Tells the others of a new generation. What came from a neighbour has been
+   * told to the other neighbours by the daemon that had it first.
+   */
+  announce(origin: ConfigurationOrigin): void {
+    if (origin !== "neighbour") this.#tellNeighbours();
+    this.#tellOtherDataCentres(Number.POSITIVE_INFINITY);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+    for (const stop of this.#stopListening) stop();
+  }
+
+  #hear(from: PeerIdentity, generation: number): void {
+    if (generation > this.#options.adopted.generation) this.#ask(from.vmId);
+  }
+
+  #ask(peer: VmId): void {
+    const { clock, metrics } = this.#options;
+    const nowMs = clock.nowMs();
+    if (nowMs - this.#askedAtMs < ANSWER_TIME_MS) return;
+    if (!this.#tell(peer)) return;
+    this.#askedAtMs = nowMs;
+    metrics.countEvent("configurationAsked");
+  }
+
+  /** The request says which generation is in force here. */
+  #tell(peer: VmId): boolean {
+    const { network, adopted } = this.#options;
+    return network.send(peer, {
+      type: "configurationRequest",
+      knownGeneration: adopted.generation,
+    });
+  }
+
+  #answer(from: PeerIdentity, knownGeneration: number): void {
+    const { network, adopted, metrics } = this.#options;
+    const configuration = adopted.current();
+    if (knownGeneration > adopted.generation) this.#ask(from.vmId);
+    if (configuration === undefined) return;
+    if (knownGeneration >= configuration.generation) return;
+    metrics.countEvent("configurationHandedOver");
+    network.send(from.vmId, { type: "configuration", configuration });
+  }
+
+  #receive(from: PeerIdentity, received: Configuration): void {
+    const { network, adopted, metrics, logger } = this.#options;
+    if (received.generation <= adopted.generation) {
+      metrics.countDrop("staleGeneration");
+      return;
+    }
+    const { generation, register, rules } = received;
+    const check = checkConfiguration({ register, rules });
+    if (check.kind === "invalid") {
+      metrics.countEvent("configurationUnreadable");
+      logger.warn("configurationUnreadable", {
+        from: from.vmId,
+        generation,
+        path: check.faults[0]?.path,
+      });
+      return;
+    }
+    const origin = from.dataCentre === network.self.dataCentre
+      ? "neighbour"
+      : "otherDataCentre";
+    this.#askedAtMs = Number.NEGATIVE_INFINITY;
+    adopted.adopt({ ...check.content, generation }, origin);
+  }
+
+  #tellNeighbours(): void {
+    for (const member of this.#members()) {
+      if (member.dataCentre === this.#options.network.self.dataCentre) {
+        this.#tell(member.vmId);
+      }
+    }
+  }
+
+  #tellOtherDataCentres(limit: number): void {
+    const { network } = this.#options;
+    const others = this.#members()
+      .filter((member) => member.dataCentre !== network.self.dataCentre)
+      .map((member) => ({ member, order: Math.random() }))
+      .sort((one, other) => one.order - other.order);
+    let told = 0;
+    for (const { member } of others) {
+      if (told >= limit) return;
+      if (this.#tell(member.vmId)) told += 1;
+    }
+  }
+
+  #members(): Member[] {
+    const { network, clock } = this.#options;
+    return network.view(clock.nowMs()).members.filter((member) =>
+      !member.isSelf && member.state !== "gone"
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/start_configuration_keeper.ts
@@ -0,0 +1,104 @@
+/**
+ * Keeps this daemon's configuration: adopts what was accepted, shares it with
+ * the other daemons, and submits operators' changes.
+ *
+ * @module
+ */
+
+import type { ChangeId } from "@sassafrasstage/protocol/ids";
+import type { Clock } from "../clock.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { PeerNetwork } from "../peers/peer_network.js";
+import type { ObjectStore } from "../platform/object_store.js";
+import type { Settings } from "../settings/settings.js";
+import { AdoptedConfiguration } from "./adopted_configuration.js";
+import type { AcceptedChange } from "./configuration_head.js";
+import type { ConfigurationSource } from "./configuration_source.js";
+import { readHead } from "./read_configuration.js";
+import { ConfigurationSharing } from "./share_configuration.js";
+import {
+  submitChange,
+  type SubmitRequest,
+  type SubmitResult,
+} from "./submit_change.js";
+import { HeadWatch } from "./watch_head.js";
+
+/** Time for peers to hand the configuration over before the first read. */
+const START_DELAY_MS = 250;
+
+export interface ConfigurationKeeperOptions {
+  readonly settings: Settings;
+  readonly store: ObjectStore;
+  readonly network: PeerNetwork & { setGeneration(generation: number): void };
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+/** A change as the history shows it. */
+export interface HistoryEntry {
+  readonly generation: number;
+  readonly changeId: ChangeId;
+  readonly author: string;
+  readonly note?: string;
+  readonly acceptedAt: string;
+}
+
+export interface RunningConfigurationKeeper extends ConfigurationSource {
+  /** Never rejects for what the platform does. */
+  submit(request: SubmitRequest): Promise<SubmitResult>;
+  /**
+   * The last accepted changes, the newest first. Rejects with a
+   * `ConfigurationError` when the platform can't be read.
+   */
+  history(): Promise<HistoryEntry[]>;
+  close(): Promise<void>;
+}
+
+/**
+ * Starts to watch and to share.
+ *
+ * @example
+ * ```ts
+ * const keeper = startConfigurationKeeper({ settings, store, network, ... });
+ * keeper.events.on("adopted", (configuration) => console.log(configuration));
+ * ```
+ */
+export function startConfigurationKeeper(
+  options: ConfigurationKeeperOptions,
+): RunningConfigurationKeeper {
+  const { settings, store, network, clock, metrics, logger } = options;
+  const adopted = new AdoptedConfiguration({
+    metrics,
+    logger,
+    onAdopted: (generation, origin) => {
+      network.setGeneration(generation);
+      sharing.announce(origin);
+    },
+  });
+  const common = { network, adopted, clock, metrics, logger };
+  const sharing = new ConfigurationSharing(common);
+  const startDelayMs = settings.peers.seeds.length > 0 ? START_DELAY_MS : 0;
+  const watch = new HeadWatch({ ...common, store, startDelayMs });
+  return {
+    events: adopted.events,
+    current: () => adopted.current(),
+    submit: (request) =>
+      submitChange(request, { store, adopted, metrics, logger }),
+    history: async () => {
+      const head = await readHead(store);
+      return (head?.head.changes ?? []).map(toHistoryEntry);
+    },
+    close: async () => {
+      sharing.close();
+      await watch.close();
+    },
+  };
+}
+
+function toHistoryEntry(change: AcceptedChange): HistoryEntry {
+  const { generation, changeId, author, note, acceptedAt } = change;
+  const entry = { generation, changeId, author, acceptedAt };
+  return note === undefined ? entry : { ...entry, note };
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/watch_head.ts
@@ -0,0 +1,159 @@
+/**
+ * Learns of accepted configurations from the platform: by a watch in one or
+ * two daemons of each data centre, by slow polls in the others.
+ *
+ * @module
+ */
+
+import type { StoredObject } from "@sassafrasstage/protocol/platform_objects";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Clock } from "../clock.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { PeerNetwork } from "../peers/peer_network.js";
+import type { ObjectStore } from "../platform/object_store.js";
+import type { AdoptedConfiguration } from "./adopted_configuration.js";
+import { chooseWatchers, listLiveNeighbours } from "./choose_watchers.js";
+import { HEAD_KEY, type StoredHead } from "./configuration_head.js";
+import {
+  readConfiguration,
+  readHead,
+  toStoredHead,
+} from "./read_configuration.js";
+
+/** How long the platform holds one watch call back without events. */
+const WATCH_WAIT_MS = 2500;
+/** The time between polls of the head in a whole data centre. */
+const POLL_INTERVAL_MS = 2000;
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 3000;
+
+export interface HeadWatchOptions {
+  readonly store: ObjectStore;
+  readonly network: PeerNetwork;
+  readonly adopted: AdoptedConfiguration;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  /** Time for peers to hand the configuration over before the first read. */
+  readonly startDelayMs: number;
+}
+
+/** The task that watches or polls until it is closed. */
+export class HeadWatch {
+  readonly #options: HeadWatchOptions;
+  readonly #abort = new AbortController();
+  readonly #ended: Promise<void>;
+  /** Where the watch goes on; undefined when the head has to be listed. */
+  #revision: number | undefined;
+  #failures = 0;
+  #wake = new AbortController();
+
+  constructor(options: HeadWatchOptions) {
+    this.#options = options;
+    this.#ended = this.#run();
+  }
+
+  async close(): Promise<void> {
+    this.#abort.abort();
+    await this.#ended;
+  }
+
+  async #run(): Promise<void> {
+    const { network } = this.#options;
+    const stopListening = network.life.on("membershipChanged", () => {
+      if (this.#isWatcher()) this.#wake.abort();
+    });
+    await this.#pause(this.#options.startDelayMs);
+    while (!this.#abort.signal.aborted) await this.#step();
+    stopListening();
+  }
+
+  async #step(): Promise<void> {
+    try {
+      if (this.#isWatcher()) await this.#watch();
+      else await this.#poll();
+      this.#failures = 0;
+    } catch (error) {
+      if (this.#abort.signal.aborted) return;
+      this.#noteFailure(error);
+      await this.#pause(jitter(backOffMs(this.#failures)));
+    }
+  }
+
+  #isWatcher(): boolean {
+    const { network, clock } = this.#options;
+    return chooseWatchers(network.view(clock.nowMs()))
+      .includes(network.self.vmId);
+  }
+
+  async #watch(): Promise<void> {
+    const { store } = this.#options;
+    const afterRevision = this.#revision ?? await this.#list();
+    const result = await store.watch(
+      { prefix: HEAD_KEY, afterRevision, waitMs: WATCH_WAIT_MS },
+      this.#abort.signal,
+    );
+    if (result.kind === "tooOld") {
+      this.#options.metrics.countEvent("configurationWatchTooOld");
+      this.#revision = undefined;
+      return;
+    }
+    for (const event of result.answer.events) {
+      if (event.kind === "updated") await this.#adoptObject(event.object);
+    }
+    this.#revision = result.answer.revision;
+  }
+
+  async #list(): Promise<number> {
+    const listing = await this.#options.store.list(HEAD_KEY);
+    for (const object of listing.objects) await this.#adoptObject(object);
+    this.#revision = listing.revision;
+    return listing.revision;
+  }
+
+  async #poll(): Promise<void> {
+    const { network, clock, store } = this.#options;
+    this.#revision = undefined;
+    const neighbours = listLiveNeighbours(network.view(clock.nowMs())).length;
+    await this.#pause(jitter(POLL_INTERVAL_MS * neighbours));
+    if (this.#abort.signal.aborted || this.#isWatcher()) return;
+    const head = await readHead(store);
+    if (head !== undefined) await this.#adoptHead(head);
+  }
+
+  async #adoptObject(object: StoredObject): Promise<void> {
+    if (object.key === HEAD_KEY) await this.#adoptHead(toStoredHead(object));
+  }
+
+  async #adoptHead(head: StoredHead): Promise<void> {
+    const { store, adopted } = this.#options;
+    if (head.accepted.generation <= adopted.generation) return;
+    const configuration = await readConfiguration(store, head.accepted);
+    adopted.adopt(configuration, "platform");
+  }
+
+  #noteFailure(error: unknown): void {
+    const { metrics, logger } = this.#options;
+    this.#failures += 1;
+    metrics.countEvent("configurationReadFailed");
+    const fields = { failures: this.#failures, error: String(error) };
+    if (this.#failures === 1) logger.warn("configurationReadFailed", fields);
+    else logger.debug("configurationReadFailed", fields);
+  }
+
+  /** Ends early on close and when this daemon becomes a watcher. */
+  async #pause(ms: number): Promise<void> {
+    if (this.#wake.signal.aborted) this.#wake = new AbortController();
+    const signal = AbortSignal.any([this.#abort.signal, this.#wake.signal]);
+    await sleep(ms, undefined, { signal }).catch(() => undefined);
+  }
+}
+
+function backOffMs(failures: number): number {
+  return Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (failures - 1));
+}
+
+function jitter(ms: number): number {
+  return ms * (0.75 + 0.5 * Math.random());
+}
