Index the configuration, and hedge slow lookups of waiting callers

Cause: a stage's server was found by walking the register (4,700 entries at the size designed for), and a slow registry lookup had no second chance. Ruled out: hedging engines, whose calls are long and costly. After: look-ups by maps built once for each configuration; an idempotent plain call of a counter pipeline that exceeds the 95th percentile gets one more call on another server, paid from the retry budget, and no longer asked for once the first ends.

--- a/packages/daemon/src/callers/parse_pipeline_request.ts
+++ b/packages/daemon/src/callers/parse_pipeline_request.ts
@@ -11,7 +11,7 @@
 import type { ProblemReason } from "@sassafrasstage/protocol/problems";
 import type { Pipeline } from "@sassafrasstage/protocol/rules";
 import { z } from "zod";
-import { findAccount, findPipeline } from "./account_index.js";
+import { findAccount, indexOf } from "../configuration/configuration_index.js";
 
 const MAX_KEY_LENGTH = 255;
 
@@ -62,7 +62,7 @@
   if (account === undefined) {
     return bad("unauthorized", "Expected the bearer key of a client account");
   }
-  const pipeline = findPipeline(configuration, raw.pipelineName);
+  const pipeline = indexOf(configuration).pipelines.get(raw.pipelineName);
   if (pipeline === undefined) {
     return bad("unknownPipeline", `No pipeline is named "${raw.pipelineName}"`);
   }
--- a/packages/daemon/src/pipelines/acquire_permit.ts
+++ b/packages/daemon/src/pipelines/acquire_permit.ts
@@ -9,6 +9,7 @@
   PermitAsk,
   PermitDecision,
 } from "@sassafrasstage/protocol/permits";
+import { indexOf } from "../configuration/configuration_index.js";
 import type { PipelineEnvironment } from "./pipeline_environment.js";
 import { refuse } from "./refuse.js";
 import type { Refusal } from "./pipeline_request.js";
@@ -21,6 +22,8 @@
   readonly run: StageRun;
   readonly attemptId: AttemptId;
   readonly excluded: readonly BackendServerId[];
+  /** Ends the wait; the request's own wish for a result by default. */
+  readonly signal?: AbortSignal;
 }
 
 export type AcquireResult =
@@ -40,6 +43,7 @@
   attempt: AttemptRequest,
 ): Promise<AcquireResult> {
   const { run } = attempt;
+  const signal = attempt.signal ?? run.lifetime.wantedSignal;
   const pools = environment.permits.candidatePools(
     run.service.name,
     environment.clock.nowMs(),
@@ -54,12 +58,12 @@
     if (ask.latestStartInMs <= 0) return refuseForDeadline(run);
     const decision = await environment.permits.acquire(
       { ...ask, pool },
-      run.lifetime.wantedSignal,
+      signal,
     );
     const result = toAcquireResult(environment, run, decision);
     if (result.kind === "granted") return result;
     refusal = result;
-    if (run.lifetime.wantedSignal.aborted) return refusal;
+    if (signal.aborted) return refusal;
   }
   return refusal;
 }
@@ -96,8 +100,8 @@
 ): AcquireResult {
   if (decision.kind === "refused") return refuse(run.lifetime, decision);
   const { permit } = decision;
-  const server = run.request.configuration.register.backendServers.find(
-    (entry) => entry.id === permit.backendServerId,
+  const server = indexOf(run.request.configuration).backendServers.get(
+    permit.backendServerId,
   );
   if (server !== undefined) {
     return { kind: "granted", granted: { permit, server } };
--- /dev/null
+++ b/packages/daemon/src/pipelines/run_attempt.ts
@@ -0,0 +1,133 @@
+/**
+ * One attempt of a stage, with a second call (a hedge) on another backend
+ * server where a short lookup for a waiting caller is slow.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type AttemptId, toId } from "@sassafrasstage/protocol/ids";
+import { acquirePermit } from "./acquire_permit.js";
+import type { PipelineEnvironment } from "./pipeline_environment.js";
+import { type GrantedAttempt, spendPermit } from "./spend_permit.js";
+import type { FinishedCall, GrantedServer, StageRun } from "./stage_run.js";
+
+const SHORTEST_HEDGE_DELAY_MS = 5;
+
+/** The call that counts, and the server that it ran on. */
+export interface FinishedAttempt extends FinishedCall {
+  readonly granted: GrantedServer;
+}
+
+/**
+ * Resolves with the first completed call, or with the last failure.
+ *
+ * @example
+ * ```ts
+ * const finished = await runAttempt(environment, run, { granted, attemptId });
+ * ```
+ */
+export async function runAttempt(
+  environment: PipelineEnvironment,
+  run: StageRun,
+  attempt: GrantedAttempt,
+): Promise<FinishedAttempt> {
+  const first = spend(environment, run, attempt);
+  const delayMs = hedgeDelayMs(environment, run);
+  if (delayMs === undefined) return await first;
+  const timer = new AbortController();
+  const isSlow = sleep(delayMs, true, { signal: timer.signal })
+    .catch(() => false);
+  const early = await Promise.race([first, isSlow]);
+  timer.abort();
+  if (typeof early !== "boolean") return early;
+  const firstEnded = new AbortController();
+  void first.then(() => {
+    firstEnded.abort();
+  });
+  const second = await startHedge(environment, run, {
+    attempt,
+    firstEnded: firstEnded.signal,
+  });
+  if (second === undefined) return await first;
+  return await firstCompleted(environment, first, second.finished);
+}
+
+/** Undefined where a hedge makes no sense. */
+function hedgeDelayMs(
+  environment: PipelineEnvironment,
+  run: StageRun,
+): number | undefined {
+  const { pipeline } = run.request;
+  const isHedgeable = run.stage.idempotent && run.service.kind === "plain" &&
+    pipeline.urgency === "counter";
+  if (!isHedgeable) return undefined;
+  const slowMs = environment.estimates.slowMs(
+    { pipeline: pipeline.name, stage: run.stage.name },
+    environment.clock.nowMs(),
+  );
+  return slowMs === 0 ? undefined : Math.max(SHORTEST_HEDGE_DELAY_MS, slowMs);
+}
+
+async function spend(
+  environment: PipelineEnvironment,
+  run: StageRun,
+  attempt: GrantedAttempt,
+): Promise<FinishedAttempt> {
+  const finished = await spendPermit(environment, run, attempt);
+  return { ...finished, granted: attempt.granted };
+}
+
+interface HedgeRequest {
+  readonly attempt: GrantedAttempt;
+  readonly firstEnded: AbortSignal;
+}
+
+interface StartedHedge {
+  readonly finished: Promise<FinishedAttempt>;
+}
+
+async function startHedge(
+  environment: PipelineEnvironment,
+  run: StageRun,
+  hedge: HedgeRequest,
+): Promise<StartedHedge | undefined> {
+  const service = run.service.name;
+  if (!environment.retryBudget.trySpend(service)) return undefined;
+  const attemptId = toId<AttemptId>(randomUUID());
+  const acquired = await acquirePermit(environment, {
+    run,
+    attemptId,
+    excluded: [hedge.attempt.granted.permit.backendServerId],
+    signal: AbortSignal.any([run.lifetime.wantedSignal, hedge.firstEnded]),
+  });
+  if (acquired.kind === "refused") return undefined;
+  environment.metrics.countRetry(service, "hedge");
+  return {
+    finished: spend(environment, run, { granted: acquired.granted, attemptId }),
+  };
+}
+
+async function firstCompleted(
+  environment: PipelineEnvironment,
+  first: Promise<FinishedAttempt>,
+  second: Promise<FinishedAttempt>,
+): Promise<FinishedAttempt> {
+  const earlier = await Promise.race([first, second]);
+  if (earlier.result.kind === "failed") return await settleLast(first, second);
+  void Promise.all([first, second]).then((both) => {
+    if (both.every((attempt) => attempt.result.kind === "completed")) {
+      environment.metrics.countDrop("doubledResult");
+    }
+  });
+  return earlier;
+}
+
+async function settleLast(
+  first: Promise<FinishedAttempt>,
+  second: Promise<FinishedAttempt>,
+): Promise<FinishedAttempt> {
+  const both = await Promise.all([first, second]);
+  return both.find((attempt) => attempt.result.kind === "completed") ?? both[0];
+}
--- a/packages/daemon/src/pipelines/run_pipeline.ts
+++ b/packages/daemon/src/pipelines/run_pipeline.ts
@@ -9,6 +9,7 @@
 import { type AttemptId, toId } from "@sassafrasstage/protocol/ids";
 import type { Service } from "@sassafrasstage/protocol/register";
 import type { Stage } from "@sassafrasstage/protocol/rules";
+import { indexOf } from "../configuration/configuration_index.js";
 import type { ClaimDecision, HeldClaim } from "../claims/claim_keeper.js";
 import type { PipelineEnvironment } from "./pipeline_environment.js";
 import {
@@ -180,9 +181,7 @@
 }
 
 function findService(request: PipelineRequest, stage: Stage): Service {
-  const service = request.configuration.register.services.find((entry) =>
-    entry.name === stage.service
-  );
+  const service = indexOf(request.configuration).services.get(stage.service);
   if (service === undefined) {
     throw new Error(`Service "${stage.service}" is absent from the register`);
   }
--- a/packages/daemon/src/pipelines/run_stage.ts
+++ b/packages/daemon/src/pipelines/run_stage.ts
@@ -16,13 +16,8 @@
 import type { PipelineEnvironment } from "./pipeline_environment.js";
 import type { Refusal } from "./pipeline_request.js";
 import { refuse, refuseUnwanted } from "./refuse.js";
-import { runCall } from "./run_call.js";
-import type {
-  FinishedCall,
-  GrantedServer,
-  StageResult,
-  StageRun,
-} from "./stage_run.js";
+import { runAttempt } from "./run_attempt.js";
+import type { StageResult, StageRun } from "./stage_run.js";
 
 const MAX_ATTEMPTS = 4;
 const FAILURE_RETRY_AFTER_MS = 500;
@@ -54,12 +49,11 @@
         ? refuseUnwanted(run.lifetime)
         : acquired;
     }
-    const { granted } = acquired;
-    const finished = await spendPermit(environment, run, {
-      granted,
+    const finished = await runAttempt(environment, run, {
+      granted: acquired.granted,
       attemptId,
     });
-    const { result, callMs } = finished;
+    const { result, callMs, granted } = finished;
     if (result.kind === "completed") {
       return { kind: "completed", call: result, granted, attempts, callMs };
     }
@@ -72,44 +66,6 @@
   }
 }
 
-interface Attempt {
-  readonly granted: GrantedServer;
-  readonly attemptId: AttemptId;
-}
-
-async function spendPermit(
-  environment: PipelineEnvironment,
-  run: StageRun,
-  attempt: Attempt,
-): Promise<FinishedCall> {
-  const { permit } = attempt.granted;
-  if (!environment.permits.isSpendable(permit, environment.clock.nowMs())) {
-    environment.permits.release(permit, {
-      permitId: permit.permitId,
-      backendServerId: permit.backendServerId,
-      outcome: "notSent",
-      durationMs: 0,
-    });
-    return { result: EXPIRED_PERMIT, callMs: 0 };
-  }
-  if (run.stage.idempotent) {
-    return await runCall(environment, { run, ...attempt });
-  }
-  run.lifetime.markSent();
-  const finished = await runCall(environment, { run, ...attempt });
-  if (finished.result.kind === "failed" && !finished.result.mayHaveRun) {
-    run.lifetime.markNotSent();
-  }
-  return finished;
-}
-
-const EXPIRED_PERMIT: FailedCall = {
-  kind: "failed",
-  cause: "connectFailed",
-  detail: "The permit expired before the call",
-  mayHaveRun: false,
-};
-
 interface FailedAttempt {
   readonly failure: FailedCall;
   readonly attempts: number;
--- /dev/null
+++ b/packages/daemon/src/pipelines/spend_permit.ts
@@ -0,0 +1,55 @@
+/**
+ * Turns a permit into one call, or gives it back unspent.
+ *
+ * @module
+ */
+
+import type { AttemptId } from "@sassafrasstage/protocol/ids";
+import type { FailedCall } from "../backend_servers/stage_call.js";
+import type { PipelineEnvironment } from "./pipeline_environment.js";
+import { runCall } from "./run_call.js";
+import type { FinishedCall, GrantedServer, StageRun } from "./stage_run.js";
+
+export interface GrantedAttempt {
+  readonly granted: GrantedServer;
+  readonly attemptId: AttemptId;
+}
+
+const EXPIRED_PERMIT: FailedCall = {
+  kind: "failed",
+  cause: "connectFailed",
+  detail: "The permit expired before the call",
+  mayHaveRun: false,
+};
+
+/**
+ * @example
+ * ```ts
+ * const finished = await spendPermit(environment, run, { granted, attemptId });
+ * ```
+ */
+export async function spendPermit(
+  environment: PipelineEnvironment,
+  run: StageRun,
+  attempt: GrantedAttempt,
+): Promise<FinishedCall> {
+  const { permit } = attempt.granted;
+  if (!environment.permits.isSpendable(permit, environment.clock.nowMs())) {
+    environment.permits.release(permit, {
+      permitId: permit.permitId,
+      backendServerId: permit.backendServerId,
+      outcome: "notSent",
+      durationMs: 0,
+    });
+    return { result: EXPIRED_PERMIT, callMs: 0 };
+  }
+  if (run.stage.idempotent) {
+    return await runCall(environment, { run, ...attempt });
+  }
+  run.lifetime.markSent();
+  const finished = await runCall(environment, { run, ...attempt });
+  if (finished.result.kind === "failed" && !finished.result.mayHaveRun) {
+    run.lifetime.markNotSent();
+  }
+  return finished;
+}
--- a/packages/daemon/src/pipelines/stage_estimates.ts
+++ b/packages/daemon/src/pipelines/stage_estimates.ts
@@ -13,6 +13,7 @@
 const LONGEST_MS = 600_000;
 const SIGNIFICANT_DIGITS = 2;
 const LIKELY_PERCENTILE = 75;
+const SLOW_PERCENTILE = 95;
 
 /** Names one stage of one pipeline. */
 export interface StageRef {
@@ -25,6 +26,7 @@
   previous: Histogram;
   startedAtMs: number;
   likelyMs: number;
+  slowMs: number;
   refreshedAtMs: number;
 }
 
@@ -49,12 +51,21 @@
 
   /** Zero while too little is known. */
   likelyMs(ref: StageRef, nowMs: number): number {
+    return this.#refreshedWindowOf(ref, nowMs).likelyMs;
+  }
+
+  /** What few calls exceed. Zero while too little is known. */
+  slowMs(ref: StageRef, nowMs: number): number {
+    return this.#refreshedWindowOf(ref, nowMs).slowMs;
+  }
+
+  #refreshedWindowOf(ref: StageRef, nowMs: number): StageWindow {
     const window = this.#windowOf(ref, nowMs);
-    if (nowMs - window.refreshedAtMs >= REFRESH_MS) {
-      window.likelyMs = computeLikelyMs(window);
-      window.refreshedAtMs = nowMs;
-    }
-    return window.likelyMs;
+    if (nowMs - window.refreshedAtMs < REFRESH_MS) return window;
+    window.likelyMs = percentileOf(window, LIKELY_PERCENTILE);
+    window.slowMs = percentileOf(window, SLOW_PERCENTILE);
+    window.refreshedAtMs = nowMs;
+    return window;
   }
 
   #windowOf(ref: StageRef, nowMs: number): StageWindow {
@@ -83,6 +94,7 @@
     previous: makeHistogram(),
     startedAtMs: nowMs,
     likelyMs: 0,
+    slowMs: 0,
     refreshedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
@@ -98,12 +110,12 @@
   window.startedAtMs = nowMs;
 }
 
-function computeLikelyMs(window: StageWindow): number {
+function percentileOf(window: StageWindow, percentile: number): number {
   if (window.current.totalCount >= MIN_SAMPLES) {
-    return window.current.getValueAtPercentile(LIKELY_PERCENTILE);
+    return window.current.getValueAtPercentile(percentile);
   }
   if (window.previous.totalCount >= MIN_SAMPLES) {
-    return window.previous.getValueAtPercentile(LIKELY_PERCENTILE);
+    return window.previous.getValueAtPercentile(percentile);
   }
   return 0;
 }
