Connect daemons to each other over TCP

Daemons had no way to reach each other. This adds the peer network: cbor-x frames with a size bound, a mutual proof of the shared key bound to role, VMs and nonces, one task for each connection and each peer, heartbeats, and the membership view.

Cost of messages and on-demand connections are not yet measured.

--- /dev/null
+++ b/packages/daemon/src/peers/handshake_test.ts
@@ -0,0 +1,158 @@
+import {
+  type DataCentreName,
+  type Incarnation,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import { expect } from "earl";
+import { once } from "node:events";
+import { connect, createServer, type Server } from "node:net";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { FrameChannel } from "./frame_channel.js";
+import { encodeFrame } from "./frame_codec.js";
+import {
+  acceptHandshake,
+  dialHandshake,
+  type HandshakeOptions,
+} from "./handshake.js";
+import { PeerError } from "./peer_error.js";
+
+let server: Server;
+const channels: FrameChannel[] = [];
+
+beforeEach(async () => {
+  server = createServer();
+  server.listen({ host: "127.0.0.1", port: 0 });
+  await once(server, "listening");
+});
+
+afterEach(() => {
+  for (const channel of channels.splice(0)) {
+    channel.destroy(new PeerError("connectionClosed", "The test is over"));
+  }
+  server.close();
+});
+
+interface ChannelPair {
+  readonly dialer: FrameChannel;
+  readonly acceptor: FrameChannel;
+}
+
+async function openPair(): Promise<ChannelPair> {
+  const bound = server.address();
+  if (bound === null || typeof bound === "string") throw new TypeError();
+  const accepted = once(server, "connection");
+  const options = { maxBufferedBytes: 1000 };
+  const dialer = new FrameChannel(
+    connect({ host: "127.0.0.1", port: bound.port }),
+    options,
+  );
+  const [socket] = await accepted as [
+    ConstructorParameters<
+      typeof FrameChannel
+    >[0],
+  ];
+  const acceptor = new FrameChannel(socket, options);
+  channels.push(dialer, acceptor);
+  return { dialer, acceptor };
+}
+
+function sideOf(vmId: string, sharedKey = "the shared key"): HandshakeOptions {
+  return {
+    sharedKey,
+    generation: 3,
+    self: {
+      vmId: toId<VmId>(vmId),
+      incarnation: toId<Incarnation>("life-1"),
+      dataCentre: toId<DataCentreName>("palermo"),
+    },
+  };
+}
+
+async function kindOf(result: Promise<unknown>): Promise<string> {
+  try {
+    await result;
+    return "accepted";
+  } catch (error) {
+    return error instanceof PeerError ? error.kind : String(error);
+  }
+}
+
+const expectedVmId = toId<VmId>("vm-b");
+
+describe("handshake", () => {
+  it("lets both sides prove who they are", async () => {
+    const { dialer, acceptor } = await openPair();
+    const [b, a] = await Promise.all([
+      dialHandshake(dialer, { ...sideOf("vm-a"), expectedVmId }),
+      acceptHandshake(acceptor, sideOf("vm-b")),
+    ]);
+    expect(a).toEqual({ identity: sideOf("vm-a").self, generation: 3 });
+    expect(b.identity.vmId).toEqual(expectedVmId);
+  });
+
+  it("refuses a wrong key on the accepting side", async () => {
+    const { dialer, acceptor } = await openPair();
+    const dialing = kindOf(
+      dialHandshake(dialer, { ...sideOf("vm-a", "wrong"), expectedVmId }),
+    );
+    expect(await kindOf(acceptHandshake(acceptor, sideOf("vm-b"))))
+      .toEqual("wrongSharedKey");
+    acceptor.end();
+    expect(await dialing).toEqual("connectionClosed");
+  });
+
+  it("refuses a hello that is sent back to its sender", async () => {
+    const { dialer, acceptor } = await openPair();
+    const dialing = kindOf(
+      dialHandshake(dialer, { ...sideOf("vm-a"), expectedVmId }),
+    );
+    acceptor.send(encodeFrame({ type: "challenge", nonce: "n".repeat(32) }));
+    const hello = await acceptor.receive();
+    acceptor.send(encodeFrame(hello));
+    expect(await dialing).toEqual("wrongSharedKey");
+  });
+
+  it("refuses a proof that was made for another VM", async () => {
+    const toAttacker = await openPair();
+    const toVictim = await openPair();
+    void kindOf(
+      dialHandshake(toAttacker.dialer, {
+        ...sideOf("vm-a"),
+        expectedVmId: toId<VmId>("vm-c"),
+      }),
+    );
+    const victim = kindOf(
+      acceptHandshake(toVictim.acceptor, sideOf("vm-b")),
+    );
+    toAttacker.acceptor.send(encodeFrame(await toVictim.dialer.receive()));
+    toVictim.dialer.send(encodeFrame(await toAttacker.acceptor.receive()));
+    expect(await victim).toEqual("wrongSharedKey");
+  });
+
+  it("refuses a proof that was used before", async () => {
+    const first = await openPair();
+    const accepted = kindOf(
+      acceptHandshake(first.acceptor, sideOf("vm-b")),
+    );
+    const recorder = await openPair();
+    void kindOf(
+      dialHandshake(recorder.dialer, { ...sideOf("vm-a"), expectedVmId }),
+    );
+    recorder.acceptor.send(encodeFrame(await first.dialer.receive()));
+    const hello = await recorder.acceptor.receive();
+    first.dialer.send(encodeFrame(hello));
+    expect(await accepted).toEqual("accepted");
+    const second = await openPair();
+    second.dialer.send(encodeFrame(hello));
+    expect(await kindOf(acceptHandshake(second.acceptor, sideOf("vm-b"))))
+      .toEqual("wrongSharedKey");
+  });
+
+  it("refuses an oversized frame before the proof", async () => {
+    const { dialer, acceptor } = await openPair();
+    dialer.send(encodeFrame({ type: "hello", vmId: "x".repeat(5000) }));
+    expect(await kindOf(acceptHandshake(acceptor, sideOf("vm-b"))))
+      .toEqual("badFrame");
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/peers/start_peer_network_test.ts
@@ -0,0 +1,255 @@
+import type { VmId } from "@sassafrasstage/protocol/ids";
+import { expect } from "earl";
+import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  countOf,
+  makeAsk,
+  startTestVm,
+  stateOf,
+  type TestVm,
+  type TestVmOptions,
+  until,
+} from "./test_fleet.js";
+import { TestRelay } from "./test_relay.js";
+
+const open: { close(): Promise<void> }[] = [];
+
+afterEach(async () => {
+  await Promise.all(open.splice(0).map((one) => one.close()));
+});
+
+async function start(options: TestVmOptions): Promise<TestVm> {
+  const vm = await startTestVm(options);
+  open.push(vm.network);
+  return vm;
+}
+
+async function startRelay(target: TestVm): Promise<TestRelay> {
+  const relay = new TestRelay(target.network.address);
+  open.push(relay);
+  await Promise.resolve();
+  return relay;
+}
+
+function seedOf(
+  vm: TestVm,
+): { vmId: VmId; address: TestVm["network"]["address"] } {
+  return { vmId: vm.vmId, address: vm.network.address };
+}
+
+function receivedBy(vm: TestVm): string[] {
+  const attempts: string[] = [];
+  vm.network.messages.on("permitAsk", ({ message }) => {
+    attempts.push(message.ask.attemptId);
+  });
+  return attempts;
+}
+
+async function untilLinked(a: TestVm, b: TestVm): Promise<void> {
+  await until(() => stateOf(a, b.vmId) === "live", `${a.vmId} hears`);
+  await until(() => stateOf(b, a.vmId) === "live", `${b.vmId} hears`);
+}
+
+describe("startPeerNetwork", () => {
+  it("links five VMs that know only the first, and keeps order", async () => {
+    const first = await start({ vmId: "vm-1" });
+    const others = await Promise.all(
+      ["vm-2", "vm-3", "vm-4", "vm-5"].map((vmId) =>
+        start({ vmId, seeds: [seedOf(first)] })
+      ),
+    );
+    const listing = [first, ...others].map((vm) => ({
+      vmId: vm.vmId,
+      dataCentre: vm.network.self.dataCentre,
+      role: "entry" as const,
+      state: "live" as const,
+      peerAddress: `127.0.0.1:${vm.network.address.port}`,
+    }));
+    for (const vm of others) vm.network.setListedVms({ vms: listing });
+    for (const vm of others) {
+      await untilLinked(first, vm);
+      for (const other of others) {
+        if (vm !== other) await untilLinked(vm, other);
+      }
+    }
+    const [second, third] = others;
+    if (second === undefined || third === undefined) throw new Error();
+    const received = receivedBy(third);
+    const sent = Array.from({ length: 500 }, (_, index) => `attempt-${index}`);
+    for (const id of sent) second.network.send(third.vmId, makeAsk(id));
+    await until(() => received.length >= sent.length, "all are received");
+    expect(received).toEqual(sent);
+  });
+
+  it("refuses and counts a wrong shared key", async () => {
+    const a = await start({ vmId: "vm-a" });
+    const b = await start({
+      vmId: "vm-b",
+      sharedKey: "another key for tests",
+      seeds: [seedOf(a)],
+    });
+    await until(
+      async () => await countOf(a, "drops_total", "wrongSharedKey") > 0,
+      "the wrong key is counted",
+    );
+    expect(b.network.send(a.vmId, makeAsk("attempt"))).toEqual(false);
+    expect(stateOf(b, "vm-a")).toEqual("silent");
+    expect(stateOf(a, "vm-b")).toEqual(undefined);
+  });
+
+  it("finds a half-open connection, and the peer again after it", async () => {
+    const b = await start({ vmId: "vm-b" });
+    const relay = await startRelay(b);
+    const a = await start({
+      vmId: "vm-a",
+      seeds: [{ vmId: "vm-b", address: await relay.listen() }],
+    });
+    await untilLinked(a, b);
+    relay.setMode("halfOpen");
+    await until(() => stateOf(a, "vm-b") === "silent", "b is silent");
+    await until(() => stateOf(b, "vm-a") === "silent", "a is silent");
+    a.network.setListedVms({ vms: [] });
+    expect(stateOf(a, "vm-b")).toEqual("silent");
+    relay.setMode("forward");
+    await untilLinked(a, b);
+  });
+
+  it("connects again after a cut and after garbage", async () => {
+    const b = await start({ vmId: "vm-b" });
+    const relay = await startRelay(b);
+    const a = await start({
+      vmId: "vm-a",
+      seeds: [{ vmId: "vm-b", address: await relay.listen() }],
+    });
+    await untilLinked(a, b);
+    let disconnects = 0;
+    a.network.life.on("disconnected", () => {
+      disconnects++;
+    });
+    relay.cut();
+    await until(() => disconnects === 1, "the cut is seen");
+    const received = receivedBy(b);
+    await until(() => a.network.send(b.vmId, makeAsk("after cut")), "sent");
+    await until(() => received.length > 0, "received after the cut");
+    relay.inject(Buffer.from("ffffffff00", "hex"));
+    await until(() => disconnects === 2, "the garbage is seen");
+    const badFrames = await countOf(a, "drops_total", "badFrame") +
+      await countOf(b, "drops_total", "badFrame");
+    expect(badFrames).toBeGreaterThan(0);
+    await until(() => a.network.send(b.vmId, makeAsk("again")), "sent again");
+    await until(() => received.includes("again"), "received after garbage");
+  });
+
+  it("keeps a delayed peer live", async () => {
+    const b = await start({ vmId: "vm-b", heartbeatTimeoutMs: 2000 });
+    const relay = await startRelay(b);
+    const a = await start({
+      vmId: "vm-a",
+      heartbeatTimeoutMs: 2000,
+      seeds: [{ vmId: "vm-b", address: await relay.listen() }],
+    });
+    relay.setDelayMs(60);
+    await untilLinked(a, b);
+    const states = new Set<string>();
+    a.network.life.on("membershipChanged", (view) => {
+      for (const member of view.members) states.add(member.state);
+    });
+    await sleep(500);
+    expect(states.has("silent")).toEqual(false);
+  });
+
+  it("counts a peer whose port refuses as gone, and live when back", async () => {
+    const a = await start({ vmId: "vm-a" });
+    const b = await startTestVm({ vmId: "vm-b", seeds: [seedOf(a)] });
+    const c = await start({ vmId: "vm-c", seeds: [seedOf(a), seedOf(b)] });
+    await untilLinked(b, c);
+    const { port } = b.network.address;
+    await b.network.close();
+    await until(() => stateOf(c, "vm-b") === "gone", "b is gone");
+    expect(stateOf(a, "vm-b")).not.toEqual("gone");
+    await start({ vmId: "vm-b", incarnation: "life-2", port });
+    await until(() => stateOf(c, "vm-b") === "live", "b is back");
+  });
+
+  it("replaces a connection by that of a new incarnation", async () => {
+    const a = await start({ vmId: "vm-a" });
+    const old = await start({ vmId: "vm-b", seeds: [seedOf(a)] });
+    await untilLinked(a, old);
+    const lives: string[] = [];
+    a.network.life.on("connected", (peer) => {
+      lives.push(peer.incarnation);
+    });
+    a.network.life.on("disconnected", (peer) => {
+      lives.push(`-${peer.incarnation}`);
+    });
+    const renewed = await start({
+      vmId: "vm-b",
+      incarnation: "life-2",
+      seeds: [seedOf(a)],
+    });
+    await until(
+      async () =>
+        await countOf(a, "events_total", "peer.replacedIncarnation") > 1,
+      "the old one is turned away",
+    );
+    expect(lives).toEqual(["-life-1", "life-2"]);
+    const received = receivedBy(renewed);
+    a.network.send(renewed.vmId, makeAsk("to the new life"));
+    await until(() => received.length === 1, "the new life receives");
+  });
+
+  it("tells that it is leaving", async () => {
+    const a = await start({ vmId: "vm-a" });
+    const b = await start({ vmId: "vm-b", seeds: [seedOf(a)] });
+    await untilLinked(a, b);
+    b.network.announceLeaving();
+    await until(() => stateOf(a, "vm-b") === "leaving", "b leaves");
+    expect(stateOf(b, "vm-b")).toEqual("leaving");
+  });
+
+  it("lets the list alone neither kill nor revive", async () => {
+    const a = await start({ vmId: "vm-a" });
+    const b = await startTestVm({ vmId: "vm-b", seeds: [seedOf(a)] });
+    await untilLinked(a, b);
+    const entry = {
+      vmId: b.vmId,
+      dataCentre: b.network.self.dataCentre,
+      role: "entry" as const,
+      state: "live" as const,
+    };
+    const self = { ...entry, vmId: a.vmId };
+    a.network.setListedVms({ vms: [self, entry] });
+    a.network.setListedVms({ vms: [self] });
+    expect(stateOf(a, "vm-b")).toEqual("live");
+    a.network.setListedVms({ vms: [self, entry] });
+    await b.network.close();
+    await until(() => stateOf(a, "vm-b") === "silent", "b is silent");
+    a.network.setListedVms({ vms: [self, entry] });
+    expect(stateOf(a, "vm-b")).toEqual("silent");
+    a.network.setListedVms({ vms: [self] });
+    await until(
+      () => (stateOf(a, "vm-b") ?? "gone") === "gone",
+      "b is gone by silence and list",
+    );
+  });
+
+  it("treats what it knew as old after a pause", async () => {
+    let skippedMs = 0;
+    const clock = { nowMs: () => performance.now() + skippedMs };
+    const b = await start({ vmId: "vm-b" });
+    const a = await start({ vmId: "vm-a", clock, seeds: [seedOf(b)] });
+    await untilLinked(a, b);
+    const states: (string | undefined)[] = [];
+    a.network.life.on("membershipChanged", (view) => {
+      states.push(view.members.find((m) => m.vmId === "vm-b")?.state);
+    });
+    skippedMs = 100_000;
+    const view = a.network.view(clock.nowMs());
+    expect(view.members.find((m) => m.vmId === "vm-b")?.state).toEqual(
+      "silent",
+    );
+    await until(() => states.length === 2, "b is heard again");
+    expect(states).toEqual(["silent", "live"]);
+  });
+});
