--- /dev/null
+++ b/bench/src/bench_slopes.ts
@@ -0,0 +1,11 @@
+/**
+ * `npm run bench:slopes`: measures what each part of the control work costs by
+ * size, and prints the table that `docs/CAPACITY.md` includes.
+ *
+ * @module
+ */
+
+import { measureConfigurationSlopes } from "./slopes/configuration_slopes.js";
+import { formatSlopes } from "./slopes/slope_series.js";
+
+console.log(formatSlopes(measureConfigurationSlopes()));
--- /dev/null
+++ b/bench/src/slopes/slope_series.ts
@@ -0,0 +1,60 @@
+/**
+ * One measured series and its line, as the capacity page shows it.
+ *
+ * @module
+ */
+
+import { fitLine, type LinearFit, type Point } from "./linear_fit.js";
+
+export interface SlopeSeries {
+  /** For example "processor time of a heartbeat". */
+  readonly name: string;
+  readonly unit: string;
+  /** What grows, for example "owned pools". */
+  readonly sizeName: string;
+  readonly points: readonly Point[];
+}
+
+/**
+ * A Markdown table of all series with slope, intercept and fit.
+ *
+ * @example
+ * ```ts
+ * console.log(formatSlopes([series]));
+ * ```
+ */
+export function formatSlopes(series: readonly SlopeSeries[]): string {
+  const rows = series.map((entry) => {
+    const fit = fitLine(entry.points);
+    const points = entry.points
+      .map(({ size, value }) => `${size}: ${formatNumber(value)}`)
+      .join("; ");
+    return [
+      entry.name,
+      entry.unit,
+      entry.sizeName,
+      points,
+      ...formatFit(fit),
+    ];
+  });
+  const head = [
+    "Measure",
+    "Unit",
+    "By",
+    "Measured",
+    "Slope",
+    "Intercept",
+    "R²",
+  ];
+  const rule = head.map(() => "---");
+  return [head, rule, ...rows].map((cells) => `| ${cells.join(" | ")} |`)
+    .join("\n");
+}
+
+function formatFit(fit: LinearFit): string[] {
+  return [fit.slope, fit.intercept, fit.rSquared].map(formatNumber);
+}
+
+function formatNumber(value: number): string {
+  return String(Number(value.toPrecision(3)));
+}
