--- a/packages/daemon/src/configuration/accept_configuration.ts
+++ b/packages/daemon/src/configuration/accept_configuration.ts
@@ -41,6 +41,8 @@
   readonly note?: string;
   /** The generation that the operator saw; any when absent. */
   readonly basedOnGeneration?: number;
+  /** In force here; a platform that lost its head doesn't lower it. */
+  readonly knownGeneration: number;
 }
 
 export type AcceptResult =
@@ -153,7 +155,7 @@
     parts,
     reusable: reusableParts(base),
   });
-  const change = describeChange(publication, written);
+  const change = makeChange(publication, written);
   const head = extendHead(base.head?.head, change);
   const { changeId } = submission;
   const outcome = await updateHead(store, { changeId, base: base.head, head });
@@ -181,13 +183,14 @@
   }
 }
 
-function describeChange(
+function makeChange(
   publication: Publication,
   written: WrittenParts,
 ): AcceptedChange {
   const { submission, base } = publication;
+  const acceptedGeneration = base.head?.accepted.generation ?? 0;
   return {
-    generation: (base.head?.accepted.generation ?? 0) + 1,
+    generation: Math.max(acceptedGeneration, submission.knownGeneration) + 1,
     changeId: submission.changeId,
     author: submission.author,
     ...submission.note === undefined ? {} : { note: submission.note },
--- a/packages/daemon/src/configuration/configuration_head.ts
+++ b/packages/daemon/src/configuration/configuration_head.ts
@@ -41,6 +41,9 @@
 export type AcceptedChange = z.infer<typeof acceptedChangeSchema>;
 export type ConfigurationHead = z.infer<typeof headSchema>;
 
+/** A change as operators see it. */
+export type HistoryEntry = Omit<AcceptedChange, "parts">;
+
 /** The head with the version that its next update has to expect. */
 export interface StoredHead {
   readonly version: number;
@@ -66,6 +69,13 @@
   };
 }
 
+/** The change without the keys of its parts. */
+export function describeChange(change: AcceptedChange): HistoryEntry {
+  const { generation, changeId, author, note, acceptedAt } = change;
+  const entry = { generation, changeId, author, acceptedAt };
+  return note === undefined ? entry : { ...entry, note };
+}
+
 /** The change with this id, when it is among the remembered ones. */
 export function findChange(
   head: ConfigurationHead | undefined,
--- a/packages/daemon/src/configuration/start_configuration_keeper.ts
+++ b/packages/daemon/src/configuration/start_configuration_keeper.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import type { ChangeId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -13,7 +12,7 @@
 import type { ObjectStore } from "../platform/object_store.js";
 import type { Settings } from "../settings/settings.js";
 import { AdoptedConfiguration } from "./adopted_configuration.js";
-import type { AcceptedChange } from "./configuration_head.js";
+import { describeChange, type HistoryEntry } from "./configuration_head.js";
 import type { ConfigurationSource } from "./configuration_source.js";
 import { readHead } from "./read_configuration.js";
 import { ConfigurationSharing } from "./share_configuration.js";
@@ -36,15 +35,6 @@
   readonly logger: Logger;
 }
 
-/** A change as the history shows it. */
-export interface HistoryEntry {
-  readonly generation: number;
-  readonly changeId: ChangeId;
-  readonly author: string;
-  readonly note?: string;
-  readonly acceptedAt: string;
-}
-
 export interface RunningConfigurationKeeper extends ConfigurationSource {
   /** Never rejects for what the platform does. */
   submit(request: SubmitRequest): Promise<SubmitResult>;
@@ -88,7 +78,7 @@
       submitChange(request, { store, adopted, metrics, logger }),
     history: async () => {
       const head = await readHead(store);
-      return (head?.head.changes ?? []).map(toHistoryEntry);
+      return (head?.head.changes ?? []).map(describeChange);
     },
     close: async () => {
       sharing.close();
@@ -96,9 +86,3 @@
     },
   };
 }
-
-function toHistoryEntry(change: AcceptedChange): HistoryEntry {
-  const { generation, changeId, author, note, acceptedAt } = change;
-  const entry = { generation, changeId, author, acceptedAt };
-  return note === undefined ? entry : { ...entry, note };
-}
--- a/packages/daemon/src/configuration/submit_change.ts
+++ b/packages/daemon/src/configuration/submit_change.ts
@@ -26,7 +26,7 @@
 const MAX_PAUSE_MS = 100;
 
 export type SubmitRequest =
-  & Omit<Submission, "changeId">
+  & Omit<Submission, "changeId" | "knownGeneration">
   & { readonly changeId?: ChangeId };
 
 export type SubmitResult =
@@ -52,7 +52,8 @@
   context: SubmitContext,
 ): Promise<SubmitResult> {
   const changeId = request.changeId ?? toId<ChangeId>(randomUUID());
-  const submission: Submission = { ...request, changeId };
+  const knownGeneration = context.adopted.generation;
+  const submission: Submission = { ...request, changeId, knownGeneration };
   const result = await acceptOrGiveUp(submission, context);
   context.metrics.countEvent(`configurationSubmitted.${result.kind}`);
   context.logger.info("configurationSubmitted", {
--- /dev/null
+++ b/packages/daemon/src/configuration/testing/keeper_fleet.ts
@@ -0,0 +1,105 @@
+/**
+ * Several configuration keepers over one memory store, for unit tests.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { MONOTONIC_CLOCK } from "../../clock.js";
+import { createLogger } from "../../observability/logger.js";
+import { Metrics } from "../../observability/metrics.js";
+import {
+  type MemoryConnection,
+  MemoryObjectStore,
+} from "../../platform/testing/memory_object_store.js";
+import { settingsSchema } from "../../settings/settings.js";
+import {
+  type RunningConfigurationKeeper,
+  startConfigurationKeeper,
+} from "../start_configuration_keeper.js";
+import { type MemoryPeerNetwork, MemoryPeers } from "./memory_peers.js";
+
+const POLL_MS = 10;
+
+export interface TestDaemon {
+  readonly keeper: RunningConfigurationKeeper;
+  readonly connection: MemoryConnection;
+  readonly network: MemoryPeerNetwork;
+  readonly metrics: Metrics;
+}
+
+/** Closes all it started with `close`. */
+export class KeeperFleet {
+  readonly store = new MemoryObjectStore();
+  readonly peers = new MemoryPeers();
+  readonly daemons: TestDaemon[] = [];
+
+  async start(name: string, dataCentre = "palermo"): Promise<TestDaemon> {
+    const connection = this.store.connect();
+    const network = await this.peers.join(name, dataCentre);
+    const metrics = new Metrics();
+    const settings = settingsSchema.parse({
+      vm: { id: name, data_centre: dataCentre },
+      listen: { http: "127.0.0.1:0", peers: "127.0.0.1:0" },
+      peers: { shared_key: "0123456789abcdef" },
+      platform: { url: "http://127.0.0.1:1" },
+      admin: { key_sha256: "0".repeat(64) },
+    });
+    const keeper = startConfigurationKeeper({
+      settings,
+      store: connection,
+      network,
+      clock: MONOTONIC_CLOCK,
+      metrics,
+      logger: createLogger("error", { vm: name }),
+    });
+    const daemon = { keeper, connection, network, metrics };
+    this.daemons.push(daemon);
+    await this.peers.connectAll();
+    return daemon;
+  }
+
+  async close(): Promise<void> {
+    this.peers.close();
+    this.store.wakeWatches();
+    await Promise.all(this.daemons.map((daemon) => daemon.keeper.close()));
+  }
+}
+
+/** Rejects when the condition doesn't hold in time. */
+export async function waitUntil(
+  condition: () => boolean,
+  timeoutMs = 5000,
+): Promise<void> {
+  const endAtMs = performance.now() + timeoutMs;
+  while (!condition()) {
+    if (performance.now() > endAtMs) throw new Error("Waited in vain");
+    await sleep(POLL_MS);
+  }
+}
+
+/** True when all daemons have this generation in force. */
+export function haveGeneration(
+  daemons: readonly TestDaemon[],
+  generation: number,
+): boolean {
+  return daemons.every((daemon) =>
+    daemon.keeper.current()?.generation === generation
+  );
+}
+
+/** How often the event was counted at all the daemons together. */
+export async function countEvents(
+  daemons: readonly TestDaemon[],
+  event: string,
+): Promise<number> {
+  let count = 0;
+  for (const daemon of daemons) {
+    const [metric] = (await daemon.metrics.registry.getMetricsAsJSON())
+      .filter((entry) => entry.name === "sassafrasstage_events_total");
+    for (const value of metric?.values ?? []) {
+      if (value.labels["event"] === event) count += value.value;
+    }
+  }
+  return count;
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/testing/memory_peers.ts
@@ -0,0 +1,141 @@
+/**
+ * Daemons that reach one another in memory, for unit tests.
+ *
+ * @module
+ */
+
+import {
+  type DataCentreName,
+  type Incarnation,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { PeerMessage } from "@sassafrasstage/protocol/peer_messages";
+import Emittery from "emittery";
+import type {
+  MembershipView,
+  PeerIdentity,
+  PeerLifeEvents,
+  PeerMessageEvents,
+  PeerNetwork,
+} from "../../peers/peer_network.js";
+
+/** All daemons of a test. */
+export class MemoryPeers {
+  readonly networks = new Map<VmId, MemoryPeerNetwork>();
+  /** Messages are held back while this says so; see `deliverHeld`. */
+  isHeldBack: (message: PeerMessage) => boolean = () => false;
+  readonly held: (() => Promise<void>)[] = [];
+
+  async join(name: string, dataCentre: string): Promise<MemoryPeerNetwork> {
+    const network = new MemoryPeerNetwork(this, {
+      vmId: toId<VmId>(name),
+      incarnation: toId<Incarnation>(`${name}/1`),
+      dataCentre: toId<DataCentreName>(dataCentre),
+    });
+    this.networks.set(network.self.vmId, network);
+    await this.connectAll();
+    return network;
+  }
+
+  /** Every pair meets again, as after a cut has healed. */
+  async connectAll(): Promise<void> {
+    for (const one of this.networks.values()) {
+      for (const other of this.networks.values()) {
+        if (!one.reaches(other)) continue;
+        await one.life.emit("connected", other.self);
+      }
+      await one.life.emit("membershipChanged", one.view());
+    }
+  }
+
+  /** Delivers the held messages in the given order. */
+  async deliverHeld(order: readonly number[]): Promise<void> {
+    for (const index of order) await this.held[index]?.();
+  }
+
+  close(): void {
+    for (const network of this.networks.values()) network.stop();
+  }
+}
+
+/** One daemon's view of the others. */
+export class MemoryPeerNetwork implements PeerNetwork {
+  readonly messages = new Emittery<PeerMessageEvents>();
+  readonly life = new Emittery<PeerLifeEvents>();
+  readonly generations: number[] = [];
+  /** Neither sends nor receives, nor counts as live. */
+  isCut = false;
+  readonly self: PeerIdentity;
+  readonly #peers: MemoryPeers;
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(peers: MemoryPeers, self: PeerIdentity) {
+    this.#peers = peers;
+    this.self = self;
+    this.#timer = setInterval(() => {
+      this.#beat();
+    }, 50);
+  }
+
+  get generation(): number {
+    return this.generations.at(-1) ?? 0;
+  }
+
+  setGeneration(generation: number): void {
+    this.generations.push(generation);
+  }
+
+  reaches(other: MemoryPeerNetwork): boolean {
+    return other !== this && !this.isCut && !other.isCut;
+  }
+
+  send(to: VmId, message: PeerMessage): boolean {
+    const receiver = this.#peers.networks.get(to);
+    if (receiver === undefined || !this.reaches(receiver)) return false;
+    const copy = structuredClone(message);
+    const deliver = () => receiver.receive(this.self, copy);
+    if (this.#peers.isHeldBack(message)) this.#peers.held.push(deliver);
+    else void deliver();
+    return true;
+  }
+
+  async receive(from: PeerIdentity, message: PeerMessage): Promise<void> {
+    if (this.isCut) return;
+    const received = {
+      from,
+      message,
+    } as PeerMessageEvents[PeerMessage["type"]];
+    await this.messages.emit(message.type, received);
+  }
+
+  view(): MembershipView {
+    const members = [...this.#peers.networks.values()].map((network) => ({
+      vmId: network.self.vmId,
+      dataCentre: network.self.dataCentre,
+      state: network === this || this.reaches(network)
+        ? "live" as const
+        : "silent" as const,
+      isSelf: network === this,
+      generation: network.generation,
+    }));
+    return { members };
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  #beat(): void {
+    for (const other of this.#peers.networks.values()) {
+      if (other.self.dataCentre !== this.self.dataCentre) continue;
+      this.send(other.self.vmId, {
+        type: "heartbeat",
+        sequence: 0,
+        generation: this.generation,
+        leaving: false,
+        ownedPools: [],
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operators/operator_routes.ts
@@ -0,0 +1,224 @@
+/**
+ * The administration API: `/admin/v1/...`, for operators with the admin key.
+ *
+ * @module
+ */
+
+import {
+  type BackendServerId,
+  type DataCentreName,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import { makeProblem } from "@sassafrasstage/protocol/problems";
+import type { DaemonStatus } from "@sassafrasstage/protocol/status";
+import type { ServerResponse } from "node:http";
+import type restana from "restana";
+import type { ConfigurationChange } from "../configuration/configuration_change.js";
+import { ConfigurationError } from "../configuration/configuration_error.js";
+import type { RunningConfigurationKeeper } from "../configuration/start_configuration_keeper.js";
+import { readBody } from "../http/read_body.js";
+import { sendProblem } from "../http/send_problem.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { Settings } from "../settings/settings.js";
+import {
+  type AdminAnswer,
+  answerSubmission,
+  refuse,
+  refuseUnavailable,
+} from "./admin_answer.js";
+import { isAdminKey } from "./admin_key.js";
+import { parseApplyRequest, parseMoveRequest } from "./admin_request.js";
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+type HttpService = restana.Service<restana.Protocol.HTTP>;
+type HttpRequest = restana.Request<restana.Protocol.HTTP>;
+
+export interface OperatorRoutesOptions {
+  readonly settings: Settings;
+  readonly configuration: RunningConfigurationKeeper;
+  readonly status: () => DaemonStatus;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+type Handler = (body: string, params: Params) => Promise<AdminAnswer>;
+type Params = Readonly<Record<string, string>>;
+
+/**
+ * Adds the operators' routes to a server.
+ *
+ * @example
+ * ```ts
+ * addOperatorRoutes(service, { settings, configuration, status, metrics, logger });
+ * ```
+ */
+export function addOperatorRoutes(
+  service: HttpService,
+  options: OperatorRoutesOptions,
+): void {
+  const { configuration, status } = options;
+  function guard(handler: Handler) {
+    return (request: HttpRequest, response: ServerResponse) =>
+      handle(options, { handler, request, response });
+  }
+  service.get(
+    "/admin/v1/configuration",
+    guard(() => Promise.resolve(showConfiguration(configuration))),
+  );
+  service.get(
+    "/admin/v1/configuration/history",
+    guard(() => showHistory(configuration)),
+  );
+  service.get(
+    "/admin/v1/status",
+    guard(() => Promise.resolve({ kind: "done", body: status() })),
+  );
+  service.get(
+    "/admin/v1/fleet",
+    guard(() => Promise.resolve(showFleet(status()))),
+  );
+  service.post(
+    "/admin/v1/configuration",
+    guard((body) => replaceConfiguration(configuration, body)),
+  );
+  for (const direction of ["out", "in"] as const) {
+    service.post(
+      `/admin/v1/data-centres/:name/${direction}`,
+      guard((body, params) => {
+        const name = toId<DataCentreName>(params["name"] ?? "");
+        return move(configuration, body, {
+          kind: "dataCentre",
+          name,
+          direction,
+        });
+      }),
+    );
+    service.post(
+      `/admin/v1/backend-servers/:id/${direction}`,
+      guard((body, params) => {
+        const id = toId<BackendServerId>(params["id"] ?? "");
+        return move(configuration, body, {
+          kind: "backendServer",
+          id,
+          direction,
+        });
+      }),
+    );
+  }
+}
+
+interface Exchange {
+  readonly handler: Handler;
+  readonly request: HttpRequest;
+  readonly response: ServerResponse;
+}
+
+async function handle(
+  options: OperatorRoutesOptions,
+  exchange: Exchange,
+): Promise<void> {
+  const { request, response } = exchange;
+  const answer = await answerOrFail(options, exchange);
+  if (answer === undefined) return;
+  if (answer.kind === "refused") {
+    const { reason } = answer.problem;
+    options.metrics.countRefusal(reason);
+    options.logger.info("operatorRefused", { path: request.url, reason });
+    sendProblem(response, answer.problem);
+    return;
+  }
+  response.setHeader("content-type", "application/json");
+  response.end(JSON.stringify(answer.body));
+}
+
+/** Undefined when the operator went away. */
+async function answerOrFail(
+  options: OperatorRoutesOptions,
+  exchange: Exchange,
+): Promise<AdminAnswer | undefined> {
+  const { handler, request, response } = exchange;
+  const { authorization } = request.headers;
+  if (!isAdminKey(authorization, options.settings.admin.key_sha256)) {
+    response.setHeader("connection", "close");
+    return refuse("unauthorized", "Expected the admin key as bearer key");
+  }
+  const body = await readBody(request, MAX_BODY_BYTES);
+  if (body.kind === "broken") return undefined;
+  if (body.kind === "tooLarge") {
+    response.setHeader("connection", "close");
+    return refuse("bodyTooLarge", `Expected at most ${MAX_BODY_BYTES} bytes`);
+  }
+  try {
+    return await handler(body.text, request.params);
+  } catch (error) {
+    options.logger.error("operatorCallFailed", {
+      path: request.url,
+      error: String(error),
+    });
+    return {
+      kind: "refused",
+      problem: makeProblem("internalError", {
+        detail: "The call failed; the daemon's log says why",
+        notRun: false,
+      }),
+    };
+  }
+}
+
+function showConfiguration(
+  keeper: RunningConfigurationKeeper,
+): AdminAnswer {
+  const body = keeper.current();
+  if (body !== undefined) return { kind: "done", body };
+  return refuse("notReady", "No configuration is in force here yet");
+}
+
+async function showHistory(
+  keeper: RunningConfigurationKeeper,
+): Promise<AdminAnswer> {
+  try {
+    return { kind: "done", body: { changes: await keeper.history() } };
+  } catch (error) {
+    if (!(error instanceof ConfigurationError)) throw error;
+    return refuseUnavailable(error.message);
+  }
+}
+
+function showFleet(status: DaemonStatus): AdminAnswer {
+  const { vmId, generation, members } = status;
+  return {
+    kind: "done",
+    body: { answeredBy: vmId, generation, daemons: members },
+  };
+}
+
+async function replaceConfiguration(
+  keeper: RunningConfigurationKeeper,
+  text: string,
+): Promise<AdminAnswer> {
+  const parsed = parseApplyRequest(text);
+  if (parsed.kind === "malformed") {
+    return refuse("malformedRequest", parsed.detail);
+  }
+  const { register, rules, ...submission } = parsed.body;
+  const content = { register, rules };
+  const result = await keeper.submit({
+    ...submission,
+    change: { kind: "replace", content },
+  });
+  return answerSubmission(result);
+}
+
+async function move(
+  keeper: RunningConfigurationKeeper,
+  text: string,
+  change: ConfigurationChange,
+): Promise<AdminAnswer> {
+  const parsed = parseMoveRequest(text);
+  if (parsed.kind === "malformed") {
+    return refuse("malformedRequest", parsed.detail);
+  }
+  return answerSubmission(await keeper.submit({ ...parsed.body, change }));
+}
