Wire the daemon: the whole path runs as separate processes

Cause: the parts stood apart. Before: no daemon. After: sassafrasstaged with stand-ins for platform, engine and plain service as processes; by hand: configuration applied over the administration API, /readyz ready, a two-stage request answered whole, the same streamed, SIGTERM ended it with exit 0. Claims are not wired yet: a keyed non-idempotent request is refused with claimsUnavailable and notRun true, which is true.

--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,279 @@
+/**
+ * Puts the parts of the daemon together, and takes them apart again.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Incarnation, toId } from "@sassafrasstage/protocol/ids";
+import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import type { DaemonStatus, Readiness } from "@sassafrasstage/protocol/status";
+import restana from "restana";
+import {
+  createStageCaller,
+  type RunningStageCaller,
+} from "./backend_servers/create_stage_caller.js";
+import { addCallerRoutes, type HttpService } from "./callers/caller_routes.js";
+import { RequestsInFlight } from "./callers/requests_in_flight.js";
+import type { ClaimKeeper } from "./claims/claim_keeper.js";
+import { createUnavailableClaimKeeper } from "./claims/unavailable_claim_keeper.js";
+import { MONOTONIC_CLOCK } from "./clock.js";
+import {
+  type RunningConfigurationKeeper,
+  startConfigurationKeeper,
+} from "./configuration/start_configuration_keeper.js";
+import { LatencyRecords } from "./observability/latency_records.js";
+import { createLogger, type Logger } from "./observability/logger.js";
+import { Metrics } from "./observability/metrics.js";
+import { addProbeRoutes } from "./observability/probe_routes.js";
+import { addOperatorRoutes } from "./operators/operator_routes.js";
+import {
+  type RunningPeerNetwork,
+  startPeerNetwork,
+} from "./peers/start_peer_network.js";
+import type { PipelineEnvironment } from "./pipelines/pipeline_environment.js";
+import { RetryBudget } from "./pipelines/retry_budget.js";
+import { StageEstimates } from "./pipelines/stage_estimates.js";
+import {
+  createPlatformClient,
+  type PlatformClient,
+} from "./platform/create_platform_client.js";
+import {
+  startVmListPoller,
+  type VmListPoller,
+} from "./platform/start_vm_list_poller.js";
+import { createPermitSource } from "./pools/create_permit_source.js";
+import type { RunningPermitSource } from "./pools/running_permit_source.js";
+import type { Address, Settings } from "./settings/settings.js";
+
+const CLAIM_FLUSH_MS = 10_000;
+
+/** All parts of a running daemon. */
+interface DaemonParts {
+  readonly settings: Settings;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly platform: PlatformClient;
+  readonly network: RunningPeerNetwork;
+  readonly configuration: RunningConfigurationKeeper;
+  readonly vmList: VmListPoller;
+  readonly permits: RunningPermitSource;
+  readonly claims: ClaimKeeper;
+  readonly stageCaller: RunningStageCaller;
+  readonly latencies: LatencyRecords;
+  readonly inFlight: RequestsInFlight;
+}
+
+/**
+ * One running daemon.
+ *
+ * @example
+ * ```ts
+ * const daemon = await Daemon.start(settings);
+ * process.once("SIGTERM", () => void daemon.shutDown());
+ * ```
+ */
+export class Daemon {
+  readonly #parts: DaemonParts;
+  readonly #server: Server;
+  #phase: "running" | "leaving" | "closed" = "running";
+  #shutDown: Promise<void> | undefined;
+
+  private constructor(parts: DaemonParts) {
+    this.#parts = parts;
+    this.#server = createServer();
+    this.#addRoutes();
+  }
+
+  /** Starts every part; rejects when an address can't be listened on. */
+  static async start(settings: Settings): Promise<Daemon> {
+    const parts = await startParts(settings);
+    const daemon = new Daemon(parts);
+    await listen(daemon.#server, settings.listen.http);
+    parts.logger.info("started", {
+      http: formatAddress(daemon.#server),
+      peers: `${parts.network.address.host}:${parts.network.address.port}`,
+    });
+    return daemon;
+  }
+
+  readiness(): Readiness {
+    if (this.#phase !== "running") {
+      return { kind: "notReady", reason: "The daemon is shutting down" };
+    }
+    if (this.#parts.configuration.current() === undefined) {
+      return { kind: "notReady", reason: "No configuration is in force yet" };
+    }
+    return { kind: "ready" };
+  }
+
+  status(): DaemonStatus {
+    const { network, configuration, permits } = this.#parts;
+    const nowMs = MONOTONIC_CLOCK.nowMs();
+    return {
+      vmId: network.self.vmId,
+      incarnation: network.self.incarnation,
+      dataCentre: network.self.dataCentre,
+      generation: configuration.current()?.generation ?? 0,
+      readiness: this.readiness(),
+      members: network.view(nowMs).members.map((member) => ({
+        vmId: member.vmId,
+        dataCentre: member.dataCentre,
+        state: member.state,
+        generation: member.isSelf
+          ? configuration.current()?.generation ?? 0
+          : member.generation,
+      })),
+      pools: permits.statuses(nowMs),
+    };
+  }
+
+  /**
+   * Stops taking work, runs every request in flight to its answer, and closes
+   * all parts. Calling it again waits for the same end.
+   */
+  shutDown(): Promise<void> {
+    this.#shutDown ??= this.#runShutDown();
+    return this.#shutDown;
+  }
+
+  async #runShutDown(): Promise<void> {
+    const { settings, logger, network, permits, inFlight, claims } =
+      this.#parts;
+    this.#phase = "leaving";
+    logger.info("shutdownStarted", { inFlight: inFlight.count });
+    permits.startLeaving();
+    network.announceLeaving();
+    await sleep(settings.shutdown.accept_for_ms);
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    const isDrained = await Promise.race([
+      inFlight.drained().then(() => true),
+      sleep(settings.shutdown.drain_ms).then(() => false),
+    ]);
+    if (!isDrained) logger.error("drainTimedOut", { inFlight: inFlight.count });
+    await claims.flush(CLAIM_FLUSH_MS);
+    this.#phase = "closed";
+    await this.#closeParts();
+    logger.info("shutdownFinished");
+  }
+
+  async #closeParts(): Promise<void> {
+    const { vmList, configuration, permits, network, stageCaller, platform } =
+      this.#parts;
+    await vmList.close();
+    await configuration.close();
+    permits.close();
+    await network.close();
+    await stageCaller.close();
+    await platform.close();
+    this.#server.closeAllConnections();
+  }
+
+  #addRoutes(): void {
+    const parts = this.#parts;
+    const service: HttpService = restana({ server: this.#server });
+    // A balancer's kept connection must not outlive the announced end.
+    service.use((_request, response, next) => {
+      if (this.#phase !== "running") response.setHeader("connection", "close");
+      next();
+    });
+    addProbeRoutes(service, {
+      readiness: () => this.readiness(),
+      metrics: parts.metrics,
+      latencies: parts.latencies,
+    });
+    addOperatorRoutes(service, {
+      settings: parts.settings,
+      configuration: parts.configuration,
+      status: () => this.status(),
+      metrics: parts.metrics,
+      logger: parts.logger,
+    });
+    addCallerRoutes(service, {
+      environment: makeEnvironment(parts),
+      configuration: parts.configuration,
+      inFlight: parts.inFlight,
+      maxBodyBytes: parts.settings.requests.max_body_bytes,
+      isClosed: () => this.#phase === "closed",
+    });
+  }
+}
+
+async function startParts(settings: Settings): Promise<DaemonParts> {
+  const clock = MONOTONIC_CLOCK;
+  const metrics = new Metrics();
+  const logger = createLogger(settings.log.level, { vm: settings.vm.id });
+  const common = { settings, clock, metrics, logger };
+  const incarnation = toId<Incarnation>(randomUUID());
+  const platform = createPlatformClient(common);
+  const network = await startPeerNetwork({ ...common, incarnation });
+  const configuration = startConfigurationKeeper({
+    ...common,
+    store: platform,
+    network,
+  });
+  let listing: VmListing | undefined;
+  const vmList = startVmListPoller({
+    store: platform,
+    logger,
+    onListing: (newest) => {
+      listing = newest;
+      network.setListedVms(newest);
+    },
+  });
+  const permits = createPermitSource({
+    ...common,
+    network,
+    configuration,
+    listedVms: () => listing,
+  });
+  network.setHeartbeatContent(permits.heartbeatContent);
+  const claims = createUnavailableClaimKeeper();
+  return {
+    settings,
+    logger,
+    metrics,
+    platform,
+    network,
+    configuration,
+    vmList,
+    permits,
+    claims,
+    stageCaller: createStageCaller(clock),
+    latencies: new LatencyRecords(),
+    inFlight: new RequestsInFlight(),
+  };
+}
+
+function makeEnvironment(parts: DaemonParts): PipelineEnvironment {
+  return {
+    permits: parts.permits,
+    stageCaller: parts.stageCaller,
+    claims: parts.claims,
+    estimates: new StageEstimates(),
+    retryBudget: new RetryBudget(parts.settings.pools.retry_budget_percent),
+    clock: MONOTONIC_CLOCK,
+    metrics: parts.metrics,
+    latencies: parts.latencies,
+    logger: parts.logger,
+  };
+}
+
+function listen(server: Server, address: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
+
+function formatAddress(server: Server): string {
+  const address = server.address();
+  if (address === null || typeof address === "string") return String(address);
+  return `${address.address}:${address.port}`;
+}
