--- a/packages/daemon/src/pools/create_permit_source.ts
+++ b/packages/daemon/src/pools/create_permit_source.ts
@@ -1,5 +1,5 @@
 /**
- * Chooses the permit source that the settings name.
+ * Makes the permit source that the settings name.
  *
  * @module
  */
@@ -9,6 +9,9 @@
   PermitSourceOptions,
   RunningPermitSource,
 } from "./running_permit_source.js";
+import { SharedPermitSource } from "./shared_permit_source.js";
+
+const TICK_MS = 20;
 
 /**
  * Makes the permit source of a daemon. The caller hands its
@@ -23,5 +26,37 @@
 export function createPermitSource(
   options: PermitSourceOptions,
 ): RunningPermitSource {
-  return createBaselinePermitSource(options);
+  switch (options.settings.policy.name) {
+    case "baseline":
+      return createBaselinePermitSource(options);
+    case "current":
+      return startSharedPermitSource(options);
+  }
+}
+
+function startSharedPermitSource(
+  options: PermitSourceOptions,
+): RunningPermitSource {
+  const source = new SharedPermitSource(options);
+  const timer = setInterval(() => {
+    source.tick();
+  }, TICK_MS);
+  timer.unref();
+  return {
+    heartbeatContent: source.heartbeatContent,
+    acquire: (ask, signal) => source.acquire(ask, signal),
+    release: (permit, release) => {
+      source.release(permit, release);
+    },
+    isSpendable: (permit, nowMs) => source.isSpendable(permit, nowMs),
+    candidatePools: (service, nowMs) => source.candidatePools(service, nowMs),
+    statuses: (nowMs) => source.statuses(nowMs),
+    startLeaving: () => {
+      source.startLeaving();
+    },
+    close: () => {
+      clearInterval(timer);
+      source.close();
+    },
+  };
 }
--- /dev/null
+++ b/packages/daemon/src/pools/grant_rights.ts
@@ -0,0 +1,96 @@
+/**
+ * What an owner may grant at present.
+ *
+ * @module
+ */
+
+import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import { hashText } from "./owner_election.js";
+
+export type WarmRights =
+  /** The outstanding permits aren't known yet. */
+  | { readonly kind: "none" }
+  | { readonly kind: "full" }
+  /** Another owner may be granting too: only this VM's fixed part. */
+  | { readonly kind: "share"; readonly share: WarmShare };
+
+/** One VM's fixed part of the warm limits. */
+export interface WarmShare {
+  /** The VM's place among the VMs of its data centre. */
+  readonly rank: number;
+  readonly vmCount: number;
+}
+
+export interface GrantRights {
+  readonly mayGrantCold: boolean;
+  readonly warm: WarmRights;
+}
+
+export const NO_RIGHTS: GrantRights = {
+  mayGrantCold: false,
+  warm: { kind: "none" },
+};
+
+export interface LimitedServer {
+  readonly backendServerId: BackendServerId;
+  readonly limit: number;
+}
+
+/**
+ * This VM's part of a warm server's limit. The parts of all VMs add up to the
+ * limit exactly; which VMs get the remainder differs from server to server.
+ *
+ * @example
+ * ```ts
+ * warmShareOf({ backendServerId, limit: 8 }, { rank: 0, vmCount: 3 }); // 2 or 3
+ * ```
+ */
+export function warmShareOf(server: LimitedServer, share: WarmShare): number {
+  if (share.vmCount <= 0) return 0;
+  const whole = Math.floor(server.limit / share.vmCount);
+  const turn = (share.rank + hashText(server.backendServerId)) % share.vmCount;
+  return whole + (turn < server.limit % share.vmCount ? 1 : 0);
+}
+
+/**
+ * What is left of a server's limit under the given rights.
+ *
+ * @example
+ * ```ts
+ * grantableLimit({ backendServerId, limit: 8 }, { isCold: true, rights });
+ * ```
+ */
+export function grantableLimit(
+  server: LimitedServer,
+  under: { readonly isCold: boolean; readonly rights: GrantRights },
+): number {
+  const { isCold, rights } = under;
+  if (isCold) return rights.mayGrantCold ? server.limit : 0;
+  switch (rights.warm.kind) {
+    case "none":
+      return 0;
+    case "full":
+      return server.limit;
+    case "share":
+      return warmShareOf(server, rights.warm.share);
+  }
+}
+
+/**
+ * Whether two rights allow the same.
+ *
+ * @example
+ * ```ts
+ * if (!areSameRights(before, now)) recomputeLimits();
+ * ```
+ */
+export function areSameRights(
+  first: GrantRights,
+  second: GrantRights,
+): boolean {
+  if (first.mayGrantCold !== second.mayGrantCold) return false;
+  const a = first.warm;
+  const b = second.warm;
+  if (a.kind !== "share" || b.kind !== "share") return a.kind === b.kind;
+  return a.share.rank === b.share.rank && a.share.vmCount === b.share.vmCount;
+}
--- /dev/null
+++ b/packages/daemon/src/pools/held_permits.ts
@@ -0,0 +1,76 @@
+/**
+ * The permits that this daemon holds as an asker.
+ *
+ * @module
+ */
+
+import {
+  type BackendServerId,
+  type PermitId,
+  type PoolId,
+  poolKey,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { OutstandingPermit } from "@sassafrasstage/protocol/peer_messages";
+import type { Permit } from "@sassafrasstage/protocol/permits";
+
+/** Who granted a permit. */
+export type PermitGranter =
+  | { readonly kind: "owner"; readonly vmId: VmId }
+  /** This daemon itself, while the owner was silent. */
+  | { readonly kind: "fallback" };
+
+export interface HeldPermit {
+  readonly permit: Permit;
+  readonly granter: PermitGranter;
+  readonly heldFromMs: number;
+  /** The request's deadline by this daemon's clock. */
+  readonly endsAtMs: number;
+}
+
+/** Entered when granted, taken out when the call is over. */
+export class HeldPermits {
+  readonly #byId = new Map<PermitId, HeldPermit>();
+  readonly #fallbacks = new Map<BackendServerId, number>();
+
+  add(held: HeldPermit): void {
+    this.#byId.set(held.permit.permitId, held);
+    this.#countFallback(held, 1);
+  }
+
+  take(permitId: PermitId): HeldPermit | undefined {
+    const held = this.#byId.get(permitId);
+    if (held === undefined) return undefined;
+    this.#byId.delete(permitId);
+    this.#countFallback(held, -1);
+    return held;
+  }
+
+  isSpendable(permitId: PermitId, nowMs: number): boolean {
+    const held = this.#byId.get(permitId);
+    return held !== undefined && nowMs < held.endsAtMs;
+  }
+
+  /** Permits in flight at a server that this daemon granted itself. */
+  fallbacksAt(server: BackendServerId): number {
+    return this.#fallbacks.get(server) ?? 0;
+  }
+
+  outstanding(pool: PoolId, nowMs: number): OutstandingPermit[] {
+    const key = poolKey(pool);
+    return [...this.#byId.values()]
+      .filter((held) => poolKey(held.permit.pool) === key)
+      .map((held) => ({
+        permit: held.permit,
+        remainingMs: Math.max(0, held.endsAtMs - nowMs),
+      }));
+  }
+
+  #countFallback(held: HeldPermit, change: 1 | -1): void {
+    if (held.granter.kind !== "fallback") return;
+    const id = held.permit.backendServerId;
+    const count = (this.#fallbacks.get(id) ?? 0) + change;
+    if (count > 0) this.#fallbacks.set(id, count);
+    else this.#fallbacks.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -0,0 +1,90 @@
+/**
+ * The usual latency of a service's warm backend servers, to tell a slow start
+ * from the ordinary.
+ *
+ * @module
+ */
+
+import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import type { PermitRelease } from "@sassafrasstage/protocol/permits";
+import type { Service } from "@sassafrasstage/protocol/register";
+
+const MIN_SAMPLES = 10;
+const SMOOTHING = 0.05;
+const COLD_FACTOR = 5;
+/** Less than this above the baseline is never taken for a cold start. */
+const COLD_EXTRA_MS = 250;
+const PRESSURE_FACTOR = 2;
+const PRESSURE_EXTRA_MS = 20;
+
+export interface LatencyBaseline {
+  readonly meanMs: number;
+  readonly samples: number;
+}
+
+/** How a latency compares with the baseline. */
+export type LatencyGrade = "usual" | "high" | "coldStart";
+
+/**
+ * The part of a call that shows the server's state: the first token of an
+ * engine, the whole of a plain call.
+ *
+ * @example
+ * ```ts
+ * latencySample(service, release);
+ * ```
+ */
+export function latencySample(
+  service: Service,
+  release: PermitRelease,
+): number | undefined {
+  switch (service.kind) {
+    case "modelEngine":
+      return release.firstTokenMs;
+    case "plain":
+      return release.durationMs;
+  }
+}
+
+/**
+ * Compares a latency with the baseline; with too few samples all are usual.
+ *
+ * @example
+ * ```ts
+ * gradeLatency(900, { meanMs: 80, samples: 50 }); // "coldStart"
+ * ```
+ */
+export function gradeLatency(
+  sampleMs: number,
+  baseline: LatencyBaseline | undefined,
+): LatencyGrade {
+  if (baseline === undefined || baseline.samples < MIN_SAMPLES) return "usual";
+  const { meanMs } = baseline;
+  if (sampleMs > Math.max(meanMs * COLD_FACTOR, meanMs + COLD_EXTRA_MS)) {
+    return "coldStart";
+  }
+  if (
+    sampleMs > Math.max(meanMs * PRESSURE_FACTOR, meanMs + PRESSURE_EXTRA_MS)
+  ) {
+    return "high";
+  }
+  return "usual";
+}
+
+/** The baselines of all services, as this daemon has seen them. */
+export class LatencyBaselines {
+  readonly #byService = new Map<ServiceName, LatencyBaseline>();
+
+  of(service: ServiceName): LatencyBaseline | undefined {
+    return this.#byService.get(service);
+  }
+
+  /** Takes the latency of a warm server's completed call. */
+  note(service: ServiceName, sampleMs: number): void {
+    const known = this.#byService.get(service) ?? { meanMs: 0, samples: 0 };
+    const samples = known.samples + 1;
+    const weight = Math.max(SMOOTHING, 1 / samples);
+    const meanMs = known.meanMs + weight * (sampleMs - known.meanMs);
+    this.#byService.set(service, { meanMs, samples });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -0,0 +1,363 @@
+/**
+ * One pool in the hands of its owner: the queue, the backend servers, and the
+ * loop that grants.
+ *
+ * @module
+ */
+
+import type {
+  AttemptId,
+  BackendServerId,
+  PermitId,
+  VmId,
+} from "@sassafrasstage/protocol/ids";
+import type {
+  OutstandingPermit,
+  WarmthObservation,
+} from "@sassafrasstage/protocol/peer_messages";
+import type {
+  PermitAsk,
+  PermitDecision,
+  PermitRelease,
+} from "@sassafrasstage/protocol/permits";
+import type { BackendServerStatus } from "@sassafrasstage/protocol/status";
+import { AskQueue } from "./ask_queue.js";
+import { isCold } from "./backend_server_state.js";
+import type { GrantRights } from "./grant_rights.js";
+import { type GrantedPermit, GrantedPermits } from "./granted_permits.js";
+import {
+  gradeLatency,
+  type LatencyBaselines,
+  latencySample,
+} from "./latency_baseline.js";
+import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
+import type { PooledServer } from "./pooled_server.js";
+import { createQueueOrder, type QueueOrderName } from "./queue_order.js";
+import { refusal } from "./refusal.js";
+import { ServerTable } from "./server_table.js";
+import { likelyWorkMs, type WaitingAsk } from "./waiting_ask.js";
+
+/** The owner counts a permit this much longer than its holder does. */
+export const PERMIT_MARGIN_MS = 200;
+/** Asks that no free server suits, set aside in one round at most. */
+const MAX_SET_ASIDE = 16;
+const MIN_RETRY_AFTER_MS = 50;
+
+export type OwnedPoolEvent =
+  | "permitGranted"
+  | "permitExpired"
+  | "permitRefused"
+  | "unknownPermitReleased";
+
+export interface OwnedPoolOptions {
+  readonly entry: PoolEntry;
+  readonly queueOrder: QueueOrderName;
+  readonly hasPrefixAffinity: boolean;
+  readonly maxQueueLength: number;
+  readonly maxQueueAgeMs: number;
+  /** How long it may take until cold servers may be granted. */
+  readonly leaseMs: number;
+  readonly baselines: LatencyBaselines;
+  readonly nextPermitId: () => PermitId;
+  readonly rightsAt: (nowMs: number) => GrantRights;
+  readonly decide: (
+    to: VmId,
+    attemptId: AttemptId,
+    decision: PermitDecision,
+  ) => void;
+  readonly onCooled: (server: BackendServerId, nowMs: number) => void;
+  readonly onEvent: (event: OwnedPoolEvent) => void;
+}
+
+export interface AskArrival {
+  readonly from: VmId;
+  readonly ask: PermitAsk;
+  readonly share: number;
+}
+
+/** Every ask that comes in is decided exactly once, unless it is canceled. */
+export class OwnedPool {
+  readonly #options: OwnedPoolOptions;
+  readonly #servers: ServerTable;
+  readonly #queue: AskQueue;
+  readonly #permits = new GrantedPermits();
+  #askNumber = 0;
+
+  constructor(options: OwnedPoolOptions) {
+    this.#options = options;
+    this.#servers = new ServerTable(options);
+    const order = createQueueOrder(options.queueOrder, {
+      maxAgeMs: options.maxQueueAgeMs,
+    });
+    this.#queue = new AskQueue(order, options.maxQueueLength);
+  }
+
+  get queueLength(): number {
+    return this.#queue.size;
+  }
+
+  statuses(): BackendServerStatus[] {
+    return this.#servers.statuses();
+  }
+
+  configure(
+    entry: PoolEntry,
+    world: {
+      readonly layout: PoolLayout;
+      readonly vms: VmAvailability;
+      readonly nowMs: number;
+    },
+  ): void {
+    this.#servers.configure(entry, world);
+  }
+
+  /** Lets time pass: permits expire, hopeless asks are refused. */
+  tick(nowMs: number): void {
+    for (const granted of this.#permits.takeExpired(nowMs)) {
+      this.#options.onEvent("permitExpired");
+      this.#servers.countEnd(granted.permit.backendServerId, nowMs);
+    }
+    this.#servers.refresh(nowMs);
+    this.pump(nowMs);
+  }
+
+  submit(arrival: AskArrival, nowMs: number): void {
+    this.#servers.setRights(this.#options.rightsAt(nowMs), nowMs);
+    const waiting = this.#makeWaiting(arrival, nowMs);
+    const refused = this.#refuseHopeless(waiting, nowMs);
+    if (refused !== undefined) {
+      this.#refuse(waiting, refused);
+      return;
+    }
+    const admission = this.#queue.add(waiting);
+    switch (admission.kind) {
+      case "admitted":
+        break;
+      case "admittedInsteadOf":
+        this.#refuse(
+          admission.shed,
+          refusal("queueFull", "The pool's queue is full", this.#drainMs()),
+        );
+        break;
+      case "shareExceeded":
+        this.#refuse(
+          waiting,
+          refusal(
+            "shareExceeded",
+            "The queue is full and the client account holds most of it",
+            this.#drainMs(),
+          ),
+        );
+        break;
+    }
+    this.pump(nowMs);
+  }
+
+  /** The asker will not use the attempt id any more, not even if granted. */
+  cancel(attemptId: AttemptId, nowMs: number): void {
+    const waiting = this.#queue.find(attemptId);
+    if (waiting !== undefined) this.#queue.remove(waiting);
+    const granted = this.#permits.findByAttempt(attemptId);
+    if (granted === undefined) return;
+    this.#end(granted, nowMs);
+    this.pump(nowMs);
+  }
+
+  release(release: PermitRelease, nowMs: number): void {
+    const granted = this.#permits.take(release.permitId);
+    if (granted === undefined) {
+      this.#options.onEvent("unknownPermitReleased");
+      return;
+    }
+    this.#servers.countEnd(granted.permit.backendServerId, nowMs);
+    this.#report(granted, release, nowMs);
+    this.pump(nowMs);
+  }
+
+  /** Drops the asks of a daemon whose connection ended; it asks again. */
+  forgetAsksOf(vmId: VmId): void {
+    for (const waiting of [...this.#queue.all()]) {
+      if (waiting.from === vmId) this.#queue.remove(waiting);
+    }
+  }
+
+  /** Frees the warm servers' permits of a daemon whose process has ended. */
+  forgetWarmPermitsOf(vmId: VmId, nowMs: number): void {
+    for (const granted of this.#permits.heldBy(vmId)) {
+      if (granted.permit.warmth === "warm") this.#end(granted, nowMs);
+    }
+    this.pump(nowMs);
+  }
+
+  /** Enters permits that a former owner granted. */
+  addOutstanding(
+    holder: VmId,
+    outstanding: readonly OutstandingPermit[],
+    nowMs: number,
+  ): void {
+    for (const { permit, remainingMs } of outstanding) {
+      if (this.#permits.has(permit.permitId)) continue;
+      this.#permits.add({
+        permit,
+        holder,
+        grantedAtMs: nowMs,
+        expiresAtMs: nowMs + remainingMs + PERMIT_MARGIN_MS,
+      });
+      this.#servers.countGrant(permit.backendServerId, nowMs);
+    }
+  }
+
+  adoptObservations(
+    observations: readonly WarmthObservation[],
+    nowMs: number,
+  ): void {
+    this.#servers.adoptObservations(observations, nowMs);
+    this.pump(nowMs);
+  }
+
+  coolDown(
+    server: BackendServerId,
+    when: { readonly seenAtMs: number; readonly nowMs: number },
+  ): void {
+    this.#servers.coolDown(server, when);
+  }
+
+  /** Hands every waiting ask back to its asker. */
+  giveUp(): void {
+    for (const waiting of [...this.#queue.all()]) {
+      this.#queue.remove(waiting);
+      this.#refuse(waiting, refusal("notReady", "The pool has moved", 0));
+    }
+  }
+
+  /** Grants as long as there are asks, room and rights. */
+  pump(nowMs: number): void {
+    this.#servers.setRights(this.#options.rightsAt(nowMs), nowMs);
+    this.#refuseExpired(nowMs);
+    const setAside: WaitingAsk[] = [];
+    while (this.#servers.hasRoom && setAside.length < MAX_SET_ASIDE) {
+      const next = this.#queue.takeNext(nowMs);
+      if (next === undefined) break;
+      const server = this.#servers.choose(next, nowMs);
+      if (server === undefined) setAside.push(next);
+      else this.#grant(next, server, nowMs);
+    }
+    for (const waiting of setAside) this.#queue.putBack(waiting);
+  }
+
+  #makeWaiting(arrival: AskArrival, nowMs: number): WaitingAsk {
+    const { ask, from, share } = arrival;
+    this.#askNumber += 1;
+    return {
+      ask,
+      from,
+      share,
+      number: this.#askNumber,
+      receivedAtMs: nowMs,
+      latestStartAtMs: nowMs + ask.latestStartInMs,
+      deadlineAtMs: nowMs + ask.deadlineInMs,
+    };
+  }
+
+  #refuseHopeless(
+    waiting: WaitingAsk,
+    nowMs: number,
+  ): PermitDecision | undefined {
+    if (!this.#servers.hasServerFor(waiting.ask.excluded)) {
+      return refusal(
+        "noBackendServer",
+        "No backend server of the pool is in service",
+        this.#options.leaseMs,
+      );
+    }
+    const bearableMs = waiting.latestStartAtMs - nowMs;
+    const waitMs = this.#expectedWaitMs(waiting);
+    if (waitMs <= bearableMs && bearableMs > 0) return undefined;
+    return refusal(
+      this.#servers.slots === 0 ? "noCapacity" : "deadlineWouldBeMissed",
+      "The stage can't be started in time here",
+      Math.max(MIN_RETRY_AFTER_MS, waitMs - bearableMs),
+    );
+  }
+
+  #expectedWaitMs(waiting: WaitingAsk): number {
+    if (this.#queue.size === 0 && this.#servers.hasRoom) return 0;
+    if (this.#servers.slots === 0) return this.#options.leaseMs;
+    const aheadMs = this.#queue.workAheadMs(waiting) + likelyWorkMs(waiting);
+    return aheadMs / this.#servers.slots;
+  }
+
+  /** How long the whole queue is likely to take. */
+  #drainMs(): number {
+    const workMs = this.#queue.workMs / Math.max(1, this.#servers.slots);
+    return Math.max(MIN_RETRY_AFTER_MS, workMs);
+  }
+
+  #refuseExpired(nowMs: number): void {
+    for (const waiting of this.#queue.takeExpired(nowMs)) {
+      this.#refuse(
+        waiting,
+        refusal(
+          "deadlineWouldBeMissed",
+          "The latest useful start has passed",
+          this.#drainMs(),
+        ),
+      );
+    }
+  }
+
+  #grant(waiting: WaitingAsk, server: PooledServer, nowMs: number): void {
+    const permit = {
+      permitId: this.#options.nextPermitId(),
+      attemptId: waiting.ask.attemptId,
+      pool: waiting.ask.pool,
+      backendServerId: server.id,
+      warmth: isCold(server.health.state) ? "cold" : "warm",
+    } as const;
+    this.#permits.add({
+      permit,
+      holder: waiting.from,
+      grantedAtMs: nowMs,
+      expiresAtMs: waiting.deadlineAtMs + PERMIT_MARGIN_MS,
+    });
+    this.#servers.countGrant(server.id, nowMs);
+    this.#options.onEvent("permitGranted");
+    this.#options.decide(waiting.from, waiting.ask.attemptId, {
+      kind: "granted",
+      permit,
+    });
+  }
+
+  #refuse(waiting: WaitingAsk, decision: PermitDecision): void {
+    this.#options.onEvent("permitRefused");
+    this.#options.decide(waiting.from, waiting.ask.attemptId, decision);
+  }
+
+  #end(granted: GrantedPermit, nowMs: number): void {
+    this.#permits.take(granted.permit.permitId);
+    this.#servers.countEnd(granted.permit.backendServerId, nowMs);
+  }
+
+  #report(
+    granted: GrantedPermit,
+    release: PermitRelease,
+    nowMs: number,
+  ): void {
+    const { service } = this.#servers;
+    const sampleMs = latencySample(service, release);
+    const baseline = this.#options.baselines.of(service.name);
+    const grade = sampleMs === undefined
+      ? "usual"
+      : gradeLatency(sampleMs, baseline);
+    const isOfWarm = granted.permit.warmth === "warm" &&
+      release.outcome === "completed" && grade !== "coldStart";
+    if (isOfWarm && sampleMs !== undefined) {
+      this.#options.baselines.note(service.name, sampleMs);
+    }
+    this.#servers.report(
+      granted.permit.backendServerId,
+      { outcome: release.outcome, grade, grantedAtMs: granted.grantedAtMs },
+      nowMs,
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -0,0 +1,331 @@
+/**
+ * This daemon as an owner of pools: it holds the pools that the members elect
+ * it for, and votes on who owns the others.
+ *
+ * @module
+ */
+
+import {
+  type AttemptId,
+  type BackendServerId,
+  type PermitId,
+  type PoolId,
+  poolKey,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { OutstandingReplyMessage } from "@sassafrasstage/protocol/peer_messages";
+import type {
+  PermitAsk,
+  PermitDecision,
+  PermitRelease,
+} from "@sassafrasstage/protocol/permits";
+import type { PoolStatus } from "@sassafrasstage/protocol/status";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import { GoneMembers } from "./gone_members.js";
+import type { LatencyBaselines } from "./latency_baseline.js";
+import { type OwnedPoolEvent, PERMIT_MARGIN_MS } from "./owned_pool.js";
+import { Ownership } from "./ownership.js";
+import { OwnershipSupport } from "./ownership_support.js";
+import type { PermitLink } from "./permit_link.js";
+import type { PoolContext } from "./pool_context.js";
+import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
+import { refusal } from "./refusal.js";
+import type { WarmthLog } from "./warmth_log.js";
+
+const DEFAULT_SHARE = 1;
+
+export interface OwnerRoleOptions {
+  readonly context: PoolContext;
+  readonly link: PermitLink;
+  readonly warmth: WarmthLog;
+  readonly baselines: LatencyBaselines;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly startedAtMs: number;
+}
+
+/** A reply to a heartbeat, as far as it concerns ownership. */
+export interface ReceivedSupport {
+  readonly from: VmId;
+  readonly heartbeatSentAtMs: number;
+  readonly pools: readonly PoolId[];
+}
+
+/** Driven by messages and ticks; every call takes the present time. */
+export class OwnerRole {
+  readonly #options: OwnerRoleOptions;
+  readonly #ownerships = new Map<string, Ownership>();
+  readonly #support: OwnershipSupport;
+  readonly #gone: GoneMembers;
+  #configuredLayout: PoolLayout | undefined;
+  #configuredVms: VmAvailability | undefined;
+  #longestPermitMs = 0;
+  #permitNumber = 0;
+  #lastSeenMs: number;
+
+  constructor(options: OwnerRoleOptions) {
+    this.#options = options;
+    this.#support = new OwnershipSupport({
+      leaseMs: options.context.settings.pools.lease_ms,
+      startedAtMs: options.startedAtMs,
+    });
+    this.#gone = new GoneMembers(options.startedAtMs);
+    this.#lastSeenMs = options.startedAtMs;
+  }
+
+  /** Follows the view and the configuration, and lets time pass. */
+  tick(nowMs: number): void {
+    const { context } = this.#options;
+    const layout = context.layout();
+    this.#longestPermitMs = Math.max(
+      this.#longestPermitMs,
+      layout.longestDeadlineMs + PERMIT_MARGIN_MS,
+    );
+    const went = this.#gone.update(context.members, nowMs);
+    this.#followElections(layout, nowMs);
+    this.#configure(layout, nowMs);
+    for (const ownership of this.#ownerships.values()) {
+      for (const vmId of went) {
+        ownership.pool.forgetAsksOf(vmId);
+        ownership.pool.forgetWarmPermitsOf(vmId, nowMs);
+      }
+      ownership.tick(nowMs);
+    }
+    this.#voteForSelf(nowMs);
+  }
+
+  ask(from: VmId, ask: PermitAsk, nowMs: number): void {
+    const ownership = this.#ownerships.get(poolKey(ask.pool));
+    if (ownership === undefined) {
+      this.#decide(
+        from,
+        ask.attemptId,
+        refusal("notReady", "The pool isn't owned here", 0),
+      );
+      return;
+    }
+    const shares = this.#options.context.layout().shares;
+    const share = shares.get(ask.clientAccountId) ?? DEFAULT_SHARE;
+    ownership.pool.submit({ from, ask, share }, nowMs);
+  }
+
+  cancel(pool: PoolId, attemptId: AttemptId, nowMs: number): void {
+    this.#ownerships.get(poolKey(pool))?.pool.cancel(attemptId, nowMs);
+  }
+
+  release(pool: PoolId, release: PermitRelease, nowMs: number): void {
+    this.#ownerships.get(poolKey(pool))?.pool.release(release, nowMs);
+  }
+
+  noteOutstanding(
+    from: VmId,
+    reply: OutstandingReplyMessage,
+    nowMs: number,
+  ): void {
+    const ownership = this.#ownerships.get(poolKey(reply.pool));
+    for (const observation of reply.observations) {
+      const seenAtMs = nowMs - observation.ageMs;
+      const { backendServerId, warmth } = observation;
+      this.#options.warmth.note(backendServerId, { warmth, seenAtMs });
+      if (warmth !== "cold") continue;
+      ownership?.pool.coolDown(backendServerId, { seenAtMs, nowMs });
+    }
+    ownership?.noteOutstanding(from, reply, nowMs);
+  }
+
+  forgetAsksOf(vmId: VmId): void {
+    for (const { pool } of this.#ownerships.values()) pool.forgetAsksOf(vmId);
+  }
+
+  giveUpAll(nowMs: number): void {
+    for (const key of [...this.#ownerships.keys()]) this.#giveUp(key, nowMs);
+  }
+
+  statuses(nowMs: number): PoolStatus[] {
+    const { context } = this.#options;
+    const layout = context.layout();
+    return [...layout.pools.values()].map((entry) => {
+      const owner = context.ownerOf(entry.pool);
+      const owned = this.#ownerships.get(entry.key);
+      return {
+        pool: entry.pool,
+        ...(owner === undefined ? {} : { owner }),
+        isOwnedHere: owned !== undefined,
+        isDataCentreOut: layout.dataCentresOut.has(entry.pool.dataCentre),
+        queueLength: owned?.pool.queueLength ?? 0,
+        coldGrants: owned?.mayGrantCold(nowMs) === true
+          ? "allowed"
+          : "withheld",
+        backendServers: owned?.pool.statuses() ?? [],
+      };
+    });
+  }
+
+  /** The pools to name in a heartbeat that is about to be sent. */
+  ownedPools(nowMs: number): PoolId[] {
+    this.#voteForSelf(nowMs);
+    return [...this.#ownerships.values()].map((o) => o.entry.pool);
+  }
+
+  /** Those of the pools for which this daemon backs the candidate. */
+  supportFor(from: VmId, pools: readonly PoolId[], nowMs: number): PoolId[] {
+    return pools.filter((pool) => this.#votesFor(from, pool, nowMs));
+  }
+
+  noteSupport(support: ReceivedSupport, nowMs: number): void {
+    for (const pool of support.pools) {
+      this.#ownerships.get(poolKey(pool))
+        ?.noteSupport(support.from, support.heartbeatSentAtMs, nowMs);
+    }
+  }
+
+  /**
+   * To be called before anything else is handled: a process that was paused
+   * past its lease may have been replaced.
+   */
+  giveUpAfterPause(nowMs: number): void {
+    const pausedMs = nowMs - this.#lastSeenMs;
+    this.#lastSeenMs = nowMs;
+    if (pausedMs < this.#options.context.settings.pools.lease_ms) return;
+    this.#options.metrics.countEvent("pausedPastLease");
+    this.#options.logger.warn("pausedPastLease", { pausedMs });
+    this.giveUpAll(nowMs);
+  }
+
+  /** Only the owner that this daemon's own view elects is backed. */
+  #votesFor(candidate: VmId, pool: PoolId, nowMs: number): boolean {
+    const { context } = this.#options;
+    if (pool.dataCentre !== context.self.dataCentre) return false;
+    if (context.ownerOf(pool) !== candidate) return false;
+    const leaving = context.members
+      .filter((member) => member.state === "leaving")
+      .map((member) => member.vmId);
+    return this.#support.give({
+      poolKey: poolKey(pool),
+      candidate,
+      leaving: new Set(leaving),
+      nowMs,
+    });
+  }
+
+  #voteForSelf(nowMs: number): void {
+    const { vmId } = this.#options.context.self;
+    for (const ownership of this.#ownerships.values()) {
+      if (!this.#votesFor(vmId, ownership.entry.pool, nowMs)) continue;
+      ownership.noteSupport(vmId, nowMs, nowMs);
+    }
+  }
+
+  #followElections(layout: PoolLayout, nowMs: number): void {
+    const { context } = this.#options;
+    const { vmId, dataCentre } = context.self;
+    for (const key of [...this.#ownerships.keys()]) {
+      const entry = layout.pools.get(key);
+      if (entry !== undefined && context.ownerOf(entry.pool) === vmId) continue;
+      this.#giveUp(key, nowMs);
+    }
+    for (const entry of layout.pools.values()) {
+      if (entry.pool.dataCentre !== dataCentre) continue;
+      if (this.#ownerships.has(entry.key)) continue;
+      if (context.ownerOf(entry.pool) === vmId) this.#take(entry, nowMs);
+    }
+  }
+
+  #take(entry: PoolEntry, nowMs: number): void {
+    const { context, metrics, logger } = this.#options;
+    metrics.countEvent("poolTaken");
+    logger.info("poolTaken", { pool: entry.key });
+    const ownership = new Ownership({
+      entry,
+      context,
+      link: this.#options.link,
+      gone: this.#gone,
+      warmth: this.#options.warmth,
+      longestPermitMs: () => this.#longestPermitMs,
+      startedAtMs: nowMs,
+      pool: {
+        queueOrder: context.settings.policy.queue_order,
+        hasPrefixAffinity: context.settings.policy.prefix_affinity === "on",
+        maxQueueLength: context.settings.pools.max_queue_length,
+        maxQueueAgeMs: context.settings.pools.max_queue_age_ms,
+        baselines: this.#options.baselines,
+        nextPermitId: () => this.#nextPermitId(),
+        decide: (to, attemptId, decision) => {
+          this.#decide(to, attemptId, decision);
+        },
+        onCooled: (server, atMs) => {
+          this.#tellCooled(entry.pool, server, atMs);
+        },
+        onEvent: (event) => {
+          this.#count(event);
+        },
+      },
+    });
+    this.#ownerships.set(entry.key, ownership);
+    ownership.configure(entry, nowMs);
+  }
+
+  #giveUp(key: string, nowMs: number): void {
+    const ownership = this.#ownerships.get(key);
+    if (ownership === undefined) return;
+    this.#ownerships.delete(key);
+    ownership.giveUp(nowMs);
+    this.#options.metrics.countEvent("poolGivenUp");
+    this.#options.logger.info("poolGivenUp", { pool: key });
+  }
+
+  #configure(layout: PoolLayout, nowMs: number): void {
+    const vms = this.#options.context.vms();
+    if (layout === this.#configuredLayout && vms === this.#configuredVms) {
+      return;
+    }
+    this.#configuredLayout = layout;
+    this.#configuredVms = vms;
+    for (const ownership of this.#ownerships.values()) {
+      const entry = layout.pools.get(ownership.entry.key);
+      if (entry !== undefined) ownership.configure(entry, nowMs);
+    }
+  }
+
+  #nextPermitId(): PermitId {
+    const { vmId, incarnation } = this.#options.context.self;
+    this.#permitNumber += 1;
+    return toId<PermitId>(`${vmId}/${incarnation}/${this.#permitNumber}`);
+  }
+
+  #decide(to: VmId, attemptId: AttemptId, decision: PermitDecision): void {
+    this.#options.link.send(to, {
+      type: "permitDecision",
+      attemptId,
+      decision,
+    });
+  }
+
+  /**
+   * Tells the members that may own the pool next, so that none takes an older
+   * sign of warmth for the latest.
+   */
+  #tellCooled(pool: PoolId, server: BackendServerId, nowMs: number): void {
+    const { context, link, metrics, warmth } = this.#options;
+    metrics.countEvent("serverCooled");
+    warmth.note(server, { warmth: "cold", seenAtMs: nowMs });
+    for (const member of context.members) {
+      if (member.isSelf || member.dataCentre !== pool.dataCentre) continue;
+      link.send(member.vmId, {
+        type: "outstandingReply",
+        pool,
+        requestNumber: 0,
+        permits: [],
+        observations: warmth.observations([server], nowMs),
+      });
+    }
+  }
+
+  #count(event: OwnedPoolEvent): void {
+    const { metrics } = this.#options;
+    if (event === "unknownPermitReleased") metrics.countDrop("unknownPermit");
+    else metrics.countEvent(event);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/ownership.ts
@@ -0,0 +1,180 @@
+/**
+ * One pool that this daemon owns or wants to own: its lease, its takeover
+ * rounds and its books.
+ *
+ * @module
+ */
+
+import type { OutstandingReplyMessage } from "@sassafrasstage/protocol/peer_messages";
+import { type GrantRights, NO_RIGHTS } from "./grant_rights.js";
+import type { GoneMembers } from "./gone_members.js";
+import { OwnedPool, type OwnedPoolOptions } from "./owned_pool.js";
+import { OwnershipLease } from "./ownership_lease.js";
+import type { PoolContext } from "./pool_context.js";
+import type { PoolEntry } from "./pool_layout.js";
+import { Takeover } from "./takeover.js";
+import type { PermitLink } from "./permit_link.js";
+import type { VmId } from "@sassafrasstage/protocol/ids";
+import type { WarmthLog } from "./warmth_log.js";
+
+const ASK_AGAIN_MS = 100;
+
+export interface OwnershipOptions {
+  readonly entry: PoolEntry;
+  readonly context: PoolContext;
+  readonly link: PermitLink;
+  readonly gone: GoneMembers;
+  readonly warmth: WarmthLog;
+  readonly longestPermitMs: () => number;
+  readonly startedAtMs: number;
+  readonly pool: Omit<OwnedPoolOptions, "entry" | "leaseMs" | "rightsAt">;
+}
+
+let lastRequestNumber = 0;
+
+/** From the election of this daemon as owner until another one is elected. */
+export class Ownership {
+  readonly pool: OwnedPool;
+  readonly #options: OwnershipOptions;
+  readonly #lease: OwnershipLease;
+  #entry: PoolEntry;
+  #leaseUntilMs = -Infinity;
+  #takeover: Takeover;
+  #isAdopted = false;
+  #askAgainAtMs = 0;
+
+  constructor(options: OwnershipOptions) {
+    this.#options = options;
+    this.#entry = options.entry;
+    const leaseMs = options.context.settings.pools.lease_ms;
+    this.#lease = new OwnershipLease(leaseMs, options.startedAtMs);
+    this.#takeover = this.#startTakeover(options.startedAtMs);
+    this.pool = new OwnedPool({
+      ...options.pool,
+      entry: options.entry,
+      leaseMs,
+      rightsAt: (nowMs) => this.rightsAt(nowMs),
+    });
+  }
+
+  get entry(): PoolEntry {
+    return this.#entry;
+  }
+
+  configure(entry: PoolEntry, nowMs: number): void {
+    const { context } = this.#options;
+    this.#entry = entry;
+    this.pool.configure(entry, {
+      layout: context.layout(),
+      vms: context.vms(),
+      nowMs,
+    });
+  }
+
+  noteSupport(voter: VmId, heartbeatSentAtMs: number, nowMs: number): void {
+    this.#lease.noteSupport(voter, heartbeatSentAtMs);
+    this.#updateLease(nowMs);
+  }
+
+  noteOutstanding(
+    from: VmId,
+    reply: OutstandingReplyMessage,
+    nowMs: number,
+  ): void {
+    this.pool.addOutstanding(from, reply.permits, nowMs);
+    if (!this.#takeover.noteAnswer(from, reply.requestNumber)) return;
+    this.#adoptWhenKnown(nowMs);
+    this.pool.pump(nowMs);
+  }
+
+  tick(nowMs: number): void {
+    this.#updateLease(nowMs);
+    this.#askForOutstanding(nowMs);
+    this.#adoptWhenKnown(nowMs);
+    this.pool.tick(nowMs);
+  }
+
+  /** Ends the ownership; the waiting asks go back to their askers. */
+  giveUp(nowMs: number): void {
+    this.#lease.giveUp(nowMs);
+    this.#leaseUntilMs = -Infinity;
+    this.pool.giveUp();
+  }
+
+  rightsAt(nowMs: number): GrantRights {
+    const { context } = this.#options;
+    if (context.layout().dataCentresOut.has(this.#entry.pool.dataCentre)) {
+      return NO_RIGHTS;
+    }
+    return {
+      mayGrantCold: this.mayGrantCold(nowMs),
+      warm: this.#warmRights(nowMs),
+    };
+  }
+
+  mayGrantCold(nowMs: number): boolean {
+    if (nowMs >= this.#leaseUntilMs) return false;
+    const { context, gone } = this.#options;
+    return this.#takeover.isColdKnown(context.members, gone.since, nowMs);
+  }
+
+  #warmRights(nowMs: number): GrantRights["warm"] {
+    const { context } = this.#options;
+    const hasLease = nowMs < this.#leaseUntilMs;
+    if (!this.#isAdopted) return { kind: "none" };
+    if (hasLease || context.hasMajorityInView) return { kind: "full" };
+    return { kind: "share", share: context.warmShare() };
+  }
+
+  /**
+   * A lease that was lost and regained opens a new round, since others may have
+   * granted in between. It was not lost if the heartbeats that renewed it were
+   * sent before it ended.
+   */
+  #updateLease(nowMs: number): void {
+    const { context } = this.#options;
+    const beforeMs = this.#leaseUntilMs;
+    const afterMs = this.#lease.untilMs(
+      context.self.vmId,
+      context.electorate,
+    );
+    this.#leaseUntilMs = afterMs;
+    if (nowMs >= afterMs) return;
+    if (afterMs - context.settings.pools.lease_ms <= beforeMs) return;
+    this.#takeover = this.#startTakeover(nowMs);
+    this.#askAgainAtMs = nowMs;
+    this.#askForOutstanding(nowMs);
+  }
+
+  #startTakeover(nowMs: number): Takeover {
+    lastRequestNumber += 1;
+    return new Takeover({
+      requestNumber: lastRequestNumber,
+      startedAtMs: nowMs,
+      longestPermitMs: this.#options.longestPermitMs(),
+    });
+  }
+
+  #askForOutstanding(nowMs: number): void {
+    if (nowMs < this.#askAgainAtMs) return;
+    this.#askAgainAtMs = nowMs + ASK_AGAIN_MS;
+    const { context, link } = this.#options;
+    for (const vmId of this.#takeover.unanswered(context.members)) {
+      link.send(vmId, {
+        type: "outstandingRequest",
+        pool: this.#entry.pool,
+        requestNumber: this.#takeover.requestNumber,
+      });
+    }
+  }
+
+  #adoptWhenKnown(nowMs: number): void {
+    const { context, warmth } = this.#options;
+    if (!this.#takeover.isWarmKnown(context.members, nowMs)) return;
+    const isFirst = !this.#isAdopted;
+    this.#isAdopted = true;
+    if (!isFirst) return;
+    const ids = this.#entry.servers.map((server) => server.id);
+    this.pool.adoptObservations(warmth.observations(ids, nowMs), nowMs);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/pool_context.ts
@@ -0,0 +1,111 @@
+/**
+ * What the permit source knows of the daemons around it and of the
+ * configuration, refreshed by its driver.
+ *
+ * @module
+ */
+
+import type { PoolId, VmId } from "@sassafrasstage/protocol/ids";
+import type {
+  Member,
+  PeerIdentity,
+  PeerNetwork,
+} from "../peers/peer_network.js";
+import type { Settings } from "../settings/settings.js";
+import { type Electorate, findElectorate, isMajority } from "./electorate.js";
+import { LayoutCache, type LayoutSources } from "./layout_cache.js";
+import { electOwner } from "./owner_election.js";
+import type { PoolLayout, VmAvailability } from "./pool_layout.js";
+import { poolKey } from "@sassafrasstage/protocol/ids";
+import type { WarmShare } from "./grant_rights.js";
+
+export interface PoolContextOptions extends LayoutSources {
+  readonly network: PeerNetwork;
+  readonly settings: Settings;
+}
+
+/** Read by owner and asker alike; `refresh` is its only command. */
+export class PoolContext {
+  readonly settings: Settings;
+  readonly self: PeerIdentity;
+  readonly #network: PeerNetwork;
+  readonly #layouts: LayoutCache;
+  readonly #owners = new Map<string, VmId | undefined>();
+  #members: readonly Member[] = [];
+  #electorate: Electorate = [];
+  #hasMajorityInView = false;
+  #isLeaving = false;
+
+  constructor(options: PoolContextOptions) {
+    this.settings = options.settings;
+    this.self = options.network.self;
+    this.#network = options.network;
+    this.#layouts = new LayoutCache(options);
+  }
+
+  get members(): readonly Member[] {
+    return this.#members;
+  }
+
+  get electorate(): Electorate {
+    return this.#electorate;
+  }
+
+  /** Whether the live and leaving members here are a majority. */
+  get hasMajorityInView(): boolean {
+    return this.#hasMajorityInView;
+  }
+
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  layout(): PoolLayout {
+    return this.#layouts.layout();
+  }
+
+  vms(): VmAvailability {
+    return this.#layouts.vms();
+  }
+
+  setLeaving(): void {
+    this.#isLeaving = true;
+  }
+
+  refresh(nowMs: number): void {
+    this.#members = this.#network.view(nowMs).members.map((member) =>
+      member.isSelf ? { ...member, state: this.#ownState() } : member
+    );
+    this.#owners.clear();
+    this.#electorate = findElectorate({
+      dataCentre: this.self.dataCentre,
+      self: this.self.vmId,
+      members: this.#members,
+      listing: this.#layouts.listing(),
+    });
+    const heard = this.#members
+      .filter((m) => m.state === "live" || m.state === "leaving")
+      .map((m) => m.vmId);
+    this.#hasMajorityInView = isMajority(new Set(heard), this.#electorate);
+  }
+
+  ownerOf(pool: PoolId): VmId | undefined {
+    const key = poolKey(pool);
+    if (this.#owners.has(key)) return this.#owners.get(key);
+    const owner = electOwner(pool, this.#members);
+    this.#owners.set(key, owner);
+    return owner;
+  }
+
+  /** This VM's fixed part of the warm limits of its data centre. */
+  warmShare(): WarmShare {
+    return {
+      rank: this.#electorate.indexOf(this.self.vmId),
+      vmCount: this.#electorate.length,
+    };
+  }
+
+  #ownState(): "live" | "leaving" {
+    return this.#isLeaving ? "leaving" : "live";
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/server_selector.ts
@@ -0,0 +1,111 @@
+/**
+ * Chooses the backend server for the next ask.
+ *
+ * @module
+ */
+
+import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import { isCold } from "./backend_server_state.js";
+import { IndexedHeap } from "./indexed_heap.js";
+import type { PooledServer } from "./pooled_server.js";
+import { PrefixMap } from "./prefix_map.js";
+import type { WaitingAsk } from "./waiting_ask.js";
+
+/** How much above the mean load a server that holds the prefix may be. */
+const AFFINITY_LOAD_FACTOR = 1.25;
+/** An ask with this many times its duration to spare may warm a server up. */
+const AMPLE_SLACK_DURATIONS = 3;
+
+export interface SelectorOptions {
+  readonly hasPrefixAffinity: boolean;
+}
+
+/** The servers with room, least loaded first; O(log n) for each choice. */
+export class ServerSelector {
+  readonly #warm = new IndexedHeap<PooledServer>(compareLoad);
+  readonly #cold = new IndexedHeap<PooledServer>(compareLoad);
+  readonly #prefixes: PrefixMap | undefined;
+  readonly #servers = new Map<BackendServerId, PooledServer>();
+  #inFlight = 0;
+
+  constructor(options: SelectorOptions) {
+    this.#prefixes = options.hasPrefixAffinity ? new PrefixMap() : undefined;
+  }
+
+  get hasRoom(): boolean {
+    return this.#warm.size + this.#cold.size > 0;
+  }
+
+  /** To be called after any change to the server. */
+  place(server: PooledServer): void {
+    this.#warm.remove(server);
+    this.#cold.remove(server);
+    this.#servers.set(server.id, server);
+    if (server.inFlight >= server.limit) return;
+    (isCold(server.health.state) ? this.#cold : this.#warm).add(server);
+  }
+
+  remove(server: PooledServer): void {
+    this.#warm.remove(server);
+    this.#cold.remove(server);
+    this.#servers.delete(server.id);
+  }
+
+  choose(waiting: WaitingAsk, nowMs: number): PooledServer | undefined {
+    const preferred = this.#preferredByPrefix(waiting);
+    if (preferred !== undefined) return preferred;
+    const chosen = mayWarmUp(waiting, nowMs)
+      ? this.#first(this.#cold, waiting) ?? this.#first(this.#warm, waiting)
+      : this.#first(this.#warm, waiting) ?? this.#first(this.#cold, waiting);
+    if (chosen !== undefined && waiting.ask.prefixKey !== undefined) {
+      this.#prefixes?.note(waiting.ask.prefixKey, chosen.id);
+    }
+    return chosen;
+  }
+
+  noteInFlight(total: number): void {
+    this.#inFlight = total;
+  }
+
+  #preferredByPrefix(waiting: WaitingAsk): PooledServer | undefined {
+    const { prefixKey, excluded } = waiting.ask;
+    if (prefixKey === undefined) return undefined;
+    const id = this.#prefixes?.serverFor(prefixKey);
+    const server = id === undefined ? undefined : this.#servers.get(id);
+    if (server === undefined || !this.#warm.has(server)) return undefined;
+    if (excluded.includes(server.id)) return undefined;
+    const meanLoad = (this.#inFlight + 1) / Math.max(1, this.#servers.size);
+    const bound = Math.ceil(meanLoad * AFFINITY_LOAD_FACTOR);
+    return server.inFlight < bound ? server : undefined;
+  }
+
+  #first(
+    heap: IndexedHeap<PooledServer>,
+    waiting: WaitingAsk,
+  ): PooledServer | undefined {
+    const passedOver: PooledServer[] = [];
+    let found: PooledServer | undefined;
+    for (;;) {
+      found = heap.first();
+      if (found === undefined) break;
+      if (!waiting.ask.excluded.includes(found.id)) break;
+      heap.remove(found);
+      passedOver.push(found);
+    }
+    for (const server of passedOver) heap.add(server);
+    return found;
+  }
+}
+
+/** Cold servers are slow: only asks that can bear it go there by choice. */
+function mayWarmUp(waiting: WaitingAsk, nowMs: number): boolean {
+  if (waiting.ask.urgency === "deferrable") return true;
+  const slackMs = waiting.latestStartAtMs - nowMs;
+  return slackMs > AMPLE_SLACK_DURATIONS * waiting.ask.likelyDurationMs &&
+    waiting.number % AMPLE_SLACK_DURATIONS === 0;
+}
+
+function compareLoad(first: PooledServer, second: PooledServer): number {
+  return first.inFlight / first.limit - second.inFlight / second.limit ||
+    first.lastGrantNumber - second.lastGrantNumber;
+}
--- /dev/null
+++ b/packages/daemon/src/pools/server_table.ts
@@ -0,0 +1,212 @@
+/**
+ * The backend servers of an owned pool: their health, their limits, and which
+ * of them have room.
+ *
+ * @module
+ */
+
+import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import type { WarmthObservation } from "@sassafrasstage/protocol/peer_messages";
+import type { Service } from "@sassafrasstage/protocol/register";
+import type { BackendServerStatus } from "@sassafrasstage/protocol/status";
+import {
+  afterCall,
+  afterTime,
+  type CallReport,
+  coldState,
+  isCold,
+  observedWarmHealth,
+  type ServerHealth,
+} from "./backend_server_state.js";
+import { areSameRights, type GrantRights, NO_RIGHTS } from "./grant_rights.js";
+import {
+  availabilityOf,
+  type PoolEntry,
+  type PoolLayout,
+  type VmAvailability,
+} from "./pool_layout.js";
+import {
+  describeServer,
+  enterServer,
+  limitFor,
+  type PooledServer,
+} from "./pooled_server.js";
+import { ServerSelector } from "./server_selector.js";
+import type { WaitingAsk } from "./waiting_ask.js";
+
+export interface ServerTableOptions {
+  readonly entry: PoolEntry;
+  readonly hasPrefixAffinity: boolean;
+  /** A server that was taken for warm was found to be cold. */
+  readonly onCooled: (server: BackendServerId, nowMs: number) => void;
+}
+
+/** Commands cost O(log n) but for those that concern all servers. */
+export class ServerTable {
+  readonly #servers = new Map<BackendServerId, PooledServer>();
+  readonly #selector: ServerSelector;
+  readonly #onCooled: ServerTableOptions["onCooled"];
+  #service: Service;
+  #rights = NO_RIGHTS;
+  #slots = 0;
+  #inFlight = 0;
+  #grantNumber = 0;
+
+  constructor(options: ServerTableOptions) {
+    this.#service = options.entry.service;
+    this.#selector = new ServerSelector(options);
+    this.#onCooled = options.onCooled;
+  }
+
+  get service(): Service {
+    return this.#service;
+  }
+
+  get hasRoom(): boolean {
+    return this.#selector.hasRoom;
+  }
+
+  /** The sum of all present limits. */
+  get slots(): number {
+    return this.#slots;
+  }
+
+  /** Whether a server that isn't excluded may get new work at all. */
+  hasServerFor(excluded: readonly BackendServerId[]): boolean {
+    for (const server of this.#servers.values()) {
+      if (server.availability !== "inService") continue;
+      if (!excluded.includes(server.id)) return true;
+    }
+    return false;
+  }
+
+  statuses(): BackendServerStatus[] {
+    return [...this.#servers.values()].map(describeServer);
+  }
+
+  choose(waiting: WaitingAsk, nowMs: number): PooledServer | undefined {
+    return this.#selector.choose(waiting, nowMs);
+  }
+
+  /** Takes over a new configuration or VM list. */
+  configure(
+    entry: PoolEntry,
+    world: {
+      readonly layout: PoolLayout;
+      readonly vms: VmAvailability;
+      readonly nowMs: number;
+    },
+  ): void {
+    this.#service = entry.service;
+    const listed = new Set(entry.servers.map((server) => server.id));
+    for (const server of this.#servers.values()) {
+      // A server that still has calls in flight stays in the books.
+      if (!listed.has(server.id)) server.availability = "out";
+      if (listed.has(server.id) || server.inFlight > 0) continue;
+      this.#slots -= server.limit;
+      this.#selector.remove(server);
+      this.#servers.delete(server.id);
+    }
+    for (const registered of entry.servers) {
+      const server = this.#servers.get(registered.id) ??
+        enterServer(registered.id, world.nowMs);
+      this.#servers.set(server.id, server);
+      server.availability = availabilityOf(
+        registered,
+        world.layout,
+        world.vms,
+      );
+    }
+    this.refresh(world.nowMs);
+  }
+
+  setRights(rights: GrantRights, nowMs: number): void {
+    if (areSameRights(rights, this.#rights)) return;
+    this.#rights = rights;
+    this.refresh(nowMs);
+  }
+
+  /** Lets time pass for every server. */
+  refresh(nowMs: number): void {
+    for (const server of this.#servers.values()) {
+      const next = afterTime(server.health, { service: this.#service, nowMs });
+      this.#setHealth(server, next, nowMs);
+    }
+  }
+
+  countGrant(id: BackendServerId, nowMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    this.#grantNumber += 1;
+    server.lastGrantNumber = this.#grantNumber;
+    this.#addInFlight(server, 1);
+    this.#place(server, nowMs);
+  }
+
+  countEnd(id: BackendServerId, nowMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    this.#addInFlight(server, -1);
+    this.#place(server, nowMs);
+  }
+
+  /** Takes what a call showed of its server. */
+  report(id: BackendServerId, report: CallReport, nowMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    const context = { service: this.#service, nowMs };
+    this.#setHealth(server, afterCall(server.health, report, context), nowMs);
+  }
+
+  /** Takes what other daemons saw of servers that this one doesn't know. */
+  adoptObservations(
+    observations: readonly WarmthObservation[],
+    nowMs: number,
+  ): void {
+    const context = { service: this.#service, nowMs };
+    for (const observation of observations) {
+      const server = this.#servers.get(observation.backendServerId);
+      if (server?.health.state.kind !== "unknown") continue;
+      if (observation.warmth === "cold") continue;
+      if (observation.ageMs >= this.#service.coldAfterIdleMs) continue;
+      const next = observedWarmHealth(server.inFlight, context);
+      this.#setHealth(server, next, nowMs);
+    }
+  }
+
+  /** Somebody saw a sign of cold start at the given time. */
+  coolDown(
+    id: BackendServerId,
+    when: { readonly seenAtMs: number; readonly nowMs: number },
+  ): void {
+    const server = this.#servers.get(id);
+    if (server === undefined || isCold(server.health.state)) return;
+    if (when.seenAtMs < server.health.state.sinceMs) return;
+    const health = { ...server.health, state: coldState(when.nowMs) };
+    this.#setHealth(server, health, when.nowMs);
+  }
+
+  #setHealth(server: PooledServer, next: ServerHealth, nowMs: number): void {
+    const hasCooled = !isCold(server.health.state) && isCold(next.state);
+    server.health = next;
+    this.#place(server, nowMs);
+    if (hasCooled) this.#onCooled(server.id, nowMs);
+  }
+
+  #addInFlight(server: PooledServer, change: 1 | -1): void {
+    server.inFlight += change;
+    this.#inFlight += change;
+    this.#selector.noteInFlight(this.#inFlight);
+  }
+
+  #place(server: PooledServer, nowMs: number): void {
+    const limit = limitFor(server, {
+      service: this.#service,
+      rights: this.#rights,
+      nowMs,
+    });
+    this.#slots += limit - server.limit;
+    server.limit = limit;
+    this.#selector.place(server);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/shared_permit_source.ts
@@ -0,0 +1,234 @@
+/**
+ * The permit source of the `current` policy: joins the owner's and the asker's
+ * role to messages and timers.
+ *
+ * @module
+ */
+
+import type { PoolId, ServiceName, VmId } from "@sassafrasstage/protocol/ids";
+import type { PeerMessage } from "@sassafrasstage/protocol/peer_messages";
+import type {
+  Permit,
+  PermitAsk,
+  PermitDecision,
+  PermitRelease,
+} from "@sassafrasstage/protocol/permits";
+import type { PoolStatus } from "@sassafrasstage/protocol/status";
+import type { HeartbeatContent } from "../peers/heartbeat_content.js";
+import { AskerRole } from "./asker_role.js";
+import { CandidatePools } from "./candidate_pools.js";
+import { FallbackGrants } from "./fallback_grants.js";
+import { HeldPermits } from "./held_permits.js";
+import { LatencyBaselines } from "./latency_baseline.js";
+import { OwnerRole } from "./owner_role.js";
+import type { PermitLink } from "./permit_link.js";
+import { PoolContext } from "./pool_context.js";
+import { refusal } from "./refusal.js";
+import type {
+  PermitSourceOptions,
+  RunningPermitSource,
+} from "./running_permit_source.js";
+import { WarmthLog } from "./warmth_log.js";
+
+/** Does nothing by itself: `tick` and the messages drive it. */
+export class SharedPermitSource implements RunningPermitSource {
+  readonly heartbeatContent: HeartbeatContent;
+  readonly #options: PermitSourceOptions;
+  readonly #context: PoolContext;
+  readonly #owner: OwnerRole;
+  readonly #asker: AskerRole;
+  readonly #held = new HeldPermits();
+  readonly #candidates: CandidatePools;
+  readonly #fallback: FallbackGrants;
+  readonly #unsubscribe: (() => void)[];
+
+  constructor(options: PermitSourceOptions) {
+    this.#options = options;
+    const context = new PoolContext(options);
+    const warmth = new WarmthLog();
+    const common = {
+      context,
+      warmth,
+      held: this.#held,
+      link: this.#makeLink(),
+      baselines: new LatencyBaselines(),
+      metrics: options.metrics,
+    };
+    this.#context = context;
+    this.#candidates = new CandidatePools(context);
+    this.#fallback = new FallbackGrants(common);
+    this.#owner = new OwnerRole({
+      ...common,
+      logger: options.logger,
+      startedAtMs: options.clock.nowMs(),
+    });
+    this.#asker = new AskerRole({
+      ...common,
+      fallback: this.#fallback,
+      candidates: this.#candidates,
+    });
+    this.heartbeatContent = this.#makeHeartbeatContent();
+    this.#unsubscribe = [...this.#subscribe(), ...this.#followPeers()];
+    this.tick();
+  }
+
+  acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision> {
+    if (signal.aborted) {
+      return Promise.resolve(
+        refusal("callerDisconnected", "The ask was canceled", 0),
+      );
+    }
+    return new Promise((resolve) => {
+      const nowMs = this.#begin();
+      const settled = new AbortController();
+      function settle(decision: PermitDecision): void {
+        settled.abort();
+        resolve(decision);
+      }
+      const cancel = this.#asker.ask({ ask, settle }, nowMs);
+      signal.addEventListener("abort", () => {
+        cancel(this.#begin());
+      }, { signal: settled.signal });
+    });
+  }
+
+  release(permit: Permit, release: PermitRelease): void {
+    this.#asker.release(permit, release, this.#begin());
+  }
+
+  isSpendable(permit: Permit, nowMs: number): boolean {
+    return this.#held.isSpendable(permit.permitId, nowMs);
+  }
+
+  candidatePools(service: ServiceName, nowMs: number): PoolId[] {
+    return this.#candidates.pools(service, nowMs);
+  }
+
+  statuses(nowMs: number): PoolStatus[] {
+    return this.#owner.statuses(nowMs);
+  }
+
+  startLeaving(): void {
+    const nowMs = this.#begin();
+    this.#owner.giveUpAll(nowMs);
+    this.#context.setLeaving();
+    this.tick();
+  }
+
+  close(): void {
+    for (const unsubscribe of this.#unsubscribe) unsubscribe();
+    this.#asker.close(this.#options.clock.nowMs());
+  }
+
+  /** Lets time pass; to be called every few milliseconds. */
+  tick(): void {
+    const nowMs = this.#begin();
+    this.#context.refresh(nowMs);
+    this.#owner.tick(nowMs);
+    this.#asker.tick(nowMs);
+  }
+
+  /** The present time, after the check for a pause. */
+  #begin(): number {
+    const nowMs = this.#options.clock.nowMs();
+    this.#owner.giveUpAfterPause(nowMs);
+    return nowMs;
+  }
+
+  #makeLink(): PermitLink {
+    const { network } = this.#options;
+    return {
+      send: (to, message) => {
+        if (to !== network.self.vmId) return network.send(to, message);
+        this.#handle(to, message);
+        return true;
+      },
+    };
+  }
+
+  #makeHeartbeatContent(): HeartbeatContent {
+    return {
+      ownedPools: (nowMs) => {
+        this.#begin();
+        return this.#owner.ownedPools(nowMs);
+      },
+      supportFor: (from, pools, nowMs) => {
+        this.#begin();
+        return this.#owner.supportFor(from, pools, nowMs);
+      },
+      onReply: (from, sentAtMs, supported) => {
+        const nowMs = this.#begin();
+        this.#owner.noteSupport(
+          { from, heartbeatSentAtMs: sentAtMs, pools: supported },
+          nowMs,
+        );
+      },
+    };
+  }
+
+  #subscribe(): (() => void)[] {
+    const { messages } = this.#options.network;
+    const types = [
+      "permitAsk",
+      "permitDecision",
+      "permitCancel",
+      "permitRelease",
+      "outstandingRequest",
+      "outstandingReply",
+      "heartbeat",
+      "heartbeatReply",
+    ] as const;
+    return types.map((type) =>
+      messages.on(type, (received) => {
+        this.#handle(received.from.vmId, received.message);
+      })
+    );
+  }
+
+  #followPeers(): (() => void)[] {
+    const { life } = this.#options.network;
+    return [
+      life.on("connected", (peer) => {
+        this.#asker.noteConnected(peer.vmId, this.#begin());
+      }),
+      life.on("disconnected", (peer) => {
+        const nowMs = this.#begin();
+        this.#owner.forgetAsksOf(peer.vmId);
+        this.#asker.noteDisconnected(peer.vmId, nowMs);
+      }),
+      life.on("membershipChanged", () => {
+        this.tick();
+      }),
+      this.#options.configuration.events.on("adopted", () => {
+        this.tick();
+      }),
+    ];
+  }
+
+  #handle(from: VmId, message: PeerMessage): void {
+    const nowMs = this.#begin();
+    this.#fallback.noteHeard(from, nowMs);
+    switch (message.type) {
+      case "permitAsk":
+        this.#owner.ask(from, message.ask, nowMs);
+        break;
+      case "permitDecision":
+        this.#asker.noteDecision(from, message, nowMs);
+        break;
+      case "permitCancel":
+        this.#owner.cancel(message.pool, message.attemptId, nowMs);
+        break;
+      case "permitRelease":
+        this.#owner.release(message.pool, message.release, nowMs);
+        break;
+      case "outstandingRequest":
+        this.#asker.noteOutstandingRequest(from, message, nowMs);
+        break;
+      case "outstandingReply":
+        this.#owner.noteOutstanding(from, message, nowMs);
+        break;
+      default:
+        break;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/slack_order.ts
@@ -0,0 +1,183 @@
+/**
+ * The default order: callers at a counter first, then deferrable work; in each
+ * class by deadline slack among the client accounts that have not had more
+ * than their share.
+ *
+ * @module
+ */
+
+import type { ClientAccountId } from "@sassafrasstage/protocol/ids";
+import { AccountQueue, compareSlack } from "./account_queue.js";
+import { IndexedHeap } from "./indexed_heap.js";
+import { likelyWorkMs, type WaitingAsk } from "./waiting_ask.js";
+
+/**
+ * How far, in weighted server time, an account may run ahead of its share
+ * before the others go first.
+ */
+const SHARE_ALLOWANCE_MS = 1000;
+/** Counter asks that may pass a deferrable one which has waited too long. */
+const COUNTERS_PER_AGED = 3;
+/** An ask counts as aged after this part of the wait that it can bear. */
+const AGED_PART = 0.5;
+
+export interface SlackOrderOptions {
+  readonly maxAgeMs: number;
+}
+
+/** One urgency class: accounts within their share, and those ahead of it. */
+class UrgencyClass {
+  readonly #withinShare: IndexedHeap<AccountQueue>;
+  readonly #ahead: IndexedHeap<AccountQueue>;
+  readonly #urgency: "counter" | "deferrable";
+
+  constructor(urgency: "counter" | "deferrable") {
+    this.#urgency = urgency;
+    this.#withinShare = new IndexedHeap((a, b) =>
+      compareSlack(a.firstOf(urgency), b.firstOf(urgency))
+    );
+    this.#ahead = new IndexedHeap((a, b) => a.usedMs - b.usedMs);
+  }
+
+  /** Puts the account where it belongs after any change to it. */
+  place(account: AccountQueue, entitledMs: number): void {
+    this.#withinShare.remove(account);
+    this.#ahead.remove(account);
+    if (account.firstOf(this.#urgency) === undefined) return;
+    const isAhead = account.usedMs > entitledMs + SHARE_ALLOWANCE_MS;
+    (isAhead ? this.#ahead : this.#withinShare).add(account);
+  }
+
+  next(entitledMs: number): AccountQueue | undefined {
+    for (;;) {
+      const account = this.#ahead.first();
+      if (account === undefined) break;
+      if (account.usedMs > entitledMs + SHARE_ALLOWANCE_MS) break;
+      this.#ahead.remove(account);
+      this.#withinShare.add(account);
+    }
+    return this.#withinShare.first() ?? this.#ahead.first();
+  }
+}
+
+/**
+ * Accounts are compared by the server time they used divided by their share.
+ * `#entitledMs` is what an account that always had work waiting would have
+ * used by now; an account that comes back after a pause starts from there, so
+ * neither debts nor savings build up while it has nothing to run.
+ */
+export class SlackOrder {
+  readonly #maxAgeMs: number;
+  readonly #accounts = new Map<ClientAccountId, AccountQueue>();
+  readonly #counter = new UrgencyClass("counter");
+  readonly #deferrable = new UrgencyClass("deferrable");
+  readonly #aging: IndexedHeap<WaitingAsk>;
+  #entitledMs = 0;
+  #activeShare = 0;
+  #countersSinceAged = 0;
+
+  constructor(options: SlackOrderOptions) {
+    this.#maxAgeMs = options.maxAgeMs;
+    this.#aging = new IndexedHeap((a, b) =>
+      this.#agedAtMs(a) - this.#agedAtMs(b) || a.number - b.number
+    );
+  }
+
+  add(waiting: WaitingAsk): void {
+    const account = this.#accountOf(waiting);
+    if (account.size === 0) {
+      account.usedMs = Math.max(account.usedMs, this.#entitledMs);
+      this.#activeShare += account.share;
+    }
+    account.add(waiting);
+    if (waiting.ask.urgency === "deferrable") this.#aging.add(waiting);
+    this.#place(account);
+  }
+
+  remove(waiting: WaitingAsk): void {
+    const account = this.#accounts.get(waiting.ask.clientAccountId);
+    if (account?.remove(waiting) !== true) return;
+    this.#aging.remove(waiting);
+    if (account.size === 0) this.#deactivate(account);
+    this.#place(account);
+  }
+
+  takeNext(nowMs: number): WaitingAsk | undefined {
+    const next = this.#choose(nowMs);
+    if (next === undefined) return undefined;
+    this.#charge(next, 1);
+    this.remove(next);
+    return next;
+  }
+
+  putBack(waiting: WaitingAsk): void {
+    this.add(waiting);
+    this.#charge(waiting, -1);
+  }
+
+  #choose(nowMs: number): WaitingAsk | undefined {
+    const counter = this.#counter.next(this.#entitledMs)?.firstOf("counter");
+    const deferrable = this.#deferrable.next(this.#entitledMs)
+      ?.firstOf("deferrable");
+    if (counter === undefined || deferrable === undefined) {
+      return counter ?? deferrable;
+    }
+    const oldest = this.#aging.first();
+    const isAged = oldest !== undefined && this.#agedAtMs(oldest) <= nowMs;
+    if (!isAged || this.#countersSinceAged < COUNTERS_PER_AGED) {
+      this.#countersSinceAged += isAged ? 1 : 0;
+      return counter;
+    }
+    this.#countersSinceAged = 0;
+    return deferrable;
+  }
+
+  #charge(waiting: WaitingAsk, sign: 1 | -1): void {
+    const account = this.#accounts.get(waiting.ask.clientAccountId);
+    if (account === undefined) return;
+    const workMs = sign * likelyWorkMs(waiting);
+    account.usedMs += workMs / account.share;
+    this.#entitledMs += workMs / Math.max(account.share, this.#activeShare);
+    this.#place(account);
+  }
+
+  #accountOf(waiting: WaitingAsk): AccountQueue {
+    const id = waiting.ask.clientAccountId;
+    const known = this.#accounts.get(id);
+    if (known !== undefined) return known;
+    const account = new AccountQueue(waiting.share);
+    this.#accounts.set(id, account);
+    return account;
+  }
+
+  #deactivate(account: AccountQueue): void {
+    this.#activeShare -= account.share;
+    this.#forgetIdle();
+  }
+
+  /** Idle accounts without a debt need no memory; O(1) for each ask. */
+  #forgetIdle(): void {
+    let looked = 0;
+    for (const [id, account] of this.#accounts) {
+      looked += 1;
+      if (account.size > 0 || account.usedMs > this.#entitledMs) {
+        this.#accounts.delete(id);
+        this.#accounts.set(id, account);
+      } else {
+        this.#accounts.delete(id);
+      }
+      if (looked >= 2) return;
+    }
+  }
+
+  #place(account: AccountQueue): void {
+    this.#counter.place(account, this.#entitledMs);
+    this.#deferrable.place(account, this.#entitledMs);
+  }
+
+  #agedAtMs(waiting: WaitingAsk): number {
+    const bearableMs = waiting.latestStartAtMs - waiting.receivedAtMs;
+    return waiting.receivedAtMs +
+      Math.min(this.#maxAgeMs, bearableMs * AGED_PART);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/test_support/cluster_load.ts
@@ -0,0 +1,124 @@
+/**
+ * Calls through an in-memory cluster to fake servers.
+ *
+ * @module
+ */
+
+import type { Permit, PermitDecision } from "@sassafrasstage/protocol/permits";
+import { FakeServer } from "./fake_server.js";
+import type { ClusterNode, InMemoryCluster } from "./in_memory_cluster.js";
+import { makeAsk, type TestAsk } from "./test_configuration.js";
+
+const CALL_MS = 50;
+
+export interface LoadTally {
+  asked: number;
+  granted: number;
+  completed: number;
+  refused: number;
+  /** Permits that had ended before the call could be sent. */
+  notSpendable: number;
+}
+
+/** Sends calls and counts what becomes of them. */
+export class ClusterLoad {
+  readonly tally: LoadTally = {
+    asked: 0,
+    granted: 0,
+    completed: 0,
+    refused: 0,
+    notSpendable: 0,
+  };
+  readonly #cluster: InMemoryCluster;
+  readonly #servers = new Map<string, FakeServer>();
+
+  constructor(cluster: InMemoryCluster) {
+    this.#cluster = cluster;
+    const { register } = cluster.configuration;
+    for (const registered of register.backendServers) {
+      const service = register.services[0];
+      if (service === undefined) continue;
+      this.#servers.set(
+        registered.id,
+        new FakeServer({ ...service, callMs: CALL_MS }),
+      );
+    }
+  }
+
+  get overLimitCalls(): number {
+    return [...this.#servers.values()]
+      .reduce((sum, server) => sum + server.overLimitCalls, 0);
+  }
+
+  server(id: string): FakeServer {
+    const server = this.#servers.get(id);
+    if (server === undefined) throw new Error(`No server ${id}`);
+    return server;
+  }
+
+  /** One call by the node, from the ask to the release. */
+  call(node: ClusterNode, ask: TestAsk = {}): void {
+    if (!node.runs) return;
+    this.tally.asked += 1;
+    void node.permits.acquire(makeAsk(ask), new AbortController().signal)
+      .then((decision) => {
+        this.#decided(node, decision);
+      });
+  }
+
+  /** A call by each running node in every interval. */
+  async run(
+    durationMs: number,
+    load: { readonly everyMs: number; readonly ask?: TestAsk },
+  ): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += load.everyMs) {
+      for (const node of this.#cluster.nodes) this.call(node, load.ask);
+      await this.#cluster.advance(load.everyMs);
+    }
+  }
+
+  #decided(node: ClusterNode, decision: PermitDecision): void {
+    if (decision.kind === "refused") {
+      this.tally.refused += 1;
+      return;
+    }
+    this.tally.granted += 1;
+    this.#cluster.whenRunning(node, () => {
+      this.#send(node, decision.permit);
+    });
+  }
+
+  #send(node: ClusterNode, permit: Permit): void {
+    if (!node.permits.isSpendable(permit, this.#cluster.nowMs)) {
+      this.tally.notSpendable += 1;
+      this.#release(node, permit, "notSent");
+      return;
+    }
+    const server = this.server(permit.backendServerId);
+    const call = server.start();
+    if (call === undefined) {
+      this.#release(node, permit, "refusedByServer");
+      return;
+    }
+    this.#cluster.after(server.callMs, () => {
+      server.end(call);
+      this.#cluster.whenRunning(node, () => {
+        this.tally.completed += 1;
+        this.#release(node, permit, "completed");
+      });
+    });
+  }
+
+  #release(
+    node: ClusterNode,
+    permit: Permit,
+    outcome: "completed" | "notSent" | "refusedByServer",
+  ): void {
+    node.permits.release(permit, {
+      permitId: permit.permitId,
+      backendServerId: permit.backendServerId,
+      outcome,
+      durationMs: CALL_MS,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pools/test_support/in_memory_cluster.ts
@@ -0,0 +1,263 @@
+/**
+ * Permit sources joined by an in-memory peer network on a clock of its own,
+ * with links that can be cut or delayed and nodes that can be frozen or killed.
+ *
+ * @module
+ */
+
+import {
+  type Incarnation,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { PeerMessage } from "@sassafrasstage/protocol/peer_messages";
+import type { Configuration } from "@sassafrasstage/protocol/configuration";
+import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import Emittery from "emittery";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import type { ConfigurationEvents } from "../../configuration/configuration_source.js";
+import { createLogger } from "../../observability/logger.js";
+import { Metrics } from "../../observability/metrics.js";
+import type {
+  Member,
+  MemberState,
+  PeerIdentity,
+  PeerLifeEvents,
+  PeerMessageEvents,
+  PeerNetwork,
+} from "../../peers/peer_network.js";
+import { SharedPermitSource } from "../shared_permit_source.js";
+import { makeSettings } from "./test_configuration.js";
+
+const STEP_MS = 5;
+const TICK_MS = 20;
+const HEARTBEAT_MS = 200;
+const SILENT_AFTER_MS = 1000;
+const REFUSED_AFTER_MS = 50;
+
+interface Parcel {
+  readonly from: ClusterNode;
+  readonly to: ClusterNode;
+  readonly dueAtMs: number;
+  readonly deliver: () => void;
+}
+
+/** One daemon's part: its permit source and what the fake network knows. */
+export class ClusterNode {
+  readonly identity: PeerIdentity;
+  readonly network: PeerNetwork;
+  readonly messages = new Emittery<PeerMessageEvents>();
+  readonly life = new Emittery<PeerLifeEvents>();
+  readonly heardAtMs = new Map<VmId, number>();
+  readonly metrics = new Metrics();
+  source: SharedPermitSource | undefined;
+  isFrozen = false;
+  isLeaving = false;
+  killedAtMs: number | undefined;
+
+  constructor(cluster: InMemoryCluster, identity: PeerIdentity) {
+    this.identity = identity;
+    this.network = {
+      self: identity,
+      messages: this.messages,
+      life: this.life,
+      send: (to, message) => cluster.send(this, to, message),
+      view: () => ({ members: cluster.viewOf(this) }),
+    };
+  }
+
+  get permits(): SharedPermitSource {
+    if (this.source === undefined) throw new Error("The node isn't started");
+    return this.source;
+  }
+
+  get runs(): boolean {
+    return !this.isFrozen && this.killedAtMs === undefined;
+  }
+}
+
+export interface ClusterOptions {
+  /** VM ids with their data centres. */
+  readonly vms: Readonly<Record<string, string>>;
+  readonly configuration: Configuration;
+}
+
+/** Deterministic: everything happens in steps of a few milliseconds. */
+export class InMemoryCluster {
+  readonly nodes: readonly ClusterNode[];
+  readonly adopted = new Emittery<ConfigurationEvents>();
+  configuration: Configuration;
+  listing: VmListing | undefined;
+  latencyMs = STEP_MS;
+  nowMs = 10_000;
+  readonly #cuts = new Set<string>();
+  readonly #actions = new Map<number, (() => void)[]>();
+  #parcels: Parcel[] = [];
+
+  constructor(options: ClusterOptions) {
+    this.configuration = options.configuration;
+    this.nodes = Object.entries(options.vms).map(([vmId, dataCentre]) =>
+      new ClusterNode(this, {
+        vmId: toId(vmId),
+        incarnation: toId<Incarnation>("1"),
+        dataCentre: toId(dataCentre),
+      })
+    );
+    for (const node of this.nodes) this.#start(node);
+  }
+
+  node(vmId: string): ClusterNode {
+    const found = this.nodes.find((node) => node.identity.vmId === vmId);
+    if (found === undefined) throw new Error(`No node ${vmId}`);
+    return found;
+  }
+
+  /** Nothing passes between the two; what is under way arrives at the heal. */
+  cut(first: ClusterNode, second: ClusterNode): void {
+    this.#cuts.add(linkKey(first, second));
+  }
+
+  heal(): void {
+    this.#cuts.clear();
+  }
+
+  kill(node: ClusterNode): void {
+    node.killedAtMs = this.nowMs;
+    for (const other of this.nodes) {
+      if (other === node) continue;
+      void other.life.emit("disconnected", node.identity);
+    }
+  }
+
+  /** Runs the action after the given time, whatever is frozen. */
+  after(delayMs: number, action: () => void): void {
+    const atMs = Math.ceil((this.nowMs + delayMs) / STEP_MS) * STEP_MS;
+    this.#actions.set(atMs, [...this.#actions.get(atMs) ?? [], action]);
+  }
+
+  /** Runs the action at once, or when the node has been thawed. */
+  whenRunning(node: ClusterNode, action: () => void): void {
+    if (node.killedAtMs !== undefined) return;
+    if (node.runs) action();
+    else {this.after(STEP_MS, () => {
+        this.whenRunning(node, action);
+      });}
+  }
+
+  async advance(durationMs: number): Promise<void> {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      for (const action of this.#actions.get(this.nowMs) ?? []) action();
+      this.#actions.delete(this.nowMs);
+      this.#deliverDue();
+      await nextTurn();
+      for (const node of this.nodes) this.#drive(node);
+      await nextTurn();
+    }
+  }
+
+  send(from: ClusterNode, to: VmId, message: PeerMessage): boolean {
+    const target = this.nodes.find((node) => node.identity.vmId === to);
+    if (target === undefined || target.killedAtMs !== undefined) return false;
+    this.#post(from, target, () => {
+      void target.messages.emit(message.type, {
+        from: from.identity,
+        message,
+      } as never);
+    });
+    return true;
+  }
+
+  viewOf(viewer: ClusterNode): Member[] {
+    return this.nodes.map((node) => ({
+      vmId: node.identity.vmId,
+      dataCentre: node.identity.dataCentre,
+      state: this.#stateOf(node, viewer),
+      isSelf: node === viewer,
+      generation: 1,
+    })).sort((a, b) => a.vmId < b.vmId ? -1 : 1);
+  }
+
+  #stateOf(node: ClusterNode, viewer: ClusterNode): MemberState {
+    if (node === viewer) return "live";
+    const { killedAtMs } = node;
+    if (
+      killedAtMs !== undefined && this.nowMs > killedAtMs + REFUSED_AFTER_MS
+    ) {
+      return "gone";
+    }
+    const heardAtMs = viewer.heardAtMs.get(node.identity.vmId) ?? -Infinity;
+    if (this.nowMs - heardAtMs > SILENT_AFTER_MS) return "silent";
+    return node.isLeaving ? "leaving" : "live";
+  }
+
+  #start(node: ClusterNode): void {
+    for (const other of this.nodes) {
+      node.heardAtMs.set(other.identity.vmId, this.nowMs);
+    }
+    node.source = new SharedPermitSource({
+      settings: makeSettings(node.identity),
+      network: node.network,
+      configuration: {
+        events: this.adopted,
+        current: () => this.configuration,
+      },
+      listedVms: () => this.listing,
+      clock: { nowMs: () => this.nowMs },
+      metrics: node.metrics,
+      logger: createLogger("error", {}),
+    });
+  }
+
+  #drive(node: ClusterNode): void {
+    if (!node.runs) return;
+    if (this.nowMs % TICK_MS === 0) node.permits.tick();
+    if (this.nowMs % HEARTBEAT_MS === 0) this.#sendHeartbeats(node);
+  }
+
+  #sendHeartbeats(node: ClusterNode): void {
+    const sentAtMs = this.nowMs;
+    const pools = node.permits.heartbeatContent.ownedPools(sentAtMs);
+    const from = node.identity.vmId;
+    for (const other of this.nodes) {
+      if (other === node || other.killedAtMs !== undefined) continue;
+      this.#post(node, other, () => {
+        other.heardAtMs.set(from, this.nowMs);
+        const supported = other.permits.heartbeatContent.supportFor(
+          from,
+          pools,
+          this.nowMs,
+        );
+        this.#post(other, node, () => {
+          node.heardAtMs.set(other.identity.vmId, this.nowMs);
+          node.permits.heartbeatContent.onReply(
+            other.identity.vmId,
+            sentAtMs,
+            supported,
+          );
+        });
+      });
+    }
+  }
+
+  #post(from: ClusterNode, to: ClusterNode, deliver: () => void): void {
+    const dueAtMs = this.nowMs + this.latencyMs;
+    this.#parcels.push({ from, to, dueAtMs, deliver });
+  }
+
+  #deliverDue(): void {
+    const parcels = this.#parcels;
+    this.#parcels = [];
+    for (const parcel of parcels) {
+      const isHeld = parcel.dueAtMs > this.nowMs || parcel.to.isFrozen ||
+        this.#cuts.has(linkKey(parcel.from, parcel.to));
+      if (isHeld) this.#parcels.push(parcel);
+      else if (parcel.to.killedAtMs === undefined) parcel.deliver();
+    }
+  }
+}
+
+function linkKey(first: ClusterNode, second: ClusterNode): string {
+  return [first.identity.vmId, second.identity.vmId].sort().join("/");
+}
--- /dev/null
+++ b/packages/daemon/src/pools/test_support/test_configuration.ts
@@ -0,0 +1,174 @@
+/**
+ * Small configurations and asks for tests of the pools.
+ *
+ * @module
+ */
+
+import {
+  checkConfiguration,
+  type Configuration,
+} from "@sassafrasstage/protocol/configuration";
+import {
+  type AttemptId,
+  type BackendServerId,
+  type ClientAccountId,
+  type DataCentreName,
+  type PoolId,
+  type RequestId,
+  type ServiceName,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { PermitAsk } from "@sassafrasstage/protocol/permits";
+import { type Settings, settingsSchema } from "../../settings/settings.js";
+
+export interface TestLayout {
+  /** Backend servers for each data centre. */
+  readonly servers: Readonly<Record<string, number>>;
+  readonly warmLimit?: number;
+  readonly coldLimit?: number;
+  readonly warmAfterCompletions?: number;
+  readonly deadlineMs?: number;
+  readonly dataCentresOut?: readonly string[];
+  readonly backendServersOut?: readonly string[];
+  readonly generation?: number;
+}
+
+const SHARES = { small: 1, large: 1, heavy: 3 } as const;
+
+/**
+ * One service, "generate", in the given data centres; servers are named
+ * "{dataCentre}-{number}" from 1.
+ *
+ * @example
+ * ```ts
+ * makeConfiguration({ servers: { palermo: 2 } });
+ * ```
+ */
+export function makeConfiguration(layout: TestLayout): Configuration {
+  const dataCentres = Object.keys(layout.servers);
+  const check = checkConfiguration({
+    register: {
+      dataCentres: dataCentres.map((name) => ({ name, region: "test" })),
+      models: [],
+      services: [{
+        name: "generate",
+        kind: "plain",
+        warmLimit: layout.warmLimit ?? 8,
+        coldLimit: layout.coldLimit ?? 1,
+        warmAfterCompletions: layout.warmAfterCompletions ?? 3,
+      }],
+      backendServers: dataCentres.flatMap((dataCentre) =>
+        Array.from({ length: layout.servers[dataCentre] ?? 0 }, (_, index) => ({
+          id: `${dataCentre}-${index + 1}`,
+          service: "generate",
+          dataCentre,
+          vmId: `host-${dataCentre}-${index + 1}`,
+          url: "http://127.0.0.1:1",
+        }))
+      ),
+    },
+    rules: {
+      pipelines: [{
+        name: "draft",
+        urgency: "counter",
+        deadlineMs: layout.deadlineMs ?? 2000,
+        stages: [
+          { name: "write", service: "generate", operation: "completions" },
+        ],
+      }],
+      clientAccounts: Object.entries(SHARES).map(([id, share]) => ({
+        id,
+        share,
+        keySha256: ["0".repeat(60) + Buffer.from(id).toString("hex").slice(-4)],
+      })),
+      dataCentresOut: layout.dataCentresOut ?? [],
+      backendServersOut: layout.backendServersOut ?? [],
+    },
+  });
+  if (check.kind === "invalid") throw new Error(JSON.stringify(check.faults));
+  return { generation: layout.generation ?? 1, ...check.content };
+}
+
+/**
+ * Settings with all defaults.
+ *
+ * @example
+ * ```ts
+ * makeSettings({ vmId: "vm-1", dataCentre: "palermo" });
+ * ```
+ */
+export function makeSettings(vm: {
+  readonly vmId: string;
+  readonly dataCentre: string;
+}): Settings {
+  return settingsSchema.parse({
+    vm: { id: vm.vmId, data_centre: vm.dataCentre },
+    listen: { http: "127.0.0.1:0", peers: "127.0.0.1:0" },
+    peers: { shared_key: "0123456789abcdef" },
+    platform: { url: "http://127.0.0.1:1" },
+    admin: { key_sha256: "0".repeat(64) },
+  });
+}
+
+export interface TestAsk {
+  readonly dataCentre?: string;
+  readonly account?: keyof typeof SHARES;
+  readonly urgency?: "counter" | "deferrable";
+  readonly latestStartInMs?: number;
+  readonly deadlineInMs?: number;
+  readonly likelyDurationMs?: number;
+  readonly excluded?: readonly BackendServerId[];
+}
+
+let askNumber = 0;
+
+/**
+ * An ask for the service "generate" with a new attempt id.
+ *
+ * @example
+ * ```ts
+ * makeAsk({ account: "small", latestStartInMs: 500 });
+ * ```
+ */
+export function makeAsk(ask: TestAsk = {}): PermitAsk {
+  askNumber += 1;
+  return {
+    pool: makePool(ask.dataCentre ?? "palermo"),
+    requestId: toId<RequestId>(`request-${askNumber}`),
+    attemptId: toId<AttemptId>(`attempt-${askNumber}`),
+    clientAccountId: toId<ClientAccountId>(ask.account ?? "small"),
+    urgency: ask.urgency ?? "counter",
+    latestStartInMs: ask.latestStartInMs ?? 1500,
+    deadlineInMs: ask.deadlineInMs ?? 2000,
+    likelyDurationMs: ask.likelyDurationMs ?? 100,
+    excluded: ask.excluded ?? [],
+  };
+}
+
+/**
+ * The pool of the service "generate" in a data centre.
+ *
+ * @example
+ * ```ts
+ * makePool("palermo");
+ * ```
+ */
+export function makePool(dataCentre: string): PoolId {
+  return {
+    service: toId<ServiceName>("generate"),
+    dataCentre: toId<DataCentreName>(dataCentre),
+  };
+}
+
+/**
+ * A VM id.
+ *
+ * @example
+ * ```ts
+ * makeVmId("vm-1");
+ * ```
+ */
+export function makeVmId(text: string): VmId {
+  return toId<VmId>(text);
+}
