Count calls that outlive their permits, and tell cold starts from load

Cause: the pipelines hold a plain call's permit past the deadline until the call ends, so an owner that freed the slot at expiry could put one call too many on a cold server. And a fixed factor on the first token either misses a cold start that is three times slower or takes load for one. Ruled out: waiting 30 s for killed holders too, which would block a cold server after every VM loss although the kernel closes its connections. After: holders that aren't gone are waited for up to 30 s at cold servers; the threshold takes the mean deviation into account, two slow calls in a row are needed, and many slow servers at once count as load.

--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -9,6 +9,8 @@
 import type { Service } from "@sassafrasstage/protocol/register";
 import type { LatencyGrade } from "./latency_baseline.js";
 
+/** One slow call may be the network's fault; in slow start one is enough. */
+const SLOW_COMPLETIONS = 2;
 const BREAKER_FAILURES = 3;
 /** A timeout may be the fault of the request's own short deadline. */
 const TIMEOUT_WEIGHT = 0.3;
@@ -49,9 +51,11 @@
     readonly probeAtMs: number;
   };
 
-/** A state with what counts towards opening the breaker. */
+/** A state with what counts towards leaving it. */
 export interface ServerHealth {
   readonly state: ServerState;
+  /** Completions in a row as slow as in a cold start. */
+  readonly slowInRow: number;
   /** Failures since the last completion; a timeout counts in part. */
   readonly failures: number;
 }
@@ -76,7 +80,11 @@
  * ```
  */
 export function unknownHealth(nowMs: number): ServerHealth {
-  return { state: { kind: "unknown", sinceMs: nowMs }, failures: 0 };
+  return {
+    state: { kind: "unknown", sinceMs: nowMs },
+    slowInRow: 0,
+    failures: 0,
+  };
 }
 
 /**
@@ -94,7 +102,11 @@
 ): ServerHealth {
   const { service, nowMs } = context;
   const limit = Math.max(service.coldLimit, inFlight);
-  return { state: raiseTo(limit, context, nowMs), failures: 0 };
+  return {
+    state: raiseTo(limit, context, nowMs),
+    slowInRow: 0,
+    failures: 0,
+  };
 }
 
 /**
@@ -156,11 +168,14 @@
     case "notSent":
     case "canceled":
       return health;
-    case "completed":
+    case "completed": {
+      const slowInRow = report.grade === "coldStart" ? health.slowInRow + 1 : 0;
       return {
-        state: afterCompletion(health.state, report, context),
+        state: afterCompletion({ ...health, slowInRow }, report, context),
+        slowInRow,
         failures: 0,
       };
+    }
     case "connectFailed":
     case "refusedByServer":
     case "failed":
@@ -201,10 +216,11 @@
 }
 
 function afterCompletion(
-  state: ServerState,
+  health: ServerHealth,
   report: CallReport,
   context: ReportContext,
 ): ServerState {
+  const { state, slowInRow } = health;
   const { nowMs } = context;
   const isOfThisState = report.grantedAtMs >= state.sinceMs;
   switch (state.kind) {
@@ -220,7 +236,7 @@
       if (report.grade === "coldStart") return coldState(nowMs);
       return raiseTo(state.limit + 1, context, state.sinceMs);
     case "warm":
-      if (report.grade === "coldStart") return coldState(nowMs);
+      if (slowInRow >= SLOW_COMPLETIONS) return coldState(nowMs);
       return adaptLimit(state, report, context);
   }
 }
@@ -265,7 +281,7 @@
   if (completions < state.limit) {
     return { ...state, completions, lastUsedAtMs: nowMs };
   }
-  const limit = report.grade === "high"
+  const limit = report.grade !== "usual"
     ? lowerLimitOf(state.limit, service)
     : Math.min(service.warmLimit, state.limit + 1);
   return { ...state, limit, completions: 0, lastUsedAtMs: nowMs };
@@ -295,9 +311,9 @@
   const weight = report.outcome === "timedOut" ? TIMEOUT_WEIGHT : 1;
   const failures = health.failures + weight;
   if (state.kind === "down" || failures >= BREAKER_FAILURES) {
-    return { state: downState(state, context.nowMs), failures };
+    return { ...health, state: downState(state, context.nowMs), failures };
   }
-  return { state: suspectState(state, report, context), failures };
+  return { ...health, state: suspectState(state, report, context), failures };
 }
 
 function downState(state: ServerState, nowMs: number): ServerState {
--- a/packages/daemon/src/pools/granted_permits.ts
+++ b/packages/daemon/src/pools/granted_permits.ts
@@ -14,6 +14,8 @@
   readonly grantedAtMs: number;
   /** The owner's own time, later than the asker's end of the permit. */
   readonly expiresAtMs: number;
+  /** No longer to be waited for, whatever became of the call. */
+  readonly lostAtMs: number;
 }
 
 /** All permits that are out for one pool. */
--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -11,14 +11,18 @@
 
 const MIN_SAMPLES = 10;
 const SMOOTHING = 0.05;
-const COLD_FACTOR = 5;
+const COLD_FACTOR = 2.5;
+/** In mean deviations above the baseline. */
+const COLD_DEVIATIONS = 8;
 /** Less than this above the baseline is never taken for a cold start. */
-const COLD_EXTRA_MS = 250;
+const COLD_EXTRA_MS = 20;
 const PRESSURE_FACTOR = 2;
 const PRESSURE_EXTRA_MS = 20;
 
 export interface LatencyBaseline {
   readonly meanMs: number;
+  /** The mean distance of the samples from the mean. */
+  readonly deviationMs: number;
   readonly samples: number;
 }
 
@@ -51,7 +55,7 @@
  *
  * @example
  * ```ts
- * gradeLatency(900, { meanMs: 80, samples: 50 }); // "coldStart"
+ * gradeLatency(900, { meanMs: 80, deviationMs: 9, samples: 50 }); // "coldStart"
  * ```
  */
 export function gradeLatency(
@@ -59,10 +63,13 @@
   baseline: LatencyBaseline | undefined,
 ): LatencyGrade {
   if (baseline === undefined || baseline.samples < MIN_SAMPLES) return "usual";
-  const { meanMs } = baseline;
-  if (sampleMs > Math.max(meanMs * COLD_FACTOR, meanMs + COLD_EXTRA_MS)) {
-    return "coldStart";
-  }
+  const { meanMs, deviationMs } = baseline;
+  const coldMs = Math.max(
+    meanMs * COLD_FACTOR,
+    meanMs + COLD_EXTRA_MS,
+    meanMs + COLD_DEVIATIONS * deviationMs,
+  );
+  if (sampleMs > coldMs) return "coldStart";
   if (
     sampleMs > Math.max(meanMs * PRESSURE_FACTOR, meanMs + PRESSURE_EXTRA_MS)
   ) {
@@ -81,10 +88,14 @@
 
   /** Takes the latency of a warm server's completed call. */
   note(service: ServiceName, sampleMs: number): void {
-    const known = this.#byService.get(service) ?? { meanMs: 0, samples: 0 };
+    const known = this.#byService.get(service) ??
+      { meanMs: sampleMs, deviationMs: 0, samples: 0 };
     const samples = known.samples + 1;
     const weight = Math.max(SMOOTHING, 1 / samples);
     const meanMs = known.meanMs + weight * (sampleMs - known.meanMs);
-    this.#byService.set(service, { meanMs, samples });
+    const distanceMs = Math.abs(sampleMs - meanMs);
+    const deviationMs = known.deviationMs +
+      weight * (distanceMs - known.deviationMs);
+    this.#byService.set(service, { meanMs, deviationMs, samples });
   }
 }
--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -42,6 +42,9 @@
 /** Asks that no free server suits, set aside in one round at most. */
 const MAX_SET_ASIDE = 16;
 const MIN_RETRY_AFTER_MS = 50;
+/** How long a call may run on after its request's deadline. */
+const LATE_CALL_MS = 30_000;
+const LATE_CHECK_MS = 500;
 
 export type OwnedPoolEvent =
   | "permitGranted"
@@ -65,6 +68,8 @@
     attemptId: AttemptId,
     decision: PermitDecision,
   ) => void;
+  /** Whether the VM's process is known to have ended. */
+  readonly isGone: (vmId: VmId) => boolean;
   readonly onCooled: (server: BackendServerId, nowMs: number) => void;
   readonly onEvent: (event: OwnedPoolEvent) => void;
 }
@@ -114,8 +119,7 @@
   /** Lets time pass: permits expire, hopeless asks are refused. */
   tick(nowMs: number): void {
     for (const granted of this.#permits.takeExpired(nowMs)) {
-      this.#options.onEvent("permitExpired");
-      this.#servers.countEnd(granted.permit.backendServerId, nowMs);
+      this.#expire(granted, nowMs);
     }
     this.#servers.refresh(nowMs);
     this.pump(nowMs);
@@ -184,7 +188,8 @@
   /** Frees the warm servers' permits of a daemon whose process has ended. */
   forgetWarmPermitsOf(vmId: VmId, nowMs: number): void {
     for (const granted of this.#permits.heldBy(vmId)) {
-      if (granted.permit.warmth === "warm") this.#end(granted, nowMs);
+      if (this.#servers.isCold(granted.permit.backendServerId)) continue;
+      this.#end(granted, nowMs);
     }
     this.pump(nowMs);
   }
@@ -197,11 +202,13 @@
   ): void {
     for (const { permit, remainingMs } of outstanding) {
       if (this.#permits.has(permit.permitId)) continue;
+      const expiresAtMs = nowMs + remainingMs + PERMIT_MARGIN_MS;
       this.#permits.add({
         permit,
         holder,
         grantedAtMs: nowMs,
-        expiresAtMs: nowMs + remainingMs + PERMIT_MARGIN_MS,
+        expiresAtMs,
+        lostAtMs: expiresAtMs + LATE_CALL_MS,
       });
       this.#servers.countGrant(permit.backendServerId, nowMs);
     }
@@ -314,11 +321,13 @@
       backendServerId: server.id,
       warmth: isCold(server.health.state) ? "cold" : "warm",
     } as const;
+    const expiresAtMs = waiting.deadlineAtMs + PERMIT_MARGIN_MS;
     this.#permits.add({
       permit,
       holder: waiting.from,
       grantedAtMs: nowMs,
-      expiresAtMs: waiting.deadlineAtMs + PERMIT_MARGIN_MS,
+      expiresAtMs,
+      lostAtMs: expiresAtMs + LATE_CALL_MS,
     });
     this.#servers.countGrant(server.id, nowMs);
     this.#options.onEvent("permitGranted");
@@ -333,6 +342,24 @@
     this.#options.decide(waiting.from, waiting.ask.attemptId, decision);
   }
 
+  /**
+   * A call that was sent in time may run on past its permit. At a cold server
+   * it is counted on, unless its holder's process has ended and taken the
+   * connection with it.
+   */
+  #expire(granted: GrantedPermit, nowMs: number): void {
+    const isCountedOn = nowMs < granted.lostAtMs &&
+      this.#servers.isCold(granted.permit.backendServerId) &&
+      !this.#options.isGone(granted.holder);
+    if (isCountedOn) {
+      const expiresAtMs = nowMs + LATE_CHECK_MS;
+      this.#permits.add({ ...granted, expiresAtMs });
+      return;
+    }
+    this.#options.onEvent("permitExpired");
+    this.#servers.countEnd(granted.permit.backendServerId, nowMs);
+  }
+
   #end(granted: GrantedPermit, nowMs: number): void {
     this.#permits.take(granted.permit.permitId);
     this.#servers.countEnd(granted.permit.backendServerId, nowMs);
--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -251,6 +251,7 @@
         maxQueueLength: context.settings.pools.max_queue_length,
         maxQueueAgeMs: context.settings.pools.max_queue_age_ms,
         baselines: this.#options.baselines,
+        isGone: (vmId) => this.#gone.since.has(vmId),
         nextPermitId: () => this.#nextPermitId(),
         decide: (to, attemptId, decision) => {
           this.#decide(to, attemptId, decision);
--- a/packages/daemon/src/pools/pool_context.ts
+++ b/packages/daemon/src/pools/pool_context.ts
@@ -74,7 +74,7 @@
 
   refresh(nowMs: number): void {
     this.#members = this.#network.view(nowMs).members.map((member) =>
-      member.isSelf ? { ...member, state: this.#ownState() } : member
+      member.isSelf ? this.#selfMember(member) : member
     );
     this.#owners.clear();
     this.#electorate = findElectorate({
@@ -105,7 +105,8 @@
     };
   }
 
-  #ownState(): "live" | "leaving" {
-    return this.#isLeaving ? "leaving" : "live";
+  #selfMember(member: Member): Member {
+    const isLeaving = this.#isLeaving || member.state === "leaving";
+    return { ...member, state: isLeaving ? "leaving" : "live" };
   }
 }
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -34,6 +34,9 @@
 import { ServerSelector } from "./server_selector.js";
 import type { WaitingAsk } from "./waiting_ask.js";
 
+const COMMON_SLOWDOWN_MS = 2000;
+const COMMON_SLOWDOWN_PART = 0.25;
+
 export interface ServerTableOptions {
   readonly entry: PoolEntry;
   readonly hasPrefixAffinity: boolean;
@@ -48,6 +51,8 @@
   readonly #onCooled: ServerTableOptions["onCooled"];
   #service: Service;
   #rights = NO_RIGHTS;
+  /** When servers were taken to be cold for their latency alone. */
+  #slowColdAtMs: number[] = [];
   #slots = 0;
   #inFlight = 0;
   #grantNumber = 0;
@@ -150,12 +155,24 @@
     this.#place(server, nowMs);
   }
 
+  isCold(id: BackendServerId): boolean {
+    const server = this.#servers.get(id);
+    return server === undefined || isCold(server.health.state);
+  }
+
   /** Takes what a call showed of its server. */
   report(id: BackendServerId, report: CallReport, nowMs: number): void {
     const server = this.#servers.get(id);
     if (server === undefined) return;
+    const grade = report.grade === "coldStart" && this.#isCommonSlowdown(nowMs)
+      ? "high"
+      : report.grade;
     const context = { service: this.#service, nowMs };
-    this.#setHealth(server, afterCall(server.health, report, context), nowMs);
+    const next = afterCall(server.health, { ...report, grade }, context);
+    const isSlowCold = grade === "coldStart" &&
+      !isCold(server.health.state) && isCold(next.state);
+    if (isSlowCold) this.#slowColdAtMs.push(nowMs);
+    this.#setHealth(server, next, nowMs);
   }
 
   /** Takes what other daemons saw of servers that this one doesn't know. */
@@ -186,6 +203,15 @@
     this.#setHealth(server, health, when.nowMs);
   }
 
+  /** Servers don't turn cold together: so many slow ones mean load. */
+  #isCommonSlowdown(nowMs: number): boolean {
+    this.#slowColdAtMs = this.#slowColdAtMs.filter((atMs) =>
+      nowMs - atMs < COMMON_SLOWDOWN_MS
+    );
+    const most = Math.max(1, this.#servers.size * COMMON_SLOWDOWN_PART);
+    return this.#slowColdAtMs.length >= most;
+  }
+
   #setHealth(server: PooledServer, next: ServerHealth, nowMs: number): void {
     const hasCooled = !isCold(server.health.state) && isCold(next.state);
     server.health = next;
