Test owners and askers that are cut off, frozen and killed

Cause: the limits have to hold under every fault of the peers, so an in-memory cluster with a clock of its own now brings each of them about. Found by it: an ask that had waited long took a newly elected owner for silent and used its fallback share at once; askers with an older sign of warmth went on using a server that another one had seen cold; a new owner refused asks for want of slots before it knew what was out. All three are mended: silence counts from the election, cold signs are sent to all members of the data centre, and asks wait out the takeover.

--- a/packages/daemon/src/pools/asker_role.ts
+++ b/packages/daemon/src/pools/asker_role.ts
@@ -19,6 +19,7 @@
 } from "@sassafrasstage/protocol/permits";
 import type { Metrics } from "../observability/metrics.js";
 import type { CandidatePools } from "./candidate_pools.js";
+import type { ColdSignSender } from "./cold_sign_sender.js";
 import { CallObserver } from "./call_observer.js";
 import type { FallbackGrants } from "./fallback_grants.js";
 import type { HeldPermit, HeldPermits, PermitGranter } from "./held_permits.js";
@@ -45,6 +46,7 @@
   readonly fallback: FallbackGrants;
   readonly candidates: CandidatePools;
   readonly warmth: WarmthLog;
+  readonly coldSigns: ColdSignSender;
   readonly baselines: LatencyBaselines;
   readonly metrics: Metrics;
 }
@@ -188,12 +190,16 @@
     const { context } = this.#options;
     const owner = context.ownerOf(pending.ask.pool);
     const { progress } = pending;
+    if (pending.owner !== owner) {
+      pending.owner = owner;
+      pending.ownerSinceMs = nowMs;
+    }
     if (progress.kind === "sent" && progress.owner !== owner) {
       this.#options.metrics.countEvent("askMoved");
       this.#withdraw(pending, nowMs);
     }
     this.#sendWhenDue(pending, owner, nowMs);
-    this.#useFallback(pending, owner, nowMs);
+    this.#useFallback(pending, nowMs);
   }
 
   #sendWhenDue(
@@ -232,14 +238,10 @@
     return false;
   }
 
-  #useFallback(
-    pending: PendingAsk,
-    owner: VmId | undefined,
-    nowMs: number,
-  ): void {
+  #useFallback(pending: PendingAsk, nowMs: number): void {
     if (!this.#pending.has(pending)) return;
     const { fallback, metrics } = this.#options;
-    if (!fallback.isOwnerSilent(owner, pending.askedAtMs, nowMs)) return;
+    if (!fallback.isOwnerSilent(pending, nowMs)) return;
     const permit = fallback.grant(pending.ask, nowMs);
     if (permit === undefined) return;
     metrics.countRetry(permit.pool.service, "ownerSilent");
--- a/packages/daemon/src/pools/call_observer.ts
+++ b/packages/daemon/src/pools/call_observer.ts
@@ -6,6 +6,7 @@
 
 import type { PermitRelease } from "@sassafrasstage/protocol/permits";
 import { poolKey } from "@sassafrasstage/protocol/ids";
+import type { ColdSignSender } from "./cold_sign_sender.js";
 import type { HeldPermit } from "./held_permits.js";
 import {
   gradeLatency,
@@ -18,6 +19,7 @@
 export interface CallObserverOptions {
   readonly context: PoolContext;
   readonly warmth: WarmthLog;
+  readonly coldSigns: ColdSignSender;
   readonly baselines: LatencyBaselines;
 }
 
@@ -38,16 +40,24 @@
       grantedAtMs: held.heldFromMs,
       nowMs,
     });
-    if (sign !== undefined) warmth.note(permit.backendServerId, sign);
+    const isCompleted = release.outcome === "completed";
+    if (sign !== undefined && isCompleted) {
+      warmth.note(permit.backendServerId, sign);
+    } else if (sign !== undefined) this.#noteCold(held, nowMs);
     const entry = context.layout().pools.get(poolKey(permit.pool));
-    if (entry === undefined || release.outcome !== "completed") return;
+    if (entry === undefined || !isCompleted) return;
     const sampleMs = latencySample(entry.service, release);
     if (sampleMs === undefined || permit.warmth === "cold") return;
     const { name } = entry.service;
     if (gradeLatency(sampleMs, baselines.of(name)) === "coldStart") {
-      warmth.note(permit.backendServerId, { warmth: "cold", seenAtMs: nowMs });
+      this.#noteCold(held, nowMs);
       return;
     }
     baselines.note(name, sampleMs);
   }
+
+  #noteCold({ permit }: HeldPermit, nowMs: number): void {
+    const { coldSigns } = this.#options;
+    coldSigns.send(permit.pool, permit.backendServerId, nowMs);
+  }
 }
--- a/packages/daemon/src/pools/fallback_grants.ts
+++ b/packages/daemon/src/pools/fallback_grants.ts
@@ -15,6 +15,7 @@
 import type { BackendServer } from "@sassafrasstage/protocol/register";
 import { warmShareOf } from "./grant_rights.js";
 import type { HeldPermits } from "./held_permits.js";
+import type { PendingAsk } from "./pending_ask.js";
 import type { PoolContext } from "./pool_context.js";
 import { availabilityOf, type PoolEntry } from "./pool_layout.js";
 import type { WarmthLog } from "./warmth_log.js";
@@ -43,18 +44,15 @@
   }
 
   /** Whether neither the owner nor this ask has had a word for too long. */
-  isOwnerSilent(
-    owner: VmId | undefined,
-    waitingSinceMs: number,
-    nowMs: number,
-  ): boolean {
+  isOwnerSilent(pending: PendingAsk, nowMs: number): boolean {
     const { context } = this.#options;
+    const { owner, ownerSinceMs } = pending;
     if (owner === context.self.vmId) return false;
     const intervalMs = context.settings.peers.heartbeat_interval_ms;
     const heardAtMs = owner === undefined
-      ? waitingSinceMs
-      : this.#heardAtMs.get(owner) ?? waitingSinceMs;
-    const sinceMs = Math.max(heardAtMs, waitingSinceMs);
+      ? ownerSinceMs
+      : this.#heardAtMs.get(owner) ?? ownerSinceMs;
+    const sinceMs = Math.max(heardAtMs, ownerSinceMs);
     return nowMs - sinceMs > SILENT_INTERVALS * intervalMs;
   }
 
--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -42,6 +42,8 @@
 /** Asks that no free server suits, set aside in one round at most. */
 const MAX_SET_ASIDE = 16;
 const MIN_RETRY_AFTER_MS = 50;
+/** How long a new owner likely needs to know the permits that are out. */
+const TAKEOVER_MS = 100;
 /** How long a call may run on after its request's deadline. */
 const LATE_CALL_MS = 30_000;
 const LATE_CHECK_MS = 500;
@@ -278,7 +280,7 @@
       );
     }
     const bearableMs = waiting.latestStartAtMs - nowMs;
-    const waitMs = this.#expectedWaitMs(waiting);
+    const waitMs = this.#expectedWaitMs(waiting, nowMs);
     if (waitMs <= bearableMs && bearableMs > 0) return undefined;
     return refusal(
       this.#servers.slots === 0 ? "noCapacity" : "deadlineWouldBeMissed",
@@ -287,9 +289,12 @@
     );
   }
 
-  #expectedWaitMs(waiting: WaitingAsk): number {
+  #expectedWaitMs(waiting: WaitingAsk, nowMs: number): number {
     if (this.#queue.size === 0 && this.#servers.hasRoom) return 0;
-    if (this.#servers.slots === 0) return this.#options.leaseMs;
+    if (this.#servers.slots === 0) {
+      const { warm } = this.#options.rightsAt(nowMs);
+      return warm.kind === "none" ? TAKEOVER_MS : this.#options.leaseMs;
+    }
     const aheadMs = this.#queue.workAheadMs(waiting) + likelyWorkMs(waiting);
     return aheadMs / this.#servers.slots;
   }
--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -7,7 +7,6 @@
 
 import {
   type AttemptId,
-  type BackendServerId,
   type PermitId,
   type PoolId,
   poolKey,
@@ -23,6 +22,7 @@
 import type { PoolStatus } from "@sassafrasstage/protocol/status";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
+import type { ColdSignSender } from "./cold_sign_sender.js";
 import { GoneMembers } from "./gone_members.js";
 import type { LatencyBaselines } from "./latency_baseline.js";
 import { type OwnedPoolEvent, PERMIT_MARGIN_MS } from "./owned_pool.js";
@@ -40,6 +40,7 @@
   readonly context: PoolContext;
   readonly link: PermitLink;
   readonly warmth: WarmthLog;
+  readonly coldSigns: ColdSignSender;
   readonly baselines: LatencyBaselines;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -257,7 +258,8 @@
           this.#decide(to, attemptId, decision);
         },
         onCooled: (server, atMs) => {
-          this.#tellCooled(entry.pool, server, atMs);
+          metrics.countEvent("serverCooled");
+          this.#options.coldSigns.send(entry.pool, server, atMs);
         },
         onEvent: (event) => {
           this.#count(event);
@@ -304,26 +306,6 @@
     });
   }
 
-  /**
-   * Tells the members that may own the pool next, so that none takes an older
-   * sign of warmth for the latest.
-   */
-  #tellCooled(pool: PoolId, server: BackendServerId, nowMs: number): void {
-    const { context, link, metrics, warmth } = this.#options;
-    metrics.countEvent("serverCooled");
-    warmth.note(server, { warmth: "cold", seenAtMs: nowMs });
-    for (const member of context.members) {
-      if (member.isSelf || member.dataCentre !== pool.dataCentre) continue;
-      link.send(member.vmId, {
-        type: "outstandingReply",
-        pool,
-        requestNumber: 0,
-        permits: [],
-        observations: warmth.observations([server], nowMs),
-      });
-    }
-  }
-
   #count(event: OwnedPoolEvent): void {
     const { metrics } = this.#options;
     if (event === "unknownPermitReleased") metrics.countDrop("unknownPermit");
--- a/packages/daemon/src/pools/pending_ask.ts
+++ b/packages/daemon/src/pools/pending_ask.ts
@@ -29,6 +29,9 @@
   readonly deadlineAtMs: number;
   readonly settle: (decision: PermitDecision) => void;
   progress: AskProgress;
+  /** The pool's owner, and since when this ask has been for it. */
+  owner: VmId | undefined;
+  ownerSinceMs: number;
 }
 
 export interface NewAsk {
@@ -51,6 +54,8 @@
     latestStartAtMs: nowMs + newAsk.ask.latestStartInMs,
     deadlineAtMs: nowMs + newAsk.ask.deadlineInMs,
     progress: { kind: "unsent", sendAtMs: nowMs },
+    owner: undefined,
+    ownerSinceMs: nowMs,
   };
 }
 
--- a/packages/daemon/src/pools/shared_permit_source.ts
+++ b/packages/daemon/src/pools/shared_permit_source.ts
@@ -17,6 +17,7 @@
 import type { HeartbeatContent } from "../peers/heartbeat_content.js";
 import { AskerRole } from "./asker_role.js";
 import { CandidatePools } from "./candidate_pools.js";
+import { ColdSignSender } from "./cold_sign_sender.js";
 import { FallbackGrants } from "./fallback_grants.js";
 import { HeldPermits } from "./held_permits.js";
 import { LatencyBaselines } from "./latency_baseline.js";
@@ -46,11 +47,13 @@
     this.#options = options;
     const context = new PoolContext(options);
     const warmth = new WarmthLog();
+    const link = this.#makeLink();
     const common = {
       context,
       warmth,
+      link,
+      coldSigns: new ColdSignSender({ context, link, warmth }),
       held: this.#held,
-      link: this.#makeLink(),
       baselines: new LatencyBaselines(),
       metrics: options.metrics,
     };
--- a/packages/daemon/src/pools/test_support/cluster_load.ts
+++ b/packages/daemon/src/pools/test_support/cluster_load.ts
@@ -10,6 +10,8 @@
 import { makeAsk, type TestAsk } from "./test_configuration.js";
 
 const CALL_MS = 50;
+/** From the grant to the arrival of the call. */
+const SEND_MS = 5;
 
 export interface LoadTally {
   asked: number;
@@ -31,6 +33,8 @@
   };
   readonly #cluster: InMemoryCluster;
   readonly #servers = new Map<string, FakeServer>();
+  /** The asking node of each ask that waits. */
+  readonly #waiting: ClusterNode[] = [];
 
   constructor(cluster: InMemoryCluster) {
     this.#cluster = cluster;
@@ -45,6 +49,11 @@
     }
   }
 
+  /** Asks of running nodes that were neither granted nor refused. */
+  get unanswered(): number {
+    return this.#waiting.filter((node) => node.runs).length;
+  }
+
   get overLimitCalls(): number {
     return [...this.#servers.values()]
       .reduce((sum, server) => sum + server.overLimitCalls, 0);
@@ -60,8 +69,10 @@
   call(node: ClusterNode, ask: TestAsk = {}): void {
     if (!node.runs) return;
     this.tally.asked += 1;
+    this.#waiting.push(node);
     void node.permits.acquire(makeAsk(ask), new AbortController().signal)
       .then((decision) => {
+        this.#waiting.splice(this.#waiting.indexOf(node), 1);
         this.#decided(node, decision);
       });
   }
@@ -83,8 +94,10 @@
       return;
     }
     this.tally.granted += 1;
-    this.#cluster.whenRunning(node, () => {
-      this.#send(node, decision.permit);
+    this.#cluster.after(SEND_MS, () => {
+      this.#cluster.whenRunning(node, () => {
+        this.#send(node, decision.permit);
+      });
     });
   }
 
@@ -95,7 +108,7 @@
       return;
     }
     const server = this.server(permit.backendServerId);
-    const call = server.start();
+    const call = server.start(this.#cluster.nowMs);
     if (call === undefined) {
       this.#release(node, permit, "refusedByServer");
       return;
--- a/packages/daemon/src/pools/test_support/fake_server.ts
+++ b/packages/daemon/src/pools/test_support/fake_server.ts
@@ -11,15 +11,23 @@
   readonly callMs: number;
 }
 
+/** Time to act on the first sign of a sudden cold. */
+const SIGN_GRACE_MS = 100;
+
 /** Cold until it has completed enough calls; turns cold again on demand. */
 export class FakeServer {
   readonly #options: FakeServerOptions;
   #completions = 0;
-  /** Calls that began since it last turned cold. */
-  #inFlight = new Set<symbol>();
+  readonly #inFlight = new Set<symbol>();
+  /** Calls in flight that it took before it last turned cold. */
+  readonly #callsBeforeCold = new Set<symbol>();
   startedCalls = 0;
-  /** Calls that came while it was cold and at its limit. */
+  /** Calls that came while it was known to be cold and at its limit. */
   overLimitCalls = 0;
+  /** The same, before the first sign of a sudden cold could be acted on. */
+  unforeseenCalls = 0;
+  /** When the sudden cold was first shown; undefined before. */
+  #signAtMs: number | undefined = 0;
 
   constructor(options: FakeServerOptions) {
     this.#options = options;
@@ -38,10 +46,12 @@
   }
 
   /** Undefined when the call is refused. */
-  start(): symbol | undefined {
+  start(nowMs: number): symbol | undefined {
     this.startedCalls += 1;
     if (this.isCold && this.#inFlight.size >= this.#options.coldLimit) {
-      this.overLimitCalls += 1;
+      this.#signAtMs ??= nowMs;
+      if (nowMs < this.#signAtMs + SIGN_GRACE_MS) this.unforeseenCalls += 1;
+      else this.overLimitCalls += 1;
       return undefined;
     }
     const call = Symbol("call");
@@ -50,12 +60,15 @@
   }
 
   end(call: symbol): void {
-    if (this.#inFlight.delete(call)) this.#completions += 1;
+    if (!this.#inFlight.delete(call)) return;
+    const isOfThisLife = !this.#callsBeforeCold.delete(call);
+    if (isOfThisLife) this.#completions += 1;
   }
 
-  /** Restarts: calls in flight are lost, and it is cold again. */
-  restart(): void {
+  /** Turns cold without warning; calls in flight go on. */
+  turnCold(): void {
     this.#completions = 0;
-    this.#inFlight = new Set();
+    this.#signAtMs = undefined;
+    for (const call of this.#inFlight) this.#callsBeforeCold.add(call);
   }
 }
--- a/packages/daemon/src/pools/test_support/in_memory_cluster.ts
+++ b/packages/daemon/src/pools/test_support/in_memory_cluster.ts
@@ -117,10 +117,26 @@
     this.#cuts.add(linkKey(first, second));
   }
 
+  /** Cuts the node from all others. */
+  isolate(node: ClusterNode): void {
+    for (const other of this.nodes) this.cut(node, other);
+  }
+
   heal(): void {
     this.#cuts.clear();
   }
 
+  adopt(configuration: Configuration): void {
+    this.configuration = configuration;
+    void this.adopted.emit("adopted", configuration);
+  }
+
+  /** The node is told to stop, and tells the others. */
+  leave(node: ClusterNode): void {
+    node.isLeaving = true;
+    node.permits.startLeaving();
+  }
+
   kill(node: ClusterNode): void {
     node.killedAtMs = this.nowMs;
     for (const other of this.nodes) {
@@ -224,6 +240,16 @@
       if (other === node || other.killedAtMs !== undefined) continue;
       this.#post(node, other, () => {
         other.heardAtMs.set(from, this.nowMs);
+        void other.messages.emit("heartbeat", {
+          from: node.identity,
+          message: {
+            type: "heartbeat",
+            sequence: 1,
+            generation: 1,
+            leaving: node.isLeaving,
+            ownedPools: pools,
+          },
+        });
         const supported = other.permits.heartbeatContent.supportFor(
           from,
           pools,
