Let canceled calls at cold engines run to their end

Cause: after a cancel the permit went back after a fixed 100 ms, but a cut connection can keep an engine from noticing the cancel, and the next grant would then exceed the cold limit. Ruled out: a longer fixed wait, which is either too short for some cut or keeps a cold server idle after each missed deadline. After: at a cold engine the call is not canceled; its permit is held to its real end, and the completion still warms the server. Conclusion: the count of a cold server's calls no longer rests on a timer.

--- a/packages/daemon/src/pipelines/run_call.ts
+++ b/packages/daemon/src/pipelines/run_call.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { setTimeout as sleep } from "node:timers/promises";
 import type { AttemptId } from "@sassafrasstage/protocol/ids";
 import {
   type CallResult,
@@ -19,8 +18,6 @@
 
 /** How long after the deadline a call that can't be canceled may run on. */
 const LATE_CALL_MS = 30_000;
-/** How long an engine may need to notice that a call was canceled. */
-const CANCEL_SETTLE_MS = 100;
 
 export interface CallRequest {
   readonly run: StageRun;
@@ -30,8 +27,9 @@
 
 /**
  * Resolves with the call's end, or at once when the result is no longer
- * wanted. Plain services don't notice that a caller is gone, so their calls
- * run on, and hold their permits, until they end; engines cancel.
+ * wanted. Warm engines cancel the call. Plain services don't notice that a
+ * caller is gone, and at a cold engine nothing shows when the cancel has taken
+ * effect: those calls run on, and hold their permits, until they end.
  *
  * @example
  * ```ts
@@ -52,7 +50,7 @@
     .then((result) => {
       limit.clear();
       const callMs = environment.clock.nowMs() - startedAtMs;
-      void releasePermit(environment, request, { result, callMs });
+      releasePermit(environment, request, { result, callMs });
       return result;
     });
   // The result of a non-idempotent call is recorded however late it comes.
@@ -79,7 +77,7 @@
   }, remainingMs + LATE_CALL_MS);
   timer.unref();
   const isCancelable = run.service.kind === "modelEngine" &&
-    run.stage.idempotent;
+    run.stage.idempotent && request.granted.permit.warmth === "warm";
   const signal = isCancelable
     ? AbortSignal.any([late.signal, run.lifetime.wantedSignal])
     : late.signal;
@@ -112,16 +110,13 @@
   };
 }
 
-async function releasePermit(
+function releasePermit(
   environment: PipelineEnvironment,
   request: CallRequest,
   finished: FinishedCall,
-): Promise<void> {
+): void {
   const { permit } = request.granted;
   const { result, callMs } = finished;
-  const wasCut = result.kind === "failed" &&
-    (result.cause === "canceled" || result.cause === "timedOut");
-  if (wasCut && permit.warmth === "cold") await sleep(CANCEL_SETTLE_MS);
   environment.permits.release(permit, {
     permitId: permit.permitId,
     backendServerId: permit.backendServerId,
