--- /dev/null
+++ b/packages/daemon/src/peers/frame_channel_test.ts
@@ -0,0 +1,40 @@
+import { expect } from "earl";
+import { once } from "node:events";
+import { connect, createServer, type Socket } from "node:net";
+import { describe, it } from "node:test";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { FrameChannel } from "./frame_channel.js";
+import { encodeFrame } from "./frame_codec.js";
+
+const MAX_BUFFERED_BYTES = 100_000;
+const MAX_FRAMES = 100_000;
+
+describe("FrameChannel", () => {
+  it("closes a connection whose other side doesn't read", async () => {
+    const server = createServer({ pauseOnConnect: true });
+    server.listen({ host: "127.0.0.1", port: 0 });
+    await once(server, "listening");
+    const bound = server.address();
+    if (bound === null || typeof bound === "string") throw new TypeError();
+    const accepted = once(server, "connection");
+    const socket = connect({ host: "127.0.0.1", port: bound.port });
+    const [other] = await accepted as [Socket];
+    const channel = new FrameChannel(socket, {
+      maxBufferedBytes: MAX_BUFFERED_BYTES,
+    });
+    const frame = encodeFrame({ type: "filler", text: "x".repeat(10_000) });
+    let frames = 0;
+    let mostBufferedBytes = 0;
+    while (channel.send(frame) && frames < MAX_FRAMES) {
+      frames++;
+      mostBufferedBytes = Math.max(mostBufferedBytes, socket.writableLength);
+      await nextTurn();
+    }
+    expect(channel.closeReason?.kind).toEqual("notReading");
+    expect(mostBufferedBytes).toBeLessThanOrEqual(
+      MAX_BUFFERED_BYTES + frame.length,
+    );
+    other.destroy();
+    server.close();
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/peers/link_choice_test.ts
@@ -0,0 +1,46 @@
+import {
+  type DataCentreName,
+  type Incarnation,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+  chooseLinkNeeds,
+  STANDING_LINKS_PER_DATA_CENTRE,
+} from "./link_choice.js";
+import { PeerRecord } from "./peer_record.js";
+
+function makePeers(count: number): PeerRecord[] {
+  return Array.from({ length: count }, (_, index) =>
+    new PeerRecord({
+      vmId: toId<VmId>(`vm-${index}`),
+      dataCentre: toId<DataCentreName>(`dc-${index % 11}`),
+      address: undefined,
+      isSeed: false,
+    }));
+}
+
+const SELF = {
+  vmId: toId<VmId>("vm-self"),
+  incarnation: toId<Incarnation>("life-1"),
+  dataCentre: toId<DataCentreName>("dc-0"),
+};
+
+describe("chooseLinkNeeds", () => {
+  it("keeps all links of a small fleet", () => {
+    const needs = chooseLinkNeeds(SELF, makePeers(15));
+    expect(new Set(needs.values())).toEqual(new Set(["standing"]));
+  });
+
+  it("keeps the own data centre and a few of each other in a large one", () => {
+    const peers = makePeers(389);
+    const needs = chooseLinkNeeds(SELF, peers);
+    const standing = peers.filter((peer) => needs.get(peer) === "standing");
+    const own = peers.filter((peer) => peer.dataCentre === SELF.dataCentre);
+    expect(standing.length).toEqual(
+      own.length + 10 * STANDING_LINKS_PER_DATA_CENTRE,
+    );
+  });
+});
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -55,8 +55,8 @@
   #lastBeatAtMs: number;
 
   constructor(options: PeerNetworkOptions) {
-    const { settings, incarnation, clock, metrics } = options;
-    const { heartbeat_interval_ms, heartbeat_timeout_ms } = settings.peers;
+    const { settings, incarnation, clock } = options;
+    const { heartbeat_timeout_ms } = settings.peers;
     this.#options = options;
     this.#address = settings.listen.peers;
     this.#heartbeatTimeoutMs = heartbeat_timeout_ms;
@@ -80,21 +80,7 @@
         void this.life.emit("membershipChanged", view);
       },
     });
-    this.#links = new PeerLinks({
-      registry: this.#registry,
-      clock,
-      metrics,
-      quietMs: QUIET_INTERVALS * heartbeat_interval_ms,
-      onConnected: (peer) => {
-        this.#onConnected(peer);
-      },
-      onDisconnected: (peer) => {
-        this.#onDisconnected(peer);
-      },
-      onMessage: (received) => {
-        this.#onMessage(received);
-      },
-    });
+    this.#links = this.#makeLinks();
     this.#heartbeats = new Heartbeats({
       self: this.self,
       registry: this.#registry,
@@ -102,16 +88,7 @@
       membership: this.#membership,
       heartbeatTimeoutMs: heartbeat_timeout_ms,
     });
-    this.#acceptor = new PeerAcceptor({
-      address: settings.listen.peers,
-      links: this.#links,
-      clock,
-      handshakeTimeoutMs: heartbeat_timeout_ms,
-      handshake: () => this.#handshake(),
-      onEnded: (error) => {
-        reportPeerError(error, { metrics, logger: options.logger });
-      },
-    });
+    this.#acceptor = this.#makeAcceptor();
   }
 
   get address(): Address {
@@ -169,6 +146,39 @@
     await this.#acceptor.close();
   }
 
+  #makeLinks(): PeerLinks {
+    const { settings, clock, metrics } = this.#options;
+    return new PeerLinks({
+      registry: this.#registry,
+      clock,
+      metrics,
+      quietMs: QUIET_INTERVALS * settings.peers.heartbeat_interval_ms,
+      onConnected: (peer) => {
+        this.#onConnected(peer);
+      },
+      onDisconnected: (peer) => {
+        this.#onDisconnected(peer);
+      },
+      onMessage: (received) => {
+        this.#onMessage(received);
+      },
+    });
+  }
+
+  #makeAcceptor(): PeerAcceptor {
+    const { settings, clock, metrics, logger } = this.#options;
+    return new PeerAcceptor({
+      address: settings.listen.peers,
+      links: this.#links,
+      clock,
+      handshakeTimeoutMs: this.#heartbeatTimeoutMs,
+      handshake: () => this.#handshake(),
+      onEnded: (error) => {
+        reportPeerError(error, { metrics, logger });
+      },
+    });
+  }
+
   #startTask(peer: PeerRecord): void {
     const { clock, metrics, logger } = this.#options;
     void runPeerTask(peer, {
--- a/packages/daemon/src/peers/peer_registry.ts
+++ b/packages/daemon/src/peers/peer_registry.ts
@@ -17,7 +17,7 @@
 
 export interface PeerRegistryOptions {
   readonly self: PeerIdentity;
-  /** Called once for each peer that becomes known. */
+  /** Called once for each new peer, when its need of a link is known. */
   readonly onAdded: (peer: PeerRecord) => void;
 }
 
@@ -25,6 +25,7 @@
 export class PeerRegistry {
   readonly #options: PeerRegistryOptions;
   readonly #peers = new Map<VmId, PeerRecord>();
+  #added: PeerRecord[] = [];
   /** The platform's list shows this VM itself as leaving. */
   isSelfListedLeaving = false;
 
@@ -85,6 +86,9 @@
       peer.linkNeed = need;
       peer.notifyTask();
     }
+    const added = this.#added;
+    this.#added = [];
+    for (const peer of added) this.#options.onAdded(peer);
   }
 
   #applyListed(vm: ListedVm): void {
@@ -110,7 +114,7 @@
     const peer = new PeerRecord(options);
     if (peer.vmId === this.#options.self.vmId) return peer;
     this.#peers.set(peer.vmId, peer);
-    this.#options.onAdded(peer);
+    this.#added.push(peer);
     return peer;
   }
 }
--- a/packages/daemon/src/peers/test_fleet.ts
+++ b/packages/daemon/src/peers/test_fleet.ts
@@ -48,6 +48,7 @@
   readonly port?: number;
   readonly seeds?: readonly TestSeed[];
   readonly clock?: Clock;
+  readonly heartbeatIntervalMs?: number;
   readonly heartbeatTimeoutMs?: number;
 }
 
@@ -97,7 +98,7 @@
     peers: {
       shared_key: options.sharedKey ?? "a shared key for tests",
       seeds: seeds.join(","),
-      heartbeat_interval_ms: 40,
+      heartbeat_interval_ms: options.heartbeatIntervalMs ?? 40,
       heartbeat_timeout_ms: options.heartbeatTimeoutMs ?? 400,
     },
     platform: { url: "http://127.0.0.1:1" },
