Let a heartbeat ask for a reply

Adds the optional field wantsReply to HeartbeatMessage. Replies matter only for pool support and after a pause of the sender; the others were half of the idle traffic between daemons.

--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -54,9 +54,11 @@
   readonly leaving: boolean;
   /** Pools that the sender owns or wants to own. */
   readonly ownedPools: readonly PoolId[];
+  /** Asks for a reply even if no pools are named. */
+  readonly wantsReply?: boolean;
 }
 
-/** Answers a heartbeat. */
+/** Answers a heartbeat that names pools or wants a reply. */
 export interface HeartbeatReplyMessage {
   readonly type: "heartbeatReply";
   readonly sequence: number;
