--- /dev/null
+++ b/packages/cli/src/fleet_view.ts
@@ -0,0 +1,55 @@
+/**
+ * One view of all daemons, joined from the statuses of those that were asked.
+ *
+ * @module
+ */
+
+import type {
+  DaemonStatus,
+  MemberStatus,
+  PoolStatus,
+} from "@sassafrasstage/protocol/status";
+import { poolKey } from "@sassafrasstage/protocol/ids";
+
+export interface FleetView {
+  readonly daemons: readonly MemberStatus[];
+  readonly pools: readonly PoolStatus[];
+}
+
+/**
+ * A daemon's own word counts most; of the others the one that lists most of a
+ * pool's backend servers, since only its owner lists them.
+ */
+export function joinStatuses(statuses: readonly DaemonStatus[]): FleetView {
+  const daemons = new Map<string, MemberStatus>();
+  const pools = new Map<string, PoolStatus>();
+  for (const status of statuses) {
+    for (const member of status.members) {
+      const known = daemons.get(member.vmId);
+      if (known === undefined || known.generation < member.generation) {
+        daemons.set(member.vmId, member);
+      }
+    }
+    for (const pool of status.pools) {
+      const key = poolKey(pool.pool);
+      const known = pools.get(key);
+      const isBetter = known === undefined || pool.isOwnedHere ||
+        pool.backendServers.length > known.backendServers.length;
+      if (isBetter) pools.set(key, pool);
+    }
+  }
+  for (const status of statuses) {
+    const { vmId, dataCentre, generation } = status;
+    const known = daemons.get(vmId);
+    const state = known?.state === "leaving" ? "leaving" : "live";
+    daemons.set(vmId, { vmId, dataCentre, generation, state });
+  }
+  return {
+    daemons: sortBy([...daemons.values()], (daemon) => daemon.vmId),
+    pools: sortBy([...pools.values()], (pool) => poolKey(pool.pool)),
+  };
+}
+
+function sortBy<Item>(items: Item[], key: (item: Item) => string): Item[] {
+  return items.sort((one, other) => key(one) < key(other) ? -1 : 1);
+}
--- /dev/null
+++ b/packages/cli/src/read_problem.ts
@@ -0,0 +1,55 @@
+/**
+ * Turns a daemon's refusal into an error for people.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { CliError } from "./cli_error.js";
+
+const HTTP_CONFLICT = 409;
+
+const problemSchema = z.object({
+  reason: z.string(),
+  detail: z.string(),
+  notRun: z.boolean(),
+  retryAfterMs: z.number().optional(),
+  faults: z.array(z.object({ path: z.string(), message: z.string() }))
+    .optional(),
+  changeId: z.string().optional(),
+});
+
+type ReadProblem = z.infer<typeof problemSchema>;
+
+/** The error for an answer that is no success. */
+export function toRefusal(status: number, text: string): CliError {
+  const failure = status === HTTP_CONFLICT ? "conflict" : "refused";
+  const problem = parseProblem(text);
+  if (problem !== undefined) {
+    return new CliError(failure, describeProblem(problem));
+  }
+  return new CliError(failure, `The daemon answered with status ${status}`);
+}
+
+function describeProblem(problem: ReadProblem): string {
+  const lines = [`${problem.reason}: ${problem.detail}`];
+  for (const fault of problem.faults ?? []) {
+    lines.push(`  ${fault.path}: ${fault.message}`);
+  }
+  lines.push(problem.notRun ? "  Not run" : "  It may have been run");
+  if (problem.retryAfterMs !== undefined) {
+    lines.push(`  Try again after ${problem.retryAfterMs} ms`);
+  }
+  if (problem.changeId !== undefined) {
+    lines.push(`  Try again with --change-id ${problem.changeId}`);
+  }
+  return lines.join("\n");
+}
+
+function parseProblem(text: string): ReadProblem | undefined {
+  try {
+    return problemSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
