--- a/packages/daemon/src/configuration/choose_watchers.ts
+++ b/packages/daemon/src/configuration/choose_watchers.ts
@@ -5,10 +5,11 @@
  */
 
 import type { VmId } from "@sassafrasstage/protocol/ids";
-import { createHash } from "node:crypto";
 import type { Member, MembershipView } from "../peers/peer_network.js";
+import { rankByRendezvous } from "../peers/rendezvous.js";
 
-export const WATCHERS_PER_DATA_CENTRE = 2;
+const WATCHERS_PER_DATA_CENTRE = 2;
+const RENDEZVOUS_KEY = "configurationWatchers";
 
 /**
  * The live daemons of this one's data centre with the highest weights, by
@@ -20,11 +21,9 @@
  * ```
  */
 export function chooseWatchers(view: MembershipView): VmId[] {
-  return listLiveNeighbours(view)
-    .map((member) => ({ vmId: member.vmId, weight: weigh(member.vmId) }))
-    .sort((one, other) => one.weight < other.weight ? -1 : 1)
-    .slice(0, WATCHERS_PER_DATA_CENTRE)
-    .map((candidate) => candidate.vmId);
+  const vmIds = listLiveNeighbours(view).map((member) => member.vmId);
+  return rankByRendezvous(RENDEZVOUS_KEY, vmIds)
+    .slice(0, WATCHERS_PER_DATA_CENTRE);
 }
 
 /** The live daemons of this one's data centre, itself included. */
@@ -35,8 +34,3 @@
     (member.state === "live" && member.dataCentre === self?.dataCentre)
   );
 }
-
-function weigh(vmId: VmId): string {
-  return createHash("sha256").update(`configurationWatcher/${vmId}`)
-    .digest("hex");
-}
--- a/packages/daemon/src/configuration/share_configuration.ts
+++ b/packages/daemon/src/configuration/share_configuration.ts
@@ -9,7 +9,7 @@
   checkConfiguration,
   type Configuration,
 } from "@sassafrasstage/protocol/configuration";
-import type { VmId } from "@sassafrasstage/protocol/ids";
+import type { DataCentreName, VmId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -18,6 +18,7 @@
   PeerIdentity,
   PeerNetwork,
 } from "../peers/peer_network.js";
+import { rankByRendezvous } from "../peers/rendezvous.js";
 import type {
   AdoptedConfiguration,
   ConfigurationOrigin,
@@ -25,9 +26,9 @@
 
 /** Time that an asked peer has for its answer before another is asked. */
 const ANSWER_TIME_MS = 250;
-/** How often a few daemons of other data centres are told the generation. */
+/** How often daemons of other data centres are told the generation. */
 const TELL_INTERVAL_MS = 1000;
-const TOLD_PER_INTERVAL = 2;
+const TOLD_PER_DATA_CENTRE = 2;
 
 export interface ConfigurationSharingOptions {
   readonly network: PeerNetwork;
@@ -66,7 +67,7 @@
       }),
     ];
     this.#timer = setInterval(() => {
-      this.#tellOtherDataCentres(TOLD_PER_INTERVAL);
+      this.#tellOtherDataCentres();
     }, TELL_INTERVAL_MS);
   }
 
@@ -76,7 +77,7 @@
    */
   announce(origin: ConfigurationOrigin): void {
     if (origin !== "neighbour") this.#tellNeighbours();
-    this.#tellOtherDataCentres(Number.POSITIVE_INFINITY);
+    this.#tellOtherDataCentres();
   }
 
   close(): void {
@@ -141,23 +142,28 @@
   }
 
   #tellNeighbours(): void {
+    const { dataCentre } = this.#options.network.self;
     for (const member of this.#members()) {
-      if (member.dataCentre === this.#options.network.self.dataCentre) {
-        this.#tell(member.vmId);
-      }
+      if (member.dataCentre === dataCentre) this.#tell(member.vmId);
     }
   }
 
-  #tellOtherDataCentres(limit: number): void {
+  /** Tells those first to whom the peer network keeps connections anyway. */
+  #tellOtherDataCentres(): void {
     const { network } = this.#options;
-    const others = this.#members()
-      .filter((member) => member.dataCentre !== network.self.dataCentre)
-      .map((member) => ({ member, order: Math.random() }))
-      .sort((one, other) => one.order - other.order);
-    let told = 0;
-    for (const { member } of others) {
-      if (told >= limit) return;
-      if (this.#tell(member.vmId)) told += 1;
+    const byDataCentre = new Map<DataCentreName, VmId[]>();
+    for (const { vmId, dataCentre } of this.#members()) {
+      if (dataCentre === network.self.dataCentre) continue;
+      byDataCentre.set(dataCentre, [
+        ...byDataCentre.get(dataCentre) ?? [],
+        vmId,
+      ]);
+    }
+    for (const vmIds of byDataCentre.values()) {
+      const ranked = rankByRendezvous(network.self.vmId, vmIds);
+      for (const vmId of ranked.slice(0, TOLD_PER_DATA_CENTRE)) {
+        this.#tell(vmId);
+      }
     }
   }
 
