--- a/bench/src/load/load_record.ts
+++ b/bench/src/load/load_record.ts
@@ -42,6 +42,9 @@
 }
 
 export interface LoadRecord {
+  readonly serial: number;
+  /** How late the load generator itself was. */
+  readonly sendDelayMs: number;
   readonly atMs: number;
   readonly pipeline: string;
   readonly urgency: Urgency;
--- a/bench/src/load/load_run.ts
+++ b/bench/src/load/load_run.ts
@@ -113,11 +113,15 @@
     if (pipeline === undefined) {
       throw new RangeError(`No pipeline is named "${arrival.pipeline}"`);
     }
-    const tokens = new TokenClock(this.#startedAtMs + arrival.atMs);
+    const intendedAtMs = this.#startedAtMs + arrival.atMs;
+    const sendDelayMs = performance.now() - intendedAtMs;
+    const tokens = new TokenClock(intendedAtMs);
     const sent = await this.#exchange({ arrival, pipeline, tokens });
-    const latencyMs = performance.now() - this.#startedAtMs - arrival.atMs;
+    const latencyMs = performance.now() - intendedAtMs;
     const tokenTimes = tokens.times();
     return {
+      serial: arrival.serial,
+      sendDelayMs,
       atMs: arrival.atMs,
       pipeline: pipeline.name,
       urgency: pipeline.urgency,
--- a/bench/src/load/summary_test.ts
+++ b/bench/src/load/summary_test.ts
@@ -4,6 +4,8 @@
 import { summarize } from "./summary.js";
 
 const ANSWERED: LoadRecord = {
+  serial: 0,
+  sendDelayMs: 0,
   atMs: 0,
   pipeline: "lookup",
   urgency: "counter",
