Measure what messages between daemons cost

Cause: the budget of a node is 2 KB a second and 2% of a core, so bytes and processor time of each message decide the form of the control work. Measured over real connections, both ends in one process.

--- a/bench/src/bench_slopes.ts
+++ b/bench/src/bench_slopes.ts
@@ -6,6 +6,10 @@
  */
 
 import { measureConfigurationSlopes } from "./slopes/configuration_slopes.js";
+import { measureMessageSlopes } from "./slopes/message_slopes.js";
 import { formatSlopes } from "./slopes/slope_series.js";
 
-console.log(formatSlopes(measureConfigurationSlopes()));
+console.log(formatSlopes([
+  ...measureConfigurationSlopes(),
+  ...await measureMessageSlopes(),
+]));
--- /dev/null
+++ b/bench/src/slopes/message_slopes.ts
@@ -0,0 +1,182 @@
+/**
+ * What messages between daemons cost: bytes, and processor time over real
+ * connections.
+ *
+ * @module
+ */
+
+import { encodeFrame } from "@sassafrasstage/daemon/peers/frame_codec";
+import type { RunningPeerNetwork } from "@sassafrasstage/daemon/peers/start_peer_network";
+import type {
+  PeerMessage,
+  PeerMessageType,
+} from "@sassafrasstage/protocol/peer_messages";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Point } from "./linear_fit.js";
+import { startPeerFleet, stopPeerFleet } from "./peer_fleet.js";
+import {
+  makeHeartbeat,
+  makePermitAsk,
+  makePermitDecision,
+  makePermitRelease,
+} from "./sample_messages.js";
+import type { SlopeSeries } from "./slope_series.js";
+
+const MESSAGE_COUNTS: readonly number[] = [10_000, 20_000, 40_000];
+const POOL_COUNTS: readonly number[] = [0, 1, 4, 16];
+const FLEET_SIZES: readonly number[] = [2, 4, 8, 12];
+const HEARTBEAT_SECONDS = 4;
+const MESSAGES_PER_TURN = 50;
+const US_PER_MS = 1000;
+
+/**
+ * Measures the messages of permits and heartbeats.
+ *
+ * @example
+ * ```ts
+ * console.log(formatSlopes(await measureMessageSlopes()));
+ * ```
+ */
+export async function measureMessageSlopes(): Promise<SlopeSeries[]> {
+  return [
+    measureBytes("permit ask", makePermitAsk),
+    measureBytes("permit decision", makePermitDecision),
+    measureBytes("permit release", makePermitRelease),
+    {
+      name: "bytes of a heartbeat",
+      unit: "bytes",
+      sizeName: "owned pools",
+      points: POOL_COUNTS.map((size) => ({
+        size,
+        value: encodeFrame(makeHeartbeat(size)).length,
+      })),
+    },
+    await measureMessageTime(
+      "ask and decision of a permit",
+      (pair) => exchangePermits(pair),
+    ),
+    await measureMessageTime(
+      "release of a permit",
+      (pair) => sendReleases(pair),
+    ),
+    ...await measureHeartbeats(),
+  ];
+}
+
+function measureBytes(
+  name: string,
+  make: (serial: number) => PeerMessage,
+): SlopeSeries {
+  return {
+    name: `bytes of ${name}`,
+    unit: "bytes",
+    sizeName: "messages",
+    points: MESSAGE_COUNTS.map((size) => {
+      let value = 0;
+      for (let serial = 0; serial < size; serial += 1) {
+        value += encodeFrame(make(serial)).length;
+      }
+      return { size, value };
+    }),
+  };
+}
+
+interface Pair {
+  readonly asker: RunningPeerNetwork;
+  readonly owner: RunningPeerNetwork;
+  readonly count: number;
+}
+
+/** Both ends run in this process, so the time is that of both together. */
+async function measureMessageTime(
+  name: string,
+  run: (pair: Pair) => Promise<void>,
+): Promise<SlopeSeries> {
+  const fleet = await startPeerFleet(2);
+  const [asker, owner] = fleet;
+  if (asker === undefined || owner === undefined) throw new Error("No fleet");
+  try {
+    await run({ asker, owner, count: MESSAGE_COUNTS[0] ?? 0 });
+    const points: Point[] = [];
+    for (const count of MESSAGE_COUNTS) {
+      const before = process.cpuUsage();
+      await run({ asker, owner, count });
+      const used = process.cpuUsage(before);
+      points.push({ size: count, value: used.user + used.system });
+    }
+    return {
+      name: `processor time of ${name}, both ends`,
+      unit: "µs",
+      sizeName: "messages",
+      points,
+    };
+  } finally {
+    await stopPeerFleet(fleet);
+  }
+}
+
+async function exchangePermits(pair: Pair): Promise<void> {
+  let serial = 0;
+  const stop = pair.owner.messages.on("permitAsk", () => {
+    serial += 1;
+    pair.owner.send(pair.asker.self.vmId, makePermitDecision(serial));
+  });
+  const all = countMessages(pair.asker, "permitDecision", pair.count);
+  await sendInTurns(pair, makePermitAsk);
+  await all;
+  stop();
+}
+
+async function sendReleases(pair: Pair): Promise<void> {
+  const all = countMessages(pair.owner, "permitRelease", pair.count);
+  await sendInTurns(pair, makePermitRelease);
+  await all;
+}
+
+async function sendInTurns(
+  { asker, owner, count }: Pair,
+  make: (serial: number) => PeerMessage,
+): Promise<void> {
+  for (let serial = 0; serial < count; serial += 1) {
+    asker.send(owner.self.vmId, make(serial));
+    if (serial % MESSAGES_PER_TURN === 0) await sleep(0);
+  }
+}
+
+function countMessages(
+  network: RunningPeerNetwork,
+  type: PeerMessageType,
+  count: number,
+): Promise<void> {
+  let seen = 0;
+  return new Promise((resolve) => {
+    const stop = network.messages.on(type, () => {
+      seen += 1;
+      if (seen < count) return;
+      stop();
+      resolve();
+    });
+  });
+}
+
+async function measureHeartbeats(): Promise<SlopeSeries[]> {
+  const time: Point[] = [];
+  for (const size of FLEET_SIZES) {
+    const fleet = await startPeerFleet(size);
+    const before = process.cpuUsage();
+    await sleep(HEARTBEAT_SECONDS * 1000);
+    const used = process.cpuUsage(before);
+    const totalMs = (used.user + used.system) / US_PER_MS;
+    time.push({
+      size: size - 1,
+      value: totalMs / HEARTBEAT_SECONDS / size,
+    });
+    await stopPeerFleet(fleet);
+  }
+  return [{
+    name: "processor time of heartbeats at 5 a second",
+    unit: "ms a second and daemon",
+    sizeName: "peers of the data centre",
+    points: time,
+  }];
+}
