Answer heartbeats only where a reply is of use

Half of the idle bytes between daemons were replies nobody used. Replies now go to heartbeats that name pools, and to those of a process that was paused.

--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -50,6 +50,7 @@
   readonly #sentAtMs = new Map<number, number>();
   content: HeartbeatContent = NO_CONTENT;
   sequence = 0;
+  #wantsReply = false;
 
   constructor(options: HeartbeatsOptions) {
     this.#options = options;
@@ -61,6 +62,10 @@
     this.#sentAtMs.set(this.sequence, nowMs);
     this.#dropOldTimes(nowMs);
     const { registry, self } = this.#options;
+    // After a pause only a reply shows that a peer lives now.
+    this.#wantsReply = registry.all().some((peer) =>
+      peer.link !== undefined && peer.heardAfterSequence !== undefined
+    );
     const near = encodeFrame(this.#message(this.content.ownedPools(nowMs)));
     const far = encodeFrame(this.#message([]));
     for (const peer of registry.all()) {
@@ -85,15 +90,18 @@
     }
   }
 
+  /** Replies if the sender has a use for it. */
   answer(received: ReceivedHeartbeat, nowMs: number): void {
     const { peer, link, message } = received;
+    const { ownedPools } = message;
+    if (ownedPools.length === 0 && message.wantsReply !== true) return;
     const reply: HeartbeatReplyMessage = {
       type: "heartbeatReply",
       sequence: message.sequence,
       generation: this.#options.membership.ownGeneration,
-      supportedPools: message.ownedPools.length === 0
+      supportedPools: ownedPools.length === 0
         ? []
-        : this.content.supportFor(peer.vmId, message.ownedPools, nowMs),
+        : this.content.supportFor(peer.vmId, ownedPools, nowMs),
     };
     this.#options.links.sendFrame(link, encodeFrame(reply));
   }
@@ -112,6 +120,7 @@
       generation: membership.ownGeneration,
       leaving: membership.isLeaving,
       ownedPools,
+      ...(this.#wantsReply && { wantsReply: true }),
     };
   }
 
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -105,6 +105,7 @@
     generation: isWholeNumber,
     leaving: isFlag,
     ownedPools: listOf(isPool),
+    wantsReply: optional(isFlag),
   }),
   heartbeatReply: shape({
     sequence: isWholeNumber,
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -11,6 +11,7 @@
 } from "@sassafrasstage/protocol/peer_messages";
 import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
 import Emittery from "emittery";
+import { setMaxListeners } from "node:events";
 import type { Address } from "../settings/settings.js";
 import { PeerAcceptor } from "./accept_peers.js";
 import type { HandshakeOptions } from "./handshake.js";
@@ -57,6 +58,8 @@
   constructor(options: PeerNetworkOptions) {
     const { settings, incarnation, clock } = options;
     const { heartbeat_timeout_ms } = settings.peers;
+    // One listener for each connection is no leak.
+    setMaxListeners(0, this.#abort.signal);
     this.#options = options;
     this.#address = settings.listen.peers;
     this.#heartbeatTimeoutMs = heartbeat_timeout_ms;
