Keep claims in the platform's object API (untested)

Claims of a partition stand in one head object, older ones in segments that the head lists; every change is one conditional update of the head, and operations are gathered.

--- /dev/null
+++ b/packages/daemon/src/claims/claim_committers.ts
@@ -0,0 +1,76 @@
+/**
+ * The committers of all partitions, made when they are first needed.
+ *
+ * @module
+ */
+
+import type { Clock } from "../clock.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { ObjectStore } from "../platform/object_store.js";
+import { PlatformError } from "../platform/platform_error.js";
+import type { Settings } from "../settings/settings.js";
+import type { IsAbandoned } from "./apply_operations.js";
+import { partitionOf } from "./claim_hash.js";
+import type { LayoutKeeper } from "./claim_layout.js";
+import { ClaimStoreError } from "./claim_objects.js";
+import {
+  type Operation,
+  type OperationResult,
+  UNAVAILABLE,
+} from "./claim_operation.js";
+import { GatherPacer } from "./gather_pacer.js";
+import { PartitionCommitter } from "./partition_committer.js";
+import { PartitionStore } from "./partition_store.js";
+
+export interface ClaimCommittersOptions {
+  readonly settings: Settings["claims"];
+  readonly store: ObjectStore;
+  readonly layout: LayoutKeeper;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly isAbandoned: IsAbandoned;
+}
+
+/** Commits operations from this process, whatever their partition. */
+export class ClaimCommitters {
+  readonly #options: ClaimCommittersOptions;
+  readonly #committers = new Map<number, PartitionCommitter>();
+
+  constructor(options: ClaimCommittersOptions) {
+    this.#options = options;
+  }
+
+  /** Never rejects; "unavailable" is the answer to every failure. */
+  async submit(operation: Operation): Promise<OperationResult> {
+    try {
+      const partitions = await this.#options.layout.partitions();
+      const partition = partitionOf(operation.hash, partitions);
+      return await this.#committerOf(partition, partitions).submit(operation);
+    } catch (error) {
+      if (
+        !(error instanceof PlatformError || error instanceof ClaimStoreError)
+      ) {
+        throw error;
+      }
+      this.#options.logger.warn("claimLayoutUnavailable", {
+        detail: error.message,
+      });
+      return UNAVAILABLE;
+    }
+  }
+
+  #committerOf(partition: number, partitions: number): PartitionCommitter {
+    const existing = this.#committers.get(partition);
+    if (existing !== undefined) return existing;
+    const { settings, store, layout } = this.#options;
+    const committer = new PartitionCommitter({
+      ...this.#options,
+      store: new PartitionStore({ partition, store, layout }),
+      pacer: new GatherPacer({ settings, partitions }),
+    });
+    this.#committers.set(partition, committer);
+    return committer;
+  }
+}
--- a/packages/daemon/src/peers/measure_peers.ts
+++ b/packages/daemon/src/peers/measure_peers.ts
@@ -23,7 +23,7 @@
   stateOf,
   type TestVm,
   until,
-} from "./test_fleet.js";
+} from "./testing/peer_fleet.js";
 
 const MESSAGES = 100_000;
 /** Sent in one turn of the event loop. */
--- a/packages/daemon/src/peers/on_demand_links_test.ts
+++ b/packages/daemon/src/peers/on_demand_links_test.ts
@@ -9,7 +9,7 @@
   stateOf,
   type TestVm,
   until,
-} from "./test_fleet.js";
+} from "./testing/peer_fleet.js";
 
 /** Long enough for a connection that should not be made. */
 const QUIET_MS = 300;
--- a/packages/daemon/src/peers/start_peer_network_test.ts
+++ b/packages/daemon/src/peers/start_peer_network_test.ts
@@ -10,8 +10,8 @@
   type TestVm,
   type TestVmOptions,
   until,
-} from "./test_fleet.js";
-import { TestRelay } from "./test_relay.js";
+} from "./testing/peer_fleet.js";
+import { TestRelay } from "./testing/tcp_relay.js";
 
 const open: { close(): Promise<void> }[] = [];
 
--- a/packages/daemon/src/peers/test_fleet.ts
+++ b/packages/daemon/src/peers/testing/peer_fleet.ts
@@ -15,19 +15,19 @@
   PermitAskMessage,
 } from "@sassafrasstage/protocol/peer_messages";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type Clock, MONOTONIC_CLOCK } from "../clock.js";
-import type { Logger } from "../observability/logger.js";
-import { Metrics } from "../observability/metrics.js";
+import { type Clock, MONOTONIC_CLOCK } from "../../clock.js";
+import type { Logger } from "../../observability/logger.js";
+import { Metrics } from "../../observability/metrics.js";
 import {
   type Address,
   type Settings,
   settingsSchema,
-} from "../settings/settings.js";
-import type { MemberState } from "./peer_network.js";
+} from "../../settings/settings.js";
+import type { MemberState } from "../peer_network.js";
 import {
   type RunningPeerNetwork,
   startPeerNetwork,
-} from "./start_peer_network.js";
+} from "../start_peer_network.js";
 
 const POLL_MS = 10;
 /** Generous: a busy machine may be slow; the verdict is never the time. */
--- a/packages/daemon/src/peers/test_relay.ts
+++ b/packages/daemon/src/peers/testing/tcp_relay.ts
@@ -6,7 +6,7 @@
 
 import { once } from "node:events";
 import { connect, createServer, type Server, type Socket } from "node:net";
-import type { Address } from "../settings/settings.js";
+import type { Address } from "../../settings/settings.js";
 
 /** What the relay does with bytes. */
 export type RelayMode =
