--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -92,7 +92,7 @@
   answer: optional(isAnswer),
 });
 
-/** Register and rules are checked whole by whoever adopts them. */
+/** Register, rules and deltas are checked whole by whoever adopts them. */
 const isConfiguration = shape({
   generation: isWholeNumber,
   register: shape({}),
@@ -128,6 +128,7 @@
   }),
   configurationRequest: shape({ knownGeneration: isWholeNumber }),
   configuration: shape({ configuration: isConfiguration }),
+  configurationDelta: shape({ deltas: listOf(shape({})) }),
   claimRequest: shape({ requestNumber: isWholeNumber, record: isClaimRecord }),
   claimReply: shape({
     requestNumber: isWholeNumber,
--- a/packages/protocol/src/configuration.ts
+++ b/packages/protocol/src/configuration.ts
@@ -54,14 +54,26 @@
     }));
     return { kind: "invalid", faults };
   }
-  const faults = [
-    ...findRepeatedNames(parsed.data),
-    ...findUnknownReferences(parsed.data),
-  ];
+  const faults = findContentFaults(parsed.data);
   if (faults.length > 0) return { kind: "invalid", faults };
   return { kind: "valid", content: parsed.data };
 }
 
+/**
+ * The faults of a content whose form has been checked: repeated names and
+ * references to what isn't there.
+ *
+ * @example
+ * ```ts
+ * const faults = findContentFaults({ register, rules });
+ * ```
+ */
+export function findContentFaults(
+  content: ConfigurationContent,
+): ConfigurationFault[] {
+  return [...findRepeatedNames(content), ...findUnknownReferences(content)];
+}
+
 interface NamedList {
   readonly path: string;
   readonly names: readonly string[];
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -6,6 +6,7 @@
 
 import type { ClaimKey, ClaimOutcome, ClaimRecord } from "./claims.js";
 import type { Configuration } from "./configuration.js";
+import type { ConfigurationDelta } from "./configuration_delta.js";
 import type {
   AttemptId,
   BackendServerId,
@@ -129,6 +130,13 @@
   readonly configuration: Configuration;
 }
 
+/** Answers a request in place of the whole, where the changes are known. */
+export interface ConfigurationDeltaMessage {
+  readonly type: "configurationDelta";
+  /** One for each generation from the asker's to the newest, in order. */
+  readonly deltas: readonly ConfigurationDelta[];
+}
+
 /** Asks the VM that gathers a partition's claims to commit one. */
 export interface ClaimRequestMessage {
   readonly type: "claimRequest";
@@ -179,6 +187,7 @@
   | OutstandingReplyMessage
   | ConfigurationRequestMessage
   | ConfigurationMessage
+  | ConfigurationDeltaMessage
   | ClaimRequestMessage
   | ClaimReplyMessage
   | ClaimOutcomeMessage
