Hand over what changed in place of the whole configuration

Ruled out: compressing the whole (the hashes of keys don't compress) and naming changed parts alone (a part is up to 800 KB). Parts that a watcher has read before are neither read nor checked again.

--- a/packages/daemon/src/configuration/accept_configuration.ts
+++ b/packages/daemon/src/configuration/accept_configuration.ts
@@ -30,7 +30,12 @@
   type ConfigurationPart,
   splitConfiguration,
 } from "./configuration_parts.js";
-import { readHead, readParts, toConfiguration } from "./read_configuration.js";
+import {
+  PartReader,
+  readHead,
+  type StoredPart,
+  toConfiguration,
+} from "./read_configuration.js";
 import { updateHead } from "./update_head.js";
 import { removeParts, writeParts, type WrittenParts } from "./write_parts.js";
 
@@ -62,7 +67,7 @@
 
 interface Base {
   readonly head: StoredHead | undefined;
-  readonly parts: readonly unknown[];
+  readonly parts: readonly StoredPart[];
 }
 
 /**
@@ -116,10 +121,10 @@
 async function readBaseParts(
   store: ObjectStore,
   query: BaseQuery,
-): Promise<unknown[]> {
+): Promise<StoredPart[]> {
   if (query.head === undefined) return [];
   try {
-    return await readParts(store, query.head.accepted);
+    return await new PartReader(store).read(query.head.accepted);
   } catch (error) {
     const isUnreadable = error instanceof ConfigurationError &&
       error.kind === "unreadable";
@@ -200,13 +205,9 @@
 }
 
 function reusableParts(base: Base): Map<string, PartReference> {
-  const references = base.head?.accepted.parts ?? [];
-  const reusable = new Map<string, PartReference>();
-  for (const [index, reference] of references.entries()) {
-    const value = base.parts[index];
-    if (value !== undefined) reusable.set(JSON.stringify(value), reference);
-  }
-  return reusable;
+  return new Map(
+    base.parts.map(({ part, reference }) => [JSON.stringify(part), reference]),
+  );
 }
 
 function findOversizedParts(
--- a/packages/daemon/src/configuration/accept_configuration_test.ts
+++ b/packages/daemon/src/configuration/accept_configuration_test.ts
@@ -10,7 +10,7 @@
   type Submission,
 } from "./accept_configuration.js";
 import { PARTS_PREFIX } from "./configuration_head.js";
-import { readConfiguration, readHead } from "./read_configuration.js";
+import { PartReader, readHead, toConfiguration } from "./read_configuration.js";
 import { makeSampleContent, readMark } from "./testing/sample_content.js";
 
 function submission(
@@ -45,7 +45,8 @@
   const connection = store.connect();
   const head = await readHead(connection);
   if (head === undefined) return 0;
-  return readMark(await readConfiguration(connection, head.accepted));
+  const parts = await new PartReader(connection).read(head.accepted);
+  return readMark(toConfiguration(parts, head.accepted.generation));
 }
 
 describe("acceptConfiguration", () => {
--- a/packages/daemon/src/configuration/adopted_configuration.ts
+++ b/packages/daemon/src/configuration/adopted_configuration.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Configuration } from "@sassafrasstage/protocol/configuration";
+import type { ConfigurationDelta } from "@sassafrasstage/protocol/configuration_delta";
 import Emittery from "emittery";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -12,6 +13,7 @@
   ConfigurationEvents,
   ConfigurationSource,
 } from "./configuration_source.js";
+import { DeltaHistory } from "./delta_history.js";
 
 export interface AdoptedConfigurationOptions {
   readonly metrics: Metrics;
@@ -31,6 +33,7 @@
 export class AdoptedConfiguration implements ConfigurationSource {
   readonly events = new Emittery<ConfigurationEvents>();
   readonly #options: AdoptedConfigurationOptions;
+  readonly #history = new DeltaHistory();
   #current: Configuration | undefined;
 
   constructor(options: AdoptedConfigurationOptions) {
@@ -46,6 +49,11 @@
     return this.#current?.generation ?? 0;
   }
 
+  /** What changed since a generation, where that is remembered. */
+  deltasSince(generation: number): readonly ConfigurationDelta[] | undefined {
+    return this.#history.since(generation);
+  }
+
   /** False, with nothing changed, unless the generation is a higher one. */
   adopt(configuration: Configuration, origin: ConfigurationOrigin): boolean {
     const { metrics, logger, onAdopted } = this.#options;
@@ -54,6 +62,7 @@
       metrics.countDrop("staleGeneration");
       return false;
     }
+    this.#history.note(this.#current, configuration);
     this.#current = configuration;
     metrics.countEvent(`configurationAdopted.${origin}`);
     metrics.setValue("configurationGeneration", generation);
--- a/packages/daemon/src/configuration/configuration_parts.ts
+++ b/packages/daemon/src/configuration/configuration_parts.ts
@@ -6,11 +6,12 @@
  */
 
 import type { ConfigurationContent } from "@sassafrasstage/protocol/configuration";
-import type {
-  BackendServer,
-  Register,
+import {
+  type BackendServer,
+  type Register,
+  registerSchema,
 } from "@sassafrasstage/protocol/register";
-import type { Rules } from "@sassafrasstage/protocol/rules";
+import { type Rules, rulesSchema } from "@sassafrasstage/protocol/rules";
 import { MAX_OBJECT_BYTES } from "@sassafrasstage/protocol/platform_objects";
 import { z } from "zod";
 
@@ -33,26 +34,30 @@
     readonly clientAccounts: Rules["clientAccounts"];
   };
 
-/** Only the outline: the joined whole is checked field by field. */
-const partOutlineSchema = z.discriminatedUnion("kind", [
-  z.object({
+const partSchema = z.discriminatedUnion("kind", [
+  z.strictObject({
     kind: z.literal("register"),
-    register: z.record(z.string(), z.unknown()),
+    register: registerSchema.omit({ backendServers: true }),
   }),
-  z.object({
+  z.strictObject({
     kind: z.literal("backendServers"),
-    backendServers: z.array(z.unknown()),
+    backendServers: registerSchema.shape.backendServers,
   }),
-  z.object({
+  z.strictObject({
     kind: z.literal("rules"),
-    rules: z.record(z.string(), z.unknown()),
+    rules: rulesSchema.omit({ clientAccounts: true }),
   }),
-  z.object({
+  z.strictObject({
     kind: z.literal("clientAccounts"),
-    clientAccounts: z.array(z.unknown()),
+    clientAccounts: rulesSchema.shape.clientAccounts,
   }),
 ]);
 
+/** Checks a stored part's form; undefined when it is none. */
+export function parsePart(value: unknown): ConfigurationPart | undefined {
+  return partSchema.safeParse(value).data;
+}
+
 /**
  * Cuts the backend servers by data centre and everything long by size.
  *
@@ -84,38 +89,27 @@
 }
 
 /**
- * Joins the values of all parts of one generation. What comes back is not
- * checked yet; undefined when a value is no part at all.
+ * Joins all parts of one generation; undefined when they are no whole. The
+ * references between them are not checked.
  */
 export function joinConfiguration(
-  values: readonly unknown[],
-): unknown {
-  let register: Record<string, unknown> = {};
-  let rules: Record<string, unknown> = {};
-  const backendServers: unknown[] = [];
-  const clientAccounts: unknown[] = [];
-  for (const value of values) {
-    const part = partOutlineSchema.safeParse(value).data;
-    switch (part?.kind) {
-      case undefined:
-        return undefined;
-      case "register":
-        register = part.register;
-        break;
-      case "rules":
-        rules = part.rules;
-        break;
-      case "backendServers":
-        backendServers.push(...part.backendServers);
-        break;
-      case "clientAccounts":
-        clientAccounts.push(...part.clientAccounts);
-        break;
-    }
-  }
+  parts: readonly ConfigurationPart[],
+): ConfigurationContent | undefined {
+  const registers = parts.filter((part) => part.kind === "register");
+  const rules = parts.filter((part) => part.kind === "rules");
+  const [registerPart, secondRegister] = registers;
+  const [rulesPart, secondRules] = rules;
+  if (registerPart === undefined || secondRegister !== undefined) return;
+  if (rulesPart === undefined || secondRules !== undefined) return;
+  const backendServers = parts.flatMap((part) =>
+    part.kind === "backendServers" ? part.backendServers : []
+  );
+  const clientAccounts = parts.flatMap((part) =>
+    part.kind === "clientAccounts" ? part.clientAccounts : []
+  );
   return {
-    register: { ...register, backendServers },
-    rules: { ...rules, clientAccounts },
+    register: { ...registerPart.register, backendServers },
+    rules: { ...rulesPart.rules, clientAccounts },
   };
 }
 
--- a/packages/daemon/src/configuration/read_configuration.ts
+++ b/packages/daemon/src/configuration/read_configuration.ts
@@ -5,8 +5,8 @@
  */
 
 import {
-  checkConfiguration,
   type Configuration,
+  findContentFaults,
 } from "@sassafrasstage/protocol/configuration";
 import type { StoredObject } from "@sassafrasstage/protocol/platform_objects";
 import type { ObjectStore } from "../platform/object_store.js";
@@ -19,7 +19,11 @@
   type PartReference,
   type StoredHead,
 } from "./configuration_head.js";
-import { joinConfiguration } from "./configuration_parts.js";
+import {
+  type ConfigurationPart,
+  joinConfiguration,
+  parsePart,
+} from "./configuration_parts.js";
 
 /** Undefined before the first configuration is accepted. */
 export async function readHead(
@@ -42,49 +46,63 @@
   return { version: stored.version, accepted, head };
 }
 
-/** The values of all parts of one generation, in their order. */
-export async function readParts(
-  store: ObjectStore,
-  change: AcceptedChange,
-): Promise<unknown[]> {
-  return Promise.all(change.parts.map((part) => readPart(store, part)));
+/** A checked part and where it was read. */
+export interface StoredPart {
+  readonly reference: PartReference;
+  readonly part: ConfigurationPart;
 }
 
-/** Reads all parts, joins them and checks the whole. */
-export async function readConfiguration(
-  store: ObjectStore,
-  change: AcceptedChange,
-): Promise<Configuration> {
-  const values = await readParts(store, change);
-  return toConfiguration(values, change.generation);
+/** Reads parts; those of the generation read last are not read again. */
+export class PartReader {
+  readonly #store: ObjectStore;
+  #known = new Map<string, StoredPart>();
+
+  constructor(store: ObjectStore) {
+    this.#store = store;
+  }
+
+  /** All parts of one generation, in their order. */
+  async read(change: AcceptedChange): Promise<StoredPart[]> {
+    const parts = await Promise.all(
+      change.parts.map((reference) => this.#readPart(reference)),
+    );
+    this.#known = new Map(parts.map((part) => [part.reference.key, part]));
+    return parts;
+  }
+
+  async #readPart(reference: PartReference): Promise<StoredPart> {
+    const known = this.#known.get(reference.key);
+    if (known?.reference.version === reference.version) return known;
+    const stored = await orUnreachable(this.#store.read(reference.key));
+    const part = stored?.version === reference.version
+      ? parsePart(stored.value)
+      : undefined;
+    if (part !== undefined) return { reference, part };
+    throw new ConfigurationError(
+      "unreadable",
+      `The part ${reference.key} is missing, replaced or malformed`,
+    );
+  }
 }
 
 /** Joins parts and checks the whole. */
 export function toConfiguration(
-  values: readonly unknown[],
+  parts: readonly StoredPart[],
   generation: number,
 ): Configuration {
-  const check = checkConfiguration(joinConfiguration(values));
-  if (check.kind === "valid") return { ...check.content, generation };
-  const fault = check.faults[0];
+  const content = joinConfiguration(parts.map((stored) => stored.part));
+  const [fault] = content === undefined
+    ? [{ path: "", message: "It is no whole" }]
+    : findContentFaults(content);
+  if (content !== undefined && fault === undefined) {
+    return { ...content, generation };
+  }
   throw new ConfigurationError(
     "unreadable",
     `Generation ${generation} is invalid at "${fault?.path ?? ""}"`,
   );
 }
 
-async function readPart(
-  store: ObjectStore,
-  part: PartReference,
-): Promise<unknown> {
-  const stored = await orUnreachable(store.read(part.key));
-  if (stored?.version === part.version) return stored.value;
-  throw new ConfigurationError(
-    "unreadable",
-    `The part ${part.key} is missing or not of version ${part.version}`,
-  );
-}
-
 async function orUnreachable<Answer>(call: Promise<Answer>): Promise<Answer> {
   try {
     return await call;
--- a/packages/daemon/src/configuration/share_configuration.ts
+++ b/packages/daemon/src/configuration/share_configuration.ts
@@ -1,6 +1,7 @@
 /**
  * Spreads the configuration in force between daemons. A daemon tells others
- * its generation; whoever has a lower one asks for the whole configuration.
+ * its generation; whoever has a lower one asks, and gets what changed since its
+ * own, or the whole where that isn't known.
  *
  * @module
  */
@@ -9,6 +10,7 @@
   checkConfiguration,
   type Configuration,
 } from "@sassafrasstage/protocol/configuration";
+import type { ConfigurationDelta } from "@sassafrasstage/protocol/configuration_delta";
 import type { DataCentreName, VmId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
@@ -23,6 +25,7 @@
   AdoptedConfiguration,
   ConfigurationOrigin,
 } from "./adopted_configuration.js";
+import { applyDeltas } from "./configuration_deltas.js";
 
 /** Time that an asked peer has for its answer before another is asked. */
 const ANSWER_TIME_MS = 250;
@@ -63,7 +66,10 @@
         this.#answer(received.from, received.message.knownGeneration);
       }),
       messages.on("configuration", (received) => {
-        this.#receive(received.from, received.message.configuration);
+        this.#receiveWhole(received.from, received.message.configuration);
+      }),
+      messages.on("configurationDelta", (received) => {
+        this.#receiveDeltas(received.from, received.message.deltas);
       }),
     ];
     this.#timer = setInterval(() => {
@@ -113,32 +119,73 @@
     if (knownGeneration > adopted.generation) this.#ask(from.vmId);
     if (configuration === undefined) return;
     if (knownGeneration >= configuration.generation) return;
-    metrics.countEvent("configurationHandedOver");
-    network.send(from.vmId, { type: "configuration", configuration });
+    const deltas = adopted.deltasSince(knownGeneration);
+    if (deltas === undefined) {
+      metrics.countEvent("configurationHandedOver.whole");
+      network.send(from.vmId, { type: "configuration", configuration });
+    } else {
+      metrics.countEvent("configurationHandedOver.delta");
+      network.send(from.vmId, { type: "configurationDelta", deltas });
+    }
   }
 
-  #receive(from: PeerIdentity, received: Configuration): void {
-    const { network, adopted, metrics, logger } = this.#options;
-    if (received.generation <= adopted.generation) {
-      metrics.countDrop("staleGeneration");
-      return;
-    }
+  #receiveWhole(from: PeerIdentity, received: Configuration): void {
+    if (this.#isStale(received.generation)) return;
     const { generation, register, rules } = received;
     const check = checkConfiguration({ register, rules });
     if (check.kind === "invalid") {
-      metrics.countEvent("configurationUnreadable");
-      logger.warn("configurationUnreadable", {
-        from: from.vmId,
-        generation,
-        path: check.faults[0]?.path,
-      });
+      this.#noteUnreadable(from, generation);
       return;
     }
+    this.#adopt(from, { ...check.content, generation });
+  }
+
+  #receiveDeltas(
+    from: PeerIdentity,
+    deltas: readonly ConfigurationDelta[],
+  ): void {
+    const generation = deltas.at(-1)?.generation ?? 0;
+    const base = this.#options.adopted.current();
+    if (base === undefined || this.#isStale(generation)) return;
+    const result = applyDeltas(base, deltas);
+    switch (result.kind) {
+      case "applied":
+        this.#adopt(from, result.configuration);
+        return;
+      case "unfitting":
+        // Another answer came first; the next heartbeat asks again.
+        return;
+      case "invalid":
+        this.#noteUnreadable(from, generation);
+        this.#askForWhole(from.vmId);
+    }
+  }
+
+  #askForWhole(peer: VmId): void {
+    const { network } = this.#options;
+    network.send(peer, { type: "configurationRequest", knownGeneration: 0 });
+  }
+
+  #adopt(from: PeerIdentity, configuration: Configuration): void {
+    const { network, adopted } = this.#options;
     const origin = from.dataCentre === network.self.dataCentre
       ? "neighbour"
       : "otherDataCentre";
     this.#askedAtMs = Number.NEGATIVE_INFINITY;
-    adopted.adopt({ ...check.content, generation }, origin);
+    adopted.adopt(configuration, origin);
+  }
+
+  #isStale(generation: number): boolean {
+    const { adopted, metrics } = this.#options;
+    if (generation > adopted.generation) return false;
+    metrics.countDrop("staleGeneration");
+    return true;
+  }
+
+  #noteUnreadable(from: PeerIdentity, generation: number): void {
+    const { metrics, logger } = this.#options;
+    metrics.countEvent("configurationUnreadable");
+    logger.warn("configurationUnreadable", { from: from.vmId, generation });
   }
 
   #tellNeighbours(): void {
--- a/packages/daemon/src/configuration/start_configuration_keeper_test.ts
+++ b/packages/daemon/src/configuration/start_configuration_keeper_test.ts
@@ -5,7 +5,7 @@
 } from "@sassafrasstage/protocol/ids";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { HEAD_KEY, PARTS_PREFIX } from "./configuration_head.js";
+import { type ConfigurationHead, HEAD_KEY } from "./configuration_head.js";
 import {
   countEvents,
   haveGeneration,
@@ -65,6 +65,14 @@
     await waitUntil(() => haveGeneration(fleet.daemons, 1));
     await apply(first, 2000);
     await waitUntil(() => haveGeneration(fleet.daemons, 2));
+    const deltas = await countEvents(
+      fleet.daemons,
+      "configurationHandedOver.delta",
+    );
+    expect(deltas).toBeGreaterThan(0);
+    for (const daemon of fleet.daemons) {
+      expect(readMark(daemon.keeper.current())).toEqual(2000);
+    }
   });
 
   it("hands it to a daemon that starts during an outage", async () => {
@@ -142,19 +150,21 @@
     const daemon = await fleet.start("vm-a1");
     await apply(daemon, 1001);
     await waitUntil(() => haveGeneration([daemon], 1));
-    const parts = [...fleet.store.objects.keys()]
-      .filter((key) => key.startsWith(PARTS_PREFIX));
-    const writer = fleet.store.connect();
-    const head = await writer.read(HEAD_KEY);
-    const changes = (head?.value as { changes: { parts: object[] }[] }).changes;
-    const torn = {
-      ...changes[0],
-      generation: 2,
-      parts: changes[0]?.parts.slice(1),
-    };
-    fleet.store.put(HEAD_KEY, { changes: [torn, ...changes] });
-    fleet.store.put(parts[0] ?? "", { kind: "rules", rules: 7 });
-    await waitUntil(() => (fleet.store.calls.get("read") ?? 0) > 8);
+    const head = await fleet.store.connect().read(HEAD_KEY);
+    const { changes } = head?.value as ConfigurationHead;
+    const parts = changes[0]?.parts ?? [];
+    const tornParts = [
+      parts.slice(1),
+      parts.map((part) => ({ ...part, version: part.version + 1000 })),
+      parts.map((part) => ({ ...part, key: `${part.key}-absent` })),
+    ];
+    for (const [index, torn] of tornParts.entries()) {
+      const change = { ...changes[0], generation: index + 2, parts: torn };
+      fleet.store.put(HEAD_KEY, { changes: [change, ...changes] });
+      await waitUntil(async () =>
+        await countEvents([daemon], "configurationReadFailed") > index
+      );
+    }
     expect(daemon.keeper.current()?.generation).toEqual(1);
     expect(daemon.network.generations).toEqual([1]);
     const mended = await apply(daemon, 1002);
--- a/packages/daemon/src/configuration/testing/keeper_fleet.ts
+++ b/packages/daemon/src/configuration/testing/keeper_fleet.ts
@@ -68,11 +68,11 @@
 
 /** Rejects when the condition doesn't hold in time. */
 export async function waitUntil(
-  condition: () => boolean,
+  condition: () => boolean | Promise<boolean>,
   timeoutMs = 5000,
 ): Promise<void> {
   const endAtMs = performance.now() + timeoutMs;
-  while (!condition()) {
+  while (!await condition()) {
     if (performance.now() > endAtMs) throw new Error("Waited in vain");
     await sleep(POLL_MS);
   }
--- a/packages/daemon/src/configuration/watch_head.ts
+++ b/packages/daemon/src/configuration/watch_head.ts
@@ -16,8 +16,9 @@
 import { chooseWatchers, listLiveNeighbours } from "./choose_watchers.js";
 import { HEAD_KEY, type StoredHead } from "./configuration_head.js";
 import {
-  readConfiguration,
+  PartReader,
   readHead,
+  toConfiguration,
   toStoredHead,
 } from "./read_configuration.js";
 
@@ -44,6 +45,7 @@
   readonly #options: HeadWatchOptions;
   readonly #abort = new AbortController();
   readonly #ended: Promise<void>;
+  readonly #partReader: PartReader;
   /** Where the watch goes on; undefined when the head has to be listed. */
   #revision: number | undefined;
   #failures = 0;
@@ -51,6 +53,7 @@
 
   constructor(options: HeadWatchOptions) {
     this.#options = options;
+    this.#partReader = new PartReader(options.store);
     this.#ended = this.#run();
   }
 
@@ -127,10 +130,11 @@
   }
 
   async #adoptHead(head: StoredHead): Promise<void> {
-    const { store, adopted } = this.#options;
+    const { adopted } = this.#options;
     if (head.accepted.generation <= adopted.generation) return;
-    const configuration = await readConfiguration(store, head.accepted);
-    adopted.adopt(configuration, "platform");
+    const parts = await this.#partReader.read(head.accepted);
+    const { generation } = head.accepted;
+    adopted.adopt(toConfiguration(parts, generation), "platform");
   }
 
   #noteFailure(error: unknown): void {
