--- a/packages/daemon/src/configuration/configuration_deltas.ts
+++ b/packages/daemon/src/configuration/configuration_deltas.ts
@@ -112,7 +112,9 @@
     };
   }
   if (configuration === base) return { kind: "unfitting" };
-  if (findContentFaults(configuration).length > 0) return { kind: "invalid" };
+  if (findContentFaults(configuration, base).length > 0) {
+    return { kind: "invalid" };
+  }
   return { kind: "applied", configuration };
 }
 
@@ -139,6 +141,7 @@
   after: readonly Entry[],
   keyOf: KeyOf<Entry>,
 ): ListChange<Entry> {
+  if (before === after) return { upserted: [], removed: [] };
   const old = new Map(before.map((entry) => [keyOf(entry), entry]));
   const upserted: Entry[] = [];
   for (const entry of after) {
--- a/packages/protocol/src/configuration.ts
+++ b/packages/protocol/src/configuration.ts
@@ -61,7 +61,8 @@
 
 /**
  * The faults of a content whose form has been checked: repeated names and
- * references to what isn't there.
+ * references to what isn't there. Lists that the content shares with a checked
+ * one are not searched for repeated names again.
  *
  * @example
  * ```ts
@@ -70,8 +71,12 @@
  */
 export function findContentFaults(
   content: ConfigurationContent,
+  checked?: ConfigurationContent,
 ): ConfigurationFault[] {
-  return [...findRepeatedNames(content), ...findUnknownReferences(content)];
+  return [
+    ...findRepeatedNames(content, checked),
+    ...findUnknownReferences(content),
+  ];
 }
 
 interface NamedList {
@@ -81,43 +86,60 @@
 
 function findRepeatedNames(
   content: ConfigurationContent,
+  checked: ConfigurationContent | undefined,
 ): ConfigurationFault[] {
-  const { register, rules } = content;
-  const lists: NamedList[] = [
-    {
-      path: "register.dataCentres",
-      names: register.dataCentres.map((entry) => entry.name),
-    },
-    {
-      path: "register.models",
-      names: register.models.map((entry) => entry.name),
-    },
-    {
-      path: "register.services",
-      names: register.services.map((entry) => entry.name),
-    },
-    {
-      path: "register.backendServers",
-      names: register.backendServers.map((entry) => entry.id),
-    },
-    {
-      path: "rules.pipelines",
-      names: rules.pipelines.map((entry) => entry.name),
-    },
-    {
-      path: "rules.clientAccounts",
-      names: rules.clientAccounts.map((entry) => entry.id),
-    },
-    {
-      path: "rules.clientAccounts.keySha256",
-      names: rules.clientAccounts.flatMap((entry) => entry.keySha256),
-    },
-    ...rules.pipelines.map((pipeline, index) => ({
-      path: `rules.pipelines.${index}.stages`,
-      names: pipeline.stages.map((stage) => stage.name),
-    })),
-  ];
-  return lists.flatMap(findRepeatedNamesInList);
+  return [
+    ...listRegisterNames(content.register, checked?.register),
+    ...listRuleNames(content.rules, checked?.rules),
+  ].flatMap(findRepeatedNamesInList);
+}
+
+function listRegisterNames(
+  register: Register,
+  checked: Register | undefined,
+): NamedList[] {
+  const lists: NamedList[] = [];
+  for (const list of ["dataCentres", "models", "services"] as const) {
+    if (register[list] === checked?.[list]) continue;
+    const names = register[list].map((entry) => entry.name);
+    lists.push({ path: `register.${list}`, names });
+  }
+  if (register.backendServers !== checked?.backendServers) {
+    const names = register.backendServers.map((entry) => entry.id);
+    lists.push({ path: "register.backendServers", names });
+  }
+  return lists;
+}
+
+function listRuleNames(
+  rules: Rules,
+  checked: Rules | undefined,
+): NamedList[] {
+  const lists: NamedList[] = [];
+  if (rules.pipelines !== checked?.pipelines) {
+    const names = rules.pipelines.map((entry) => entry.name);
+    lists.push({ path: "rules.pipelines", names });
+    for (const [index, pipeline] of rules.pipelines.entries()) {
+      lists.push({
+        path: `rules.pipelines.${index}.stages`,
+        names: pipeline.stages.map((stage) => stage.name),
+      });
+    }
+  }
+  if (rules.clientAccounts !== checked?.clientAccounts) {
+    const accounts = rules.clientAccounts;
+    lists.push(
+      {
+        path: "rules.clientAccounts",
+        names: accounts.map((entry) => entry.id),
+      },
+      {
+        path: "rules.clientAccounts.keySha256",
+        names: accounts.flatMap((entry) => entry.keySha256),
+      },
+    );
+  }
+  return lists;
 }
 
 function findRepeatedNamesInList(list: NamedList): ConfigurationFault[] {
