--- a/packages/daemon/src/configuration/accept_configuration.ts
+++ b/packages/daemon/src/configuration/accept_configuration.ts
@@ -77,11 +77,12 @@
 export async function acceptConfiguration(
   store: ObjectStore,
   submission: Submission,
+  partReader = new PartReader(store),
 ): Promise<AcceptResult> {
   const head = await readHead(store);
   const settled = settleFromHead(submission, head);
   if (settled !== undefined) return settled;
-  const parts = await readBaseParts(store, { head, submission });
+  const parts = await readBaseParts(partReader, { head, submission });
   const base: Base = { head, parts };
   const changed = applyChange(submission.change, readBaseContent(base));
   switch (changed.kind) {
@@ -119,12 +120,12 @@
 }
 
 async function readBaseParts(
-  store: ObjectStore,
+  partReader: PartReader,
   query: BaseQuery,
 ): Promise<StoredPart[]> {
   if (query.head === undefined) return [];
   try {
-    return await new PartReader(store).read(query.head.accepted);
+    return await partReader.read(query.head.accepted);
   } catch (error) {
     const isUnreadable = error instanceof ConfigurationError &&
       error.kind === "unreadable";
--- a/packages/daemon/src/configuration/configuration_change.ts
+++ b/packages/daemon/src/configuration/configuration_change.ts
@@ -9,6 +9,7 @@
   checkConfiguration,
   type ConfigurationContent,
   type ConfigurationFault,
+  findContentFaults,
 } from "@sassafrasstage/protocol/configuration";
 import type {
   BackendServerId,
@@ -84,10 +85,7 @@
   const before = accepted.rules.dataCentresOut;
   const dataCentresOut = moveName(before, change.name, change.direction);
   if (dataCentresOut.length === before.length) return { kind: "unchanged" };
-  return check({
-    register: accepted.register,
-    rules: { ...accepted.rules, dataCentresOut },
-  });
+  return changeRules(accepted, { ...accepted.rules, dataCentresOut });
 }
 
 function moveBackendServer(
@@ -106,10 +104,7 @@
   const before = accepted.rules.backendServersOut;
   const backendServersOut = moveName(before, change.id, change.direction);
   if (backendServersOut.length === before.length) return { kind: "unchanged" };
-  return check({
-    register: accepted.register,
-    rules: { ...accepted.rules, backendServersOut },
-  });
+  return changeRules(accepted, { ...accepted.rules, backendServersOut });
 }
 
 function moveName<Name extends string>(
@@ -121,6 +116,17 @@
   return direction === "out" ? [...others, name] : others;
 }
 
+/** What was accepted has been checked: only the change is. */
+function changeRules(
+  accepted: ConfigurationContent,
+  rules: ConfigurationContent["rules"],
+): ChangedContent {
+  const content = { register: accepted.register, rules };
+  const faults = findContentFaults(content, accepted);
+  if (faults.length > 0) return { kind: "invalid", faults };
+  return { kind: "changed", content };
+}
+
 function check(content: unknown): ChangedContent {
   const checked = checkConfiguration(content);
   if (checked.kind === "invalid") return checked;
--- a/packages/daemon/src/configuration/start_configuration_keeper.ts
+++ b/packages/daemon/src/configuration/start_configuration_keeper.ts
@@ -14,7 +14,7 @@
 import { AdoptedConfiguration } from "./adopted_configuration.js";
 import { describeChange, type HistoryEntry } from "./configuration_head.js";
 import type { ConfigurationSource } from "./configuration_source.js";
-import { readHead } from "./read_configuration.js";
+import { PartReader, readHead } from "./read_configuration.js";
 import { ConfigurationSharing } from "./share_configuration.js";
 import {
   submitChange,
@@ -67,15 +67,21 @@
       sharing.announce(origin);
     },
   });
+  const partReader = new PartReader(store);
   const common = { network, adopted, clock, metrics, logger };
   const sharing = new ConfigurationSharing(common);
   const startDelayMs = settings.peers.seeds.length > 0 ? START_DELAY_MS : 0;
-  const watch = new HeadWatch({ ...common, store, startDelayMs });
+  const watch = new HeadWatch({
+    ...common,
+    store,
+    partReader,
+    startDelayMs,
+  });
   return {
     events: adopted.events,
     current: () => adopted.current(),
     submit: (request) =>
-      submitChange(request, { store, adopted, metrics, logger }),
+      submitChange(request, { store, partReader, adopted, metrics, logger }),
     history: async () => {
       const head = await readHead(store);
       return (head?.head.changes ?? []).map(describeChange);
--- a/packages/daemon/src/configuration/submit_change.ts
+++ b/packages/daemon/src/configuration/submit_change.ts
@@ -20,6 +20,7 @@
 import type { AdoptedConfiguration } from "./adopted_configuration.js";
 import { isCommuting } from "./configuration_change.js";
 import { ConfigurationError } from "./configuration_error.js";
+import type { PartReader } from "./read_configuration.js";
 
 /** Lost races after which a change that commutes is given up. */
 const MAX_LOST_RACES = 20;
@@ -41,6 +42,7 @@
 
 export interface SubmitContext {
   readonly store: ObjectStore;
+  readonly partReader: PartReader;
   readonly adopted: AdoptedConfiguration;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -90,7 +92,8 @@
   const mayRepeat = isCommuting(submission.change) &&
     submission.basedOnGeneration === undefined;
   for (let lostRaces = 0;; lostRaces += 1) {
-    const result = await acceptConfiguration(context.store, submission);
+    const { store, partReader } = context;
+    const result = await acceptConfiguration(store, submission, partReader);
     if (result.kind !== "conflict" || !mayRepeat) return result;
     if (lostRaces >= MAX_LOST_RACES) return result;
     context.metrics.countEvent("configurationRaceLost");
--- a/packages/daemon/src/configuration/watch_head.ts
+++ b/packages/daemon/src/configuration/watch_head.ts
@@ -16,7 +16,7 @@
 import { chooseWatchers, listLiveNeighbours } from "./choose_watchers.js";
 import { HEAD_KEY, type StoredHead } from "./configuration_head.js";
 import {
-  PartReader,
+  type PartReader,
   readHead,
   toConfiguration,
   toStoredHead,
@@ -31,6 +31,7 @@
 
 export interface HeadWatchOptions {
   readonly store: ObjectStore;
+  readonly partReader: PartReader;
   readonly network: PeerNetwork;
   readonly adopted: AdoptedConfiguration;
   readonly clock: Clock;
@@ -45,7 +46,6 @@
   readonly #options: HeadWatchOptions;
   readonly #abort = new AbortController();
   readonly #ended: Promise<void>;
-  readonly #partReader: PartReader;
   /** Where the watch goes on; undefined when the head has to be listed. */
   #revision: number | undefined;
   #failures = 0;
@@ -53,7 +53,6 @@
 
   constructor(options: HeadWatchOptions) {
     this.#options = options;
-    this.#partReader = new PartReader(options.store);
     this.#ended = this.#run();
   }
 
@@ -130,9 +129,9 @@
   }
 
   async #adoptHead(head: StoredHead): Promise<void> {
-    const { adopted } = this.#options;
+    const { adopted, partReader } = this.#options;
     if (head.accepted.generation <= adopted.generation) return;
-    const parts = await this.#partReader.read(head.accepted);
+    const parts = await partReader.read(head.accepted);
     const { generation } = head.accepted;
     adopted.adopt(toConfiguration(parts, generation), "platform");
   }
