--- a/packages/daemon/src/configuration/accept_configuration.ts
+++ b/packages/daemon/src/configuration/accept_configuration.ts
@@ -30,7 +30,12 @@
   type ConfigurationPart,
   splitConfiguration,
 } from "./configuration_parts.js";
-import { readHead, readParts, toConfiguration } from "./read_configuration.js";
+import {
+  PartReader,
+  readHead,
+  type StoredPart,
+  toConfiguration,
+} from "./read_configuration.js";
 import { updateHead } from "./update_head.js";
 import { removeParts, writeParts, type WrittenParts } from "./write_parts.js";
 
@@ -62,7 +67,7 @@
 
 interface Base {
   readonly head: StoredHead | undefined;
-  readonly parts: readonly unknown[];
+  readonly parts: readonly StoredPart[];
 }
 
 /**
@@ -72,11 +77,12 @@
 export async function acceptConfiguration(
   store: ObjectStore,
   submission: Submission,
+  partReader = new PartReader(store),
 ): Promise<AcceptResult> {
   const head = await readHead(store);
   const settled = settleFromHead(submission, head);
   if (settled !== undefined) return settled;
-  const parts = await readBaseParts(store, { head, submission });
+  const parts = await readBaseParts(partReader, { head, submission });
   const base: Base = { head, parts };
   const changed = applyChange(submission.change, readBaseContent(base));
   switch (changed.kind) {
@@ -114,12 +120,12 @@
 }
 
 async function readBaseParts(
-  store: ObjectStore,
+  partReader: PartReader,
   query: BaseQuery,
-): Promise<unknown[]> {
+): Promise<StoredPart[]> {
   if (query.head === undefined) return [];
   try {
-    return await readParts(store, query.head.accepted);
+    return await partReader.read(query.head.accepted);
   } catch (error) {
     const isUnreadable = error instanceof ConfigurationError &&
       error.kind === "unreadable";
@@ -200,13 +206,9 @@
 }
 
 function reusableParts(base: Base): Map<string, PartReference> {
-  const references = base.head?.accepted.parts ?? [];
-  const reusable = new Map<string, PartReference>();
-  for (const [index, reference] of references.entries()) {
-    const value = base.parts[index];
-    if (value !== undefined) reusable.set(JSON.stringify(value), reference);
-  }
-  return reusable;
+  return new Map(
+    base.parts.map(({ part, reference }) => [JSON.stringify(part), reference]),
+  );
 }
 
 function findOversizedParts(
