--- a/bench/src/deployments/capacity.ts
+++ b/bench/src/deployments/capacity.ts
@@ -42,10 +42,16 @@
 }
 
 function countSlots(deployment: Deployment, service: string): number {
-  const { services, backendServers } = deployment.content.register;
-  const limit = services.find((entry) => entry.name === service)?.warmLimit;
-  const servers = backendServers.filter((entry) => entry.service === service);
-  return servers.length * (limit ?? 0);
+  const servers = deployment.content.register.backendServers
+    .filter((entry) => entry.service === service);
+  return servers.length * findWarmLimit(deployment, service);
+}
+
+function findWarmLimit(deployment: Deployment, service: string): number {
+  const entry = deployment.content.register.services
+    .find(({ name }) => name === service);
+  if (entry !== undefined) return entry.warmLimit;
+  throw new RangeError(`No service is named "${service}"`);
 }
 
 /** Work of the service for the mean request of the mix. */
@@ -54,13 +60,17 @@
   times: ServiceTimes,
 ): number {
   const mix = deployment.pipelineMix;
+  const limit = findWarmLimit(deployment, times.service);
   const totalWeight = mix.reduce((sum, entry) => sum + entry.weight, 0);
   const workMs = mix.reduce((sum, entry) => {
     const pipeline = findPipeline(deployment, entry.name);
     const stages = pipeline.stages
       .filter((stage) => stage.service === times.service);
     return sum + entry.weight * stages
-          .reduce((total, stage) => total + findStageMs(stage, times), 0);
+          .reduce(
+            (total, stage) => total + findStageMs(stage, times, limit),
+            0,
+          );
   }, 0);
   return workMs / totalWeight;
 }
@@ -72,17 +82,22 @@
   throw new RangeError(`No pipeline is named "${name}"`);
 }
 
-/** The mean time of a stage at a full backend server. */
-function findStageMs(stage: Stage, times: ServiceTimes): number {
+/** The mean time of a stage at a backend server with all its calls running. */
+function findStageMs(
+  stage: Stage,
+  times: ServiceTimes,
+  warmLimit: number,
+): number {
   switch (times.kind) {
     case "plain":
       return times.workMs + times.jitterMs / 2;
     case "modelEngine":
-      return FULL_BATCH_SLOWDOWN *
+      return findSlowdown(warmLimit) *
         (times.firstTokenMs + (stage.maxTokens - 1) * times.betweenTokensMs);
   }
 }
 
-/** An engine stand-in with all 8 calls of its batch running. */
-export const ENGINE_BATCH_SIZE = 8;
-const FULL_BATCH_SLOWDOWN = 1 + (ENGINE_BATCH_SIZE - 1) / ENGINE_BATCH_SIZE;
+/** How much a full batch slows each of its calls at an engine stand-in. */
+function findSlowdown(batchSize: number): number {
+  return 1 + (batchSize - 1) / batchSize;
+}
