Wire claims: keyed non-idempotent requests run

Cause: keyed requests were refused, as no claim could be made. After: the daemon uses the claim keeper over the platform's object API.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -18,7 +18,7 @@
 import { addCallerRoutes, type HttpService } from "./callers/caller_routes.js";
 import { RequestsInFlight } from "./callers/requests_in_flight.js";
 import type { ClaimKeeper } from "./claims/claim_keeper.js";
-import { createUnavailableClaimKeeper } from "./claims/unavailable_claim_keeper.js";
+import { createClaimKeeper } from "./claims/create_claim_keeper.js";
 import { MONOTONIC_CLOCK } from "./clock.js";
 import {
   type RunningConfigurationKeeper,
@@ -231,7 +231,7 @@
     listedVms: () => listing,
   });
   network.setHeartbeatContent(permits.heartbeatContent);
-  const claims = createUnavailableClaimKeeper();
+  const claims = createClaimKeeper({ ...common, store: platform, network });
   return {
     settings,
     logger,
