--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -6,6 +6,7 @@
 
 import type { ClaimKey, ClaimOutcome, ClaimRecord } from "./claims.js";
 import type { Configuration } from "./configuration.js";
+import type { ConfigurationDelta } from "./configuration_delta.js";
 import type {
   AttemptId,
   BackendServerId,
@@ -54,9 +55,11 @@
   readonly leaving: boolean;
   /** Pools that the sender owns or wants to own. */
   readonly ownedPools: readonly PoolId[];
+  /** Asks for a reply even if no pools are named. */
+  readonly wantsReply?: boolean;
 }
 
-/** Answers a heartbeat. */
+/** Answers a heartbeat that names pools or wants a reply. */
 export interface HeartbeatReplyMessage {
   readonly type: "heartbeatReply";
   readonly sequence: number;
@@ -127,6 +130,13 @@
   readonly configuration: Configuration;
 }
 
+/** Answers a request in place of the whole, where the changes are known. */
+export interface ConfigurationDeltaMessage {
+  readonly type: "configurationDelta";
+  /** One for each generation from the asker's to the newest, in order. */
+  readonly deltas: readonly ConfigurationDelta[];
+}
+
 /** Asks the VM that gathers a partition's claims to commit one. */
 export interface ClaimRequestMessage {
   readonly type: "claimRequest";
@@ -177,6 +187,7 @@
   | OutstandingReplyMessage
   | ConfigurationRequestMessage
   | ConfigurationMessage
+  | ConfigurationDeltaMessage
   | ClaimRequestMessage
   | ClaimReplyMessage
   | ClaimOutcomeMessage
