--- a/packages/stand-ins/src/proxy/proxied_connection.ts
+++ b/packages/stand-ins/src/proxy/proxied_connection.ts
@@ -64,17 +64,15 @@
   }
 
   reset(): void {
-    this.#source.resetAndDestroy();
-    this.#target.resetAndDestroy();
+    resetSocket(this.#source);
+    resetSocket(this.#target);
   }
 
   #close(onClose: () => void): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
     // A reset must look like one to the other side.
-    for (const socket of [this.#source, this.#target]) {
-      if (!socket.destroyed) socket.resetAndDestroy();
-    }
+    this.reset();
     onClose();
   }
 
@@ -154,3 +152,13 @@
   readonly to: Socket;
   readonly chunk: Buffer;
 }
+
+/**
+ * Resets a socket. One whose end is on its way can't be reset: Node would keep
+ * its handle for ever, and the process could not exit.
+ */
+function resetSocket(socket: Socket): void {
+  if (socket.destroyed) return;
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
