Test the queue orders, the grant loop and the voters

Cause: fairness, starvation, the one-owner rule and the grant loop's counts had no tests of their own. Checked on scratch copies that the tests bite, by taking one mechanism out at a time: the lease check, the wait for gone members, the wait for frozen members, the end of permits, the one-vote rule, the cold sign of a refusal, and the withdrawal of asks when a new owner asks each turn at least one test red. Taking out only the check that a decision comes from the asked owner turned none red: sending ids are never used twice, so it is a second line.

--- /dev/null
+++ b/packages/daemon/src/pools/backend_server_state_test.ts
@@ -0,0 +1,154 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import type { CallOutcome } from "@sassafrasstage/protocol/permits";
+import {
+  afterCall,
+  afterTime,
+  type CallReport,
+  limitOf,
+  observedWarmHealth,
+  type ServerHealth,
+  unknownHealth,
+} from "./backend_server_state.js";
+import type { LatencyGrade } from "./latency_baseline.js";
+import { makeConfiguration } from "./test_support/test_configuration.js";
+
+const WARM_LIMIT = 8;
+const COLD_LIMIT = 2;
+const WARM_AFTER = 20;
+const [SERVICE] = makeConfiguration({
+  servers: { palermo: 1 },
+  warmLimit: WARM_LIMIT,
+  coldLimit: COLD_LIMIT,
+  warmAfterCompletions: WARM_AFTER,
+}).register.services;
+if (SERVICE === undefined) throw new Error("No service");
+const service = SERVICE;
+
+interface Step extends Partial<CallReport> {
+  readonly outcome: CallOutcome;
+}
+
+function apply(
+  health: ServerHealth,
+  step: Step,
+  nowMs: number,
+): ServerHealth {
+  const report = { grade: "usual", grantedAtMs: nowMs, ...step } as const;
+  return afterCall(health, report, { service, nowMs });
+}
+
+function repeat(
+  health: ServerHealth,
+  step: Step,
+  count: number,
+): ServerHealth {
+  let next = health;
+  for (let index = 0; index < count; index++) next = apply(next, step, 100);
+  return next;
+}
+
+function limit(health: ServerHealth, nowMs = 100): number {
+  return limitOf(health.state, { service, nowMs });
+}
+
+const COMPLETED: Step = { outcome: "completed" };
+
+function warmHealth(): ServerHealth {
+  return repeat(unknownHealth(0), COMPLETED, WARM_AFTER + WARM_LIMIT);
+}
+
+describe("afterCall", () => {
+  it("keeps the cold limit until enough calls are completed", () => {
+    const almost = repeat(unknownHealth(0), COMPLETED, WARM_AFTER - 1);
+    expect(limit(almost)).toEqual(COLD_LIMIT);
+    expect(limit(apply(almost, COMPLETED, 100))).toEqual(COLD_LIMIT + 1);
+    expect(warmHealth().state.kind).toEqual("warm");
+    expect(limit(warmHealth())).toEqual(WARM_LIMIT);
+  });
+
+  it("counts no completion of a call from before the cold start", () => {
+    const cold = apply(warmHealth(), { outcome: "refusedByServer" }, 200);
+    const late = repeat(cold, { ...COMPLETED, grantedAtMs: 150 }, 50);
+    expect(limit(late)).toEqual(COLD_LIMIT);
+  });
+
+  const SURE_SIGNS: CallOutcome[] = ["refusedByServer", "connectFailed"];
+  for (const outcome of SURE_SIGNS) {
+    it(`falls to the cold limit at once when ${outcome}`, () => {
+      const cold = apply(warmHealth(), { outcome }, 200);
+      expect(limit(cold)).toEqual(COLD_LIMIT);
+      const almost = repeat(cold, { ...COMPLETED, grantedAtMs: 200 }, 19);
+      expect(limit(almost)).toEqual(COLD_LIMIT);
+    });
+  }
+
+  it("takes two slow completions in a row for a cold start", () => {
+    const slow: Step = { outcome: "completed", grade: "coldStart" };
+    expect(limit(apply(warmHealth(), slow, 200)) > COLD_LIMIT).toEqual(true);
+    const cold = apply(apply(warmHealth(), slow, 200), slow, 200);
+    expect(cold.state.kind).toEqual("cold");
+  });
+
+  it("opens the breaker after failures in a row and probes later", () => {
+    const down = repeat(warmHealth(), { outcome: "failed" }, 3);
+    expect(down.state.kind).toEqual("down");
+    expect(limit(down)).toEqual(0);
+    expect(limit(down, 10_000)).toEqual(1);
+    expect(limit(apply(down, COMPLETED, 10_000))).toEqual(COLD_LIMIT);
+  });
+
+  it("lowers a warm server's limit while latencies are high", () => {
+    const high: Step = { outcome: "completed", grade: "high" };
+    const lowered = repeat(warmHealth(), high, 5 * WARM_LIMIT);
+    expect(limit(lowered) < WARM_LIMIT).toEqual(true);
+    expect(limit(lowered) >= COLD_LIMIT).toEqual(true);
+    const raised = repeat(lowered, COMPLETED, 20 * WARM_LIMIT);
+    expect(limit(raised)).toEqual(WARM_LIMIT);
+  });
+
+  it("never allows more than the register's limits", () => {
+    const step = fc.record({
+      outcome: fc.constantFrom<CallOutcome>(
+        "completed",
+        "notSent",
+        "connectFailed",
+        "refusedByServer",
+        "failed",
+        "timedOut",
+        "canceled",
+      ),
+      grade: fc.constantFrom<LatencyGrade>("usual", "high", "coldStart"),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+        let health = unknownHealth(0);
+        let completions = 0;
+        for (const [index, next] of steps.entries()) {
+          health = apply(health, next, index);
+          if (next.outcome === "completed") completions += 1;
+          expect(limit(health, index) <= WARM_LIMIT).toEqual(true);
+          if (completions >= WARM_AFTER) continue;
+          expect(limit(health, index) <= COLD_LIMIT).toEqual(true);
+        }
+      }),
+      { seed: 6 },
+    );
+  });
+});
+
+describe("afterTime", () => {
+  it("makes a long idle server cold", () => {
+    const context = { service, nowMs: 100 + service.coldAfterIdleMs };
+    expect(afterTime(warmHealth(), context).state.kind).toEqual("cold");
+  });
+});
+
+describe("observedWarmHealth", () => {
+  it("starts at what is in flight and rises with completions", () => {
+    const health = observedWarmHealth(4, { service, nowMs: 0 });
+    expect(limit(health)).toEqual(4);
+    expect(limit(apply(health, COMPLETED, 100))).toEqual(5);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/pools/owned_pool_test.ts
@@ -0,0 +1,212 @@
+import {
+  type AttemptId,
+  type PermitId,
+  poolKey,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import type {
+  CallOutcome,
+  PermitDecision,
+} from "@sassafrasstage/protocol/permits";
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import type { GrantRights } from "./grant_rights.js";
+import { LatencyBaselines } from "./latency_baseline.js";
+import { OwnedPool } from "./owned_pool.js";
+import { arrangePools, readVmAvailability } from "./pool_layout.js";
+import {
+  makeAsk,
+  makeConfiguration,
+  makeVmId,
+  type TestAsk,
+} from "./test_support/test_configuration.js";
+
+const ASKER = makeVmId("vm-1");
+const COLD_LIMIT = 2;
+const SERVERS = 3;
+
+/** A pool with its decisions written down. */
+class Bench {
+  readonly decisions = new Map<AttemptId, PermitDecision[]>();
+  readonly pool: OwnedPool;
+  readonly asked = new Set<AttemptId>();
+  rights: GrantRights = { mayGrantCold: true, warm: { kind: "full" } };
+  #permitNumber = 0;
+
+  constructor() {
+    const layout = arrangePools(makeConfiguration({
+      servers: { palermo: SERVERS },
+      warmLimit: 4,
+      coldLimit: COLD_LIMIT,
+      warmAfterCompletions: 3,
+    }));
+    const entry = layout.pools.get(poolKey(makeAsk().pool));
+    if (entry === undefined) throw new Error("No pool");
+    this.pool = new OwnedPool({
+      entry,
+      queueOrder: "slack",
+      hasPrefixAffinity: false,
+      maxQueueLength: 20,
+      maxQueueAgeMs: 30_000,
+      leaseMs: 1000,
+      baselines: new LatencyBaselines(),
+      nextPermitId: () => {
+        this.#permitNumber += 1;
+        return toId<PermitId>(`permit-${this.#permitNumber}`);
+      },
+      rightsAt: () => this.rights,
+      decide: (_, attemptId, decision) => {
+        const known = this.decisions.get(attemptId) ?? [];
+        this.decisions.set(attemptId, [...known, decision]);
+      },
+      isGone: () => false,
+      onCooled: () => undefined,
+      onEvent: () => undefined,
+    });
+    const vms = readVmAvailability(undefined);
+    this.pool.configure(entry, { layout, vms, nowMs: 0 });
+  }
+
+  submit(ask: TestAsk, nowMs: number): AttemptId {
+    const made = makeAsk(ask);
+    this.asked.add(made.attemptId);
+    this.pool.submit({ from: ASKER, ask: made, share: 1 }, nowMs);
+    return made.attemptId;
+  }
+
+  kindOf(attemptId: AttemptId): string | undefined {
+    return this.decisions.get(attemptId)?.[0]?.kind;
+  }
+
+  release(attemptId: AttemptId, outcome: CallOutcome, nowMs: number): void {
+    const [decision] = this.decisions.get(attemptId) ?? [];
+    if (decision?.kind !== "granted") return;
+    const { permitId, backendServerId } = decision.permit;
+    this.pool.release(
+      { permitId, backendServerId, outcome, durationMs: 50 },
+      nowMs,
+    );
+  }
+
+  expectWithinLimits(): void {
+    for (const server of this.pool.statuses()) {
+      const isCold = server.state === "cold" || server.state === "unknown";
+      const bound = isCold ? COLD_LIMIT : 4;
+      expect(server.limit <= bound).toEqual(true);
+    }
+  }
+}
+
+const OUTCOMES: CallOutcome[] = [
+  "completed",
+  "notSent",
+  "connectFailed",
+  "refusedByServer",
+  "failed",
+  "timedOut",
+  "canceled",
+];
+
+describe("OwnedPool", () => {
+  it("answers each ask once, within limits, and loses no permit", () => {
+    const step = fc.record({
+      kind: fc.constantFrom("ask", "ask", "release", "cancel", "tick", "lease"),
+      pick: fc.nat(1000),
+      outcome: fc.constantFrom(...OUTCOMES),
+      waitMs: fc.nat(200),
+      latestStartInMs: fc.integer({ min: 1, max: 2000 }),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 150 }), (steps) => {
+        const bench = new Bench();
+        const canceled = new Set<AttemptId>();
+        let nowMs = 0;
+        for (const { kind, pick, outcome, waitMs, latestStartInMs } of steps) {
+          nowMs += waitMs;
+          const all = [...bench.asked];
+          const attemptId = all[pick % Math.max(1, all.length)];
+          const before = inFlightByServer(bench);
+          if (kind === "ask") bench.submit({ latestStartInMs }, nowMs);
+          else if (kind === "tick") bench.pool.tick(nowMs);
+          else if (kind === "lease") {
+            const mayGrantCold = !bench.rights.mayGrantCold;
+            bench.rights = { ...bench.rights, mayGrantCold };
+          } else if (attemptId === undefined) continue;
+          else if (kind === "release") bench.release(attemptId, outcome, nowMs);
+          else {
+            canceled.add(attemptId);
+            bench.pool.cancel(attemptId, nowMs);
+          }
+          bench.expectWithinLimits();
+          for (const server of bench.pool.statuses()) {
+            const rose = server.inFlight > (before.get(server.id) ?? 0);
+            if (rose) expect(server.inFlight <= server.limit).toEqual(true);
+          }
+        }
+        // Every permit ends by itself, at the latest after its late calls.
+        bench.pool.tick(nowMs + 60_000);
+        bench.pool.tick(nowMs + 120_000);
+        for (const server of bench.pool.statuses()) {
+          expect(server.inFlight).toEqual(0);
+        }
+        for (const attemptId of bench.asked) {
+          const count = bench.decisions.get(attemptId)?.length ?? 0;
+          if (!canceled.has(attemptId)) expect(count).toEqual(1);
+          expect(count <= 1).toEqual(true);
+        }
+      }),
+      { seed: 7 },
+    );
+  });
+
+  it("grants nothing cold without the right to", () => {
+    const bench = new Bench();
+    bench.rights = { mayGrantCold: false, warm: { kind: "full" } };
+    const waiting = bench.submit({ latestStartInMs: 1500 }, 0);
+    expect(bench.kindOf(waiting)).toEqual(undefined);
+    bench.rights = { mayGrantCold: true, warm: { kind: "full" } };
+    bench.pool.tick(20);
+    expect(bench.kindOf(waiting)).toEqual("granted");
+  });
+
+  it("refuses at once what can't be started in time", () => {
+    const bench = new Bench();
+    for (let index = 0; index < 3 * COLD_LIMIT + 5; index++) {
+      bench.submit({ likelyDurationMs: 600, latestStartInMs: 1500 }, 0);
+    }
+    const hopeless = bench.submit(
+      { likelyDurationMs: 600, latestStartInMs: 50 },
+      0,
+    );
+    expect(bench.kindOf(hopeless)).toEqual("refused");
+  });
+
+  it("refuses when every server is excluded", () => {
+    const bench = new Bench();
+    const excluded = bench.pool.statuses().map((server) => server.id);
+    const refused = bench.submit({ excluded }, 0);
+    expect(bench.kindOf(refused)).toEqual("refused");
+    const [one] = excluded;
+    if (one === undefined) throw new Error("No server");
+    const granted = bench.submit({ excluded: [one] }, 0);
+    const [decision] = bench.decisions.get(granted) ?? [];
+    if (decision?.kind !== "granted") throw new Error("Not granted");
+    expect(decision.permit.backendServerId === one).toEqual(false);
+  });
+
+  it("counts a late call at a cold server on after its permit's end", () => {
+    const bench = new Bench();
+    const granted = bench.submit({ deadlineInMs: 1000 }, 0);
+    bench.pool.tick(5000);
+    expect([...inFlightByServer(bench).values()].includes(1)).toEqual(true);
+    bench.release(granted, "completed", 5100);
+    expect([...inFlightByServer(bench).values()].includes(1)).toEqual(false);
+  });
+});
+
+function inFlightByServer(bench: Bench): Map<string, number> {
+  return new Map(
+    bench.pool.statuses().map((server) => [server.id, server.inFlight]),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/pools/queue_order_test.ts
@@ -0,0 +1,196 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import { AskQueue } from "./ask_queue.js";
+import {
+  createQueueOrder,
+  type QueueOrder,
+  type QueueOrderName,
+} from "./queue_order.js";
+import {
+  makeAsk,
+  makeVmId,
+  type TestAsk,
+} from "./test_support/test_configuration.js";
+import type { WaitingAsk } from "./waiting_ask.js";
+
+const ORDERS: QueueOrderName[] = ["arrival", "deadline", "slack", "excessWait"];
+const SHARES = { small: 1, large: 1, heavy: 3 } as const;
+
+let number = 0;
+
+function wait(ask: TestAsk = {}, receivedAtMs = 0): WaitingAsk {
+  number += 1;
+  const made = makeAsk(ask);
+  return {
+    ask: made,
+    from: makeVmId("vm-1"),
+    receivedAtMs,
+    latestStartAtMs: receivedAtMs + made.latestStartInMs,
+    deadlineAtMs: receivedAtMs + made.deadlineInMs,
+    number,
+    share: SHARES[ask.account ?? "small"],
+  };
+}
+
+function makeOrder(name: QueueOrderName): QueueOrder {
+  return createQueueOrder(name, { maxAgeMs: 30_000 });
+}
+
+function takeAll(order: QueueOrder, nowMs = 0): WaitingAsk[] {
+  const taken: WaitingAsk[] = [];
+  for (;;) {
+    const next = order.takeNext(nowMs);
+    if (next === undefined) return taken;
+    taken.push(next);
+  }
+}
+
+function countOf(asks: readonly WaitingAsk[], account: string): number {
+  return asks.filter((w) => w.ask.clientAccountId === account).length;
+}
+
+describe("createQueueOrder", () => {
+  for (const name of ORDERS) {
+    it(`loses and doubles no ask in the order "${name}"`, () => {
+      const ask = fc.record({
+        account: fc.constantFrom<"small" | "large">("small", "large"),
+        urgency: fc.constantFrom<"counter" | "deferrable">(
+          "counter",
+          "deferrable",
+        ),
+        latestStartInMs: fc.nat(2000),
+        likelyDurationMs: fc.nat(500),
+      });
+      fc.assert(
+        fc.property(
+          fc.array(fc.tuple(ask, fc.nat(3)), { maxLength: 60 }),
+          (steps) => {
+            const order = makeOrder(name);
+            const inside = new Set<WaitingAsk>();
+            for (const [index, [made, kind]] of steps.entries()) {
+              const [first] = inside;
+              if (kind === 0 && first !== undefined) {
+                order.remove(first);
+                inside.delete(first);
+              } else if (kind === 1) {
+                const taken = order.takeNext(10 * index);
+                expect(taken === undefined).toEqual(inside.size === 0);
+                if (taken !== undefined) order.putBack(taken);
+              } else {
+                const added = wait(made, 10 * index);
+                order.add(added);
+                inside.add(added);
+              }
+            }
+            const taken = takeAll(order, 10_000);
+            expect(taken.length).toEqual(inside.size);
+            expect(new Set(taken)).toEqual(inside);
+          },
+        ),
+        { seed: 3 },
+      );
+    });
+  }
+});
+
+describe("SlackOrder", () => {
+  it("puts callers at a counter first, and less slack before more", () => {
+    const order = makeOrder("slack");
+    const deferrable = wait({ urgency: "deferrable", latestStartInMs: 100 });
+    const patient = wait({ latestStartInMs: 900 });
+    const urgent = wait({ latestStartInMs: 300 });
+    for (const waiting of [deferrable, patient, urgent]) order.add(waiting);
+    expect(takeAll(order)).toEqual([urgent, patient, deferrable]);
+  });
+
+  it("keeps a small account's share through a large one's burst", () => {
+    const order = makeOrder("slack");
+    // The burst is more urgent by slack alone.
+    for (let index = 0; index < 400; index++) {
+      order.add(wait({ account: "large", latestStartInMs: 500 }));
+    }
+    for (let index = 0; index < 100; index++) {
+      order.add(wait({ account: "small", latestStartInMs: 1500 }));
+    }
+    const served = takeAll(order).slice(0, 150);
+    // Half of the pool, less the large account's allowance of one second.
+    expect(countOf(served, "small") >= 65).toEqual(true);
+  });
+
+  it("shares by weight", () => {
+    const order = makeOrder("slack");
+    for (let index = 0; index < 400; index++) {
+      order.add(wait({ account: "heavy" }));
+      order.add(wait({ account: "small" }));
+    }
+    const served = takeAll(order).slice(0, 400);
+    const ratio = countOf(served, "heavy") / countOf(served, "small");
+    expect(ratio > 2.5 && ratio < 3.5).toEqual(true);
+  });
+
+  it("does not starve deferrable work that has waited too long", () => {
+    const order = makeOrder("slack");
+    for (let index = 0; index < 10; index++) {
+      order.add(wait({ urgency: "deferrable" }));
+    }
+    for (let index = 0; index < 100; index++) order.add(wait());
+    const early = takeAll(order, 0).slice(0, 100);
+    expect(early.every((w) => w.ask.urgency === "counter")).toEqual(true);
+    const aged = makeOrder("slack");
+    for (let index = 0; index < 10; index++) {
+      aged.add(wait({ urgency: "deferrable" }));
+    }
+    for (let index = 0; index < 100; index++) aged.add(wait());
+    const late = takeAll(aged, 1000).slice(0, 40);
+    const deferrable = late.filter((w) => w.ask.urgency === "deferrable");
+    expect(deferrable.length).toEqual(10);
+  });
+});
+
+describe("ExcessWaitOrder", () => {
+  it("puts the shortest first, but those in excess before all", () => {
+    const order = makeOrder("excessWait");
+    const long = wait({ likelyDurationMs: 300, latestStartInMs: 400 });
+    const short = wait({ likelyDurationMs: 10, latestStartInMs: 4000 });
+    order.add(long);
+    order.add(short);
+    expect(takeAll(order, 0)).toEqual([short, long]);
+    order.add(long);
+    order.add(short);
+    expect(takeAll(order, 250)).toEqual([long, short]);
+  });
+});
+
+describe("AskQueue", () => {
+  it("sheds the account that holds the most when it is full", () => {
+    const queue = new AskQueue(makeOrder("slack"), 10);
+    for (let index = 0; index < 10; index++) {
+      queue.add(wait({ account: "large" }));
+    }
+    expect(queue.add(wait({ account: "large" })).kind).toEqual("shareExceeded");
+    const admission = queue.add(wait({ account: "small" }));
+    expect(admission.kind).toEqual("admittedInsteadOf");
+    expect(queue.size).toEqual(10);
+  });
+
+  it("counts less work ahead for an account within its share", () => {
+    const queue = new AskQueue(makeOrder("slack"), 1000);
+    for (let index = 0; index < 100; index++) {
+      queue.add(wait({ account: "large", likelyDurationMs: 100 }));
+    }
+    const small = wait({ account: "small", likelyDurationMs: 100 });
+    const large = wait({ account: "large", likelyDurationMs: 100 });
+    expect(queue.workAheadMs(large)).toEqual(10_000);
+    expect(queue.workAheadMs(small)).toEqual(200);
+  });
+
+  it("takes out what can no longer start in time", () => {
+    const queue = new AskQueue(makeOrder("slack"), 10);
+    const early = wait({ latestStartInMs: 100 });
+    queue.add(wait({ latestStartInMs: 500 }));
+    queue.add(early);
+    expect(queue.takeExpired(100)).toEqual([early]);
+    expect(queue.size).toEqual(1);
+  });
+});
--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { electOwner } from "./owner_election.js";
 import { ClusterLoad } from "./test_support/cluster_load.js";
 import {
   type ClusterNode,
@@ -7,6 +8,7 @@
 } from "./test_support/in_memory_cluster.js";
 import {
   makeConfiguration,
+  makePool,
   type TestLayout,
 } from "./test_support/test_configuration.js";
 
@@ -65,6 +67,20 @@
   return other;
 }
 
+/** The node that neither owns the pool nor is next to own it. */
+function bystanderOf(
+  owner: ClusterNode,
+  cluster: InMemoryCluster,
+): ClusterNode {
+  const rest = cluster.viewOf(owner).filter((member) => !member.isSelf);
+  const next = electOwner(makePool("palermo"), rest);
+  const bystander = cluster.nodes.find((node) =>
+    node !== owner && node.identity.vmId !== next
+  );
+  if (bystander === undefined) throw new Error("There are only two nodes");
+  return bystander;
+}
+
 async function expectAllAnswered({ cluster, load }: Scene): Promise<void> {
   await cluster.advance(SETTLED_MS);
   expect(load.unanswered).toEqual(0);
@@ -264,6 +280,44 @@
     await expectAllAnswered(scene);
   });
 
+  it("waits for a frozen member's permits before cold grants", async () => {
+    const scene = await makeColdScene({ servers: { palermo: 1 } });
+    const { cluster } = scene;
+    const load = new ClusterLoad(cluster, 700);
+    const former = ownerOf(cluster);
+    const asker = bystanderOf(former, cluster);
+    load.call(asker);
+    while (load.server("palermo-1").inFlight === 0) await cluster.advance(5);
+    asker.isFrozen = true;
+    cluster.leave(former);
+    await load.run(1000, LOAD);
+    asker.isFrozen = false;
+    await load.run(1000, LOAD);
+    await expectAllAnswered({ cluster, load });
+  });
+
+  it("does not take a former owner's grant after a new one asked", async () => {
+    const scene = await makeColdScene({ servers: { palermo: 1 } });
+    const { cluster } = scene;
+    const load = new ClusterLoad(cluster, 300);
+    const former = ownerOf(cluster);
+    const asker = bystanderOf(former, cluster);
+    load.call(asker);
+    // The ask has arrived; the grant is under way and held up.
+    await cluster.advance(5);
+    cluster.cut(former, asker);
+    cluster.leave(former);
+    let calls = 0;
+    for (; calls < 35; calls++) {
+      for (const node of cluster.nodes) if (node !== asker) load.call(node);
+      await cluster.advance(20);
+    }
+    expect(load.server("palermo-1").startedCalls >= 1).toEqual(true);
+    cluster.heal();
+    await load.run(1000, LOAD);
+    await expectAllAnswered({ cluster, load });
+  });
+
   it("still grants when the last daemon leaves", async () => {
     const scene = await makeScene({ vms: { "vm-1": "palermo" } });
     const { cluster, load } = scene;
--- a/packages/daemon/src/pools/test_support/cluster_load.ts
+++ b/packages/daemon/src/pools/test_support/cluster_load.ts
@@ -36,7 +36,7 @@
   /** The asking node of each ask that waits. */
   readonly #waiting: ClusterNode[] = [];
 
-  constructor(cluster: InMemoryCluster) {
+  constructor(cluster: InMemoryCluster, callMs = CALL_MS) {
     this.#cluster = cluster;
     const { register } = cluster.configuration;
     for (const registered of register.backendServers) {
@@ -44,7 +44,7 @@
       if (service === undefined) continue;
       this.#servers.set(
         registered.id,
-        new FakeServer({ ...service, callMs: CALL_MS }),
+        new FakeServer({ ...service, callMs }),
       );
     }
   }
--- a/packages/daemon/src/pools/test_support/in_memory_cluster.ts
+++ b/packages/daemon/src/pools/test_support/in_memory_cluster.ts
@@ -52,7 +52,7 @@
   readonly metrics = new Metrics();
   source: SharedPermitSource | undefined;
   isFrozen = false;
-  isLeaving = false;
+  leavingSinceMs = Infinity;
   killedAtMs: number | undefined;
 
   constructor(cluster: InMemoryCluster, identity: PeerIdentity) {
@@ -133,7 +133,7 @@
 
   /** The node is told to stop, and tells the others. */
   leave(node: ClusterNode): void {
-    node.isLeaving = true;
+    node.leavingSinceMs = this.nowMs;
     node.permits.startLeaving();
   }
 
@@ -205,7 +205,7 @@
     }
     const heardAtMs = viewer.heardAtMs.get(node.identity.vmId) ?? -Infinity;
     if (this.nowMs - heardAtMs > SILENT_AFTER_MS) return "silent";
-    return node.isLeaving ? "leaving" : "live";
+    return heardAtMs > node.leavingSinceMs ? "leaving" : "live";
   }
 
   #start(node: ClusterNode): void {
@@ -246,7 +246,7 @@
             type: "heartbeat",
             sequence: 1,
             generation: 1,
-            leaving: node.isLeaving,
+            leaving: sentAtMs >= node.leavingSinceMs,
             ownedPools: pools,
           },
         });
