Test the claim keeper against races, lost answers, outages and cuts

The keeper is ready for use: createClaimKeeper({ settings, store, network, clock, metrics, logger }).

--- /dev/null
+++ b/packages/daemon/src/claims/claim_segments_test.ts
@@ -0,0 +1,119 @@
+import { MAX_OBJECT_BYTES } from "@sassafrasstage/protocol/platform_objects";
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { RETENTION_EPOCHS } from "./claim_layout.js";
+import { byteSizeOf, LAYOUT_KEY, parseLayout } from "./claim_objects.js";
+import { MAX_KEPT_ANSWER_BYTES } from "./kept_answer.js";
+import {
+  claimOf,
+  type FleetKeeper,
+  KeeperFleet,
+  makeAnswer,
+  WANTED,
+} from "./testing/keeper_fleet.js";
+
+/** Several heads full. */
+const KEYS = 60;
+
+let fleet: KeeperFleet;
+
+beforeEach(() => {
+  fleet = new KeeperFleet({ partitions: 1 });
+});
+
+afterEach(() => {
+  fleet.close();
+});
+
+function answerTo(key: string): string {
+  return key.padEnd(MAX_KEPT_ANSWER_BYTES, "x");
+}
+
+async function runKeys(
+  vm: FleetKeeper,
+  keys: readonly string[],
+): Promise<void> {
+  await Promise.all(keys.map(async (key) => {
+    const held = claimOf(await vm.keeper.claim(fleet.request(key), WANTED));
+    const answer = makeAnswer(answerTo(key));
+    await vm.keeper.recordOutcome(held, { kind: "answered", answer });
+  }));
+}
+
+function makeKeys(prefix: string): string[] {
+  return Array.from({ length: KEYS }, (_, index) => `${prefix}-${index}`);
+}
+
+function segmentNames(): string[] {
+  return [...fleet.store.objects.keys()].filter((key) =>
+    key !== LAYOUT_KEY && !key.endsWith("/head")
+  );
+}
+
+describe("claim segments", () => {
+  it("keep every key and answer, and every object below its limit", async () => {
+    const a = await fleet.start("vm-a");
+    const keys = makeKeys("key");
+    await runKeys(a, keys);
+    expect(segmentNames().length).toBeGreaterThan(1);
+    for (const object of fleet.store.objects.values()) {
+      expect(byteSizeOf(object.value)).toBeLessThan(MAX_OBJECT_BYTES);
+    }
+    const b = await fleet.start("vm-b");
+    for (const key of keys) {
+      const repeat = await b.keeper.claim(fleet.request(key), WANTED);
+      expect(repeat).toEqual({
+        kind: "answered",
+        answer: makeAnswer(answerTo(key)),
+      });
+    }
+  });
+
+  it("take the outcome of a claim that was cut off while running", async () => {
+    const a = await fleet.start("vm-a");
+    const long = `long-${"x".repeat(3000)}`;
+    const keys = makeKeys(long);
+    const held = await Promise.all(
+      keys.map(async (key) =>
+        claimOf(await a.keeper.claim(fleet.request(key), WANTED))
+      ),
+    );
+    await runKeys(a, makeKeys("filler"));
+    await Promise.all(held.map((claim, index) =>
+      a.keeper.recordOutcome(claim, {
+        kind: index % 2 === 0 ? "notRun" : "unknown",
+      })
+    ));
+    const b = await fleet.start("vm-b");
+    for (const [index, key] of keys.entries()) {
+      const repeat = await b.keeper.claim(fleet.request(key), WANTED);
+      expect(repeat.kind).toEqual(index % 2 === 0 ? "held" : "outcomeUnknown");
+    }
+  });
+
+  it("are dropped whole after their retention, and not before", async () => {
+    const a = await fleet.start("vm-a");
+    const old = makeKeys("old");
+    await runKeys(a, old);
+    const oldNames = segmentNames();
+    setEpoch(RETENTION_EPOCHS - 1);
+    await runKeys(a, makeKeys("newer"));
+    for (const name of oldNames) {
+      expect(fleet.store.objects.has(name)).toEqual(true);
+    }
+    setEpoch(RETENTION_EPOCHS);
+    await runKeys(a, makeKeys("newest"));
+    for (const name of oldNames) {
+      expect(fleet.store.objects.has(name)).toEqual(false);
+    }
+    const b = await fleet.start("vm-b");
+    const kept = await b.keeper.claim(fleet.request("newer-0"), WANTED);
+    expect(kept.kind).toEqual("answered");
+  });
+});
+
+function setEpoch(epoch: number): void {
+  const stored = fleet.store.objects.get(LAYOUT_KEY);
+  const layout = parseLayout(stored?.value);
+  fleet.store.put(LAYOUT_KEY, { ...layout, epoch });
+}
--- /dev/null
+++ b/packages/daemon/src/claims/create_claim_keeper_test.ts
@@ -0,0 +1,248 @@
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { ObjectStore } from "../platform/object_store.js";
+import { PlatformError } from "../platform/platform_error.js";
+import { MAX_KEPT_ANSWER_BYTES } from "./kept_answer.js";
+import {
+  claimOf,
+  KeeperFleet,
+  makeAnswer,
+  WANTED,
+} from "./testing/keeper_fleet.js";
+
+let fleet: KeeperFleet;
+
+beforeEach(() => {
+  fleet = new KeeperFleet();
+});
+
+afterEach(() => {
+  fleet.close();
+});
+
+describe("createClaimKeeper", () => {
+  it("lets one of many that claim a key at once hold it", async () => {
+    const keepers = [
+      await fleet.start("vm-a"),
+      await fleet.start("vm-b"),
+      await fleet.start("vm-c"),
+    ];
+    const claimants = [...keepers, ...keepers, ...keepers, ...keepers];
+    const decisions = await Promise.all(
+      claimants.map(({ keeper }) =>
+        keeper.claim(fleet.request("key-1", { deadlineMs: 300 }), WANTED)
+      ),
+    );
+    const kinds = decisions.map((decision) => decision.kind);
+    expect(kinds.filter((kind) => kind === "held").length).toEqual(1);
+    expect(kinds.filter((kind) => kind === "outcomeUnknown").length)
+      .toEqual(11);
+  });
+
+  it("gives a repeat the recorded answer, at any VM", async () => {
+    const a = await fleet.start("vm-a");
+    const b = await fleet.start("vm-b");
+    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const answer = makeAnswer('{"certificate":7}');
+    expect(await a.keeper.recordOutcome(held, { kind: "answered", answer }))
+      .toEqual(true);
+    for (const { keeper } of [a, b]) {
+      expect(await keeper.claim(fleet.request("key-1"), WANTED))
+        .toEqual({ kind: "answered", answer });
+    }
+  });
+
+  it("lets a repeat wait for the answer of the running request", async () => {
+    const a = await fleet.start("vm-a");
+    const b = await fleet.start("vm-b");
+    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const repeats = [a, b].map(({ keeper }) =>
+      keeper.claim(fleet.request("key-1"), WANTED)
+    );
+    await sleep(100);
+    const answer = makeAnswer("whole");
+    await a.keeper.recordOutcome(held, { kind: "answered", answer });
+    for (const decision of await Promise.all(repeats)) {
+      expect(decision).toEqual({ kind: "answered", answer });
+    }
+  });
+
+  it("refuses other content, and says what is unknown", async () => {
+    const a = await fleet.start("vm-a");
+    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const other = fleet.request("key-1", { content: "content-2" });
+    expect((await a.keeper.claim(other, WANTED)).kind).toEqual("otherContent");
+    await a.keeper.recordOutcome(held, { kind: "unknown" });
+    expect((await a.keeper.claim(fleet.request("key-1"), WANTED)).kind)
+      .toEqual("outcomeUnknown");
+  });
+
+  it("frees a key whose request was not run", async () => {
+    const a = await fleet.start("vm-a");
+    const b = await fleet.start("vm-b");
+    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    await a.keeper.recordOutcome(held, { kind: "notRun" });
+    const again = await b.keeper.claim(fleet.request("key-1"), WANTED);
+    expect(again.kind).toEqual("held");
+  });
+
+  it("keeps a key taken whose answer was too large to keep", async () => {
+    const a = await fleet.start("vm-a");
+    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const answer = makeAnswer("x".repeat(MAX_KEPT_ANSWER_BYTES + 1));
+    await a.keeper.recordOutcome(held, { kind: "answered", answer });
+    const repeat = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    if (repeat.kind !== "answered") throw new Error(repeat.kind);
+    expect(repeat.answer.contentType).toEqual("application/problem+json");
+    expect(repeat.answer.body).toEqual(expect.includes('"notRun":false'));
+  });
+
+  it("settles lost answers by reading back", async () => {
+    const a = await fleet.start("vm-a");
+    fleet.store.answersToLose = 3;
+    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    fleet.store.answersToLose = 2;
+    await a.keeper.recordOutcome(held, { kind: "notRun" });
+    const again = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    expect(again.kind).toEqual("held");
+    const second = await a.keeper.claim(
+      fleet.request("key-1", { deadlineMs: 200 }),
+      WANTED,
+    );
+    expect(second.kind).toEqual("outcomeUnknown");
+  });
+
+  it("refuses during an outage, and claims after it", async () => {
+    const a = await fleet.start("vm-a");
+    await fleet.start("vm-b");
+    fleet.store.isDown = true;
+    const refused = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    expect(refused.kind).toEqual("unavailable");
+    fleet.store.isDown = false;
+    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    fleet.store.isDown = true;
+    const recording = a.keeper.recordOutcome(held, {
+      kind: "answered",
+      answer: makeAnswer("late"),
+    });
+    await sleep(100);
+    fleet.store.isDown = false;
+    expect(await recording).toEqual(true);
+    const repeat = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    expect(repeat).toEqual({ kind: "answered", answer: makeAnswer("late") });
+  });
+
+  it("claims through a peer while it doesn't reach the platform", async () => {
+    const a = await fleet.start("vm-a");
+    const b = await fleet.start("vm-b");
+    a.connection.isCut = true;
+    const kinds: string[] = [];
+    for (const key of ["key-1", "key-2", "key-3", "key-4"]) {
+      const held = claimOf(await a.keeper.claim(fleet.request(key), WANTED));
+      await a.keeper.recordOutcome(held, { kind: "unknown" });
+      const repeat = await b.keeper.claim(fleet.request(key), WANTED);
+      kinds.push(repeat.kind);
+    }
+    expect(kinds).toEqual([
+      "outcomeUnknown",
+      "outcomeUnknown",
+      "outcomeUnknown",
+      "outcomeUnknown",
+    ]);
+  });
+
+  it("commits directly when the preferred VM is silent", async () => {
+    const keepers = [await fleet.start("vm-a"), await fleet.start("vm-b")];
+    fleet.peers.isHeldBack = () => true;
+    for (const { keeper } of keepers) {
+      for (const key of ["key-1", "key-2", "key-3", "key-4"]) {
+        await keeper.claim(fleet.request(key, { deadlineMs: 700 }), WANTED);
+      }
+    }
+    const held = [...fleet.store.objects.values()].flatMap((object) =>
+      (object.value as { records?: unknown[] }).records ?? []
+    );
+    expect(held.length).toEqual(4);
+  });
+
+  it("says that the outcome is unknown when the holder has died", async () => {
+    const a = await fleet.start("vm-a");
+    const b = await fleet.start("vm-b");
+    claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const renewed = await fleet.restart("vm-a", "life-2");
+    for (const { keeper } of [b, renewed]) {
+      const request = fleet.request("key-1", { deadlineMs: 60_000 });
+      expect((await keeper.claim(request, WANTED)).kind)
+        .toEqual("outcomeUnknown");
+    }
+  });
+
+  it("frees a claim that was made for an attempt given up", async () => {
+    const a = await fleet.start("vm-a");
+    const b = await fleet.start("vm-b");
+    const replies = new Set(["claimReply", "claimRequest"]);
+    fleet.peers.isHeldBack = (message) => replies.has(message.type);
+    a.connection.isCut = true;
+    const refused = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    expect(refused.kind).toEqual("unavailable");
+    const { held } = fleet.peers;
+    expect(held.length).toBeGreaterThan(0);
+    await fleet.peers.deliverHeld(held.map((_, index) => index));
+    await sleep(50);
+    expect(fleet.store.objects.size).toBeGreaterThan(1);
+    fleet.peers.isHeldBack = () => false;
+    a.connection.isCut = false;
+    const repeat = await b.keeper.claim(fleet.request("key-1"), WANTED);
+    expect(repeat.kind).toEqual("held");
+  });
+});
+
+describe("createClaimKeeper over a store that applies updates late", () => {
+  it("lets one hold the key", async () => {
+    const late: Promise<unknown>[] = [];
+    const lateFleet = new KeeperFleet({
+      wrap: (store) => delayEverySecondUpdate(store, late),
+    });
+    try {
+      const a = await lateFleet.start("vm-a");
+      const b = await lateFleet.start("vm-b");
+      for (let round = 0; round < 5; round++) {
+        const kinds = await Promise.all([a, b, a, b].map(async ({ keeper }) => {
+          const request = lateFleet.request(`key-${round}`, {
+            deadlineMs: 400,
+          });
+          return (await keeper.claim(request, WANTED)).kind;
+        }));
+        expect(kinds.filter((kind) => kind === "held").length)
+          .toBeLessThanOrEqual(1);
+      }
+      await Promise.allSettled(late);
+    } finally {
+      lateFleet.close();
+    }
+  });
+});
+
+/** The caller is told at once that the outcome is unknown. */
+function delayEverySecondUpdate(
+  store: ObjectStore,
+  late: Promise<unknown>[],
+): ObjectStore {
+  let updates = 0;
+  return {
+    read: (key) => store.read(key),
+    list: (prefix) => store.list(prefix),
+    remove: (key, version) => store.remove(key, version),
+    watch: (request, signal) => store.watch(request, signal),
+    listVms: () => store.listVms(),
+    update: (key, value, expected) => {
+      updates++;
+      if (updates % 2 === 1) return store.update(key, value, expected);
+      late.push(sleep(10).then(() => store.update(key, value, expected)));
+      return Promise.reject(
+        new PlatformError("outcomeUnknown", "The answer did not come in time"),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/claims/racing_keepers_test.ts
@@ -0,0 +1,146 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { ClaimOutcome } from "@sassafrasstage/protocol/claims";
+import type { ObjectStore } from "../platform/object_store.js";
+import { PlatformError } from "../platform/platform_error.js";
+import {
+  type FleetKeeper,
+  KeeperFleet,
+  makeAnswer,
+  WANTED,
+} from "./testing/keeper_fleet.js";
+
+const SEED = 20_261_203;
+const RUNS = 25;
+const KEEPERS = ["vm-a", "vm-b", "vm-c"];
+const SHORT_DEADLINE_MS = 60;
+
+/** What happens to one call of the store. */
+const FAULTS = ["none", "slow", "lost", "late", "refused"] as const;
+type Fault = (typeof FAULTS)[number];
+
+const fault = fc.constantFrom<Fault>("none", "none", "none", ...FAULTS);
+
+const step = fc.record({
+  keeper: fc.nat({ max: KEEPERS.length - 1 }),
+  key: fc.constantFrom("key-1", "key-2", "key-3"),
+  outcome: fc.constantFrom("answered", "notRun", "unknown", "died"),
+  afterMs: fc.nat({ max: 20 }),
+  runMs: fc.nat({ max: 15 }),
+});
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** How often each key was held without having been freed since. */
+class HeldKeys {
+  readonly #counts = new Map<string, number>();
+  readonly violations: string[] = [];
+  total = 0;
+
+  take(key: string): void {
+    this.total++;
+    const count = (this.#counts.get(key) ?? 0) + 1;
+    this.#counts.set(key, count);
+    if (count > 1) this.violations.push(key);
+  }
+
+  free(key: string): void {
+    this.#counts.set(key, 0);
+  }
+}
+
+function withFaults(store: ObjectStore, faults: readonly Fault[]): ObjectStore {
+  let calls = 0;
+  async function run<Result>(call: () => Promise<Result>): Promise<Result> {
+    const chosen = faults[calls++ % faults.length] ?? "none";
+    switch (chosen) {
+      case "none":
+        return await call();
+      case "slow":
+        await sleep(5);
+        return await call();
+      case "lost":
+        await call();
+        throw new PlatformError("outcomeUnknown", "The answer was lost");
+      case "late":
+        void sleep(7).then(call).catch(() => undefined);
+        throw new PlatformError("outcomeUnknown", "The answer came too late");
+      case "refused":
+        throw new PlatformError("notDone", "The platform refused");
+    }
+  }
+  return {
+    read: (key) => run(() => store.read(key)),
+    list: (prefix) => run(() => store.list(prefix)),
+    remove: (key, version) => run(() => store.remove(key, version)),
+    watch: (request, signal) => store.watch(request, signal),
+    listVms: () => store.listVms(),
+    update: (key, value, expected) =>
+      run(() => store.update(key, value, expected)),
+  };
+}
+
+async function runStep(
+  fleet: KeeperFleet,
+  vm: FleetKeeper,
+  run: { readonly step: Step; readonly held: HeldKeys },
+): Promise<void> {
+  const { key, outcome, afterMs, runMs } = run.step;
+  await sleep(afterMs);
+  const request = fleet.request(key, { deadlineMs: SHORT_DEADLINE_MS });
+  const decision = await vm.keeper.claim(request, WANTED);
+  if (decision.kind !== "held") return;
+  run.held.take(key);
+  await sleep(runMs);
+  if (outcome === "died") return;
+  if (outcome === "notRun") run.held.free(key);
+  await vm.keeper.recordOutcome(decision.claim, toOutcome(outcome));
+}
+
+function toOutcome(kind: "answered" | "notRun" | "unknown"): ClaimOutcome {
+  if (kind !== "answered") return { kind };
+  return { kind, answer: makeAnswer("an answer") };
+}
+
+describe("racing keepers", () => {
+  it("let a key be held once, unless it is freed", async () => {
+    let heldInAll = 0;
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(step, { minLength: 4, maxLength: 14 }),
+        fc.array(fault, { minLength: 5, maxLength: 40 }),
+        fc.array(fc.boolean(), { minLength: 3, maxLength: 20 }),
+        async (steps, faults, holds) => {
+          const fleet = new KeeperFleet({
+            partitions: 1,
+            wrap: (store) => withFaults(store, faults),
+          });
+          let messages = 0;
+          fleet.peers.isHeldBack = () =>
+            holds[messages++ % holds.length] ?? false;
+          const vms: FleetKeeper[] = [];
+          for (const vmId of KEEPERS) vms.push(await fleet.start(vmId));
+          const held = new HeldKeys();
+          const work = steps.map(async (one) => {
+            const vm = vms[one.keeper];
+            if (vm === undefined) throw new Error("No such keeper");
+            await runStep(fleet, vm, { step: one, held });
+          });
+          await sleep(30);
+          const late = fleet.peers.held.map((_, index) => index).reverse();
+          await fleet.peers.deliverHeld(late);
+          await Promise.all(work);
+          await Promise.all(vms.map(({ keeper }) => keeper.flush(50)));
+          fleet.close();
+          if (held.violations.length > 0) {
+            throw new Error(`Held twice: ${held.violations.join(", ")}`);
+          }
+          heldInAll += held.total;
+        },
+      ),
+      { seed: SEED, numRuns: RUNS, endOnFailure: true },
+    );
+    expect(heldInAll).toBeGreaterThan(RUNS);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/claims/testing/keeper_fleet.ts
@@ -0,0 +1,157 @@
+/**
+ * Claim keepers over a store and peers in memory, for unit tests.
+ *
+ * @module
+ */
+
+import type { RecordedAnswer } from "@sassafrasstage/protocol/claims";
+import {
+  type AttemptId,
+  type ClientAccountId,
+  type DataCentreName,
+  type Incarnation,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import { setMaxListeners } from "node:events";
+import { MONOTONIC_CLOCK } from "../../clock.js";
+import {
+  MemoryPeerNetwork,
+  MemoryPeers,
+} from "../../configuration/testing/memory_peers.js";
+import type { Logger } from "../../observability/logger.js";
+import { Metrics } from "../../observability/metrics.js";
+import type { ObjectStore } from "../../platform/object_store.js";
+import {
+  type MemoryConnection,
+  MemoryObjectStore,
+} from "../../platform/testing/memory_object_store.js";
+import { type Settings, settingsSchema } from "../../settings/settings.js";
+import type {
+  ClaimDecision,
+  ClaimKeeper,
+  ClaimRequest,
+  HeldClaim,
+} from "../claim_keeper.js";
+import { createClaimKeeper } from "../create_claim_keeper.js";
+
+/** Long enough for a busy machine; no verdict rests on it. */
+const DEADLINE_MS = 10_000;
+
+const SILENT_LOGGER: Logger = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+};
+
+export interface FleetKeeper {
+  readonly keeper: ClaimKeeper;
+  readonly network: MemoryPeerNetwork;
+  readonly connection: MemoryConnection;
+  readonly metrics: Metrics;
+}
+
+export interface FleetOptions {
+  readonly partitions?: number;
+  /** Puts faults between a keeper and the store. */
+  readonly wrap?: (store: ObjectStore) => ObjectStore;
+}
+
+/** Several keepers that share a store. */
+export class KeeperFleet {
+  readonly store = new MemoryObjectStore();
+  readonly peers = new MemoryPeers();
+  readonly #options: FleetOptions;
+  #nextAttempt = 1;
+
+  constructor(options: FleetOptions = {}) {
+    this.#options = options;
+  }
+
+  async start(vmId: string): Promise<FleetKeeper> {
+    const network = await this.peers.join(vmId, "palermo");
+    return this.#makeKeeper(network);
+  }
+
+  /** The VM's process died, and another one has taken its place. */
+  async restart(vmId: string, incarnation: string): Promise<FleetKeeper> {
+    const id = toId<VmId>(vmId);
+    const former = this.peers.networks.get(id);
+    former?.stop();
+    if (former !== undefined) former.isCut = true;
+    const network = new MemoryPeerNetwork(this.peers, {
+      vmId: id,
+      incarnation: toId<Incarnation>(incarnation),
+      dataCentre: toId<DataCentreName>("palermo"),
+    });
+    this.peers.networks.set(id, network);
+    await this.peers.connectAll();
+    return this.#makeKeeper(network);
+  }
+
+  /** A request with a fresh attempt id. */
+  request(key: string, options: RequestOptions = {}): ClaimRequest {
+    return {
+      key: {
+        clientAccountId: toId<ClientAccountId>("account-1"),
+        idempotencyKey: key,
+      },
+      contentSha256: options.content ?? "content-1",
+      attemptId: toId<AttemptId>(`attempt-${this.#nextAttempt++}`),
+      deadlineAtMs: MONOTONIC_CLOCK.nowMs() +
+        (options.deadlineMs ?? DEADLINE_MS),
+    };
+  }
+
+  close(): void {
+    this.peers.close();
+  }
+
+  #makeKeeper(network: MemoryPeerNetwork): FleetKeeper {
+    const connection = this.store.connect();
+    const metrics = new Metrics();
+    const { wrap } = this.#options;
+    const keeper = createClaimKeeper({
+      settings: makeSettings(network, this.#options.partitions ?? 2),
+      store: wrap === undefined ? connection : wrap(connection),
+      network,
+      clock: MONOTONIC_CLOCK,
+      metrics,
+      logger: SILENT_LOGGER,
+    });
+    return { keeper, network, connection, metrics };
+  }
+}
+
+export interface RequestOptions {
+  readonly content?: string;
+  readonly deadlineMs?: number;
+}
+
+function makeSettings(
+  network: MemoryPeerNetwork,
+  partitions: number,
+): Settings {
+  return settingsSchema.parse({
+    vm: { id: network.self.vmId, data_centre: network.self.dataCentre },
+    listen: { http: "127.0.0.1:0", peers: "127.0.0.1:0" },
+    peers: { shared_key: "a shared key for tests" },
+    platform: { url: "http://127.0.0.1:1" },
+    admin: { key_sha256: "0".repeat(64) },
+    claims: { partitions, gather_min_ms: 0, gather_max_ms: 20 },
+  });
+}
+
+/** A signal that is never aborted. */
+export const WANTED: AbortSignal = new AbortController().signal;
+setMaxListeners(0, WANTED);
+
+export function claimOf(decision: ClaimDecision): HeldClaim {
+  if (decision.kind === "held") return decision.claim;
+  throw new Error(`Expected a held claim, got ${JSON.stringify(decision)}`);
+}
+
+export function makeAnswer(body: string): RecordedAnswer {
+  return { status: 200, contentType: "application/json", body };
+}
