--- a/packages/daemon/src/configuration/watch_head.ts
+++ b/packages/daemon/src/configuration/watch_head.ts
@@ -16,8 +16,9 @@
 import { chooseWatchers, listLiveNeighbours } from "./choose_watchers.js";
 import { HEAD_KEY, type StoredHead } from "./configuration_head.js";
 import {
-  readConfiguration,
+  type PartReader,
   readHead,
+  toConfiguration,
   toStoredHead,
 } from "./read_configuration.js";
 
@@ -30,6 +31,7 @@
 
 export interface HeadWatchOptions {
   readonly store: ObjectStore;
+  readonly partReader: PartReader;
   readonly network: PeerNetwork;
   readonly adopted: AdoptedConfiguration;
   readonly clock: Clock;
@@ -127,10 +129,11 @@
   }
 
   async #adoptHead(head: StoredHead): Promise<void> {
-    const { store, adopted } = this.#options;
+    const { adopted, partReader } = this.#options;
     if (head.accepted.generation <= adopted.generation) return;
-    const configuration = await readConfiguration(store, head.accepted);
-    adopted.adopt(configuration, "platform");
+    const parts = await partReader.read(head.accepted);
+    const { generation } = head.accepted;
+    adopted.adopt(toConfiguration(parts, generation), "platform");
   }
 
   #noteFailure(error: unknown): void {
