Estimate when withheld grants come before refusing for them

Cause: in a run of real daemons 25 of 802 requests were refused at the start because the owner reckoned with a whole lease however much of it had passed. After: it reckons with what is left.

--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -42,8 +42,6 @@
 /** Asks that no free server suits, set aside in one round at most. */
 const MAX_SET_ASIDE = 16;
 const MIN_RETRY_AFTER_MS = 50;
-/** How long a new owner likely needs to know the permits that are out. */
-const TAKEOVER_MS = 100;
 /** How long a call may run on after its request's deadline. */
 const LATE_CALL_MS = 30_000;
 const LATE_CHECK_MS = 500;
@@ -60,8 +58,8 @@
   readonly hasPrefixAffinity: boolean;
   readonly maxQueueLength: number;
   readonly maxQueueAgeMs: number;
-  /** How long it may take until cold servers may be granted. */
-  readonly leaseMs: number;
+  /** How long it is likely to take until anything can be granted. */
+  readonly withheldForMs: (nowMs: number) => number;
   readonly baselines: LatencyBaselines;
   readonly nextPermitId: () => PermitId;
   readonly rightsAt: (nowMs: number) => GrantRights;
@@ -276,7 +274,7 @@
       return refusal(
         "noBackendServer",
         "No backend server of the pool is in service",
-        this.#options.leaseMs,
+        this.#options.withheldForMs(nowMs),
       );
     }
     const bearableMs = waiting.latestStartAtMs - nowMs;
@@ -291,10 +289,7 @@
 
   #expectedWaitMs(waiting: WaitingAsk, nowMs: number): number {
     if (this.#queue.size === 0 && this.#servers.hasRoom) return 0;
-    if (this.#servers.slots === 0) {
-      const { warm } = this.#options.rightsAt(nowMs);
-      return warm.kind === "none" ? TAKEOVER_MS : this.#options.leaseMs;
-    }
+    if (this.#servers.slots === 0) return this.#options.withheldForMs(nowMs);
     const aheadMs = this.#queue.workAheadMs(waiting) + likelyWorkMs(waiting);
     return aheadMs / this.#servers.slots;
   }
--- a/packages/daemon/src/pools/owned_pool_test.ts
+++ b/packages/daemon/src/pools/owned_pool_test.ts
@@ -49,7 +49,7 @@
       hasPrefixAffinity: false,
       maxQueueLength: 20,
       maxQueueAgeMs: 30_000,
-      leaseMs: 1000,
+      withheldForMs: () => 1000,
       baselines: new LatencyBaselines(),
       nextPermitId: () => {
         this.#permitNumber += 1;
--- a/packages/daemon/src/pools/ownership.ts
+++ b/packages/daemon/src/pools/ownership.ts
@@ -10,6 +10,7 @@
 import type { GoneMembers } from "./gone_members.js";
 import { OwnedPool, type OwnedPoolOptions } from "./owned_pool.js";
 import { OwnershipLease } from "./ownership_lease.js";
+import { LEASE_MARGIN_MS } from "./ownership_support.js";
 import type { PoolContext } from "./pool_context.js";
 import type { PoolEntry } from "./pool_layout.js";
 import { Takeover } from "./takeover.js";
@@ -27,7 +28,7 @@
   readonly warmth: WarmthLog;
   readonly longestPermitMs: () => number;
   readonly startedAtMs: number;
-  readonly pool: Omit<OwnedPoolOptions, "entry" | "leaseMs" | "rightsAt">;
+  readonly pool: Omit<OwnedPoolOptions, "entry" | "rightsAt" | "withheldForMs">;
 }
 
 let lastRequestNumber = 0;
@@ -37,6 +38,7 @@
   readonly pool: OwnedPool;
   readonly #options: OwnershipOptions;
   readonly #lease: OwnershipLease;
+  readonly #startedAtMs: number;
   #entry: PoolEntry;
   #leaseUntilMs = -Infinity;
   #takeover: Takeover;
@@ -46,14 +48,15 @@
   constructor(options: OwnershipOptions) {
     this.#options = options;
     this.#entry = options.entry;
+    this.#startedAtMs = options.startedAtMs;
     const leaseMs = options.context.settings.pools.lease_ms;
     this.#lease = new OwnershipLease(leaseMs, options.startedAtMs);
     this.#takeover = this.#startTakeover(options.startedAtMs);
     this.pool = new OwnedPool({
       ...options.pool,
       entry: options.entry,
-      leaseMs,
       rightsAt: (nowMs) => this.rightsAt(nowMs),
+      withheldForMs: (nowMs) => this.#withheldForMs(nowMs),
     });
   }
 
@@ -118,6 +121,18 @@
     return this.#takeover.isColdKnown(context.members, gone.since, nowMs);
   }
 
+  /** An estimate of when rights come that are not there now. */
+  #withheldForMs(nowMs: number): number {
+    const { context, longestPermitMs } = this.#options;
+    const { lease_ms: leaseMs } = context.settings.pools;
+    if (!this.#isAdopted) return ASK_AGAIN_MS;
+    const hasLease = nowMs < this.#leaseUntilMs;
+    const dueAtMs = hasLease
+      ? this.#takeover.startedAtMs + longestPermitMs()
+      : this.#startedAtMs + leaseMs + LEASE_MARGIN_MS;
+    return nowMs < dueAtMs ? dueAtMs - nowMs : leaseMs;
+  }
+
   #warmRights(nowMs: number): GrantRights["warm"] {
     const { context } = this.#options;
     const hasLease = nowMs < this.#leaseUntilMs;
--- a/packages/daemon/src/pools/takeover.ts
+++ b/packages/daemon/src/pools/takeover.ts
@@ -31,6 +31,10 @@
     this.requestNumber = options.requestNumber;
   }
 
+  get startedAtMs(): number {
+    return this.#options.startedAtMs;
+  }
+
   noteAnswer(from: VmId, requestNumber: number): boolean {
     if (requestNumber !== this.requestNumber) return false;
     this.#answered.add(from);
