--- a/packages/stand-ins/src/cluster/caller.ts
+++ b/packages/stand-ins/src/cluster/caller.ts
@@ -42,7 +42,7 @@
     readonly answer: PipelineAnswer;
     /** The body as it was sent; of a stream, its closing event. */
     readonly text: string;
-    /** Tokens of a streamed answer, as they came. */
+    /** Tokens of a streamed answer since its last restart. */
     readonly tokens: readonly string[];
     readonly latencyMs: number;
     readonly firstTokenMs?: number;
@@ -155,6 +155,8 @@
     if (event.name === "token") {
       firstTokenMs ??= elapsed();
       tokens.push((JSON.parse(event.data) as { text: string }).text);
+    } else if (event.name === "restart") {
+      tokens.length = 0;
     } else if (event.name === "answer") {
       return {
         kind: "answer",
--- a/packages/stand-ins/src/cluster/daemon_handle.ts
+++ b/packages/stand-ins/src/cluster/daemon_handle.ts
@@ -37,6 +37,7 @@
   readonly httpUrl: string;
   readonly #options: DaemonOptions;
   #process: ManagedProcess | undefined;
+  #wasReady = false;
 
   constructor(options: DaemonOptions) {
     this.vmId = options.vmId;
@@ -49,6 +50,11 @@
     return this.#process?.isRunning ?? false;
   }
 
+  /** Whether it became ready since its start, and runs. */
+  get isInService(): boolean {
+    return this.isRunning && this.#wasReady;
+  }
+
   get processId(): number {
     return this.#running().processId;
   }
@@ -56,6 +62,7 @@
   /** Starts the process; a port that was taken meanwhile is tried again. */
   async start(): Promise<void> {
     if (this.isRunning) throw new Error(`${this.vmId} is running`);
+    this.#wasReady = false;
     await this.#options.releasePorts();
     for (let attempt = 1; attempt <= START_ATTEMPTS; attempt++) {
       if (await this.#tryStart()) return;
@@ -95,8 +102,9 @@
   }
 
   /** Waits until `/readyz` answers 200. */
-  waitUntilReady(timeoutMs: number): Promise<void> {
-    return this.#waitForProbe("/readyz", timeoutMs);
+  async waitUntilReady(timeoutMs: number): Promise<void> {
+    await this.#waitForProbe("/readyz", timeoutMs);
+    this.#wasReady = true;
   }
 
   /** Waits until the HTTP listener answers. */
--- /dev/null
+++ b/tests/src/cold_limit_test.ts
@@ -0,0 +1,98 @@
+import {
+  type Cluster,
+  startCluster,
+} from "@sassafrasstage/stand-ins/cluster/cluster";
+import { expect } from "earl";
+import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { findOwner } from "./support/daemon_status.js";
+import { Load } from "./support/load.js";
+import { isAnswered, summarize } from "./support/request_log.js";
+import { COLD_SERVICES, makeSamplePlan } from "./support/sample_plan.js";
+import {
+  findLost,
+  findViolations,
+  readRecords,
+  type ServerRecord,
+} from "./support/verdicts.js";
+
+const PLAN = makeSamplePlan({
+  dataCentres: [{ name: "palermo", entryVmCount: 3 }],
+  services: COLD_SERVICES,
+});
+
+describe("Backend servers in cold start", () => {
+  let cluster: Cluster | undefined;
+
+  afterEach(async () => {
+    await cluster?.stop();
+  });
+
+  it("get no more than they bear when their pool's owner is killed", async () => {
+    cluster = await startCluster(PLAN);
+    await judge(cluster, async (owner) => {
+      await cluster?.daemon(owner).kill();
+    });
+  });
+
+  it("get no more than they bear when their pool's owner is frozen and thawed", async () => {
+    cluster = await startCluster(PLAN);
+    await judge(cluster, async (owner) => {
+      cluster?.daemon(owner).freeze();
+      await sleep(3000);
+      cluster?.daemon(owner).thaw();
+    });
+  });
+
+  it("get no more than they bear when their pool's owner is cut off and back", async () => {
+    cluster = await startCluster(PLAN);
+    await judge(cluster, async (owner) => {
+      cluster?.network.cutVm(owner);
+      await sleep(3000);
+      cluster?.heal();
+    });
+  });
+
+  it("get no more than they bear after turning cold without warning", async () => {
+    cluster = await startCluster(PLAN);
+    await judge(cluster, async () => {
+      for (const server of cluster?.servers ?? []) await server.turnCold();
+    });
+  });
+});
+
+/** Loads the cluster, lets something happen to the owner, and judges. */
+async function judge(
+  cluster: Cluster,
+  happen: (owner: string) => Promise<void>,
+): Promise<void> {
+  const load = new Load(cluster, {
+    seed: 31,
+    requestsPerSecond: 60,
+    pipelines: ["lookup", "draft", "issue"],
+  });
+  load.start();
+  await sleep(500);
+  await happen(await findOwner(cluster, "generator", "palermo"));
+  // Cold again while the pools change hands.
+  for (const server of cluster.serversOf("encoder")) await server.turnCold();
+  await sleep(3500);
+  const requests = await load.stop();
+  const records = await readRecords(cluster);
+  expect(findViolations(requests, records)).toEqual([]);
+  expect(findLost(requests).filter(isUnexplained(cluster))).toEqual([]);
+  if (requests.filter(isAnswered).length < requests.length / 5) {
+    throw new Error(summarize(requests));
+  }
+  expect(records.some(wasColdUnderLoad)).toEqual(true);
+}
+
+/** A caller of a killed VM can lose its connection; no other may. */
+function isUnexplained(cluster: Cluster): (lost: string) => boolean {
+  const killed = cluster.daemons.filter((daemon) => !daemon.isRunning);
+  return (lost) => !killed.some((daemon) => lost.endsWith(daemon.vmId));
+}
+
+function wasColdUnderLoad(record: ServerRecord): boolean {
+  return record.maxInFlightWhileCold > 0;
+}
--- /dev/null
+++ b/tests/src/shutdown_test.ts
@@ -0,0 +1,74 @@
+import {
+  type Cluster,
+  startCluster,
+} from "@sassafrasstage/stand-ins/cluster/cluster";
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Load, sendLogged } from "./support/load.js";
+import { isAnswered, summarize } from "./support/request_log.js";
+import { makeSamplePlan, STORY_TOKENS } from "./support/sample_plan.js";
+import { findLost, findViolations, readRecords } from "./support/verdicts.js";
+
+describe("Graceful shutdown", () => {
+  let cluster: Cluster;
+
+  before(async () => {
+    cluster = await startCluster(makeSamplePlan());
+  });
+
+  after(async () => {
+    await cluster.stop();
+  });
+
+  it("runs long streams to their end and exits with 0", async () => {
+    const daemon = cluster.daemon("vm-palermo-1");
+    const stories = Array.from(
+      { length: 10 },
+      (_, index) =>
+        sendLogged(cluster, {
+          marker: `<<story-${index}>>`,
+          pipeline: "story",
+          vmId: daemon.vmId,
+          isStreamed: true,
+        }),
+    );
+    await sleep(200);
+    const status = await daemon.terminate();
+    const requests = await Promise.all(stories);
+    expect(status).toEqual({ code: 0, signal: null });
+    expect(findViolations(requests, await readRecords(cluster))).toEqual([]);
+    const tokens = requests.map(({ result }) =>
+      result.kind === "answer" ? result.tokens.length : summarize(requests)
+    );
+    expect(tokens).toEqual(requests.map(() => STORY_TOKENS));
+    await daemon.start();
+    await daemon.waitUntilReady(10_000);
+  });
+
+  it("loses nothing in a rolling restart under load", async () => {
+    const load = new Load(cluster, {
+      seed: 21,
+      requestsPerSecond: 40,
+      pipelines: ["lookup", "draft", "issue"],
+      streamRatio: 0.5,
+    });
+    load.start();
+    for (const daemon of cluster.daemons) {
+      const status = await daemon.terminate();
+      expect(status).toEqual({ code: 0, signal: null });
+      await daemon.start();
+      await daemon.waitUntilReady(10_000);
+    }
+    const requests = await load.stop();
+    const records = await readRecords(cluster);
+    expect(findLost(requests)).toEqual([]);
+    expect(findViolations(requests, records)).toEqual([]);
+    const refused = requests.filter((request) =>
+      request.result.kind === "problem"
+    );
+    // A balancer takes a refused connection elsewhere; a refusal it can't.
+    expect(summarize(refused)).toEqual("");
+    expect(requests.filter(isAnswered).length).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/tests/src/support/expected_answer.ts
@@ -0,0 +1,37 @@
+/**
+ * What a pipeline of the sample plan must answer for an input.
+ *
+ * @module
+ */
+
+import {
+  expectedPlainOutput,
+  expectedText,
+} from "@sassafrasstage/stand-ins/backend_servers/expected_output";
+import type { StagePlan } from "@sassafrasstage/stand-ins/cluster/cluster_plan";
+import { PIPELINES, type SamplePipeline } from "./sample_plan.js";
+
+/** The output of the last stage; a number handed out is left out of it. */
+export function expectedAnswer(
+  pipeline: SamplePipeline,
+  input: string,
+): unknown {
+  let previous: unknown;
+  for (const [index, stage] of PIPELINES[pipeline].stages.entries()) {
+    previous = expectedStage(
+      stage,
+      index === 0 ? { input } : {
+        input,
+        previous,
+      },
+    );
+  }
+  return previous;
+}
+
+function expectedStage(stage: StagePlan, input: unknown): unknown {
+  if (stage.maxTokens === undefined) {
+    return expectedPlainOutput(stage.operation, input);
+  }
+  return expectedText(JSON.stringify(input), stage.maxTokens);
+}
--- /dev/null
+++ b/tests/src/support/verdicts.ts
@@ -0,0 +1,146 @@
+/**
+ * Judges a run by what callers got and what the stand-ins recorded. Each
+ * function returns the violations it found, in words.
+ *
+ * @module
+ */
+
+import type { BackendServerRecord } from "@sassafrasstage/stand-ins/backend_servers/backend_server_core";
+import type { NumberedOutput } from "@sassafrasstage/stand-ins/backend_servers/plain_service_stand_in";
+import type { RunEntry } from "@sassafrasstage/stand-ins/backend_servers/run_log";
+import type { Cluster } from "@sassafrasstage/stand-ins/cluster/cluster";
+import { expectedAnswer } from "./expected_answer.js";
+import { isAnswered, type LoggedRequest } from "./request_log.js";
+
+/** A stand-in's record with its name. */
+export interface ServerRecord extends BackendServerRecord {
+  readonly id: string;
+  readonly service: string;
+  readonly dataCentre: string;
+}
+
+export async function readRecords(cluster: Cluster): Promise<ServerRecord[]> {
+  return await Promise.all(cluster.servers.map(async (server) => ({
+    ...await server.record(),
+    id: server.id,
+    service: server.service,
+    dataCentre: server.dataCentre,
+  })));
+}
+
+/** Answers that are not exactly the answer to their own request. */
+export function findWrongAnswers(
+  requests: readonly LoggedRequest[],
+): string[] {
+  return requests.filter(isAnswered).flatMap((request) => {
+    const { answer, tokens } = request.result;
+    const expected = expectedAnswer(request.pipeline, request.input);
+    const got = withoutNumber(answer.output);
+    const faults: string[] = [];
+    if (JSON.stringify(got) !== JSON.stringify(expected)) {
+      faults.push(`${request.marker} got ${JSON.stringify(answer.output)}`);
+    }
+    if (tokens.length > 0 && tokens.join("") !== answer.output) {
+      faults.push(`${request.marker} was streamed ${JSON.stringify(tokens)}`);
+    }
+    return faults;
+  });
+}
+
+/** Non-idempotent operations that ran twice for one request. */
+export function findDoubleRuns(records: readonly ServerRecord[]): string[] {
+  return [...groupIssues(records)]
+    .filter(([, entries]) => entries.length > 1)
+    .map(([marker, entries]) => `${marker} ran ${entries.length} times`);
+}
+
+/** Refusals that say "not run" about something that ran. */
+export function findUntrueNotRun(
+  requests: readonly LoggedRequest[],
+  records: readonly ServerRecord[],
+): string[] {
+  const issues = groupIssues(records);
+  return requests.flatMap(({ marker, result }) => {
+    if (result.kind !== "problem" || !result.problem.notRun) return [];
+    if (!issues.has(marker)) return [];
+    return [`${marker} was refused as not run (${result.problem.reason})`];
+  });
+}
+
+/** Answers with a number that the registry did not hand out for them. */
+export function findForeignNumbers(
+  requests: readonly LoggedRequest[],
+  records: readonly ServerRecord[],
+): string[] {
+  const issues = groupIssues(records);
+  return requests.filter(isAnswered)
+    .filter((request) => request.pipeline === "issue")
+    .flatMap(({ marker, result }) => {
+      const { number } = result.answer.output as NumberedOutput;
+      const numbers = issues.get(marker)?.map((entry) => entry.number) ?? [];
+      if (numbers.includes(number)) return [];
+      return [`${marker} was answered with number ${number}`];
+    });
+}
+
+/** Backend servers that got more than they can bear while cold. */
+export function findColdOverloads(records: readonly ServerRecord[]): string[] {
+  return records.filter((record) => record.coldOverloads > 0).map((record) =>
+    `${record.id} overloaded ${record.coldOverloads} times, ` +
+    `up to ${record.maxInFlightWhileCold} in flight`
+  );
+}
+
+/** Work that reached the servers after a time. */
+export function findLateArrivals(
+  records: readonly ServerRecord[],
+  afterMs: number,
+): string[] {
+  return records.flatMap((record) =>
+    record.entries
+      .filter((entry) => entry.arrivedAtMs > afterMs)
+      .map((entry) =>
+        `${record.id} got work ${entry.arrivedAtMs - afterMs} ms late`
+      )
+  );
+}
+
+/** Requests that a caller lost: neither an answer nor a refusal came. */
+export function findLost(requests: readonly LoggedRequest[]): string[] {
+  return requests
+    .filter(({ result }) => result.kind === "broken")
+    .map(({ marker, vmId }) => `${marker} broke at ${vmId}`);
+}
+
+/** The violations that hold in every test, whatever was done to the cluster. */
+export function findViolations(
+  requests: readonly LoggedRequest[],
+  records: readonly ServerRecord[],
+): string[] {
+  return [
+    ...findWrongAnswers(requests),
+    ...findDoubleRuns(records),
+    ...findUntrueNotRun(requests, records),
+    ...findForeignNumbers(requests, records),
+    ...findColdOverloads(records),
+  ];
+}
+
+function groupIssues(
+  records: readonly ServerRecord[],
+): Map<string, RunEntry[]> {
+  const issues = new Map<string, RunEntry[]>();
+  for (const entry of records.flatMap((record) => record.entries)) {
+    if (entry.operation !== "issue" || entry.marker === undefined) continue;
+    const entries = issues.get(entry.marker) ?? [];
+    entries.push(entry);
+    issues.set(entry.marker, entries);
+  }
+  return issues;
+}
+
+function withoutNumber(output: unknown): unknown {
+  if (typeof output !== "object" || output === null) return output;
+  const { number: _number, ...rest } = output as Partial<NumberedOutput>;
+  return rest;
+}
