Refuse at once what can't even probe a pool that is down

Cause: with every server of a pool down, asks waited in the owner's queue until their latest start: 150 requests in batches of 10 took 143 s to be refused in the new test, though nothing could have served them. Ruled out: refusing everything during an outage, as nothing would probe the servers then.

--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -32,6 +32,7 @@
 } from "./latency_baseline.js";
 import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
 import type { PooledServer } from "./pooled_server.js";
+import { probeWaitMs } from "./pool_outage.js";
 import { createQueueOrder, type QueueOrderName } from "./queue_order.js";
 import { refusal } from "./refusal.js";
 import { ServerTable } from "./server_table.js";
@@ -122,6 +123,7 @@
       this.#expire(granted, nowMs);
     }
     this.#servers.refresh(nowMs);
+    this.#refuseInOutage(nowMs);
     this.pump(nowMs);
   }
 
@@ -289,11 +291,44 @@
 
   #expectedWaitMs(waiting: WaitingAsk, nowMs: number): number {
     if (this.#queue.size === 0 && this.#servers.hasRoom) return 0;
-    if (this.#servers.slots === 0) return this.#options.withheldForMs(nowMs);
+    if (this.#servers.slots === 0) {
+      const asksAhead = this.#queue.size;
+      return Math.max(
+        this.#options.withheldForMs(nowMs),
+        this.#outageWaitMs({ asksAhead, nowMs }),
+      );
+    }
     const aheadMs = this.#queue.workAheadMs(waiting) + likelyWorkMs(waiting);
     return aheadMs / this.#servers.slots;
   }
 
+  #outageWaitMs(place: {
+    readonly asksAhead: number;
+    readonly nowMs: number;
+  }): number {
+    const outage = this.#servers.outage();
+    return outage === undefined ? 0 : probeWaitMs(outage, place);
+  }
+
+  /** Refuses those that can't even be a probe of an all-down pool in time. */
+  #refuseInOutage(nowMs: number): void {
+    const outage = this.#servers.outage();
+    if (outage === undefined) return;
+    let asksAhead = 0;
+    for (const waiting of [...this.#queue.all()]) {
+      const waitMs = probeWaitMs(outage, { asksAhead, nowMs });
+      if (nowMs + waitMs <= waiting.latestStartAtMs) {
+        asksAhead += 1;
+        continue;
+      }
+      this.#queue.remove(waiting);
+      this.#refuse(
+        waiting,
+        refusal("noCapacity", "All backend servers are down", waitMs),
+      );
+    }
+  }
+
   /** How long the whole queue is likely to take. */
   #drainMs(): number {
     const workMs = this.#queue.workMs / Math.max(1, this.#servers.slots);
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -25,6 +25,7 @@
   type PoolLayout,
   type VmAvailability,
 } from "./pool_layout.js";
+import { findOutage, type PoolOutage } from "./pool_outage.js";
 import {
   describeServer,
   enterServer,
@@ -85,6 +86,11 @@
     return false;
   }
 
+  /** Undefined unless every server in service is down. */
+  outage(): PoolOutage | undefined {
+    return findOutage(this.#servers.values());
+  }
+
   statuses(): BackendServerStatus[] {
     return [...this.#servers.values()].map(describeServer);
   }
