Repeat a platform read whose connection broke, and name the failure's code

Cause: an integration test of lost answers was refused once with 'GET brought no answer' right after an outage; a kept connection that the platform had closed fails on its next use. A read is repeated once; a write never is.

--- a/packages/daemon/src/platform/create_platform_client.ts
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -30,6 +30,7 @@
   watchAnswerSchema,
 } from "./platform_answers.js";
 import {
+  isBrokenConnection,
   parseReply,
   type PlatformCall,
   type PlatformReply,
@@ -183,7 +184,20 @@
     };
     // A watch waits by design: it takes no turn from the other calls.
     if (kind === "watch") return this.#send(kind, call);
-    return this.#limiter.run(() => this.#send(kind, call));
+    return this.#limiter.run(() => this.#sendOrRepeat(kind, call));
+  }
+
+  /** A read whose connection broke is tried once more. */
+  async #sendOrRepeat(
+    kind: CallKind,
+    call: PlatformCall,
+  ): Promise<PlatformReply> {
+    try {
+      return await this.#send(kind, call);
+    } catch (error) {
+      if (call.method !== "GET" || !isBrokenConnection(error)) throw error;
+      return this.#send(kind, call);
+    }
   }
 
   async #send(kind: CallKind, call: PlatformCall): Promise<PlatformReply> {
--- a/packages/daemon/src/platform/create_platform_client_test.ts
+++ b/packages/daemon/src/platform/create_platform_client_test.ts
@@ -43,6 +43,11 @@
   });
 }
 
+function reply404(response: ServerResponse): void {
+  response.statusCode = 404;
+  response.end();
+}
+
 describe("createPlatformClient", () => {
   const absent = { kind: "absent" } as const;
   let answer: (response: ServerResponse) => void;
@@ -120,6 +125,20 @@
     await refused.close();
   });
 
+  it("repeats a read, and no write, whose connection broke", async () => {
+    answer = (response) => response.destroy();
+    expect(await failureKind(client.read("a"))).toEqual("notDone");
+    expect(requests.length).toEqual(2);
+    expect(await failureKind(client.remove("a", 1))).toEqual("outcomeUnknown");
+    expect(requests.length).toEqual(3);
+    answer = (response) => {
+      if (requests.length === 4) response.destroy();
+      else reply404(response);
+    };
+    expect(await client.read("a")).toEqual(undefined);
+    expect(requests.length).toEqual(5);
+  });
+
   it("bounds a silent platform in time and in calls in flight", async () => {
     answer = () => undefined;
     const calls = [1, 2, 3, 4].map(() =>
--- a/packages/daemon/src/platform/platform_transport.ts
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -20,6 +20,13 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** The platform closed a kept connection just when it was used again. */
+const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+  "UND_ERR_SOCKET",
+]);
+
 export interface PlatformCall {
   readonly method: "GET" | "PUT" | "DELETE";
   readonly url: string;
@@ -70,7 +77,7 @@
   } catch (cause) {
     throw new PlatformError(
       failureKind(call, cause),
-      `The platform call ${call.method} brought no answer`,
+      `The platform call ${call.method} brought no answer: ${nameOf(cause)}`,
       { cause },
     );
   }
@@ -85,8 +92,28 @@
   if (cause instanceof AggregateError) {
     return cause.errors.every(isNotConnected);
   }
-  if (!(cause instanceof Error) || !("code" in cause)) return false;
-  return typeof cause.code === "string" && NOT_CONNECTED_CODES.has(cause.code);
+  return hasCode(cause, NOT_CONNECTED_CODES);
+}
+
+/**
+ * True when the connection broke before an answer came, so that a call that
+ * only reads is worth a second try at once.
+ */
+export function isBrokenConnection(error: unknown): boolean {
+  return error instanceof PlatformError &&
+    hasCode(error.cause, BROKEN_CONNECTION_CODES);
+}
+
+function hasCode(cause: unknown, codes: ReadonlySet<string>): boolean {
+  return cause instanceof Error && "code" in cause &&
+    typeof cause.code === "string" && codes.has(cause.code);
+}
+
+/** The code where there is one, as messages may hold addresses. */
+function nameOf(cause: unknown): string {
+  if (!(cause instanceof Error)) return "unknown";
+  if ("code" in cause && typeof cause.code === "string") return cause.code;
+  return cause.name;
 }
 
 /** Reads a reply's JSON by the schema. */
