--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -58,8 +58,8 @@
   readonly hasPrefixAffinity: boolean;
   readonly maxQueueLength: number;
   readonly maxQueueAgeMs: number;
-  /** How long it may take until cold servers may be granted. */
-  readonly leaseMs: number;
+  /** How long it is likely to take until anything can be granted. */
+  readonly withheldForMs: (nowMs: number) => number;
   readonly baselines: LatencyBaselines;
   readonly nextPermitId: () => PermitId;
   readonly rightsAt: (nowMs: number) => GrantRights;
@@ -274,11 +274,11 @@
       return refusal(
         "noBackendServer",
         "No backend server of the pool is in service",
-        this.#options.leaseMs,
+        this.#options.withheldForMs(nowMs),
       );
     }
     const bearableMs = waiting.latestStartAtMs - nowMs;
-    const waitMs = this.#expectedWaitMs(waiting);
+    const waitMs = this.#expectedWaitMs(waiting, nowMs);
     if (waitMs <= bearableMs && bearableMs > 0) return undefined;
     return refusal(
       this.#servers.slots === 0 ? "noCapacity" : "deadlineWouldBeMissed",
@@ -287,9 +287,9 @@
     );
   }
 
-  #expectedWaitMs(waiting: WaitingAsk): number {
+  #expectedWaitMs(waiting: WaitingAsk, nowMs: number): number {
     if (this.#queue.size === 0 && this.#servers.hasRoom) return 0;
-    if (this.#servers.slots === 0) return this.#options.leaseMs;
+    if (this.#servers.slots === 0) return this.#options.withheldForMs(nowMs);
     const aheadMs = this.#queue.workAheadMs(waiting) + likelyWorkMs(waiting);
     return aheadMs / this.#servers.slots;
   }
--- a/packages/daemon/src/pools/test_support/in_memory_cluster.ts
+++ b/packages/daemon/src/pools/test_support/in_memory_cluster.ts
@@ -52,7 +52,7 @@
   readonly metrics = new Metrics();
   source: SharedPermitSource | undefined;
   isFrozen = false;
-  isLeaving = false;
+  leavingSinceMs = Infinity;
   killedAtMs: number | undefined;
 
   constructor(cluster: InMemoryCluster, identity: PeerIdentity) {
@@ -117,10 +117,26 @@
     this.#cuts.add(linkKey(first, second));
   }
 
+  /** Cuts the node from all others. */
+  isolate(node: ClusterNode): void {
+    for (const other of this.nodes) this.cut(node, other);
+  }
+
   heal(): void {
     this.#cuts.clear();
   }
 
+  adopt(configuration: Configuration): void {
+    this.configuration = configuration;
+    void this.adopted.emit("adopted", configuration);
+  }
+
+  /** The node is told to stop, and tells the others. */
+  leave(node: ClusterNode): void {
+    node.leavingSinceMs = this.nowMs;
+    node.permits.startLeaving();
+  }
+
   kill(node: ClusterNode): void {
     node.killedAtMs = this.nowMs;
     for (const other of this.nodes) {
@@ -189,7 +205,7 @@
     }
     const heardAtMs = viewer.heardAtMs.get(node.identity.vmId) ?? -Infinity;
     if (this.nowMs - heardAtMs > SILENT_AFTER_MS) return "silent";
-    return node.isLeaving ? "leaving" : "live";
+    return heardAtMs > node.leavingSinceMs ? "leaving" : "live";
   }
 
   #start(node: ClusterNode): void {
@@ -224,6 +240,16 @@
       if (other === node || other.killedAtMs !== undefined) continue;
       this.#post(node, other, () => {
         other.heardAtMs.set(from, this.nowMs);
+        void other.messages.emit("heartbeat", {
+          from: node.identity,
+          message: {
+            type: "heartbeat",
+            sequence: 1,
+            generation: 1,
+            leaving: sentAtMs >= node.leavingSinceMs,
+            ownedPools: pools,
+          },
+        });
         const supported = other.permits.heartbeatContent.supportFor(
           from,
           pools,
