--- /dev/null
+++ b/tests/src/configuration_test.ts
@@ -0,0 +1,171 @@
+import {
+  type Cluster,
+  startCluster,
+} from "@sassafrasstage/stand-ins/cluster/cluster";
+import type { AdminAnswer } from "@sassafrasstage/stand-ins/cluster/daemon_handle";
+import type { SubmittedConfiguration } from "@sassafrasstage/stand-ins/cluster/planned_configuration";
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { waitForGeneration } from "./support/daemon_status.js";
+import { GenerationWatch } from "./support/generation_watch.js";
+import { makeSamplePlan } from "./support/sample_plan.js";
+
+/** DESIGN: an accepted configuration is in force everywhere within 5 s. */
+const IN_FORCE_WITHIN_MS = 5000;
+
+describe("An accepted configuration", () => {
+  let cluster: Cluster;
+  let watch: GenerationWatch;
+
+  beforeEach(async () => {
+    cluster = await startCluster(makeSamplePlan());
+    watch = new GenerationWatch(cluster);
+    watch.start();
+  });
+
+  afterEach(async () => {
+    await watch.stop();
+    await cluster.stop();
+  });
+
+  it("is one for all after operators raced through every daemon and answers were lost", async () => {
+    await cluster.platform.setFaults({ lostAnswerRatio: 0.3 });
+    const accepted: number[] = [];
+    for (let round = 0; round < 6; round++) {
+      const answers = await Promise.all(
+        cluster.daemons.map((daemon, index) =>
+          cluster.submitConfiguration(
+            withShare(cluster.configuration, 1 + round * 10 + index),
+            daemon,
+          )
+        ),
+      );
+      accepted.push(...answers.flatMap(generationOf));
+    }
+    await cluster.platform.setFaults({ lostAnswerRatio: 0 });
+    expect(accepted.length).toBeGreaterThan(0);
+    expect(new Set(accepted).size).toEqual(accepted.length);
+    await inForceEverywhere(cluster, Math.max(...accepted));
+    await sleep(500);
+    const contents = await Promise.all(cluster.daemons.map(readContent));
+    expect(new Set(contents).size).toEqual(1);
+    expect(await watch.stop()).toEqual([]);
+  });
+
+  it("reaches a data centre that is cut from the platform, through its peers", async () => {
+    cluster.cutFromPlatform("catania");
+    const generation = await change(cluster, 7);
+    await inForceEverywhere(cluster, generation);
+    expect(await watch.stop()).toEqual([]);
+  });
+
+  it("reaches a VM that starts while the platform is down", async () => {
+    const generation = await change(cluster, 8);
+    await inForceEverywhere(cluster, generation);
+    await cluster.platform.setFaults({ isDown: true });
+    const daemon = cluster.daemon("vm-catania-2");
+    await daemon.kill();
+    await daemon.start();
+    await daemon.waitUntilReady(IN_FORCE_WITHIN_MS);
+    await waitForGeneration(daemon, generation, IN_FORCE_WITHIN_MS);
+    expect(await watch.stop()).toEqual([]);
+  });
+
+  it("replaces what a VM held that was frozen over several generations", async () => {
+    const daemon = cluster.daemon("vm-catania-1");
+    daemon.freeze();
+    await change(cluster, 2);
+    await change(cluster, 3);
+    const generation = await change(cluster, 4);
+    daemon.thaw();
+    await waitForGeneration(daemon, generation, IN_FORCE_WITHIN_MS);
+    expect(await readContent(daemon)).toEqual(
+      await readContent(cluster.daemon("vm-palermo-1")),
+    );
+    expect(await watch.stop()).toEqual([]);
+  });
+
+  it("is in force within 5 s after a cut data centre is back", async () => {
+    cluster.cutFromPlatform("catania");
+    cluster.cutDataCentres("palermo", "catania");
+    const generation = await change(cluster, 5);
+    await sleep(1500);
+    cluster.heal();
+    await inForceEverywhere(cluster, generation);
+    expect(await watch.stop()).toEqual([]);
+  });
+
+  it("stays as it is when a change names an absent service", async () => {
+    const before = await readContent(cluster.daemon("vm-palermo-1"));
+    const broken = structuredClone<unknown>(cluster.configuration) as {
+      rules: { pipelines: { stages: { service: string }[] }[] };
+    };
+    const stage = broken.rules.pipelines[0]?.stages[0];
+    if (stage !== undefined) stage.service = "absent";
+    const answer = await cluster.submitConfiguration(
+      broken as unknown as SubmittedConfiguration,
+    );
+    expect(answer.status).toEqual(422);
+    expect(JSON.stringify(answer.body)).toInclude(
+      "rules.pipelines.0.stages.0.service",
+    );
+    expect(await readContent(cluster.daemon("vm-palermo-1"))).toEqual(before);
+  });
+});
+
+/** A changed configuration that can be told from all others. */
+function withShare(
+  configuration: SubmittedConfiguration,
+  share: number,
+): SubmittedConfiguration {
+  const clientAccounts = configuration.rules.clientAccounts.map((account) => ({
+    ...(account as object),
+    share,
+  }));
+  return {
+    ...configuration,
+    rules: { ...configuration.rules, clientAccounts },
+  };
+}
+
+async function change(cluster: Cluster, share: number): Promise<number> {
+  const answer = await cluster.submitConfiguration(
+    withShare(cluster.configuration, share),
+    cluster.daemon("vm-palermo-1"),
+  );
+  const [generation] = generationOf(answer);
+  if (generation === undefined) throw new Error(JSON.stringify(answer));
+  return generation;
+}
+
+function generationOf(answer: AdminAnswer): number[] {
+  if (answer.status !== 200) return [];
+  return [(answer.body as { generation: number }).generation];
+}
+
+async function inForceEverywhere(
+  cluster: Cluster,
+  generation: number,
+): Promise<void> {
+  await Promise.all(
+    cluster.daemons.map((daemon) =>
+      waitForGeneration(daemon, generation, IN_FORCE_WITHIN_MS)
+    ),
+  );
+}
+
+async function readContent(
+  daemon: Cluster["daemons"][number],
+): Promise<string> {
+  const { body } = await daemon.admin("/admin/v1/configuration");
+  return JSON.stringify(body, sortMembers);
+}
+
+/** The order of an object's members says nothing. */
+function sortMembers(_name: string, value: unknown): unknown {
+  if (typeof value !== "object" || value === null) return value;
+  if (Array.isArray(value)) return value;
+  const members = Object.entries(value).sort(([a], [b]) => a < b ? -1 : 1);
+  return Object.fromEntries(members);
+}
--- /dev/null
+++ b/tests/src/not_run_test.ts
@@ -0,0 +1,77 @@
+import {
+  type Cluster,
+  startCluster,
+} from "@sassafrasstage/stand-ins/cluster/cluster";
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Load } from "./support/load.js";
+import type { LoggedRequest } from "./support/request_log.js";
+import { makeSamplePlan } from "./support/sample_plan.js";
+import { findViolations, readRecords } from "./support/verdicts.js";
+
+describe("A refusal that says not run", () => {
+  let cluster: Cluster;
+
+  beforeEach(async () => {
+    cluster = await startCluster(makeSamplePlan());
+  });
+
+  afterEach(async () => {
+    await cluster.stop();
+  });
+
+  it("is true while the service fails, resets, refuses and freezes", async () => {
+    const load = new Load(cluster, {
+      seed: 61,
+      requestsPerSecond: 80,
+      pipelines: ["issue"],
+      keyRatio: 0.3,
+    });
+    load.start();
+    await sleep(1500);
+    for (const server of cluster.serversOf("registry", "palermo")) {
+      await server.setFaults({ failRatio: 0.3, breakRatio: 0.2 });
+    }
+    await sleep(1000);
+    const [first, second] = cluster.serversOf("registry", "catania");
+    await first?.setFaults({ isDown: true });
+    await second?.setFaults({ isRefusing: true });
+    await sleep(1000);
+    cluster.network.setLink("vm-palermo-1", {
+      target: "registry-palermo-1",
+      mode: { kind: "resetAfter", bytes: 300 },
+    });
+    await first?.setFaults({ isDown: false, isFrozen: true });
+    await sleep(1000);
+    await first?.setFaults({ isFrozen: false });
+    const requests = await load.stop();
+    expect(findViolations(requests, await readRecords(cluster))).toEqual([]);
+    // Both kinds of refusal must have come about for this to prove anything.
+    expect(requests.some((one) => refusedAs(one, true))).toEqual(true);
+    expect(requests.some((one) => refusedAs(one, false))).toEqual(true);
+  });
+
+  it("is true when the daemon dies or is frozen under load", async () => {
+    const load = new Load(cluster, {
+      seed: 62,
+      requestsPerSecond: 80,
+      pipelines: ["issue"],
+      keyRatio: 0.3,
+    });
+    load.start();
+    await sleep(1500);
+    await cluster.daemon("vm-palermo-1").kill();
+    cluster.daemon("vm-catania-1").freeze();
+    await sleep(2500);
+    cluster.daemon("vm-catania-1").thaw();
+    await sleep(1000);
+    const requests = await load.stop();
+    expect(findViolations(requests, await readRecords(cluster))).toEqual([]);
+  });
+});
+
+function refusedAs(request: LoggedRequest, notRun: boolean): boolean {
+  const { result } = request;
+  return result.kind === "problem" && result.problem.notRun === notRun;
+}
