--- a/packages/stand-ins/src/cluster/daemon_handle.ts
+++ b/packages/stand-ins/src/cluster/daemon_handle.ts
@@ -28,6 +28,7 @@
 
 const POLL_INTERVAL_MS = 25;
 const PROBE_TIMEOUT_MS = 1000;
+const ADMIN_TIMEOUT_MS = 10_000;
 const START_ATTEMPTS = 3;
 
 /** Starts, signals and asks one daemon. */
@@ -124,6 +125,7 @@
         "content-type": "application/json",
       },
       body: call.body === undefined ? null : JSON.stringify(call.body),
+      signal: AbortSignal.timeout(ADMIN_TIMEOUT_MS),
     });
     const text = await answer.body.text();
     return { status: answer.statusCode, body: parseJson(text) };
--- a/packages/stand-ins/src/cluster/network.ts
+++ b/packages/stand-ins/src/cluster/network.ts
@@ -53,7 +53,7 @@
     const { hostname, port } = new URL(`http://${address}`);
     const proxy = new TcpProxy({
       target: { host: hostname, port: Number(port) },
-      findSource: (sourcePort) => this.#sourceFinder.find(sourcePort),
+      findSources: (ports) => this.#sourceFinder.find(ports),
     });
     await proxy.start();
     this.#targets.set(target.name, { ...target, proxy });
@@ -94,7 +94,7 @@
     this.#requireProxies();
     const target = this.#targets.get(link.target);
     if (target === undefined) throw new Error(`No target "${link.target}"`);
-    target.proxy.setMode(link.mode, vmId);
+    setSourceMode(target.proxy, link.mode, vmId);
   }
 
   /** Sets the mode of all links from one data centre into the other. */
@@ -128,10 +128,10 @@
     for (const target of this.#targets.values()) {
       if (target.name === vmId) {
         for (const source of this.#sources) {
-          target.proxy.setMode(mode, source.vmId);
+          setSourceMode(target.proxy, mode, source.vmId);
         }
       } else {
-        target.proxy.setMode(mode, vmId);
+        setSourceMode(target.proxy, mode, vmId);
       }
     }
   }
@@ -151,7 +151,8 @@
     mode: LinkMode = PASS,
   ): void {
     for (const source of this.#sources) {
-      if (source.dataCentre === dataCentre) proxy.setMode(mode, source.vmId);
+      if (source.dataCentre !== dataCentre) continue;
+      setSourceMode(proxy, mode, source.vmId);
     }
   }
 
@@ -159,3 +160,9 @@
     if (!this.#isProxied) throw new Error("The cluster has no proxies");
   }
 }
+
+/** No source has a mode of its own for longer than needed: each costs time. */
+function setSourceMode(proxy: TcpProxy, mode: LinkMode, vmId: string): void {
+  if (mode.kind === "pass") proxy.clearMode(vmId);
+  else proxy.setMode(mode, vmId);
+}
--- a/packages/stand-ins/src/proxy/source_finder.ts
+++ b/packages/stand-ins/src/proxy/source_finder.ts
@@ -24,29 +24,34 @@
     this.#names.delete(processId);
   }
 
-  /** The name of the process that holds the port, if it was added. */
-  find(port: number): string | undefined {
-    const inode = findInode(port);
-    if (inode === undefined) return undefined;
-    const wanted = `socket:[${inode}]`;
+  /** The name of each port whose process was added. */
+  find(ports: readonly number[]): ReadonlyMap<number, string> {
+    const portByInode = findInodes(new Set(ports));
+    const found = new Map<number, string>();
     for (const [processId, name] of this.#names) {
-      if (holdsFile(processId, wanted)) return name;
+      for (const link of linksOf(processId)) {
+        const port = portByInode.get(link);
+        if (port !== undefined) found.set(port, name);
+      }
     }
-    return undefined;
+    return found;
   }
 }
 
-function findInode(port: number): string | undefined {
-  const suffix = `:${port.toString(16).toUpperCase().padStart(4, "0")}`;
+/** Ports by the text of the links in `/proc/PID/fd`. */
+function findInodes(ports: ReadonlySet<number>): Map<string, number> {
+  const found = new Map<string, number>();
   for (const table of TCP_TABLES) {
     for (const line of readLines(table)) {
       const fields = line.trim().split(/\s+/);
-      if (fields[LOCAL_ADDRESS_FIELD]?.endsWith(suffix) !== true) continue;
+      const hexPort = fields[LOCAL_ADDRESS_FIELD]?.split(":")[1] ?? "";
+      const port = Number.parseInt(hexPort, 16);
       const inode = fields[INODE_FIELD];
-      if (inode !== undefined && inode !== "0") return inode;
+      if (!ports.has(port) || inode === undefined || inode === "0") continue;
+      found.set(`socket:[${inode}]`, port);
     }
   }
-  return undefined;
+  return found;
 }
 
 function readLines(path: string): string[] {
@@ -57,12 +62,12 @@
   }
 }
 
-function holdsFile(processId: number, wanted: string): boolean {
+function linksOf(processId: number): string[] {
   const folder = `/proc/${processId}/fd`;
   try {
-    return readdirSync(folder).some((name) => linkOf(folder, name) === wanted);
+    return readdirSync(folder).map((name) => linkOf(folder, name));
   } catch {
-    return false;
+    return [];
   }
 }
 
--- a/packages/stand-ins/src/proxy/tcp_proxy.ts
+++ b/packages/stand-ins/src/proxy/tcp_proxy.ts
@@ -9,14 +9,20 @@
 import { type LinkMode, PASS } from "./link_mode.js";
 import { type Endpoint, ProxiedConnection } from "./proxied_connection.js";
 
+export type SourcesOfPorts = (
+  ports: readonly number[],
+) => ReadonlyMap<number, string>;
+
 export interface TcpProxyOptions {
   readonly target: Endpoint;
-  /** Names who connects, by the port it connects from. */
-  readonly findSource?: (port: number) => string | undefined;
+  /** Names who connects, by the ports connected from. */
+  readonly findSources?: SourcesOfPorts;
 }
 
 interface OpenConnection {
-  readonly source: string | undefined;
+  readonly sourcePort: number;
+  /** Found out only when some source has a mode of its own. */
+  source: string | undefined;
   readonly connection: ProxiedConnection;
 }
 
@@ -35,7 +41,7 @@
  */
 export class TcpProxy {
   readonly #target: Endpoint;
-  readonly #findSource: (port: number) => string | undefined;
+  readonly #findSources: SourcesOfPorts;
   readonly #server = createServer({ allowHalfOpen: true });
   readonly #open = new Set<OpenConnection>();
   readonly #modes = new Map<string, LinkMode>();
@@ -47,7 +53,7 @@
 
   constructor(options: TcpProxyOptions) {
     this.#target = options.target;
-    this.#findSource = options.findSource ?? (() => undefined);
+    this.#findSources = options.findSources ?? (() => new Map());
     this.#server.on("connection", (socket) => {
       this.#accept(socket);
     });
@@ -75,6 +81,15 @@
   setMode(mode: LinkMode, source?: string): void {
     if (source === undefined) this.#defaultMode = mode;
     else this.#modes.set(source, mode);
+    if (this.#modes.size > 0) this.#findUnknownSources();
+    for (const open of this.#open) {
+      open.connection.setMode(this.#modeOf(open.source));
+    }
+  }
+
+  /** The source is treated as those without a mode of their own again. */
+  clearMode(source: string): void {
+    this.#modes.delete(source);
     for (const open of this.#open) {
       open.connection.setMode(this.#modeOf(open.source));
     }
@@ -133,9 +148,10 @@
 
   #accept(socket: Socket): void {
     this.#connections++;
-    const source = socket.remotePort === undefined
-      ? undefined
-      : this.#findSource(socket.remotePort);
+    const sourcePort = socket.remotePort ?? 0;
+    const source = this.#modes.size > 0
+      ? this.#findSources([sourcePort]).get(sourcePort)
+      : undefined;
     const mode = this.#modeOf(source);
     if (mode.kind === "cut") {
       socket.on("error", () => undefined);
@@ -153,10 +169,17 @@
         this.refuseUntilTargetListens();
       },
     });
-    const open: OpenConnection = { source, connection };
+    const open: OpenConnection = { sourcePort, source, connection };
     this.#open.add(open);
   }
 
+  #findUnknownSources(): void {
+    const unknown = [...this.#open].filter((open) => open.source === undefined);
+    if (unknown.length === 0) return;
+    const sources = this.#findSources(unknown.map((open) => open.sourcePort));
+    for (const open of unknown) open.source = sources.get(open.sourcePort);
+  }
+
   #modeOf(source: string | undefined): LinkMode {
     const own = source === undefined ? undefined : this.#modes.get(source);
     return own ?? this.#defaultMode;
--- a/packages/stand-ins/src/proxy/tcp_proxy_test.ts
+++ b/packages/stand-ins/src/proxy/tcp_proxy_test.ts
@@ -24,7 +24,7 @@
     finder.add(process.pid, "self");
     proxy = new TcpProxy({
       target: { host: "127.0.0.1", port },
-      findSource: (sourcePort) => finder.find(sourcePort),
+      findSources: (ports) => finder.find(ports),
     });
     await proxy.start();
     received = "";
--- a/tests/src/configuration_test.ts
+++ b/tests/src/configuration_test.ts
@@ -7,7 +7,7 @@
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { waitForGeneration } from "./support/daemon_status.js";
+import { readContent, waitForGeneration } from "./support/daemon_status.js";
 import { GenerationWatch } from "./support/generation_watch.js";
 import { makeSamplePlan } from "./support/sample_plan.js";
 
@@ -154,18 +154,3 @@
     ),
   );
 }
-
-async function readContent(
-  daemon: Cluster["daemons"][number],
-): Promise<string> {
-  const { body } = await daemon.admin("/admin/v1/configuration");
-  return JSON.stringify(body, sortMembers);
-}
-
-/** The order of an object's members says nothing. */
-function sortMembers(_name: string, value: unknown): unknown {
-  if (typeof value !== "object" || value === null) return value;
-  if (Array.isArray(value)) return value;
-  const members = Object.entries(value).sort(([a], [b]) => a < b ? -1 : 1);
-  return Object.fromEntries(members);
-}
--- /dev/null
+++ b/tests/src/random_faults/daemon_faults.ts
@@ -0,0 +1,87 @@
+/**
+ * Faults of daemons: killed, frozen, shut down and restarted.
+ *
+ * @module
+ */
+
+import type { DaemonHandle } from "@sassafrasstage/stand-ins/cluster/daemon_handle";
+import type { ActiveFault, FaultContext } from "./fault.js";
+
+const MAX_DISTURBED = 2;
+const READY_TIMEOUT_MS = 20_000;
+
+/** SIGKILL, and a restart later. */
+export async function killDaemon(
+  context: FaultContext,
+): Promise<ActiveFault | undefined> {
+  const daemon = takeDaemon(context);
+  if (daemon === undefined) return undefined;
+  context.history.kills.push({ vmId: daemon.vmId, atMs: Date.now() });
+  await daemon.kill();
+  return {
+    description: `kill ${daemon.vmId}`,
+    durationMs: context.random.nextInt(200, 3000),
+    end: () => restart(context, daemon),
+  };
+}
+
+/** SIGTERM under load, and a restart. */
+export function shutDownDaemon(
+  context: FaultContext,
+): Promise<ActiveFault | undefined> {
+  const daemon = takeDaemon(context);
+  if (daemon === undefined) return Promise.resolve(undefined);
+  const terminated = daemon.terminate();
+  return Promise.resolve({
+    description: `terminate ${daemon.vmId}`,
+    durationMs: context.random.nextInt(200, 1000),
+    end: async () => {
+      const status = await terminated;
+      if (status.code !== 0) {
+        context.history.badExits.push(
+          `${daemon.vmId} ended with ${String(status.code ?? status.signal)}`,
+        );
+      }
+      await restart(context, daemon);
+    },
+  });
+}
+
+/** SIGSTOP, and SIGCONT later. */
+export function freezeDaemon(
+  context: FaultContext,
+): Promise<ActiveFault | undefined> {
+  const daemon = takeDaemon(context);
+  if (daemon === undefined) return Promise.resolve(undefined);
+  daemon.freeze();
+  return Promise.resolve({
+    description: `freeze ${daemon.vmId}`,
+    durationMs: context.random.nextInt(200, 4000),
+    end: () => {
+      daemon.thaw();
+      context.disturbed.delete(daemon.vmId);
+      return Promise.resolve();
+    },
+  });
+}
+
+function takeDaemon(context: FaultContext): DaemonHandle | undefined {
+  const { cluster, disturbed, random } = context;
+  if (disturbed.size >= MAX_DISTURBED) return undefined;
+  const free = cluster.daemons.filter((daemon) =>
+    daemon.isInService && !disturbed.has(daemon.vmId)
+  );
+  if (free.length === 0) return undefined;
+  const daemon = random.pick(free);
+  disturbed.add(daemon.vmId);
+  return daemon;
+}
+
+async function restart(
+  context: FaultContext,
+  daemon: DaemonHandle,
+): Promise<void> {
+  await daemon.start();
+  await daemon.waitUntilReady(READY_TIMEOUT_MS);
+  context.disturbed.delete(daemon.vmId);
+}
--- /dev/null
+++ b/tests/src/random_faults/main.ts
@@ -0,0 +1,40 @@
+/**
+ * `npm run test:faults -- --seed N --minutes M`: the random-fault run.
+ *
+ * @module
+ */
+
+import { Command } from "commander";
+import { runRandomFaults } from "./random_faults.js";
+
+interface Options {
+  readonly seed: string;
+  readonly minutes: string;
+}
+
+const MS_PER_MINUTE = 60_000;
+
+const program = new Command("test:faults")
+  .description("A cluster under random faults, with every check")
+  .option("--seed <number>", "seed of faults and load", "1")
+  .option("--minutes <number>", "how long faults go on", "1")
+  .parse();
+
+const options = program.opts<Options>();
+const seed = Number(options.seed);
+const report = await runRandomFaults({
+  seed,
+  durationMs: Number(options.minutes) * MS_PER_MINUTE,
+  onFault: (description) => {
+    print(`atMs=${Math.round(performance.now())} ${description}`);
+  },
+});
+print(`seed=${seed} faults=${report.faults.length}`);
+print(`requests=${report.requestCount} ${report.summary}`);
+for (const violation of report.violations) print(`violation ${violation}`);
+print(`violations=${report.violations.length}`);
+process.exitCode = report.violations.length === 0 ? 0 : 1;
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
--- a/tests/src/support/daemon_status.ts
+++ b/tests/src/support/daemon_status.ts
@@ -51,3 +51,20 @@
   }
   throw new Error(`${daemon.vmId} has generation ${seen}, not ${generation}`);
 }
+
+/** The configuration in force at a daemon, in one form. */
+export async function readContent(daemon: DaemonHandle): Promise<string> {
+  const { body } = await daemon.admin("/admin/v1/configuration");
+  return JSON.stringify(body, toOneForm);
+}
+
+/** The order of members and of backend servers says nothing. */
+function toOneForm(name: string, value: unknown): unknown {
+  if (name === "backendServers") {
+    return (value as { id: string }[]).toSorted((a, b) => a.id < b.id ? -1 : 1);
+  }
+  if (typeof value !== "object" || value === null) return value;
+  if (Array.isArray(value)) return value;
+  const members = Object.entries(value).sort(([a], [b]) => a < b ? -1 : 1);
+  return Object.fromEntries(members);
+}
--- a/tests/src/support/load.ts
+++ b/tests/src/support/load.ts
@@ -21,6 +21,8 @@
   readonly streamRatio?: number;
   /** Share of "issue" requests with an `Idempotency-Key`. */
   readonly keyRatio?: number;
+  /** Share of requests with a key that another VM gets at the same time. */
+  readonly doubledRatio?: number;
 }
 
 /**
@@ -83,14 +85,22 @@
     const isKeyed = this.#random.isHit(keyRatio ?? 0) && pipeline === "issue";
     const vmId = this.#pickVm();
     if (vmId === undefined) return;
-    const marker = makeMarker(`${seed}-${this.#sent}`);
-    const sending = sendLogged(this.#cluster, {
-      marker,
+    const single: SingleRequest = {
+      marker: makeMarker(`${seed}-${this.#sent}`),
       pipeline,
       vmId,
       isStreamed,
       ...(isKeyed ? { idempotencyKey: `key-${seed}-${this.#sent}` } : {}),
-    }).then((request) => {
+    };
+    this.#send(single);
+    const isDoubled = isKeyed &&
+      this.#random.isHit(this.#options.doubledRatio ?? 0);
+    const otherVmId = isDoubled ? this.#pickVm() : undefined;
+    if (otherVmId !== undefined) this.#send({ ...single, vmId: otherVmId });
+  }
+
+  #send(single: SingleRequest): void {
+    const sending = sendLogged(this.#cluster, single).then((request) => {
       this.#finished.push(request);
       this.#pending.delete(sending);
     });
--- a/tests/src/support/verdicts.ts
+++ b/tests/src/support/verdicts.ts
@@ -60,11 +60,18 @@
   records: readonly ServerRecord[],
 ): string[] {
   const issues = groupIssues(records);
-  return requests.flatMap(({ marker, result }) => {
-    if (result.kind !== "problem" || !result.problem.notRun) return [];
-    if (!issues.has(marker)) return [];
-    return [`${marker} was refused as not run (${result.problem.reason})`];
-  });
+  const mayHaveRun = new Set(
+    requests.filter((request) => !isRefusedAsNotRun(request))
+      .map((request) => request.marker),
+  );
+  // One that was sent twice may have run for the other sending.
+  return requests
+    .filter(({ marker }) => !mayHaveRun.has(marker) && issues.has(marker))
+    .map(({ marker }) => `${marker} was refused as not run`);
+}
+
+function isRefusedAsNotRun({ result }: LoggedRequest): boolean {
+  return result.kind === "problem" && result.problem.notRun;
 }
 
 /** Answers with a number that the registry did not hand out for them. */
