Answer unknown paths and inner failures as problems

Cause: both got the HTTP library's own form, without reason and notRun. Idle connections were closed after 5 s, earlier than balancers do, which breaks the request that is just being sent. After: notFound and internalError as problem+json (notRun false, as it isn't known what was sent), and 75 s of keep-alive.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Incarnation, toId } from "@sassafrasstage/protocol/ids";
 import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import { makeProblem } from "@sassafrasstage/protocol/problems";
 import type { DaemonStatus, Readiness } from "@sassafrasstage/protocol/status";
 import restana from "restana";
 import {
@@ -24,6 +25,7 @@
   type RunningConfigurationKeeper,
   startConfigurationKeeper,
 } from "./configuration/start_configuration_keeper.js";
+import { sendProblem } from "./http/send_problem.js";
 import { LatencyRecords } from "./observability/latency_records.js";
 import { createLogger, type Logger } from "./observability/logger.js";
 import { Metrics } from "./observability/metrics.js";
@@ -49,6 +51,8 @@
 import type { Address, Settings } from "./settings/settings.js";
 
 const CLAIM_FLUSH_MS = 10_000;
+/** Longer than a balancer keeps an idle connection, so that it closes first. */
+const KEEP_ALIVE_MS = 75_000;
 
 /** All parts of a running daemon. */
 interface DaemonParts {
@@ -83,7 +87,7 @@
 
   private constructor(parts: DaemonParts) {
     this.#parts = parts;
-    this.#server = createServer();
+    this.#server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
     this.#addRoutes();
   }
 
@@ -174,7 +178,27 @@
 
   #addRoutes(): void {
     const parts = this.#parts;
-    const service: HttpService = restana({ server: this.#server });
+    const service: HttpService = restana({
+      server: this.#server,
+      defaultRoute: (_request, response) => {
+        sendProblem(
+          response,
+          makeProblem("notFound", { detail: "No such path", notRun: true }),
+        );
+      },
+      errorHandler: (error, _request, response) => {
+        parts.logger.error("requestFailed", { detail: error.message });
+        parts.metrics.countRefusal("internalError");
+        // What was sent before the error isn't known here.
+        sendProblem(
+          response,
+          makeProblem("internalError", {
+            detail: "The daemon failed on this request",
+            notRun: false,
+          }),
+        );
+      },
+    });
     // A balancer's kept connection must not outlive the announced end.
     service.use((_request, response, next) => {
       if (this.#phase !== "running") response.setHeader("connection", "close");
