Tell a cold server's latency from a slow pool's

Ruled out: a limit on how many servers may cool in two seconds, which still let the first ones through. After: a call counts as slow against the present latency of the pool's other servers, three in a row only raise a suspicion that five usual calls clear, and the adaptive limit falls only if most calls of a window were slow.

--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -9,16 +9,18 @@
 import type { Service } from "@sassafrasstage/protocol/register";
 import type { LatencyGrade } from "./latency_baseline.js";
 
-/** One slow call may be the network's fault; in slow start one is enough. */
-const SLOW_COMPLETIONS = 2;
+/** A slow call or two may be chance; in slow start one is enough. */
+const SLOW_COMPLETIONS = 3;
 const BREAKER_FAILURES = 3;
 /** A timeout may be the fault of the request's own short deadline. */
 const TIMEOUT_WEIGHT = 0.3;
 const FIRST_BACK_OFF_MS = 500;
 const MAX_BACK_OFF_MS = 10_000;
-/** After one failed call a warm server has to show this many good ones. */
+/** A suspected server has to show this many usual calls. */
 const SUSPECT_COMPLETIONS = 5;
 const DECREASE_FACTOR = 0.9;
+/** Completions at least between two changes of the adaptive limit. */
+const MIN_WINDOW = 8;
 /** The adaptive limit stays above this part of the register's. */
 const MIN_LIMIT_PART = 0.25;
 
@@ -29,6 +31,8 @@
     readonly kind: "cold";
     readonly sinceMs: number;
     readonly completions: number;
+    /** Only suspected: a few usual completions clear it. */
+    readonly isSuspected: boolean;
   }
   | {
     readonly kind: "warming";
@@ -43,6 +47,8 @@
     readonly lastUsedAtMs: number;
     /** Completions since the limit was last adapted. */
     readonly completions: number;
+    /** Those of them with a high latency. */
+    readonly highLatencies: number;
   }
   | {
     readonly kind: "down";
@@ -208,11 +214,23 @@
  *
  * @example
  * ```ts
- * coldState(nowMs, 15);
+ * coldState(nowMs);
  * ```
  */
-export function coldState(nowMs: number, completions = 0): ServerState {
-  return { kind: "cold", sinceMs: nowMs, completions };
+export function coldState(nowMs: number): ServerState {
+  return { kind: "cold", sinceMs: nowMs, completions: 0, isSuspected: false };
+}
+
+/** Holds a server at the cold limit until a few usual calls have ended. */
+function suspectedState(context: ReportContext): ServerState {
+  const completions = context.service.warmAfterCompletions -
+    SUSPECT_COMPLETIONS;
+  return {
+    kind: "cold",
+    sinceMs: context.nowMs,
+    completions: Math.max(0, completions),
+    isSuspected: true,
+  };
 }
 
 function afterCompletion(
@@ -226,17 +244,23 @@
   switch (state.kind) {
     case "unknown":
       return isOfThisState
-        ? countCompletion({ ...state, kind: "cold", completions: 0 }, context)
+        ? countCompletion(
+          { ...state, kind: "cold", completions: 0, isSuspected: false },
+          context,
+        )
         : state;
     case "down":
       return coldState(nowMs);
     case "cold":
-      return isOfThisState ? countCompletion(state, context) : state;
+      if (!isOfThisState) return state;
+      return state.isSuspected && report.grade === "coldStart"
+        ? coldState(nowMs)
+        : countCompletion(state, context);
     case "warming":
       if (report.grade === "coldStart") return coldState(nowMs);
       return raiseTo(state.limit + 1, context, state.sinceMs);
     case "warm":
-      if (slowInRow >= SLOW_COMPLETIONS) return coldState(nowMs);
+      if (slowInRow >= SLOW_COMPLETIONS) return suspectedState(context);
       return adaptLimit(state, report, context);
   }
 }
@@ -267,6 +291,7 @@
     limit: service.warmLimit,
     lastUsedAtMs: nowMs,
     completions: 0,
+    highLatencies: 0,
   };
 }
 
@@ -278,13 +303,21 @@
 ): ServerState {
   const { service, nowMs } = context;
   const completions = state.completions + 1;
-  if (completions < state.limit) {
-    return { ...state, completions, lastUsedAtMs: nowMs };
+  const highLatencies = state.highLatencies +
+    (report.grade === "usual" ? 0 : 1);
+  if (completions < Math.max(MIN_WINDOW, state.limit)) {
+    return { ...state, completions, highLatencies, lastUsedAtMs: nowMs };
   }
-  const limit = report.grade !== "usual"
+  const limit = 2 * highLatencies > completions
     ? lowerLimitOf(state.limit, service)
     : Math.min(service.warmLimit, state.limit + 1);
-  return { ...state, limit, completions: 0, lastUsedAtMs: nowMs };
+  return {
+    ...state,
+    limit,
+    completions: 0,
+    highLatencies: 0,
+    lastUsedAtMs: nowMs,
+  };
 }
 
 function lowerLimit(state: ServerState, context: ReportContext): ServerState {
@@ -333,11 +366,10 @@
   report: CallReport,
   context: ReportContext,
 ): ServerState {
-  const { service, nowMs } = context;
+  const { nowMs } = context;
   const isSureSign = report.outcome === "connectFailed" ||
     report.outcome === "refusedByServer";
   if (isSureSign || isCold(state)) return coldState(nowMs);
   if (report.outcome === "timedOut") return lowerLimit(state, context);
-  const completions = service.warmAfterCompletions - SUSPECT_COMPLETIONS;
-  return coldState(nowMs, Math.max(0, completions));
+  return suspectedState(context);
 }
--- a/packages/daemon/src/pools/call_observer.ts
+++ b/packages/daemon/src/pools/call_observer.ts
@@ -49,10 +49,8 @@
     const sampleMs = latencySample(entry.service, release);
     if (sampleMs === undefined || permit.warmth === "cold") return;
     const { name } = entry.service;
-    if (gradeLatency(sampleMs, baselines.of(name)) === "coldStart") {
-      this.#noteCold(held, nowMs);
-      return;
-    }
+    // Whether a slow call means a cold start, the owner can tell better.
+    if (gradeLatency(sampleMs, baselines.of(name)) === "coldStart") return;
     baselines.note(name, sampleMs);
   }
 
--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -57,13 +57,18 @@
  * ```ts
  * gradeLatency(900, { meanMs: 80, deviationMs: 9, samples: 50 }); // "coldStart"
  * ```
+ *
+ * @param presentMs the present latency of the pool's other servers: what all
+ *   servers show is load or network, not a cold start
  */
 export function gradeLatency(
   sampleMs: number,
   baseline: LatencyBaseline | undefined,
+  presentMs = 0,
 ): LatencyGrade {
   if (baseline === undefined || baseline.samples < MIN_SAMPLES) return "usual";
-  const { meanMs, deviationMs } = baseline;
+  const { deviationMs } = baseline;
+  const meanMs = Math.max(baseline.meanMs, presentMs);
   const coldMs = Math.max(
     meanMs * COLD_FACTOR,
     meanMs + COLD_EXTRA_MS,
--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -372,17 +372,22 @@
   ): void {
     const { service } = this.#servers;
     const sampleMs = latencySample(service, release);
-    const baseline = this.#options.baselines.of(service.name);
-    const grade = sampleMs === undefined
-      ? "usual"
-      : gradeLatency(sampleMs, baseline);
+    const id = granted.permit.backendServerId;
+    const grade = sampleMs === undefined ? "usual" : gradeLatency(
+      sampleMs,
+      this.#options.baselines.of(service.name),
+      this.#servers.latencyWithout(id),
+    );
     const isOfWarm = granted.permit.warmth === "warm" &&
       release.outcome === "completed" && grade !== "coldStart";
     if (isOfWarm && sampleMs !== undefined) {
       this.#options.baselines.note(service.name, sampleMs);
     }
+    if (granted.permit.warmth === "warm" && sampleMs !== undefined) {
+      this.#servers.noteLatency(id, sampleMs);
+    }
     this.#servers.report(
-      granted.permit.backendServerId,
+      id,
       { outcome: release.outcome, grade, grantedAtMs: granted.grantedAtMs },
       nowMs,
     );
--- a/packages/daemon/src/pools/pooled_server.ts
+++ b/packages/daemon/src/pools/pooled_server.ts
@@ -30,6 +30,8 @@
   limit: number;
   /** Rises with each grant of the pool: the least recently used is lowest. */
   lastGrantNumber: number;
+  /** The smoothed latency of its last few calls; undefined before the first. */
+  recentLatencyMs: number | undefined;
 }
 
 /**
@@ -48,6 +50,7 @@
     inFlight: 0,
     limit: 0,
     lastGrantNumber: 0,
+    recentLatencyMs: undefined,
   };
 }
 
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -34,8 +34,7 @@
 import { ServerSelector } from "./server_selector.js";
 import type { WaitingAsk } from "./waiting_ask.js";
 
-const COMMON_SLOWDOWN_MS = 2000;
-const COMMON_SLOWDOWN_PART = 0.25;
+const LATENCY_SMOOTHING = 0.3;
 
 export interface ServerTableOptions {
   readonly entry: PoolEntry;
@@ -51,8 +50,8 @@
   readonly #onCooled: ServerTableOptions["onCooled"];
   #service: Service;
   #rights = NO_RIGHTS;
-  /** When servers were taken to be cold for their latency alone. */
-  #slowColdAtMs: number[] = [];
+  #latencySumMs = 0;
+  #latencyCount = 0;
   #slots = 0;
   #inFlight = 0;
   #grantNumber = 0;
@@ -109,6 +108,7 @@
       if (!listed.has(server.id)) server.availability = "out";
       if (listed.has(server.id) || server.inFlight > 0) continue;
       this.#slots -= server.limit;
+      this.#forgetLatency(server);
       this.#selector.remove(server);
       this.#servers.delete(server.id);
     }
@@ -164,15 +164,28 @@
   report(id: BackendServerId, report: CallReport, nowMs: number): void {
     const server = this.#servers.get(id);
     if (server === undefined) return;
-    const grade = report.grade === "coldStart" && this.#isCommonSlowdown(nowMs)
-      ? "high"
-      : report.grade;
     const context = { service: this.#service, nowMs };
-    const next = afterCall(server.health, { ...report, grade }, context);
-    const isSlowCold = grade === "coldStart" &&
-      !isCold(server.health.state) && isCold(next.state);
-    if (isSlowCold) this.#slowColdAtMs.push(nowMs);
-    this.#setHealth(server, next, nowMs);
+    this.#setHealth(server, afterCall(server.health, report, context), nowMs);
+  }
+
+  /** The present latency of the pool without the given server. */
+  latencyWithout(id: BackendServerId): number {
+    const recentMs = this.#servers.get(id)?.recentLatencyMs;
+    const others = this.#latencyCount - (recentMs === undefined ? 0 : 1);
+    if (others <= 0) return 0;
+    return (this.#latencySumMs - (recentMs ?? 0)) / others;
+  }
+
+  noteLatency(id: BackendServerId, sampleMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    const beforeMs = server.recentLatencyMs;
+    const afterMs = beforeMs === undefined
+      ? sampleMs
+      : beforeMs + LATENCY_SMOOTHING * (sampleMs - beforeMs);
+    server.recentLatencyMs = afterMs;
+    this.#latencySumMs += afterMs - (beforeMs ?? 0);
+    this.#latencyCount += beforeMs === undefined ? 1 : 0;
   }
 
   /** Takes what other daemons saw of servers that this one doesn't know. */
@@ -203,20 +216,20 @@
     this.#setHealth(server, health, when.nowMs);
   }
 
-  /** Servers don't turn cold together: so many slow ones mean load. */
-  #isCommonSlowdown(nowMs: number): boolean {
-    this.#slowColdAtMs = this.#slowColdAtMs.filter((atMs) =>
-      nowMs - atMs < COMMON_SLOWDOWN_MS
-    );
-    const most = Math.max(1, this.#servers.size * COMMON_SLOWDOWN_PART);
-    return this.#slowColdAtMs.length >= most;
-  }
-
   #setHealth(server: PooledServer, next: ServerHealth, nowMs: number): void {
     const hasCooled = !isCold(server.health.state) && isCold(next.state);
     server.health = next;
     this.#place(server, nowMs);
-    if (hasCooled) this.#onCooled(server.id, nowMs);
+    if (!hasCooled) return;
+    this.#forgetLatency(server);
+    this.#onCooled(server.id, nowMs);
+  }
+
+  #forgetLatency(server: PooledServer): void {
+    if (server.recentLatencyMs === undefined) return;
+    this.#latencySumMs -= server.recentLatencyMs;
+    this.#latencyCount -= 1;
+    server.recentLatencyMs = undefined;
   }
 
   #addInFlight(server: PooledServer, change: 1 | -1): void {
