--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,75 +1,31 @@
 /**
- * Puts the parts of the daemon together, and takes them apart again.
+ * The daemon as a whole: its HTTP listener, its readiness and its shutdown.
  *
  * @module
  */
 
-import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type Incarnation, toId } from "@sassafrasstage/protocol/ids";
-import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
 import { makeProblem } from "@sassafrasstage/protocol/problems";
 import type { DaemonStatus, Readiness } from "@sassafrasstage/protocol/status";
 import restana from "restana";
-import {
-  createStageCaller,
-  type RunningStageCaller,
-} from "./backend_servers/create_stage_caller.js";
 import { addCallerRoutes, type HttpService } from "./callers/caller_routes.js";
-import { RequestsInFlight } from "./callers/requests_in_flight.js";
-import type { ClaimKeeper } from "./claims/claim_keeper.js";
-import { createClaimKeeper } from "./claims/create_claim_keeper.js";
 import { MONOTONIC_CLOCK } from "./clock.js";
 import {
-  type RunningConfigurationKeeper,
-  startConfigurationKeeper,
-} from "./configuration/start_configuration_keeper.js";
+  closeParts,
+  type DaemonParts,
+  makeEnvironment,
+  startParts,
+} from "./daemon_parts.js";
 import { sendProblem } from "./http/send_problem.js";
-import { LatencyRecords } from "./observability/latency_records.js";
-import { createLogger, type Logger } from "./observability/logger.js";
-import { Metrics } from "./observability/metrics.js";
 import { addProbeRoutes } from "./observability/probe_routes.js";
 import { addOperatorRoutes } from "./operators/operator_routes.js";
-import {
-  type RunningPeerNetwork,
-  startPeerNetwork,
-} from "./peers/start_peer_network.js";
-import type { PipelineEnvironment } from "./pipelines/pipeline_environment.js";
-import { RetryBudget } from "./pipelines/retry_budget.js";
-import { StageEstimates } from "./pipelines/stage_estimates.js";
-import {
-  createPlatformClient,
-  type PlatformClient,
-} from "./platform/create_platform_client.js";
-import {
-  startVmListPoller,
-  type VmListPoller,
-} from "./platform/start_vm_list_poller.js";
-import { createPermitSource } from "./pools/create_permit_source.js";
-import type { RunningPermitSource } from "./pools/running_permit_source.js";
 import type { Address, Settings } from "./settings/settings.js";
 
 const CLAIM_FLUSH_MS = 10_000;
 /** Longer than a balancer keeps an idle connection, so that it closes first. */
 const KEEP_ALIVE_MS = 75_000;
 
-/** All parts of a running daemon. */
-interface DaemonParts {
-  readonly settings: Settings;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly platform: PlatformClient;
-  readonly network: RunningPeerNetwork;
-  readonly configuration: RunningConfigurationKeeper;
-  readonly vmList: VmListPoller;
-  readonly permits: RunningPermitSource;
-  readonly claims: ClaimKeeper;
-  readonly stageCaller: RunningStageCaller;
-  readonly latencies: LatencyRecords;
-  readonly inFlight: RequestsInFlight;
-}
-
 /**
  * One running daemon.
  *
@@ -160,20 +116,9 @@
     if (!isDrained) logger.error("drainTimedOut", { inFlight: inFlight.count });
     await claims.flush(CLAIM_FLUSH_MS);
     this.#phase = "closed";
-    await this.#closeParts();
-    logger.info("shutdownFinished");
-  }
-
-  async #closeParts(): Promise<void> {
-    const { vmList, configuration, permits, network, stageCaller, platform } =
-      this.#parts;
-    await vmList.close();
-    await configuration.close();
-    permits.close();
-    await network.close();
-    await stageCaller.close();
-    await platform.close();
+    await closeParts(this.#parts);
     this.#server.closeAllConnections();
+    logger.info("shutdownFinished");
   }
 
   #addRoutes(): void {
@@ -226,66 +171,6 @@
   }
 }
 
-async function startParts(settings: Settings): Promise<DaemonParts> {
-  const clock = MONOTONIC_CLOCK;
-  const metrics = new Metrics();
-  const logger = createLogger(settings.log.level, { vm: settings.vm.id });
-  const common = { settings, clock, metrics, logger };
-  const incarnation = toId<Incarnation>(randomUUID());
-  const platform = createPlatformClient(common);
-  const network = await startPeerNetwork({ ...common, incarnation });
-  const configuration = startConfigurationKeeper({
-    ...common,
-    store: platform,
-    network,
-  });
-  let listing: VmListing | undefined;
-  const vmList = startVmListPoller({
-    store: platform,
-    logger,
-    onListing: (newest) => {
-      listing = newest;
-      network.setListedVms(newest);
-    },
-  });
-  const permits = createPermitSource({
-    ...common,
-    network,
-    configuration,
-    listedVms: () => listing,
-  });
-  network.setHeartbeatContent(permits.heartbeatContent);
-  const claims = createClaimKeeper({ ...common, store: platform, network });
-  return {
-    settings,
-    logger,
-    metrics,
-    platform,
-    network,
-    configuration,
-    vmList,
-    permits,
-    claims,
-    stageCaller: createStageCaller(clock),
-    latencies: new LatencyRecords(),
-    inFlight: new RequestsInFlight(),
-  };
-}
-
-function makeEnvironment(parts: DaemonParts): PipelineEnvironment {
-  return {
-    permits: parts.permits,
-    stageCaller: parts.stageCaller,
-    claims: parts.claims,
-    estimates: new StageEstimates(),
-    retryBudget: new RetryBudget(parts.settings.pools.retry_budget_percent),
-    clock: MONOTONIC_CLOCK,
-    metrics: parts.metrics,
-    latencies: parts.latencies,
-    logger: parts.logger,
-  };
-}
-
 function listen(server: Server, address: Address): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- /dev/null
+++ b/packages/daemon/src/daemon_parts.ts
@@ -0,0 +1,138 @@
+/**
+ * The parts of the daemon: made and joined, and closed in the other order.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { type Incarnation, toId } from "@sassafrasstage/protocol/ids";
+import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import {
+  createStageCaller,
+  type RunningStageCaller,
+} from "./backend_servers/create_stage_caller.js";
+import { RequestsInFlight } from "./callers/requests_in_flight.js";
+import type { ClaimKeeper } from "./claims/claim_keeper.js";
+import { createClaimKeeper } from "./claims/create_claim_keeper.js";
+import { MONOTONIC_CLOCK } from "./clock.js";
+import {
+  type RunningConfigurationKeeper,
+  startConfigurationKeeper,
+} from "./configuration/start_configuration_keeper.js";
+import { LatencyRecords } from "./observability/latency_records.js";
+import { createLogger, type Logger } from "./observability/logger.js";
+import { Metrics } from "./observability/metrics.js";
+import {
+  type RunningPeerNetwork,
+  startPeerNetwork,
+} from "./peers/start_peer_network.js";
+import type { PipelineEnvironment } from "./pipelines/pipeline_environment.js";
+import { RetryBudget } from "./pipelines/retry_budget.js";
+import { StageEstimates } from "./pipelines/stage_estimates.js";
+import {
+  createPlatformClient,
+  type PlatformClient,
+} from "./platform/create_platform_client.js";
+import {
+  startVmListPoller,
+  type VmListPoller,
+} from "./platform/start_vm_list_poller.js";
+import { createPermitSource } from "./pools/create_permit_source.js";
+import type { RunningPermitSource } from "./pools/running_permit_source.js";
+import type { Settings } from "./settings/settings.js";
+
+/** All parts of a running daemon. */
+export interface DaemonParts {
+  readonly settings: Settings;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly platform: PlatformClient;
+  readonly network: RunningPeerNetwork;
+  readonly configuration: RunningConfigurationKeeper;
+  readonly vmList: VmListPoller;
+  readonly permits: RunningPermitSource;
+  readonly claims: ClaimKeeper;
+  readonly stageCaller: RunningStageCaller;
+  readonly latencies: LatencyRecords;
+  readonly inFlight: RequestsInFlight;
+}
+
+/**
+ * Starts every part; rejects when the peers' address can't be listened on.
+ *
+ * @example
+ * ```ts
+ * const parts = await startParts(settings);
+ * await closeParts(parts);
+ * ```
+ */
+export async function startParts(settings: Settings): Promise<DaemonParts> {
+  const clock = MONOTONIC_CLOCK;
+  const metrics = new Metrics();
+  const logger = createLogger(settings.log.level, { vm: settings.vm.id });
+  const common = { settings, clock, metrics, logger };
+  const incarnation = toId<Incarnation>(randomUUID());
+  const platform = createPlatformClient(common);
+  const network = await startPeerNetwork({ ...common, incarnation });
+  const configuration = startConfigurationKeeper({
+    ...common,
+    store: platform,
+    network,
+  });
+  let listing: VmListing | undefined;
+  const vmList = startVmListPoller({
+    store: platform,
+    logger,
+    onListing: (newest) => {
+      listing = newest;
+      network.setListedVms(newest);
+    },
+  });
+  const permits = createPermitSource({
+    ...common,
+    network,
+    configuration,
+    listedVms: () => listing,
+  });
+  network.setHeartbeatContent(permits.heartbeatContent);
+  const claims = createClaimKeeper({ ...common, store: platform, network });
+  return {
+    settings,
+    logger,
+    metrics,
+    platform,
+    network,
+    configuration,
+    vmList,
+    permits,
+    claims,
+    stageCaller: createStageCaller(clock),
+    latencies: new LatencyRecords(),
+    inFlight: new RequestsInFlight(),
+  };
+}
+
+/** What the pipelines need of the parts. */
+export function makeEnvironment(parts: DaemonParts): PipelineEnvironment {
+  return {
+    permits: parts.permits,
+    stageCaller: parts.stageCaller,
+    claims: parts.claims,
+    estimates: new StageEstimates(),
+    retryBudget: new RetryBudget(parts.settings.pools.retry_budget_percent),
+    clock: MONOTONIC_CLOCK,
+    metrics: parts.metrics,
+    latencies: parts.latencies,
+    logger: parts.logger,
+  };
+}
+
+/** Closes the parts when no request needs them any longer. */
+export async function closeParts(parts: DaemonParts): Promise<void> {
+  await parts.vmList.close();
+  await parts.configuration.close();
+  parts.permits.close();
+  await parts.network.close();
+  await parts.stageCaller.close();
+  await parts.platform.close();
+}
