Let a plain stand-in bear only so many calls at once

Calls above `concurrency` now wait. A plan may also give the servers by data centre, as both users' deployments have uneven numbers. Both are optional additions.

--- a/packages/stand-ins/src/backend_servers/plain_service_stand_in.ts
+++ b/packages/stand-ins/src/backend_servers/plain_service_stand_in.ts
@@ -23,6 +23,7 @@
   type CoreOptions,
   interrupt,
 } from "./backend_server_core.js";
+import { Batch } from "./batch.js";
 import {
   expectedPlainOutput,
   findMarker,
@@ -36,6 +37,8 @@
   readonly workMs?: number;
   /** Added to the work time, evenly spread from 0. */
   readonly jitterMs?: number;
+  /** Calls that run at once while the others wait; all of them by default. */
+  readonly concurrency?: number;
   /** Operations that hand out a new number on every run. */
   readonly nonIdempotentOperations?: readonly string[];
 }
@@ -69,6 +72,7 @@
   readonly #name: string;
   readonly #workMs: number;
   readonly #jitterMs: number;
+  readonly #running: Batch;
   readonly #nonIdempotentOperations: ReadonlySet<string>;
   readonly #server: StandInServer;
   #lastNumber = 0;
@@ -79,6 +83,7 @@
     this.#name = options.name ?? "plain";
     this.#workMs = options.workMs ?? DEFAULT_WORK_MS;
     this.#jitterMs = options.jitterMs ?? 0;
+    this.#running = new Batch(options.concurrency ?? Infinity);
     this.#nonIdempotentOperations = new Set(
       options.nonIdempotentOperations ?? DEFAULT_NON_IDEMPOTENT,
     );
@@ -186,7 +191,12 @@
     const jitterMs = this.#jitterMs * this.#core.random.nextFloat();
     const durationMs = this.#workMs + jitterMs;
     const isFailing = this.#core.random.isHit(this.#core.faults.failRatio);
-    await this.#core.work(call, isFailing ? durationMs / 2 : durationMs);
+    await this.#running.enter(0, call.abort.signal);
+    try {
+      await this.#core.work(call, isFailing ? durationMs / 2 : durationMs);
+    } finally {
+      this.#running.leave();
+    }
     if (isFailing) throw new Error("Failed by fault");
   }
 
--- a/packages/stand-ins/src/cluster/cluster_plan.ts
+++ b/packages/stand-ins/src/cluster/cluster_plan.ts
@@ -16,7 +16,8 @@
 
 interface ServiceLimits {
   readonly name: string;
-  readonly serversPerDataCentre: number;
+  /** The same number in each data centre, or a number by its name. */
+  readonly serversPerDataCentre: number | Readonly<Record<string, number>>;
   /** Where it runs; every data centre by default. */
   readonly dataCentres?: readonly string[];
   readonly warmLimit: number;
@@ -108,7 +109,7 @@
     const names = service.dataCentres ??
       plan.dataCentres.map((dataCentre) => dataCentre.name);
     for (const dataCentre of names) {
-      for (const number of countTo(service.serversPerDataCentre)) {
+      for (const number of countTo(countServers(service, dataCentre))) {
         const id = `${service.name}-${dataCentre}-${number}`;
         servers.push({ id, vmId: `vm-${id}`, dataCentre, service });
       }
@@ -117,6 +118,13 @@
   return servers;
 }
 
+function countServers(service: ServicePlan, dataCentre: string): number {
+  const { serversPerDataCentre } = service;
+  return typeof serversPerDataCentre === "number"
+    ? serversPerDataCentre
+    : serversPerDataCentre[dataCentre] ?? 0;
+}
+
 function countTo(count: number): number[] {
   return Array.from({ length: count }, (_, index) => index + 1);
 }
