--- /dev/null
+++ b/bench/src/measure/run_scenario.ts
@@ -0,0 +1,174 @@
+/**
+ * Runs one scenario against real processes and gathers what was measured.
+ *
+ * @module
+ */
+
+import {
+  type Cluster,
+  startCluster,
+} from "@sassafrasstage/stand-ins/cluster/cluster";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Deployment } from "../deployments/deployment.js";
+import { exampleKey } from "../deployments/example_files.js";
+import { isExpectedOutput, makeInput } from "../deployments/expected_answer.js";
+import {
+  type ClusterPlanOptions,
+  makeClusterPlan,
+} from "../deployments/make_cluster_plan.js";
+import { drawArrivals } from "../load/arrivals.js";
+import type { LoadRecord } from "../load/load_record.js";
+import { type LoadTarget, runLoad } from "../load/load_run.js";
+import { type LoadSummary, summarize } from "../load/summary.js";
+import {
+  makeStreams,
+  type Scenario,
+  type ScenarioName,
+  type ScenarioTimes,
+} from "../scenarios/scenario.js";
+import { DEPARTURE_AT_PART, RETURN_AT_PART } from "../scenarios/scenarios.js";
+import { type ControlRates, diffRates, takeSnapshot } from "./control_rates.js";
+import {
+  countArrivals,
+  countInvariantBreaks,
+  type InvariantCounts,
+  type ServerRecord,
+} from "./invariants.js";
+
+/** New work to a data centre taken out has to end after this. */
+const DEPARTURE_GRACE_MS = 3000;
+
+export interface ScenarioRunOptions extends ClusterPlanOptions, ScenarioTimes {}
+
+export interface ScenarioResult {
+  readonly scenario: ScenarioName;
+  readonly deployment: string;
+  readonly policy: string;
+  readonly loadPart: number;
+  readonly requestsPerSecond: number;
+  readonly summary: LoadSummary;
+  readonly control: ControlRates;
+  readonly invariants: InvariantCounts;
+  /** Calls that reached the data centre while it was out for 3 s or more. */
+  readonly callsWhileOut?: number;
+  /** The furthest that the load generator fell behind. */
+  readonly maxSendDelayMs: number;
+}
+
+/**
+ * Starts the deployment, warms it up, runs the scenario and stops everything.
+ *
+ * @example
+ * ```ts
+ * const result = await runScenario(scenario, deployment, options);
+ * ```
+ */
+export async function runScenario(
+  scenario: Scenario,
+  deployment: Deployment,
+  options: ScenarioRunOptions,
+): Promise<ScenarioResult> {
+  const cluster = await startCluster(makeClusterPlan(deployment, options));
+  try {
+    return await measure({ cluster, scenario, deployment, options });
+  } finally {
+    await cluster.stop();
+  }
+}
+
+interface RunContext {
+  readonly cluster: Cluster;
+  readonly scenario: Scenario;
+  readonly deployment: Deployment;
+  readonly options: ScenarioRunOptions;
+}
+
+async function measure(context: RunContext): Promise<ScenarioResult> {
+  const { cluster, scenario, deployment, options } = context;
+  const { warmUpMs, measuredMs, seed } = options;
+  const streams = makeStreams(scenario, deployment, options);
+  const arrivals = drawArrivals(streams, seed);
+  const startedAtMs = Date.now();
+  const control = measureControl(cluster, options);
+  const [records] = await Promise.all([
+    runLoad(makeTarget(context), arrivals, { seed }),
+    runEvents(context),
+  ]);
+  const measured = records.filter((record) => record.atMs >= warmUpMs);
+  const servers = await readServers(cluster);
+  return {
+    scenario: scenario.name,
+    deployment: deployment.name,
+    policy: options.policy,
+    loadPart: scenario.loadPart,
+    requestsPerSecond: measured.length * 1000 / measuredMs,
+    summary: summarize(measured, measuredMs),
+    control: await control,
+    invariants: countInvariantBreaks(records, servers),
+    ...countCallsWhileOut(context, { servers, startedAtMs }),
+    maxSendDelayMs: findMaxSendDelay(records),
+  };
+}
+
+function makeTarget({ cluster, deployment }: RunContext): LoadTarget {
+  return {
+    vms: cluster.daemons.map(({ vmId, httpUrl }) => ({
+      vmId,
+      baseUrl: httpUrl,
+    })),
+    pipelines: deployment.content.rules.pipelines,
+    keyOf: exampleKey,
+    inputOf: makeInput,
+    isExpectedOutput,
+  };
+}
+
+async function runEvents(context: RunContext): Promise<void> {
+  const { cluster, scenario, deployment, options } = context;
+  await Promise.all(scenario.events.map(async (event) => {
+    await sleep(options.warmUpMs + event.atPart * options.measuredMs);
+    await event.run(cluster, deployment);
+  }));
+}
+
+async function measureControl(
+  cluster: Cluster,
+  times: ScenarioTimes,
+): Promise<ControlRates> {
+  await sleep(times.warmUpMs);
+  const before = await takeSnapshot(cluster);
+  await sleep(times.measuredMs);
+  return diffRates(before, await takeSnapshot(cluster));
+}
+
+async function readServers(cluster: Cluster): Promise<ServerRecord[]> {
+  return Promise.all(cluster.servers.map(async (server) => {
+    const { id, service, dataCentre } = server;
+    return { ...await server.record(), id, service, dataCentre };
+  }));
+}
+
+function countCallsWhileOut(
+  { scenario, deployment, options }: RunContext,
+  seen: {
+    readonly servers: readonly ServerRecord[];
+    readonly startedAtMs: number;
+  },
+): { readonly callsWhileOut?: number } {
+  if (scenario.name !== "data-centre-leaves-and-returns") return {};
+  const measuredFromMs = seen.startedAtMs + options.warmUpMs;
+  const callsWhileOut = countArrivals(seen.servers, {
+    dataCentre: deployment.leavingDataCentre,
+    fromMs: measuredFromMs + DEPARTURE_AT_PART * options.measuredMs +
+      DEPARTURE_GRACE_MS,
+    toMs: measuredFromMs + RETURN_AT_PART * options.measuredMs,
+  });
+  return { callsWhileOut };
+}
+
+function findMaxSendDelay(records: readonly LoadRecord[]): number {
+  return records.reduce(
+    (max, record) => Math.max(max, record.sendDelayMs),
+    0,
+  );
+}
