--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -32,6 +32,7 @@
 } from "./latency_baseline.js";
 import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
 import type { PooledServer } from "./pooled_server.js";
+import { probeWaitMs } from "./pool_outage.js";
 import { createQueueOrder, type QueueOrderName } from "./queue_order.js";
 import { refusal } from "./refusal.js";
 import { ServerTable } from "./server_table.js";
@@ -42,8 +43,6 @@
 /** Asks that no free server suits, set aside in one round at most. */
 const MAX_SET_ASIDE = 16;
 const MIN_RETRY_AFTER_MS = 50;
-/** How long a new owner likely needs to know the permits that are out. */
-const TAKEOVER_MS = 100;
 /** How long a call may run on after its request's deadline. */
 const LATE_CALL_MS = 30_000;
 const LATE_CHECK_MS = 500;
@@ -60,8 +59,8 @@
   readonly hasPrefixAffinity: boolean;
   readonly maxQueueLength: number;
   readonly maxQueueAgeMs: number;
-  /** How long it may take until cold servers may be granted. */
-  readonly leaseMs: number;
+  /** How long it is likely to take until anything can be granted. */
+  readonly withheldForMs: (nowMs: number) => number;
   readonly baselines: LatencyBaselines;
   readonly nextPermitId: () => PermitId;
   readonly rightsAt: (nowMs: number) => GrantRights;
@@ -124,6 +123,7 @@
       this.#expire(granted, nowMs);
     }
     this.#servers.refresh(nowMs);
+    this.#refuseInOutage(nowMs);
     this.pump(nowMs);
   }
 
@@ -276,7 +276,7 @@
       return refusal(
         "noBackendServer",
         "No backend server of the pool is in service",
-        this.#options.leaseMs,
+        this.#options.withheldForMs(nowMs),
       );
     }
     const bearableMs = waiting.latestStartAtMs - nowMs;
@@ -292,13 +292,43 @@
   #expectedWaitMs(waiting: WaitingAsk, nowMs: number): number {
     if (this.#queue.size === 0 && this.#servers.hasRoom) return 0;
     if (this.#servers.slots === 0) {
-      const { warm } = this.#options.rightsAt(nowMs);
-      return warm.kind === "none" ? TAKEOVER_MS : this.#options.leaseMs;
+      const asksAhead = this.#queue.size;
+      return Math.max(
+        this.#options.withheldForMs(nowMs),
+        this.#outageWaitMs({ asksAhead, nowMs }),
+      );
     }
     const aheadMs = this.#queue.workAheadMs(waiting) + likelyWorkMs(waiting);
     return aheadMs / this.#servers.slots;
   }
 
+  #outageWaitMs(place: {
+    readonly asksAhead: number;
+    readonly nowMs: number;
+  }): number {
+    const outage = this.#servers.outage();
+    return outage === undefined ? 0 : probeWaitMs(outage, place);
+  }
+
+  /** Refuses those that can't even be a probe of an all-down pool in time. */
+  #refuseInOutage(nowMs: number): void {
+    const outage = this.#servers.outage();
+    if (outage === undefined) return;
+    let asksAhead = 0;
+    for (const waiting of [...this.#queue.all()]) {
+      const waitMs = probeWaitMs(outage, { asksAhead, nowMs });
+      if (nowMs + waitMs <= waiting.latestStartAtMs) {
+        asksAhead += 1;
+        continue;
+      }
+      this.#queue.remove(waiting);
+      this.#refuse(
+        waiting,
+        refusal("noCapacity", "All backend servers are down", waitMs),
+      );
+    }
+  }
+
   /** How long the whole queue is likely to take. */
   #drainMs(): number {
     const workMs = this.#queue.workMs / Math.max(1, this.#servers.slots);
@@ -377,17 +407,22 @@
   ): void {
     const { service } = this.#servers;
     const sampleMs = latencySample(service, release);
-    const baseline = this.#options.baselines.of(service.name);
-    const grade = sampleMs === undefined
-      ? "usual"
-      : gradeLatency(sampleMs, baseline);
+    const id = granted.permit.backendServerId;
+    const grade = sampleMs === undefined ? "usual" : gradeLatency(
+      sampleMs,
+      this.#options.baselines.of(service.name),
+      this.#servers.latencyWithout(id),
+    );
     const isOfWarm = granted.permit.warmth === "warm" &&
       release.outcome === "completed" && grade !== "coldStart";
     if (isOfWarm && sampleMs !== undefined) {
       this.#options.baselines.note(service.name, sampleMs);
     }
+    if (granted.permit.warmth === "warm" && sampleMs !== undefined) {
+      this.#servers.noteLatency(id, sampleMs);
+    }
     this.#servers.report(
-      granted.permit.backendServerId,
+      id,
       { outcome: release.outcome, grade, grantedAtMs: granted.grantedAtMs },
       nowMs,
     );
