Let an ask say that it need not be queued

Adds the optional field isSpill to PermitAsk: an asker whose own pool is busy tries another data centre's without taking a place in its queue.

--- a/packages/protocol/src/permits.ts
+++ b/packages/protocol/src/permits.ts
@@ -31,6 +31,11 @@
   readonly likelyDurationMs: number;
   /** Equal for requests that share a prompt prefix. */
   readonly prefixKey?: string;
+  /**
+   * The asker has a pool of its own to turn to: to be refused rather than
+   * queued. Set by the permit source.
+   */
+  readonly isSpill?: boolean;
   /** Backend servers that already failed this stage. */
   readonly excluded: readonly BackendServerId[];
 }
