--- a/bench/src/bench_slopes.ts
+++ b/bench/src/bench_slopes.ts
@@ -5,11 +5,15 @@
  * @module
  */
 
+import { measureClusterSlopes } from "./slopes/cluster_slopes.js";
 import { measureConfigurationSlopes } from "./slopes/configuration_slopes.js";
 import { measureMessageSlopes } from "./slopes/message_slopes.js";
+import { measurePoolSlopes } from "./slopes/pool_slopes.js";
 import { formatSlopes } from "./slopes/slope_series.js";
 
 console.log(formatSlopes([
   ...measureConfigurationSlopes(),
+  ...measurePoolSlopes(),
   ...await measureMessageSlopes(),
+  ...await measureClusterSlopes(),
 ]));
