--- a/bench/src/bench_slopes.ts
+++ b/bench/src/bench_slopes.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { measureClaimSlopes } from "./slopes/claim_slopes.js";
 import { measureClusterSlopes } from "./slopes/cluster_slopes.js";
 import { measureConfigurationSlopes } from "./slopes/configuration_slopes.js";
 import { measureMessageSlopes } from "./slopes/message_slopes.js";
@@ -14,6 +15,7 @@
 console.log(formatSlopes([
   ...measureConfigurationSlopes(),
   ...measurePoolSlopes(),
+  ...measureClaimSlopes(),
   ...await measureMessageSlopes(),
   ...await measureClusterSlopes(),
 ]));
