--- a/packages/stand-ins/src/backend_servers/backend_server_core.ts
+++ b/packages/stand-ins/src/backend_servers/backend_server_core.ts
@@ -63,6 +63,14 @@
   /** Wall-clock time of the last admitted call; 0 before the first. */
   readonly lastArrivalAtMs: number;
   readonly entries: readonly RunEntry[];
+  readonly overloads?: readonly ColdOverload[];
+}
+
+/** A fall under too much work while cold, with what was in flight. */
+export interface ColdOverload {
+  readonly atMs: number;
+  readonly isSuddenlyCold: boolean;
+  readonly inFlight: readonly RunEntry[];
 }
 
 /** Served at `GET /load`, some time late. */
@@ -89,6 +97,7 @@
   readonly random: SeededRandom;
   readonly runs = new RunLog();
   readonly #calls = new Set<Call>();
+  readonly #overloads: ColdOverload[] = [];
   readonly #loadLagMs: number;
   #load: LoadReport = { inFlight: 0, atMs: 0 };
   #faults: BackendServerFaults;
@@ -139,6 +148,7 @@
       runs: this.runs.runs,
       lastArrivalAtMs: this.runs.lastArrivalAtMs,
       entries: this.runs.entries(),
+      overloads: this.#overloads,
     };
   }
 
@@ -152,6 +162,7 @@
       answerUnavailable(response, "refusing");
       return undefined;
     }
+    const { isSuddenlyCold } = this.coldStart;
     const admission = this.coldStart.arrive(Date.now());
     switch (admission.kind) {
       case "admitted": {
@@ -165,6 +176,11 @@
         return undefined;
       case "overload":
         answerUnavailable(response, "overloaded while cold");
+        this.#overloads.push({
+          atMs: Date.now(),
+          isSuddenlyCold,
+          inFlight: [...this.#calls].map((call) => ({ ...call.entry })),
+        });
         for (const call of this.#calls) interrupt(call, "overload");
         return undefined;
     }
--- a/packages/stand-ins/src/backend_servers/cold_start.ts
+++ b/packages/stand-ins/src/backend_servers/cold_start.ts
@@ -72,6 +72,10 @@
     return this.#temperature.kind !== "warm";
   }
 
+  get isSuddenlyCold(): boolean {
+    return this.#temperature.kind === "suddenlyCold";
+  }
+
   get inFlight(): number {
     return this.#inFlight;
   }
--- a/tests/src/random_faults/checks.ts
+++ b/tests/src/random_faults/checks.ts
@@ -70,7 +70,11 @@
         kill.atMs <= sentAtMs + result.latencyMs + KILL_SLACK_MS
       )
     )
-    .map(({ marker, vmId }) => `${marker} broke at ${vmId}, which lived`);
+    .map(({ marker, vmId, pipeline, sentAtMs, result }) =>
+      `${marker} (${pipeline}) sent at ${new Date(sentAtMs).toISOString()} ` +
+      `broke at ${vmId}, which lived, after ${result.latencyMs} ms` +
+      (result.kind === "broken" ? `: ${result.message}` : "")
+    );
 }
 
 function findWorkWhileOut(out: OutSpan, evidence: RunEvidence): string[] {
--- a/tests/src/random_faults/main.ts
+++ b/tests/src/random_faults/main.ts
@@ -26,7 +26,7 @@
   seed,
   durationMs: Number(options.minutes) * MS_PER_MINUTE,
   onFault: (description) => {
-    print(`atMs=${Math.round(performance.now())} ${description}`);
+    print(`time=${new Date().toISOString()} ${description}`);
   },
 });
 print(`seed=${seed} faults=${report.faults.length}`);
--- a/tests/src/support/verdicts.ts
+++ b/tests/src/support/verdicts.ts
@@ -92,9 +92,13 @@
 
 /** Backend servers that got more than they can bear while cold. */
 export function findColdOverloads(records: readonly ServerRecord[]): string[] {
-  return records.filter((record) => record.coldOverloads > 0).map((record) =>
-    `${record.id} overloaded ${record.coldOverloads} times, ` +
-    `up to ${record.maxInFlightWhileCold} in flight`
+  return records.flatMap((record) =>
+    (record.overloads ?? []).map(({ atMs, isSuddenlyCold, inFlight }) => {
+      const ages = inFlight.map((entry) => atMs - entry.arrivedAtMs);
+      return `${record.id} overloaded at ${new Date(atMs).toISOString()}` +
+        `${isSuddenlyCold ? " after turning cold" : ""}, ` +
+        `in flight for ${ages.join(", ")} ms`;
+    })
   );
 }
 
