--- a/packages/stand-ins/src/backend_servers/cold_start.ts
+++ b/packages/stand-ins/src/backend_servers/cold_start.ts
@@ -154,10 +154,11 @@
       nowMs < firstSignAtMs + SIGN_GRACE_MS;
   }
 
+  /** The warming up begins again. */
   #restartCold(): void {
     this.#temperature = {
       kind: "cold",
-      completionsLeft: 2 * this.#options.warmAfterCompletions,
+      completionsLeft: this.#options.warmAfterCompletions,
     };
   }
 }
