Spill into free slots elsewhere, and age deferrable work by server time

Cause: in runs of real daemons with 60 in 100 requests coming to one of two data centres, its pool queued while the other's had room. Ruled out: spreading all work over all data centres, which would make every stage pay for the distance. After: spill is refused where anybody waits; counter work may pass aged work three times its own; an account within its share is not kept behind counter work of one ahead of it once it has waited for half of what it can bear.

--- a/packages/daemon/src/pools/ask_queue.ts
+++ b/packages/daemon/src/pools/ask_queue.ts
@@ -25,6 +25,14 @@
   /** The queue is full, and this account holds the most of it. */
   | { readonly kind: "shareExceeded" };
 
+/** Two upper bounds of the work before an ask: the smaller one holds. */
+export interface WorkAhead {
+  /** What waits in its urgency class and those before it. */
+  readonly ofClassMs: number;
+  /** What all accounts get while its own backlog is served at its share. */
+  readonly ofShareMs: number;
+}
+
 /** All waiting asks of a pool. Each call costs O(log n). */
 export class AskQueue {
   readonly #order: QueueOrder;
@@ -103,12 +111,8 @@
     }
   }
 
-  /**
-   * The work to be served before the given ask: never more than what is ahead
-   * of its class, and for an account within its share never more than its own
-   * backlog takes at that share.
-   */
-  workAheadMs(waiting: WaitingAsk): number {
+  /** The work to be served until the given ask starts, itself included. */
+  workAhead(waiting: WaitingAsk): WorkAhead {
     const ofClassMs = waiting.ask.urgency === "counter"
       ? this.#counterWorkMs
       : this.#workMs;
@@ -117,7 +121,10 @@
       ? this.#activeShare + waiting.share
       : this.#activeShare;
     const ownMs = (backlog?.workMs ?? 0) + likelyWorkMs(waiting);
-    return Math.min(ofClassMs, ownMs * share / waiting.share);
+    return {
+      ofClassMs: ofClassMs + likelyWorkMs(waiting),
+      ofShareMs: this.#order.isFair ? ownMs * share / waiting.share : Infinity,
+    };
   }
 
   /** The newcomer itself, or the least worthy ask of the heaviest account. */
--- a/packages/daemon/src/pools/asker_role.ts
+++ b/packages/daemon/src/pools/asker_role.ts
@@ -31,6 +31,7 @@
   type PendingAsk,
   startAsk,
 } from "./pending_ask.js";
+import type { PendingAsks } from "./pending_asks.js";
 import type { PermitLink } from "./permit_link.js";
 import type { PoolContext } from "./pool_context.js";
 import { refusal } from "./refusal.js";
@@ -45,6 +46,7 @@
   readonly held: HeldPermits;
   readonly fallback: FallbackGrants;
   readonly candidates: CandidatePools;
+  readonly pending: PendingAsks;
   readonly warmth: WarmthLog;
   readonly coldSigns: ColdSignSender;
   readonly baselines: LatencyBaselines;
@@ -62,19 +64,22 @@
   readonly #options: AskerRoleOptions;
   readonly #outbox: OwnerOutbox;
   readonly #observer: CallObserver;
-  readonly #pending = new Set<PendingAsk>();
+  readonly #pending: PendingAsks;
   readonly #bySending = new Map<AttemptId, PendingAsk>();
   #sendingNumber = 0;
 
   constructor(options: AskerRoleOptions) {
     this.#options = options;
+    this.#pending = options.pending;
     this.#outbox = new OwnerOutbox(options.link);
     this.#observer = new CallObserver(options);
   }
 
   /** The returned function cancels the ask. */
   ask(newAsk: NewAsk, nowMs: number): (nowMs: number) => void {
-    const pending = startAsk(newAsk, nowMs);
+    const isSpill = this.#options.candidates.isSpill(newAsk.ask.pool, nowMs);
+    const ask = isSpill ? { ...newAsk.ask, isSpill } : newAsk.ask;
+    const pending = startAsk({ ...newAsk, ask }, nowMs);
     this.#pending.add(pending);
     this.#advance(pending, nowMs);
     return (canceledAtMs) => {
@@ -141,8 +146,7 @@
   ): void {
     const { context, held, link, warmth } = this.#options;
     const key = poolKey(request.pool);
-    const moved = [...this.#pending].filter((pending) =>
-      poolKey(pending.ask.pool) === key &&
+    const moved = this.#pending.ofPool(request.pool).filter((pending) =>
       pending.progress.kind === "sent" && pending.progress.owner !== from
     );
     for (const pending of moved) this.#withdraw(pending, nowMs);
@@ -163,7 +167,7 @@
 
   /** What was sent may be lost: it is canceled later and asked again. */
   noteDisconnected(vmId: VmId, nowMs: number): void {
-    for (const pending of [...this.#pending]) {
+    for (const pending of this.#pending.all()) {
       if (pending.progress.kind !== "sent") continue;
       if (pending.progress.owner !== vmId) continue;
       this.#withdraw(pending, nowMs);
@@ -172,11 +176,11 @@
   }
 
   tick(nowMs: number): void {
-    for (const pending of [...this.#pending]) this.#advance(pending, nowMs);
+    for (const pending of this.#pending.all()) this.#advance(pending, nowMs);
   }
 
   close(nowMs: number): void {
-    for (const pending of [...this.#pending]) {
+    for (const pending of this.#pending.all()) {
       this.#refuse(pending, "shuttingDown", nowMs);
     }
   }
@@ -313,7 +317,7 @@
   }
 
   #settle(pending: PendingAsk, decision: PermitDecision): void {
-    this.#pending.delete(pending);
+    this.#pending.remove(pending);
     pending.settle(decision);
   }
 
--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -22,7 +22,10 @@
 /** Completions at least between two changes of the adaptive limit. */
 const MIN_WINDOW = 8;
 /** The adaptive limit stays above this part of the register's. */
-const MIN_LIMIT_PART = 0.25;
+const MIN_LIMIT_PART = 0.5;
+/** The limit falls when this part of a window's latencies was high. */
+const HIGH_PART = 0.75;
+const INCREASE_STEP = 2;
 
 /** `sinceMs` is when the state began: older calls prove nothing about it. */
 export type ServerState =
@@ -308,9 +311,9 @@
   if (completions < Math.max(MIN_WINDOW, state.limit)) {
     return { ...state, completions, highLatencies, lastUsedAtMs: nowMs };
   }
-  const limit = 2 * highLatencies > completions
+  const limit = highLatencies >= HIGH_PART * completions
     ? lowerLimitOf(state.limit, service)
-    : Math.min(service.warmLimit, state.limit + 1);
+    : Math.min(service.warmLimit, state.limit + INCREASE_STEP);
   return {
     ...state,
     limit,
--- a/packages/daemon/src/pools/candidate_pools.ts
+++ b/packages/daemon/src/pools/candidate_pools.ts
@@ -9,20 +9,35 @@
   poolKey,
   type ServiceName,
 } from "@sassafrasstage/protocol/ids";
+import type { PendingAsks } from "./pending_asks.js";
 import type { PoolContext } from "./pool_context.js";
 import { availabilityOf, type PoolEntry } from "./pool_layout.js";
 
 /** A refusing pool is tried after the others for this long at most. */
 const MAX_AVOID_MS = 1000;
 
-/** The own data centre first; then the others in turn. */
+/** When an ask has waited so long at home, the others are tried first. */
+const SPILL_FROM_MS = 20;
+
+export interface CandidatePoolsOptions {
+  readonly context: PoolContext;
+  readonly pending: PendingAsks;
+}
+
+/**
+ * The own data centre first; then the others in turn. While asks wait at home,
+ * the others come before it too, as spill: their owners take such asks only
+ * into free slots, so that spill never delays their own work.
+ */
 export class CandidatePools {
   readonly #context: PoolContext;
+  readonly #pending: PendingAsks;
   readonly #avoidUntilMs = new Map<string, number>();
   #turn = 0;
 
-  constructor(context: PoolContext) {
-    this.#context = context;
+  constructor(options: CandidatePoolsOptions) {
+    this.#context = options.context;
+    this.#pending = options.pending;
   }
 
   /** The pool refused for want of room. */
@@ -45,7 +60,25 @@
     const inTurn = [...others.slice(start), ...others.slice(0, start)];
     const avoided = inTurn.filter((entry) => this.#isAvoided(entry, nowMs));
     const open = inTurn.filter((entry) => !this.#isAvoided(entry, nowMs));
-    return [...own, ...open, ...avoided].map((entry) => entry.pool);
+    const spill = own.some((entry) => this.#isBusy(entry, nowMs)) ? open : [];
+    return [...spill, ...own, ...open, ...avoided].map((entry) => entry.pool);
+  }
+
+  /**
+   * Whether an ask to this pool is spill: the own data centre offers the
+   * service and has not just refused.
+   */
+  isSpill(pool: PoolId, nowMs: number): boolean {
+    if (pool.dataCentre === this.#context.self.dataCentre) return false;
+    const { dataCentre } = this.#context.self;
+    const home = { service: pool.service, dataCentre };
+    const entry = this.#context.layout().pools.get(poolKey(home));
+    if (entry === undefined || !this.#isUsable(entry)) return false;
+    return !this.#isAvoided(entry, nowMs);
+  }
+
+  #isBusy(entry: PoolEntry, nowMs: number): boolean {
+    return this.#pending.longestWaitMs(entry.key, nowMs) >= SPILL_FROM_MS;
   }
 
   #isOwn(entry: PoolEntry): boolean {
--- a/packages/daemon/src/pools/excess_wait_order.ts
+++ b/packages/daemon/src/pools/excess_wait_order.ts
@@ -17,6 +17,7 @@
  * adds least. Among the others the shortest first gives the least slowdown.
  */
 export class ExcessWaitOrder {
+  readonly isFair = false;
   readonly #inExcess = new IndexedHeap<WaitingAsk>(compareWork);
   readonly #others = new IndexedHeap<WaitingAsk>(compareWork);
   readonly #othersByExcess = new IndexedHeap<WaitingAsk>(
--- a/packages/daemon/src/pools/granted_permits.ts
+++ b/packages/daemon/src/pools/granted_permits.ts
@@ -6,11 +6,14 @@
 
 import type { AttemptId, PermitId, VmId } from "@sassafrasstage/protocol/ids";
 import type { Permit } from "@sassafrasstage/protocol/permits";
+import type { Urgency } from "@sassafrasstage/protocol/rules";
 import { IndexedHeap } from "./indexed_heap.js";
 
 export interface GrantedPermit {
   readonly permit: Permit;
   readonly holder: VmId;
+  /** Undefined for permits of a former owner. */
+  readonly urgency: Urgency | undefined;
   readonly grantedAtMs: number;
   /** The owner's own time, later than the asker's end of the permit. */
   readonly expiresAtMs: number;
@@ -22,12 +25,14 @@
 export class GrantedPermits {
   readonly #byId = new Map<PermitId, GrantedPermit>();
   readonly #byAttempt = new Map<AttemptId, GrantedPermit>();
+  #counterCount = 0;
   readonly #expiry = new IndexedHeap<GrantedPermit>(
     (a, b) => a.expiresAtMs - b.expiresAtMs,
   );
 
-  get size(): number {
-    return this.#byId.size;
+  /** Permits of callers at a counter. */
+  get counterCount(): number {
+    return this.#counterCount;
   }
 
   has(permitId: PermitId): boolean {
@@ -36,6 +41,7 @@
 
   add(granted: GrantedPermit): void {
     this.#byId.set(granted.permit.permitId, granted);
+    if (granted.urgency === "counter") this.#counterCount += 1;
     this.#byAttempt.set(granted.permit.attemptId, granted);
     this.#expiry.add(granted);
   }
@@ -48,6 +54,7 @@
     const granted = this.#byId.get(permitId);
     if (granted === undefined) return undefined;
     this.#byId.delete(permitId);
+    if (granted.urgency === "counter") this.#counterCount -= 1;
     this.#byAttempt.delete(granted.permit.attemptId);
     this.#expiry.remove(granted);
     return granted;
--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -36,13 +36,22 @@
 import { createQueueOrder, type QueueOrderName } from "./queue_order.js";
 import { refusal } from "./refusal.js";
 import { ServerTable } from "./server_table.js";
-import { likelyWorkMs, type WaitingAsk } from "./waiting_ask.js";
+import type { WaitingAsk } from "./waiting_ask.js";
 
 /** The owner counts a permit this much longer than its holder does. */
 export const PERMIT_MARGIN_MS = 200;
 /** Asks that no free server suits, set aside in one round at most. */
 const MAX_SET_ASIDE = 16;
 const MIN_RETRY_AFTER_MS = 50;
+const MAX_SPILL_RETRY_MS = 200;
+/**
+ * An ask is queued only if its wait is likely to end after this part of the
+ * time that it can bear: what starts at the last moment often ends too late.
+ */
+const ADMITTED_PART = 0.75;
+/** Even under full counter load aged deferrable work gets this much. */
+const LEAST_DEFERRABLE_PART = 0.25;
+const COUNTER_PART_WINDOW_MS = 1000;
 /** How long a call may run on after its request's deadline. */
 const LATE_CALL_MS = 30_000;
 const LATE_CHECK_MS = 500;
@@ -88,6 +97,8 @@
   readonly #queue: AskQueue;
   readonly #permits = new GrantedPermits();
   #askNumber = 0;
+  #counterPart = 0;
+  #counterPartAtMs = 0;
 
   constructor(options: OwnedPoolOptions) {
     this.#options = options;
@@ -124,6 +135,7 @@
     }
     this.#servers.refresh(nowMs);
     this.#refuseInOutage(nowMs);
+    this.#updateCounterPart(nowMs);
     this.pump(nowMs);
   }
 
@@ -208,6 +220,7 @@
       this.#permits.add({
         permit,
         holder,
+        urgency: undefined,
         grantedAtMs: nowMs,
         expiresAtMs,
         lostAtMs: expiresAtMs + LATE_CALL_MS,
@@ -279,6 +292,13 @@
         this.#options.withheldForMs(nowMs),
       );
     }
+    if (waiting.ask.isSpill === true && !this.#isIdle()) {
+      return refusal(
+        "noCapacity",
+        "No slot is free for work of another data centre",
+        Math.min(MAX_SPILL_RETRY_MS, this.#drainMs()),
+      );
+    }
     const bearableMs = waiting.latestStartAtMs - nowMs;
     const waitMs = this.#expectedWaitMs(waiting, nowMs);
     if (waitMs <= bearableMs && bearableMs > 0) return undefined;
@@ -290,7 +310,7 @@
   }
 
   #expectedWaitMs(waiting: WaitingAsk, nowMs: number): number {
-    if (this.#queue.size === 0 && this.#servers.hasRoom) return 0;
+    if (this.#isIdle()) return 0;
     if (this.#servers.slots === 0) {
       const asksAhead = this.#queue.size;
       return Math.max(
@@ -298,8 +318,28 @@
         this.#outageWaitMs({ asksAhead, nowMs }),
       );
     }
-    const aheadMs = this.#queue.workAheadMs(waiting) + likelyWorkMs(waiting);
-    return aheadMs / this.#servers.slots;
+    const { ofClassMs, ofShareMs } = this.#queue.workAhead(waiting);
+    const slotPart = waiting.ask.urgency === "counter"
+      ? 1
+      : Math.max(LEAST_DEFERRABLE_PART, 1 - this.#counterPart);
+    const aheadMs = Math.min(ofClassMs / slotPart, ofShareMs);
+    return aheadMs / (this.#servers.slots * ADMITTED_PART);
+  }
+
+  /** Nobody waits, and there is room. */
+  #isIdle(): boolean {
+    return this.#queue.size === 0 && this.#servers.hasRoom;
+  }
+
+  /** Smooths the part of the slots that counter work takes. */
+  #updateCounterPart(nowMs: number): void {
+    const { slots } = this.#servers;
+    const { counterCount } = this.#permits;
+    const busyPart = slots === 0 ? 0 : Math.min(1, counterCount / slots);
+    const passedMs = nowMs - this.#counterPartAtMs;
+    const weight = Math.min(1, passedMs / COUNTER_PART_WINDOW_MS);
+    this.#counterPart += weight * (busyPart - this.#counterPart);
+    this.#counterPartAtMs = nowMs;
   }
 
   #outageWaitMs(place: {
@@ -360,6 +400,7 @@
     this.#permits.add({
       permit,
       holder: waiting.from,
+      urgency: waiting.ask.urgency,
       grantedAtMs: nowMs,
       expiresAtMs,
       lostAtMs: expiresAtMs + LATE_CALL_MS,
--- a/packages/daemon/src/pools/queue_order.ts
+++ b/packages/daemon/src/pools/queue_order.ts
@@ -14,6 +14,8 @@
 
 /** Each call costs O(log n) in the number of waiting asks. */
 export interface QueueOrder {
+  /** Whether an account within its share waits for its own backlog only. */
+  readonly isFair: boolean;
   add(waiting: WaitingAsk): void;
   /** Takes an ask out unserved. */
   remove(waiting: WaitingAsk): void;
@@ -63,6 +65,7 @@
 
 /** An order that never changes while an ask waits. */
 class FixedOrder implements QueueOrder {
+  readonly isFair = false;
   readonly #heap: IndexedHeap<WaitingAsk>;
 
   constructor(compare: Comparison<WaitingAsk>) {
--- a/packages/daemon/src/pools/queue_order_test.ts
+++ b/packages/daemon/src/pools/queue_order_test.ts
@@ -181,8 +181,14 @@
     }
     const small = wait({ account: "small", likelyDurationMs: 100 });
     const large = wait({ account: "large", likelyDurationMs: 100 });
-    expect(queue.workAheadMs(large)).toEqual(10_000);
-    expect(queue.workAheadMs(small)).toEqual(200);
+    expect(queue.workAhead(large)).toEqual({
+      ofClassMs: 10_100,
+      ofShareMs: 10_100,
+    });
+    expect(queue.workAhead(small)).toEqual({
+      ofClassMs: 10_100,
+      ofShareMs: 200,
+    });
   });
 
   it("takes out what can no longer start in time", () => {
--- a/packages/daemon/src/pools/shared_permit_source.ts
+++ b/packages/daemon/src/pools/shared_permit_source.ts
@@ -22,6 +22,7 @@
 import { HeldPermits } from "./held_permits.js";
 import { LatencyBaselines } from "./latency_baseline.js";
 import { OwnerRole } from "./owner_role.js";
+import { PendingAsks } from "./pending_asks.js";
 import type { PermitLink } from "./permit_link.js";
 import { PoolContext } from "./pool_context.js";
 import { refusal } from "./refusal.js";
@@ -58,7 +59,8 @@
       metrics: options.metrics,
     };
     this.#context = context;
-    this.#candidates = new CandidatePools(context);
+    const pending = new PendingAsks();
+    this.#candidates = new CandidatePools({ context, pending });
     this.#fallback = new FallbackGrants(common);
     this.#owner = new OwnerRole({
       ...common,
@@ -69,6 +71,7 @@
       ...common,
       fallback: this.#fallback,
       candidates: this.#candidates,
+      pending,
     });
     this.heartbeatContent = this.#makeHeartbeatContent();
     this.#unsubscribe = [...this.#subscribe(), ...this.#followPeers()];
--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -259,6 +259,29 @@
     expect(candidates()).toEqual(["palermo"]);
   });
 
+  it("spills into another data centre's free slots only", async () => {
+    const vms = { "vm-1": "palermo", "vm-2": "catania" };
+    const servers = { palermo: 1, catania: 1 };
+    const scene = await makeColdScene({ vms, servers });
+    const { cluster } = scene;
+    const load = new ClusterLoad(cluster, 400);
+    const home = cluster.node("vm-1");
+    const [service] = cluster.configuration.register.services;
+    if (service === undefined) throw new Error("No service");
+    load.call(home);
+    load.call(home);
+    await cluster.advance(100);
+    const [first] = home.permits.candidatePools(service.name, cluster.nowMs);
+    expect(first?.dataCentre as string).toEqual("catania");
+    load.call(home, { dataCentre: "catania" });
+    await cluster.advance(100);
+    expect(load.tally.granted).toEqual(2);
+    load.call(home, { dataCentre: "catania" });
+    await cluster.advance(100);
+    expect(load.tally.refused).toEqual(1);
+    await expectAllAnswered({ cluster, load });
+  });
+
   it("lets the side with the lowest VM id own a pool cut in halves", async () => {
     const { cluster } = await makeColdScene({
       vms: { "vm-1": "palermo", "vm-2": "palermo" },
--- a/packages/daemon/src/pools/slack_order.ts
+++ b/packages/daemon/src/pools/slack_order.ts
@@ -16,8 +16,11 @@
  * before the others go first.
  */
 const SHARE_ALLOWANCE_MS = 1000;
-/** Counter asks that may pass a deferrable one which has waited too long. */
-const COUNTERS_PER_AGED = 3;
+/**
+ * Counter work, in times its own, that may pass deferrable work which has
+ * waited too long.
+ */
+const COUNTER_WORK_PER_AGED = 3;
 /** An ask counts as aged after this part of the wait that it can bear. */
 const AGED_PART = 0.5;
 
@@ -61,12 +64,17 @@
 }
 
 /**
+ * Deferrable work goes before counter work in two cases only, both after it
+ * has waited for long: the counter work's account is ahead of its share while
+ * its own is not, or enough counter work has passed it.
+ *
  * Accounts are compared by the server time they used divided by their share.
  * `#entitledMs` is what an account that always had work waiting would have
  * used by now; an account that comes back after a pause starts from there, so
  * neither debts nor savings build up while it has nothing to run.
  */
 export class SlackOrder {
+  readonly isFair = true;
   readonly #maxAgeMs: number;
   readonly #accounts = new Map<ClientAccountId, AccountQueue>();
   readonly #counter = new UrgencyClass("counter");
@@ -74,7 +82,8 @@
   readonly #aging: IndexedHeap<WaitingAsk>;
   #entitledMs = 0;
   #activeShare = 0;
-  #countersSinceAged = 0;
+  /** Counter work that has passed aged deferrable work. */
+  #passedWorkMs = 0;
 
   constructor(options: SlackOrderOptions) {
     this.#maxAgeMs = options.maxAgeMs;
@@ -116,20 +125,40 @@
   }
 
   #choose(nowMs: number): WaitingAsk | undefined {
-    const counter = this.#counter.next(this.#entitledMs)?.firstOf("counter");
-    const deferrable = this.#deferrable.next(this.#entitledMs)
-      ?.firstOf("deferrable");
+    const counterAccount = this.#counter.next(this.#entitledMs);
+    const deferrableAccount = this.#deferrable.next(this.#entitledMs);
+    const counter = counterAccount?.firstOf("counter");
+    const deferrable = deferrableAccount?.firstOf("deferrable");
     if (counter === undefined || deferrable === undefined) {
       return counter ?? deferrable;
     }
+    const hasTurn = this.#isAhead(counterAccount) &&
+      !this.#isAhead(deferrableAccount) && this.#agedAtMs(deferrable) <= nowMs;
+    return hasTurn ? deferrable : this.#chooseByAge(counter, deferrable, nowMs);
+  }
+
+  #chooseByAge(
+    counter: WaitingAsk,
+    deferrable: WaitingAsk,
+    nowMs: number,
+  ): WaitingAsk {
     const oldest = this.#aging.first();
-    const isAged = oldest !== undefined && this.#agedAtMs(oldest) <= nowMs;
-    if (!isAged || this.#countersSinceAged < COUNTERS_PER_AGED) {
-      this.#countersSinceAged += isAged ? 1 : 0;
+    if (oldest === undefined || this.#agedAtMs(oldest) > nowMs) {
+      this.#passedWorkMs = 0;
       return counter;
     }
-    this.#countersSinceAged = 0;
-    return deferrable;
+    const neededMs = likelyWorkMs(deferrable) * COUNTER_WORK_PER_AGED;
+    if (this.#passedWorkMs >= neededMs) {
+      this.#passedWorkMs -= neededMs;
+      return deferrable;
+    }
+    this.#passedWorkMs += likelyWorkMs(counter);
+    return counter;
+  }
+
+  #isAhead(account: AccountQueue | undefined): boolean {
+    return account !== undefined &&
+      account.usedMs > this.#entitledMs + SHARE_ALLOWANCE_MS;
   }
 
   #charge(waiting: WaitingAsk, sign: 1 | -1): void {
--- /dev/null
+++ b/packages/daemon/src/pools/test_support/measure_queue_orders.ts
@@ -0,0 +1,230 @@
+/**
+ * Runs each queue order over the same seeded arrivals at one owned pool, on a
+ * clock of its own, and prints what becomes of the asks:
+ * `node packages/daemon/dist/pools/test_support/measure_queue_orders.js`.
+ *
+ * @module
+ */
+
+import {
+  type AttemptId,
+  type PermitId,
+  poolKey,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import type { PermitDecision } from "@sassafrasstage/protocol/permits";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { IndexedHeap } from "../indexed_heap.js";
+import { LatencyBaselines } from "../latency_baseline.js";
+import { OwnedPool } from "../owned_pool.js";
+import { arrangePools, readVmAvailability } from "../pool_layout.js";
+import type { QueueOrderName } from "../queue_order.js";
+import { makeAsk, makeConfiguration, makeVmId } from "./test_configuration.js";
+
+const SEED = 20261203;
+const ORDERS: QueueOrderName[] = ["arrival", "deadline", "excessWait", "slack"];
+const SERVERS = 6;
+const SLOTS_PER_SERVER = 8;
+const RUN_MS = 60_000;
+const TICK_MS = 20;
+/** Mean work of the mixture below. */
+const MEAN_WORK_MS = 0.5 * 40 + 0.3 * 300 + 0.2 * 900;
+const PARTS = 1_000_000;
+
+interface WorkKind {
+  readonly name: "lookup" | "note" | "dossier";
+  readonly urgency: "counter" | "deferrable";
+  readonly workMs: number;
+  readonly deadlineMs: number;
+}
+
+const KINDS: readonly WorkKind[] = [
+  { name: "lookup", urgency: "counter", workMs: 40, deadlineMs: 500 },
+  { name: "note", urgency: "counter", workMs: 300, deadlineMs: 2000 },
+  { name: "dossier", urgency: "deferrable", workMs: 900, deadlineMs: 5000 },
+];
+
+interface Arrival {
+  readonly atMs: number;
+  readonly kind: WorkKind;
+  readonly account: "small" | "large";
+  /** The real duration, which nobody knows before. */
+  readonly durationMs: number;
+}
+
+interface Running {
+  readonly endAtMs: number;
+  readonly arrival: Arrival;
+  readonly attemptId: AttemptId;
+}
+
+interface Tally {
+  asked: number;
+  inTime: number;
+}
+
+class Measurement {
+  readonly #tallies = new Map<string, Tally>();
+
+  note(arrival: Arrival, isInTime: boolean): void {
+    for (const name of ["all", arrival.kind.name, arrival.account]) {
+      const tally = this.#tallies.get(name) ?? { asked: 0, inTime: 0 };
+      tally.asked += 1;
+      tally.inTime += isInTime ? 1 : 0;
+      this.#tallies.set(name, tally);
+    }
+  }
+
+  percent(name: string): string {
+    const { asked, inTime } = this.#tallies.get(name) ??
+      { asked: 1, inTime: 0 };
+    return (100 * inTime / asked).toFixed(1);
+  }
+}
+
+/** Poisson arrivals; the large account sends a burst in the middle. */
+function makeArrivals(load: number): Arrival[] {
+  const random = xoroshiro128plus(SEED);
+  function draw(): number {
+    return (uniformInt(random, 0, PARTS - 1) + 0.5) / PARTS;
+  }
+  const perMs = load * SERVERS * SLOTS_PER_SERVER / MEAN_WORK_MS;
+  const arrivals: Arrival[] = [];
+  let atMs = 0;
+  while (atMs < RUN_MS) {
+    const isBurst = atMs > RUN_MS / 3 && atMs < RUN_MS / 2;
+    atMs += -Math.log(draw()) / (perMs * (isBurst ? 2 : 1));
+    const pick = draw();
+    const kind = KINDS[pick < 0.5 ? 0 : pick < 0.8 ? 1 : 2];
+    if (kind === undefined) continue;
+    const isLarge = draw() < (isBurst ? 0.85 : 0.7);
+    arrivals.push({
+      atMs,
+      kind,
+      account: isLarge ? "large" : "small",
+      durationMs: kind.workMs * (0.5 + draw()),
+    });
+  }
+  return arrivals;
+}
+
+/** Plays the arrivals against one order. */
+function measure(
+  order: QueueOrderName,
+  arrivals: readonly Arrival[],
+): Measurement {
+  const measurement = new Measurement();
+  const running = new IndexedHeap<Running>((a, b) => a.endAtMs - b.endAtMs);
+  const waiting = new Map<AttemptId, Arrival>();
+  const granted = new Map<
+    AttemptId,
+    Extract<PermitDecision, { kind: "granted" }>
+  >();
+  let nowMs = 0;
+  const pool = makePool(order, (attemptId, decision) => {
+    const arrival = waiting.get(attemptId);
+    if (arrival === undefined) return;
+    waiting.delete(attemptId);
+    if (decision.kind === "refused") {
+      measurement.note(arrival, false);
+      return;
+    }
+    granted.set(attemptId, decision);
+    running.add({ endAtMs: nowMs + arrival.durationMs, arrival, attemptId });
+  });
+
+  function endCallsUntil(untilMs: number): void {
+    for (;;) {
+      const first = running.first();
+      if (first === undefined || first.endAtMs > untilMs) return;
+      running.remove(first);
+      nowMs = first.endAtMs;
+      const { arrival, attemptId } = first;
+      const isInTime = nowMs <= arrival.atMs + arrival.kind.deadlineMs;
+      measurement.note(arrival, isInTime);
+      const permit = granted.get(attemptId)?.permit;
+      if (permit === undefined) continue;
+      pool.release({
+        permitId: permit.permitId,
+        backendServerId: permit.backendServerId,
+        outcome: "completed",
+        durationMs: arrival.durationMs,
+      }, nowMs);
+    }
+  }
+
+  let nextTickMs = 0;
+  for (const arrival of arrivals) {
+    for (; nextTickMs < arrival.atMs; nextTickMs += TICK_MS) {
+      endCallsUntil(nextTickMs);
+      nowMs = nextTickMs;
+      pool.tick(nowMs);
+    }
+    endCallsUntil(arrival.atMs);
+    nowMs = arrival.atMs;
+    const { kind, account } = arrival;
+    const ask = makeAsk({
+      account,
+      urgency: kind.urgency,
+      likelyDurationMs: 1.25 * kind.workMs,
+      latestStartInMs: kind.deadlineMs - 1.25 * kind.workMs,
+      deadlineInMs: kind.deadlineMs,
+    });
+    waiting.set(ask.attemptId, arrival);
+    pool.submit({ from: makeVmId("vm-1"), ask, share: 1 }, nowMs);
+  }
+  endCallsUntil(Infinity);
+  return measurement;
+}
+
+function makePool(
+  queueOrder: QueueOrderName,
+  decide: (attemptId: AttemptId, decision: PermitDecision) => void,
+): OwnedPool {
+  const layout = arrangePools(makeConfiguration({
+    servers: { palermo: SERVERS },
+    warmLimit: SLOTS_PER_SERVER,
+    coldLimit: SLOTS_PER_SERVER,
+    warmAfterCompletions: 1,
+  }));
+  const entry = layout.pools.get(poolKey(makeAsk().pool));
+  if (entry === undefined) throw new Error("No pool");
+  let permitNumber = 0;
+  const pool = new OwnedPool({
+    entry,
+    queueOrder,
+    hasPrefixAffinity: false,
+    maxQueueLength: 2000,
+    maxQueueAgeMs: 30_000,
+    // Durations of all kinds are mixed here: no latency tells anything.
+    baselines: new LatencyBaselines(),
+    withheldForMs: () => 0,
+    nextPermitId: () => {
+      permitNumber += 1;
+      return toId<PermitId>(`permit-${permitNumber}`);
+    },
+    rightsAt: () => ({ mayGrantCold: true, warm: { kind: "full" } }),
+    decide: (_, attemptId, decision) => {
+      decide(attemptId, decision);
+    },
+    isGone: () => false,
+    onCooled: () => undefined,
+    onEvent: () => undefined,
+  });
+  const vms = readVmAvailability(undefined);
+  pool.configure(entry, { layout, vms, nowMs: 0 });
+  return pool;
+}
+
+const COLUMNS = ["all", "lookup", "note", "dossier", "small", "large"];
+
+for (const load of [0.7, 1, 1.5]) {
+  console.log(`load ${load}: ${["order", ...COLUMNS].join(" | ")}`);
+  const arrivals = makeArrivals(load);
+  for (const order of ORDERS) {
+    const measurement = measure(order, arrivals);
+    const cells = COLUMNS.map((name) => measurement.percent(name));
+    console.log(`load ${load}: ${[order, ...cells].join(" | ")}`);
+  }
+}
