Prove claims with real daemons, and ask peers when the platform is slow

A repeat that waited for a holder in vain was cut off by the request's deadline, which says less than the keeper knows: the keeper now decides 100 ms before it. A blip of the platform refused keyed requests at once: they are tried again for 750 ms.

Ruled out: longer waits for the preferred VM (a frozen one costs them all).

--- a/packages/daemon/src/claims/claim_committers.ts
+++ b/packages/daemon/src/claims/claim_committers.ts
@@ -33,17 +33,41 @@
   readonly isAbandoned: IsAbandoned;
 }
 
+/** After a failure peers are asked before the platform for so long. */
+const UNREACHABLE_MS = 500;
+
 /** Commits operations from this process, whatever their partition. */
 export class ClaimCommitters {
   readonly #options: ClaimCommittersOptions;
+  #unreachableUntilMs = Number.NEGATIVE_INFINITY;
   readonly #committers = new Map<number, PartitionCommitter>();
 
   constructor(options: ClaimCommittersOptions) {
     this.#options = options;
   }
 
+  /** False for a while after an operation failed or took too long. */
+  isReachable(nowMs: number): boolean {
+    return nowMs >= this.#unreachableUntilMs;
+  }
+
+  markUnreachable(nowMs: number): void {
+    this.#unreachableUntilMs = nowMs + UNREACHABLE_MS;
+  }
+
   /** Never rejects; "unavailable" is the answer to every failure. */
   async submit(operation: Operation): Promise<OperationResult> {
+    const result = await this.#submit(operation);
+    const nowMs = this.#options.clock.nowMs();
+    if (result.kind !== "unavailable") {
+      this.#unreachableUntilMs = Number.NEGATIVE_INFINITY;
+    } else if (nowMs < operation.expiresAtMs) {
+      this.markUnreachable(nowMs);
+    }
+    return result;
+  }
+
+  async #submit(operation: Operation): Promise<OperationResult> {
     try {
       const partitions = await this.#options.layout.partitions();
       const partition = partitionOf(operation.hash, partitions);
--- a/packages/daemon/src/claims/claim_router.ts
+++ b/packages/daemon/src/claims/claim_router.ts
@@ -20,13 +20,14 @@
   UNAVAILABLE,
 } from "./claim_operation.js";
 import type { ClaimRelay } from "./claim_relay.js";
+import { sleepUnless } from "./sleep_unless.js";
 
-/** Beyond the gathering: what a healthy platform and peer need at most. */
-const PEER_ANSWER_MS = 400;
+/** What a healthy platform and peer need at most, beyond the gathering. */
+const HEALTHY_ANSWER_MS = 400;
 /** Peers that are asked when this process doesn't reach the platform. */
 const MAX_RELAYS = 2;
-/** For so long after a failure peers are asked before the platform. */
-const UNREACHABLE_MS = 1000;
+/** A peer that gave no usable answer isn't asked for so long. */
+const SKIP_MS = 500;
 
 export interface ClaimRouterOptions {
   readonly settings: Settings["claims"];
@@ -40,50 +41,73 @@
 /** Finds somebody who can commit. */
 export class ClaimRouter {
   readonly #options: ClaimRouterOptions;
-  #unreachableUntilMs = Number.NEGATIVE_INFINITY;
+  /** Peers that lately gave no usable answer, and until when to skip them. */
+  readonly #skippedUntilMs = new Map<VmId, number>();
 
   constructor(options: ClaimRouterOptions) {
     this.#options = options;
   }
 
-  /** Never rejects; "unavailable" means that nobody could commit in time. */
+  /**
+   * Never rejects; "unavailable" means that nobody could commit in time, though
+   * somebody still may.
+   */
   async commit(
     operation: Operation,
     holder?: VmId,
   ): Promise<OperationResult> {
-    const { network, metrics } = this.#options;
+    const remainingMs = operation.expiresAtMs - this.#options.clock.nowMs();
+    if (remainingMs <= 0) return UNAVAILABLE;
+    const abort = new AbortController();
+    const expiry = sleepUnless(remainingMs, abort.signal);
+    const result = await Promise.race([
+      this.#commitAnywhere(operation, holder),
+      expiry,
+    ]);
+    abort.abort();
+    return result ?? UNAVAILABLE;
+  }
+
+  async #commitAnywhere(
+    operation: Operation,
+    holder: VmId | undefined,
+  ): Promise<OperationResult> {
+    const { network, metrics, committers, clock } = this.#options;
     const first = holder ?? this.#preferredVm(operation);
-    if (first !== network.self.vmId) {
+    if (first !== network.self.vmId && !this.#isSkipped(first)) {
       const result = await this.#ask(first, operation);
       if (result.kind !== "unavailable") return result;
       metrics.countEvent("claimPreferredUnavailable");
     }
-    const peers = this.#relays(first);
-    if (this.#options.clock.nowMs() < this.#unreachableUntilMs) {
-      const relayed = await this.#askInTurn(peers, operation);
+    if (!committers.isReachable(clock.nowMs())) {
+      const relayed = await this.#askInTurn(operation, first);
       if (relayed.kind !== "unavailable") return relayed;
-      return await this.#commitHere(operation);
     }
-    const direct = await this.#commitHere(operation);
-    if (direct.kind !== "unavailable") return direct;
-    return await this.#askInTurn(peers, operation);
+    return await this.#commitHereOrRelay(operation, first);
   }
 
-  async #commitHere(operation: Operation): Promise<OperationResult> {
+  /** Asks peers too once the platform has let this process wait for long. */
+  async #commitHereOrRelay(
+    operation: Operation,
+    alreadyAsked: VmId,
+  ): Promise<OperationResult> {
     const { committers, clock } = this.#options;
-    if (clock.nowMs() >= operation.expiresAtMs) return UNAVAILABLE;
-    const result = await committers.submit(operation);
-    if (result.kind === "unavailable") {
-      this.#unreachableUntilMs = clock.nowMs() + UNREACHABLE_MS;
-    }
-    return result;
+    const direct = committers.submit(operation);
+    const abort = new AbortController();
+    const patience = sleepUnless(this.#answerMs(), abort.signal);
+    const early = await Promise.race([direct, patience]);
+    abort.abort();
+    if (early !== undefined && early.kind !== "unavailable") return early;
+    if (early === undefined) committers.markUnreachable(clock.nowMs());
+    const relayed = this.#askInTurn(operation, alreadyAsked);
+    return await firstUsable([direct, relayed]);
   }
 
   async #askInTurn(
-    peers: readonly VmId[],
     operation: Operation,
+    alreadyAsked: VmId,
   ): Promise<OperationResult> {
-    for (const peer of peers) {
+    for (const peer of this.#relays(alreadyAsked)) {
       const result = await this.#ask(peer, operation);
       if (result.kind === "unavailable") continue;
       this.#options.metrics.countEvent("claimCommittedByRelay");
@@ -93,14 +117,22 @@
   }
 
   async #ask(to: VmId, operation: Operation): Promise<OperationResult> {
-    const { relay, clock, settings } = this.#options;
-    const remainingMs = operation.expiresAtMs - clock.nowMs();
-    if (remainingMs <= 0) return UNAVAILABLE;
-    const timeoutMs = Math.min(
-      settings.gather_max_ms + PEER_ANSWER_MS,
-      remainingMs,
-    );
-    return await relay.ask(to, operation, timeoutMs);
+    const { relay, clock } = this.#options;
+    const result = await relay.ask(to, operation, this.#answerMs());
+    if (result.kind === "unavailable") {
+      this.#skippedUntilMs.set(to, clock.nowMs() + SKIP_MS);
+    }
+    return result;
+  }
+
+  #isSkipped(vmId: VmId): boolean {
+    const untilMs = this.#skippedUntilMs.get(vmId);
+    return untilMs !== undefined && this.#options.clock.nowMs() < untilMs;
+  }
+
+  /** How long a healthy platform or peer needs at most. */
+  #answerMs(): number {
+    return this.#options.settings.gather_max_ms + HEALTHY_ANSWER_MS;
   }
 
   /** Every daemon that sees the same live VMs prefers the same one. */
@@ -116,7 +148,8 @@
   #relays(alreadyAsked: VmId): VmId[] {
     const { self } = this.#options.network;
     const others = this.#liveMembers().filter((member) =>
-      !member.isSelf && member.vmId !== alreadyAsked
+      !member.isSelf && member.vmId !== alreadyAsked &&
+      !this.#isSkipped(member.vmId)
     );
     const far = others.filter((m) => m.dataCentre !== self.dataCentre);
     const near = others.filter((m) => m.dataCentre === self.dataCentre);
@@ -130,3 +163,25 @@
     );
   }
 }
+
+/** "unavailable" only if all are. */
+async function firstUsable(
+  attempts: readonly Promise<OperationResult>[],
+): Promise<OperationResult> {
+  const usable = attempts.map(async (attempt) => {
+    const result = await attempt;
+    if (result.kind === "unavailable") throw new UnavailableError();
+    return result;
+  });
+  try {
+    return await Promise.any(usable);
+  } catch (error) {
+    if (error instanceof AggregateError) return UNAVAILABLE;
+    throw error;
+  }
+}
+
+/** Marks an attempt that somebody else may still make up for. */
+class UnavailableError extends Error {
+  override readonly name = "UnavailableError";
+}
--- a/packages/daemon/src/claims/create_claim_keeper.ts
+++ b/packages/daemon/src/claims/create_claim_keeper.ts
@@ -9,7 +9,6 @@
   ClaimRecord,
 } from "@sassafrasstage/protocol/claims";
 import type { ClaimReply } from "@sassafrasstage/protocol/peer_messages";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -28,15 +27,21 @@
 } from "./claim_keeper.js";
 import { EPOCH_MS, LayoutKeeper } from "./claim_layout.js";
 import { ClaimStoreError } from "./claim_objects.js";
+import { UNAVAILABLE } from "./claim_operation.js";
 import { ClaimRelay, holderOf } from "./claim_relay.js";
 import { ClaimRouter } from "./claim_router.js";
 import { HolderLiveness } from "./holder_liveness.js";
 import { toKeptOutcome } from "./kept_answer.js";
 import { OutcomeRecorder } from "./outcome_recorder.js";
+import { sleepUnless } from "./sleep_unless.js";
 
 const RETRY_AFTER_MS = 1000;
+/** A platform that fails for a moment only is tried again for so long. */
+const RETRY_FOR_MS = 750;
 const MIN_POLL_MS = 25;
 const MAX_POLL_MS = 500;
+/** What is known then is told before the request's deadline answers for it. */
+const DECISION_MARGIN_MS = 100;
 const EPOCH_CHECK_MS = EPOCH_MS / 10;
 
 export interface ClaimKeeperOptions {
@@ -75,7 +80,10 @@
   });
   const relay = new ClaimRelay({
     ...common,
-    commit: (operation) => committers.submit(operation),
+    commit: (operation) =>
+      committers.isReachable(clock.nowMs())
+        ? committers.submit(operation)
+        : Promise.resolve(UNAVAILABLE),
   });
   const router = new ClaimRouter({ ...common, committers, relay });
   startEpochChecks(layout, logger);
@@ -108,6 +116,13 @@
   readonly liveness: HolderLiveness;
 }
 
+/** One pause of a request that waits for another one with its key. */
+interface ClaimWait {
+  readonly request: ClaimRequest;
+  readonly pollMs: number;
+  readonly signal: AbortSignal;
+}
+
 class PlatformClaimKeeper implements ClaimKeeper {
   readonly #parts: KeeperParts;
 
@@ -139,12 +154,10 @@
     const recording = recorder.record(claim, kept);
     const remainingMs = (deadlineAtMs ?? 0) - clock.nowMs();
     const abort = new AbortController();
-    const lateness = sleep(Math.max(0, remainingMs), false, {
-      signal: abort.signal,
-    }).catch(() => false);
+    const lateness = sleepUnless(Math.max(0, remainingMs), abort.signal);
     const isRecorded = await Promise.race([recording, lateness]);
     abort.abort();
-    return isRecorded;
+    return isRecorded ?? false;
   }
 
   async flush(timeoutMs: number): Promise<void> {
@@ -155,6 +168,8 @@
     request: ClaimRequest,
     signal: AbortSignal,
   ): Promise<ClaimDecision> {
+    const { clock } = this.#parts;
+    const giveUpAtMs = clock.nowMs() + RETRY_FOR_MS;
     let holder: string | undefined;
     let pollMs = MIN_POLL_MS;
     while (!this.#isOver(request, signal)) {
@@ -164,12 +179,16 @@
       if (reply.kind === "existing") {
         holder = reply.record.holder;
         if (this.#isDead(holder)) return { kind: "outcomeUnknown" };
-        const known = await this.#waitForHolder(reply.record, pollMs, signal);
+        const known = await this.#waitForHolder(reply.record, {
+          request,
+          pollMs,
+          signal,
+        });
         if (known !== undefined) return known;
-      } else if (holder === undefined) {
+      } else if (holder === undefined && clock.nowMs() >= giveUpAtMs) {
         return unavailable("Neither this VM nor a peer could record the claim");
       } else {
-        await sleepUnless(pollMs, signal);
+        await sleepUnless(this.#boundWaitMs(request, pollMs), signal);
       }
       pollMs = Math.min(pollMs * 2, MAX_POLL_MS);
     }
@@ -221,7 +240,7 @@
       kind: "claim",
       hash: hashClaimKey(request.key),
       record,
-      expiresAtMs: request.deadlineAtMs,
+      expiresAtMs: decideAtMs(request),
     }, asked);
     return result.kind === "recorded" ? { kind: "unavailable" } : result;
   }
@@ -229,10 +248,10 @@
   /** The outcome, if it becomes known in this process within the poll. */
   async #waitForHolder(
     record: ClaimRecord,
-    pollMs: number,
-    signal: AbortSignal,
+    wait: ClaimWait,
   ): Promise<ClaimDecision | undefined> {
-    const poll = sleepUnless(pollMs, signal);
+    const { request, pollMs, signal } = wait;
+    const poll = sleepUnless(this.#boundWaitMs(request, pollMs), signal);
     const local = this.#parts.attempts.outcomeOf(record.attemptId);
     const outcome = await Promise.race([local ?? poll, poll]);
     switch (outcome?.kind) {
@@ -247,6 +266,11 @@
     }
   }
 
+  #boundWaitMs(request: ClaimRequest, waitMs: number): number {
+    const remainingMs = decideAtMs(request) - this.#parts.clock.nowMs();
+    return Math.max(0, Math.min(waitMs, remainingMs));
+  }
+
   #isDead(holder: string): boolean {
     const { liveness, clock } = this.#parts;
     return liveness.isDead(holder, clock.nowMs());
@@ -254,21 +278,14 @@
 
   #isOver(request: ClaimRequest, signal: AbortSignal): boolean {
     return signal.aborted ||
-      this.#parts.clock.nowMs() >= request.deadlineAtMs;
+      this.#parts.clock.nowMs() >= decideAtMs(request);
   }
 }
 
-function unavailable(detail: string): ClaimDecision {
-  return { kind: "unavailable", detail, retryAfterMs: RETRY_AFTER_MS };
+function decideAtMs(request: ClaimRequest): number {
+  return request.deadlineAtMs - DECISION_MARGIN_MS;
 }
 
-async function sleepUnless(
-  ms: number,
-  signal: AbortSignal,
-): Promise<undefined> {
-  try {
-    await sleep(ms, undefined, { signal });
-  } catch {
-    // Aborted: the caller looks at the signal.
-  }
+function unavailable(detail: string): ClaimDecision {
+  return { kind: "unavailable", detail, retryAfterMs: RETRY_AFTER_MS };
 }
--- a/packages/daemon/src/claims/outcome_recorder.ts
+++ b/packages/daemon/src/claims/outcome_recorder.ts
@@ -5,13 +5,13 @@
  */
 
 import type { ClaimOutcome } from "@sassafrasstage/protocol/claims";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { Clock } from "../clock.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { ActiveAttempts } from "./active_attempts.js";
 import { hashClaimKey } from "./claim_hash.js";
 import type { HeldClaim } from "./claim_keeper.js";
 import type { ClaimRouter } from "./claim_router.js";
+import { sleepUnless } from "./sleep_unless.js";
 
 const MIN_RETRY_MS = 50;
 const MAX_RETRY_MS = 2000;
@@ -79,11 +79,3 @@
     return false;
   }
 }
-
-async function sleepUnless(ms: number, signal: AbortSignal): Promise<void> {
-  try {
-    await sleep(ms, undefined, { signal });
-  } catch {
-    // Aborted: the caller looks at the signal.
-  }
-}
--- /dev/null
+++ b/tests/src/claims/claims_cluster.ts
@@ -0,0 +1,132 @@
+/**
+ * The cluster of the claim tests, and what its registry ran.
+ *
+ * @module
+ */
+
+import type { Cluster } from "@sassafrasstage/stand-ins/cluster/cluster";
+import type { PipelineResult } from "@sassafrasstage/stand-ins/cluster/caller";
+import type { ClusterPlan } from "@sassafrasstage/stand-ins/cluster/cluster_plan";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** Long enough to do something to a daemon while its call runs. */
+export const WORK_MS = 400;
+const POLL_MS = 10;
+const WAIT_LIMIT_MS = 15_000;
+const CALLER_KEY = "boutique-key";
+
+/** Two data centres; the registry's `issue` may not be repeated. */
+export const CLAIMS_PLAN: ClusterPlan = {
+  dataCentres: [
+    { name: "palermo", entryVmCount: 2 },
+    { name: "catania", entryVmCount: 1 },
+  ],
+  services: [{
+    name: "registry",
+    kind: "plain",
+    serversPerDataCentre: 2,
+    warmLimit: 16,
+    coldLimit: 8,
+    behaviour: { workMs: WORK_MS },
+  }],
+  pipelines: [{
+    name: "issue",
+    urgency: "counter",
+    deadlineMs: 8000,
+    stages: [{
+      name: "issue",
+      service: "registry",
+      operation: "issue",
+      idempotent: false,
+    }],
+  }],
+  clientAccounts: [{ id: "boutique", key: CALLER_KEY }],
+  isProxied: true,
+};
+
+export interface IssueCall {
+  /** Without one, the request carries no `Idempotency-Key`. */
+  readonly key?: string;
+  /** Found again in the registry's record. */
+  readonly marker: string;
+  readonly deadlineMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Sends one request for a certificate number.
+ *
+ * @example
+ * ```ts
+ * const result = await issue(cluster, "vm-palermo-1", { key, marker: key });
+ * ```
+ */
+export function issue(
+  cluster: Cluster,
+  vmId: string,
+  call: IssueCall,
+): Promise<PipelineResult> {
+  return cluster.caller.send(cluster.daemon(vmId).httpUrl, {
+    pipeline: "issue",
+    key: CALLER_KEY,
+    input: `certificate <<${call.marker}>>`,
+    ...(call.key !== undefined && { idempotencyKey: call.key }),
+    ...(call.deadlineMs !== undefined && { deadlineMs: call.deadlineMs }),
+    ...(call.signal !== undefined && { signal: call.signal }),
+  });
+}
+
+/** How often the registry ran a request, over all its servers. */
+export async function countRuns(
+  cluster: Cluster,
+  marker: string,
+): Promise<number> {
+  const records = await Promise.all(
+    cluster.serversOf("registry").map((server) => server.record()),
+  );
+  return records
+    .flatMap((record) => record.entries)
+    .filter((entry) => entry.marker === `<<${marker}>>`).length;
+}
+
+export async function untilRunning(
+  cluster: Cluster,
+  marker: string,
+): Promise<void> {
+  await until(
+    async () => await countRuns(cluster, marker) > 0,
+    `${marker} runs`,
+  );
+}
+
+/**
+ * Waits until the condition holds; throws if it never does.
+ *
+ * @example
+ * ```ts
+ * await until(() => isDone, "all is done");
+ * ```
+ */
+export async function until(
+  condition: () => Promise<boolean>,
+  what: string,
+): Promise<void> {
+  const limitAtMs = performance.now() + WAIT_LIMIT_MS;
+  while (!(await condition())) {
+    if (performance.now() > limitAtMs) throw new Error(`Never: ${what}`);
+    await sleep(POLL_MS);
+  }
+}
+
+/** The answer's text, or the reason of the refusal. */
+export function summarize(result: PipelineResult): string {
+  switch (result.kind) {
+    case "answer":
+      return result.text;
+    case "problem":
+      return result.problem.reason;
+    case "notConnected":
+    case "broken":
+      return result.kind;
+  }
+}
--- /dev/null
+++ b/tests/src/claims/claims_test.ts
@@ -0,0 +1,247 @@
+import {
+  type Cluster,
+  startCluster,
+} from "@sassafrasstage/stand-ins/cluster/cluster";
+import { expect } from "earl";
+import { after, afterEach, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  CLAIMS_PLAN,
+  countRuns,
+  issue,
+  summarize,
+  until,
+  untilRunning,
+  WORK_MS,
+} from "./claims_cluster.js";
+
+const VMS = ["vm-palermo-1", "vm-palermo-2", "vm-catania-1"] as const;
+const [FIRST, SECOND, FAR] = VMS;
+/** A repeat that waits for a holder which can't answer gives up then. */
+const SHORT_DEADLINE_MS = 1500;
+
+let cluster: Cluster;
+
+before(async () => {
+  cluster = await startCluster(CLAIMS_PLAN);
+  // A request that is answered shows that permits are given out.
+  await until(
+    async () =>
+      (await issue(cluster, FIRST, { marker: "warm-up" })).kind === "answer",
+    "the registry answers",
+  );
+});
+
+after(async () => {
+  await cluster.stop();
+});
+
+afterEach(async () => {
+  cluster.heal();
+  await cluster.platform.setFaults({
+    isDown: false,
+    slowMs: 0,
+    lostAnswers: 0,
+    lostAnswerRatio: 0,
+  });
+  await cluster.startDaemons();
+  await cluster.waitUntilReady();
+});
+
+describe("a keyed non-idempotent request", () => {
+  it("runs once when several VMs get its key at once", async () => {
+    const key = "at-once";
+    const results = await Promise.all(
+      [...VMS, ...VMS, ...VMS].map((vmId) =>
+        issue(cluster, vmId, { key, marker: key })
+      ),
+    );
+    expect(await countRuns(cluster, key)).toEqual(1);
+    expect(new Set(results.map(summarize)).size).toEqual(1);
+    expect(results.map((result) => result.kind)).toEqual(
+      Array.from(results, () => "answer" as const),
+    );
+  });
+
+  it("is refused with other content", async () => {
+    const key = "other-content";
+    await issue(cluster, FIRST, { key, marker: key });
+    for (const vmId of VMS) {
+      const other = await issue(cluster, vmId, { key, marker: "changed" });
+      expect(summarize(other)).toEqual("keyReusedWithOtherContent");
+    }
+    expect(await countRuns(cluster, "changed")).toEqual(0);
+  });
+
+  it("gives its whole answer to a repeat after its caller went away", async () => {
+    const key = "caller-gone";
+    const caller = new AbortController();
+    const first = issue(cluster, FIRST, {
+      key,
+      marker: key,
+      signal: caller.signal,
+    });
+    await untilRunning(cluster, key);
+    caller.abort();
+    expect((await first).kind).toEqual("broken");
+    const repeats = [];
+    for (const vmId of VMS) {
+      repeats.push(await issue(cluster, vmId, { key, marker: key }));
+    }
+    expect(repeats.map((result) => result.kind))
+      .toEqual(["answer", "answer", "answer"]);
+    expect(new Set(repeats.map(summarize)).size).toEqual(1);
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
+  it("runs once when the platform's answers are lost", async () => {
+    await cluster.platform.setFaults({ lostAnswerRatio: 0.4 });
+    const keys = Array.from({ length: 12 }, (_, index) => `lost-${index}`);
+    await Promise.all(keys.map(async (key) => {
+      const results = await Promise.all(
+        VMS.map((vmId) => issue(cluster, vmId, { key, marker: key })),
+      );
+      const answers = results.filter((result) => result.kind === "answer");
+      expect(new Set(answers.map(summarize)).size).toEqual(1);
+    }));
+    const runs = await Promise.all(
+      keys.map((key) => countRuns(cluster, key)),
+    );
+    expect(runs).toEqual(keys.map(() => 1));
+  });
+
+  it("is truly not run when its daemon dies before the claim is made", async () => {
+    const key = "killed-claiming";
+    await cluster.platform.setFaults({ slowMs: 600 });
+    const first = issue(cluster, FIRST, { key, marker: key });
+    await sleep(200);
+    await cluster.daemon(FIRST).kill();
+    expect((await first).kind).toEqual("broken");
+    await cluster.platform.setFaults({ slowMs: 0 });
+    const repeat = await issue(cluster, SECOND, { key, marker: key });
+    const runs = await countRuns(cluster, key);
+    expect(runs).toEqual(repeat.kind === "answer" ? 1 : 0);
+  });
+
+  it("isn't run again when its daemon dies before the call arrives", async () => {
+    const key = "killed-sending";
+    for (const server of cluster.serversOf("registry")) {
+      cluster.network.setLink(FIRST, {
+        target: server.id,
+        mode: { kind: "freeze" },
+      });
+    }
+    const first = issue(cluster, FIRST, { key, marker: key });
+    await sleep(SHORT_DEADLINE_MS);
+    await cluster.daemon(FIRST).kill();
+    await first;
+    cluster.heal();
+    // The bytes that were held may arrive now: once, and nobody knows.
+    const repeat = await issue(cluster, SECOND, { key, marker: key });
+    if (repeat.kind !== "problem") throw new Error(repeat.kind);
+    expect(repeat.problem.reason).toEqual("outcomeUnknown");
+    expect(repeat.problem.notRun).toEqual(false);
+    await sleep(WORK_MS);
+    expect(await countRuns(cluster, key)).toBeLessThanOrEqual(1);
+  });
+
+  it("isn't run again when its daemon dies before the answer", async () => {
+    const key = "killed-running";
+    const first = issue(cluster, FIRST, { key, marker: key });
+    await untilRunning(cluster, key);
+    await cluster.daemon(FIRST).kill();
+    expect((await first).kind).toEqual("broken");
+    expect(summarize(await issue(cluster, SECOND, { key, marker: key })))
+      .toEqual("outcomeUnknown");
+    await cluster.startDaemons();
+    await cluster.waitUntilReady();
+    expect(summarize(await issue(cluster, FIRST, { key, marker: key })))
+      .toEqual("outcomeUnknown");
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
+  it("is refused as not run in an outage, and runs after it", async () => {
+    const key = "outage-before";
+    await cluster.platform.setFaults({ isDown: true });
+    const refused = await issue(cluster, FIRST, { key, marker: key });
+    if (refused.kind !== "problem") throw new Error(refused.kind);
+    expect(refused.problem.reason).toEqual("claimsUnavailable");
+    expect(refused.problem.notRun).toEqual(true);
+    expect(await countRuns(cluster, key)).toEqual(0);
+    const unkeyed = await issue(cluster, FIRST, { marker: "no-key" });
+    expect(unkeyed.kind).toEqual("answer");
+    await cluster.platform.setFaults({ isDown: false });
+    await until(
+      async () =>
+        (await issue(cluster, SECOND, { key, marker: key })).kind === "answer",
+      "it runs after the outage",
+    );
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
+  it("is answered in an outage that began after its claim", async () => {
+    const key = "outage-during";
+    const first = issue(cluster, FIRST, { key, marker: key });
+    await untilRunning(cluster, key);
+    await cluster.platform.setFaults({ isDown: true });
+    const answer = await first;
+    expect(answer.kind).toEqual("answer");
+    await sleep(WORK_MS);
+    await cluster.platform.setFaults({ isDown: false });
+    const repeat = await issue(cluster, FAR, { key, marker: key });
+    expect(summarize(repeat)).toEqual(summarize(answer));
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
+  it("runs through a peer while its data centre has no platform", async () => {
+    cluster.cutFromPlatform("catania");
+    const key = "relayed";
+    const first = await issue(cluster, FAR, { key, marker: key });
+    if (first.kind !== "answer") throw new Error(JSON.stringify(first));
+    const repeat = await issue(cluster, FIRST, { key, marker: key });
+    expect(summarize(repeat)).toEqual(summarize(first));
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
+  it("runs once though its daemon is frozen and thawed", async () => {
+    const key = "frozen";
+    const first = issue(cluster, FIRST, { key, marker: key });
+    await untilRunning(cluster, key);
+    const frozen = cluster.daemon(FIRST);
+    frozen.freeze();
+    try {
+      const meanwhile = await issue(cluster, SECOND, {
+        key,
+        marker: key,
+        deadlineMs: SHORT_DEADLINE_MS,
+      });
+      if (meanwhile.kind !== "problem") throw new Error(meanwhile.kind);
+      expect(meanwhile.problem.reason).toEqual("outcomeUnknown");
+      expect(meanwhile.problem.notRun).toEqual(false);
+    } finally {
+      frozen.thaw();
+    }
+    await first;
+    const repeat = await issue(cluster, SECOND, { key, marker: key });
+    expect(repeat.kind).toEqual("answer");
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
+  it("runs at most once however early its daemon is frozen", async () => {
+    const frozen = cluster.daemon(FIRST);
+    for (const freezeAfterMs of [0, 2, 4, 8, 12, 16]) {
+      const key = `frozen-after-${freezeAfterMs}`;
+      const first = issue(cluster, FIRST, { key, marker: key });
+      await sleep(freezeAfterMs);
+      frozen.freeze();
+      await issue(cluster, SECOND, {
+        key,
+        marker: key,
+        deadlineMs: SHORT_DEADLINE_MS,
+      });
+      frozen.thaw();
+      await first;
+      expect(await countRuns(cluster, key)).toBeLessThanOrEqual(1);
+    }
+  });
+});
