--- /dev/null
+++ b/packages/daemon/src/claims/measure_claims.ts
@@ -0,0 +1,112 @@
+/**
+ * Measures how many claims and outcomes go into one platform write, with a
+ * store in memory that answers after a few milliseconds. Run by hand:
+ * `node packages/daemon/dist/claims/measure_claims.js`.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  type FleetKeeper,
+  KeeperFleet,
+  makeAnswer,
+  WANTED,
+} from "./testing/keeper_fleet.js";
+
+const VMS = ["vm-a", "vm-b", "vm-c", "vm-d", "vm-e", "vm-f", "vm-g", "vm-h"];
+const PARTITIONS = 16;
+const CLAIMS_PER_SECOND = [10, 100, 300, 1000];
+const MEASURED_MS = 5000;
+const STORE_MS = 3;
+/** How long a claimed request runs. */
+const RUN_MS = 20;
+const ANSWER = makeAnswer("x".repeat(300));
+
+function quantile(sorted: readonly number[], share: number): number {
+  return sorted[Math.floor(sorted.length * share)] ?? 0;
+}
+
+/** What the requests of one measurement came to. */
+interface Tally {
+  readonly latenciesMs: number[];
+  refused: number;
+}
+
+async function runOne(
+  fleet: KeeperFleet,
+  vm: FleetKeeper,
+  run: { readonly key: string; readonly tally: Tally },
+): Promise<void> {
+  const startedAtMs = performance.now();
+  const decision = await vm.keeper.claim(fleet.request(run.key), WANTED);
+  run.tally.latenciesMs.push(performance.now() - startedAtMs);
+  if (decision.kind !== "held") {
+    run.tally.refused++;
+    return;
+  }
+  await sleep(RUN_MS);
+  await vm.keeper.recordOutcome(decision.claim, {
+    kind: "answered",
+    answer: ANSWER,
+  });
+}
+
+/** Starts requests at an even rate and waits for all of them. */
+async function runAll(
+  fleet: KeeperFleet,
+  vms: readonly FleetKeeper[],
+  claimsPerSecond: number,
+): Promise<Tally> {
+  const tally: Tally = { latenciesMs: [], refused: 0 };
+  const work: Promise<void>[] = [];
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < MEASURED_MS) {
+    const due = (performance.now() - startedAtMs) * claimsPerSecond / 1000;
+    while (work.length < due) {
+      const vm = vms[work.length % vms.length];
+      if (vm === undefined) return tally;
+      work.push(runOne(fleet, vm, { key: `key-${work.length}`, tally }));
+    }
+    await sleep(1);
+  }
+  await Promise.all(work);
+  return tally;
+}
+
+async function measure(claimsPerSecond: number): Promise<void> {
+  const fleet = new KeeperFleet({
+    partitions: PARTITIONS,
+    gatherMinMs: 2,
+    gatherMaxMs: 200,
+  });
+  fleet.store.delayMs = () => STORE_MS;
+  const vms: FleetKeeper[] = [];
+  for (const vmId of VMS) vms.push(await fleet.start(vmId));
+  const startedAtMs = performance.now();
+  const { latenciesMs, refused } = await runAll(fleet, vms, claimsPerSecond);
+  const seconds = (performance.now() - startedAtMs) / 1000;
+  const claims = latenciesMs.length;
+  const updates = fleet.store.calls.get("update") ?? 0;
+  const reads = fleet.store.calls.get("read") ?? 0;
+  latenciesMs.sort((a, b) => a - b);
+  const fields = {
+    claims,
+    refused,
+    claimsPerSecond: Math.round(claims / seconds),
+    writesPerSecond: Math.round(updates / seconds),
+    readsPerSecond: Math.round(reads / seconds),
+    operationsPerWrite: (2 * claims / updates).toFixed(1),
+    claimMedianMs: Math.round(quantile(latenciesMs, 0.5)),
+    claim99Ms: Math.round(quantile(latenciesMs, 0.99)),
+  };
+  const pairs = Object.entries(fields).map(([name, value]) =>
+    `${name}=${value}`
+  );
+  process.stdout.write(`${pairs.join(" ")}\n`);
+  fleet.close();
+}
+
+for (const claimsPerSecond of CLAIMS_PER_SECOND) {
+  await measure(claimsPerSecond);
+}
--- a/packages/daemon/src/claims/testing/keeper_fleet.ts
+++ b/packages/daemon/src/claims/testing/keeper_fleet.ts
@@ -54,6 +54,8 @@
 
 export interface FleetOptions {
   readonly partitions?: number;
+  readonly gatherMinMs?: number;
+  readonly gatherMaxMs?: number;
   /** Puts faults between a keeper and the store. */
   readonly wrap?: (store: ObjectStore) => ObjectStore;
 }
@@ -113,7 +115,7 @@
     const metrics = new Metrics();
     const { wrap } = this.#options;
     const keeper = createClaimKeeper({
-      settings: makeSettings(network, this.#options.partitions ?? 2),
+      settings: makeSettings(network, this.#options),
       store: wrap === undefined ? connection : wrap(connection),
       network,
       clock: MONOTONIC_CLOCK,
@@ -131,7 +133,7 @@
 
 function makeSettings(
   network: MemoryPeerNetwork,
-  partitions: number,
+  options: FleetOptions,
 ): Settings {
   return settingsSchema.parse({
     vm: { id: network.self.vmId, data_centre: network.self.dataCentre },
@@ -139,7 +141,11 @@
     peers: { shared_key: "a shared key for tests" },
     platform: { url: "http://127.0.0.1:1" },
     admin: { key_sha256: "0".repeat(64) },
-    claims: { partitions, gather_min_ms: 0, gather_max_ms: 20 },
+    claims: {
+      partitions: options.partitions ?? 2,
+      gather_min_ms: options.gatherMinMs ?? 0,
+      gather_max_ms: options.gatherMaxMs ?? 20,
+    },
   });
 }
 
