--- a/packages/daemon/src/claims/partition_committer.ts
+++ b/packages/daemon/src/claims/partition_committer.ts
@@ -9,12 +9,8 @@
 import type { Clock } from "../clock.js";
 import type { Metrics } from "../observability/metrics.js";
 import { PlatformError } from "../platform/platform_error.js";
-import {
-  applyOperations,
-  type IsAbandoned,
-  settleRecord,
-} from "./apply_operations.js";
-import { type ClaimHash, hashClaimKey } from "./claim_hash.js";
+import { applyOperations, type IsAbandoned } from "./apply_operations.js";
+import { changeSegment } from "./change_segment.js";
 import {
   type Operation,
   type OperationResult,
@@ -23,7 +19,6 @@
 import { byteSizeOf, ClaimStoreError } from "./claim_objects.js";
 import type { GatherPacer } from "./gather_pacer.js";
 import {
-  type FoundSegment,
   type HeadState,
   isHeadLarge,
   type PartitionStore,
@@ -212,7 +207,9 @@
     for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
       const found = await store.findSegment(head, operation.hash);
       if (found === undefined) return undefined;
-      const changed = this.#changeSegment(found, operation);
+      const changed = changeSegment(found.segment, operation, {
+        isAbandoned: this.#options.isAbandoned,
+      });
       if (changed.records === undefined) return changed.result;
       const isUpdated = await this.#tolerateLostAnswer(
         store.updateSegment(found, { records: changed.records }),
@@ -225,58 +222,6 @@
     }
     return UNAVAILABLE;
   }
-
-  #changeSegment(found: FoundSegment, operation: Operation): SegmentChange {
-    const records = new Map(
-      found.segment.records.map((record) => [hashClaimKey(record.key), record]),
-    );
-    const existing = records.get(operation.hash);
-    if (existing === undefined) return { result: UNAVAILABLE };
-    switch (operation.kind) {
-      case "claim":
-        if (!this.#options.isAbandoned(existing)) {
-          const isOwn = existing.attemptId === operation.record.attemptId;
-          return {
-            result: isOwn
-              ? { kind: "committed" }
-              : { kind: "existing", record: existing },
-          };
-        }
-        records.delete(operation.hash);
-        break;
-      case "settle": {
-        if (existing.attemptId !== operation.attemptId) {
-          return { result: { kind: "recorded" } };
-        }
-        replace(records, {
-          hash: operation.hash,
-          record: settleRecord(existing, operation.outcome),
-        });
-        break;
-      }
-    }
-    return { result: { kind: "recorded" }, records: [...records.values()] };
-  }
-}
-
-interface SegmentChange {
-  readonly result: OperationResult;
-  /** Absent when the segment stays as it is. */
-  readonly records?: FoundSegment["segment"]["records"];
-}
-
-interface Replacement {
-  readonly hash: ClaimHash;
-  readonly record: FoundSegment["segment"]["records"][number] | undefined;
-}
-
-function replace(
-  records: Map<ClaimHash, FoundSegment["segment"]["records"][number]>,
-  replacement: Replacement,
-): void {
-  const { hash, record } = replacement;
-  if (record === undefined) records.delete(hash);
-  else records.set(hash, record);
 }
 
 /** Longer each time, and different in each process. */
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -18,6 +18,7 @@
 import type { HeartbeatContent } from "./heartbeat_content.js";
 import { Heartbeats } from "./heartbeats.js";
 import { Membership } from "./membership.js";
+import { MessageIntake } from "./message_intake.js";
 import type { PeerError } from "./peer_error.js";
 import { PeerLinks, type ReceivedFrame } from "./peer_links.js";
 import type {
@@ -48,6 +49,7 @@
   readonly #links: PeerLinks;
   readonly #membership: Membership;
   readonly #heartbeats: Heartbeats;
+  readonly #intake: MessageIntake;
   readonly #acceptor: PeerAcceptor;
   readonly #abort = new AbortController();
   readonly #heartbeatTimeoutMs: number;
@@ -91,6 +93,14 @@
       membership: this.#membership,
       heartbeatTimeoutMs: heartbeat_timeout_ms,
     });
+    this.#intake = new MessageIntake({
+      heartbeats: this.#heartbeats,
+      membership: this.#membership,
+      heartbeatTimeoutMs: heartbeat_timeout_ms,
+      onNews: () => {
+        this.#refreshView();
+      },
+    });
     this.#acceptor = this.#makeAcceptor();
   }
 
@@ -270,12 +280,10 @@
   }
 
   #onMessage(received: ReceivedFrame): void {
-    const { peer, link, message } = received;
+    const { link, message } = received;
     const nowMs = this.#options.clock.nowMs();
     this.#notePause(nowMs);
-    link.lastFrameAtMs = nowMs;
-    this.#noteHeard(peer, message, nowMs);
-    this.#handleOwn(received, nowMs);
+    this.#intake.take(received, nowMs);
     // The compiler can't see that message and type belong together.
     const event = { from: link.identity, message } as PeerMessageEvents[
       PeerMessageType
@@ -283,50 +291,6 @@
     void this.messages.emit(message.type, event);
   }
 
-  #noteHeard(peer: PeerRecord, message: PeerMessage, nowMs: number): void {
-    const isNews = nowMs - peer.lastHeardAtMs > this.#heartbeatTimeoutMs;
-    const after = peer.heardAfterSequence;
-    if (after !== undefined) {
-      if (message.type !== "heartbeatReply") return;
-      if (message.sequence <= after) return;
-      peer.heardAfterSequence = undefined;
-    }
-    peer.markHeard(nowMs);
-    if (isNews) this.#refreshView();
-  }
-
-  #handleOwn(received: ReceivedFrame, nowMs: number): void {
-    const { peer, link, message } = received;
-    switch (message.type) {
-      case "heartbeat":
-        this.#noteGeneration(peer, message.generation);
-        if (message.leaving) this.#noteLeaving(peer);
-        this.#heartbeats.answer({ peer, link, message }, nowMs);
-        break;
-      case "heartbeatReply":
-        this.#noteGeneration(peer, message.generation);
-        this.#heartbeats.takeReply(peer.vmId, message);
-        break;
-      case "leaving":
-        this.#noteLeaving(peer);
-        break;
-      default:
-        link.lastUsedAtMs = nowMs;
-    }
-  }
-
-  #noteGeneration(peer: PeerRecord, generation: number): void {
-    if (generation <= peer.generation) return;
-    peer.generation = generation;
-    this.#membership.invalidate();
-  }
-
-  #noteLeaving(peer: PeerRecord): void {
-    if (peer.saidLeaving) return;
-    peer.saidLeaving = true;
-    this.#refreshView();
-  }
-
   #refreshView(): void {
     this.#membership.invalidate();
     this.#membership.view(this.#options.clock.nowMs());
