Beat rarely on the links between data centres of a large fleet

At 390 VMs about 40 of a VM's links lead to other data centres and carry only the generation; they beat every fifth interval now, with a timeout five times as long.

--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -12,7 +12,7 @@
 } from "@sassafrasstage/protocol/peer_messages";
 import { encodeFrame } from "./frame_codec.js";
 import type { HeartbeatContent } from "./heartbeat_content.js";
-import { ON_DEMAND_INTERVALS, silenceLimitMs } from "./member_state.js";
+import { RARE_HEARTBEAT_INTERVALS, silenceLimitMs } from "./member_state.js";
 import type { Membership } from "./membership.js";
 import { PeerError } from "./peer_error.js";
 import { IDLE_LINK_MS, type PeerLinks } from "./peer_links.js";
@@ -126,11 +126,11 @@
 
   #isDue(peer: PeerRecord): boolean {
     return peer.linkNeed === "standing" ||
-      this.sequence % ON_DEMAND_INTERVALS === 0;
+      this.sequence % RARE_HEARTBEAT_INTERVALS === 0;
   }
 
   #dropOldTimes(nowMs: number): void {
-    const keptMs = CLOSE_AFTER_LIMITS * ON_DEMAND_INTERVALS *
+    const keptMs = CLOSE_AFTER_LIMITS * RARE_HEARTBEAT_INTERVALS *
       this.#options.heartbeatTimeoutMs;
     for (const [sequence, sentAtMs] of this.#sentAtMs) {
       if (nowMs - sentAtMs <= keptMs) return;
--- a/packages/daemon/src/peers/link_choice.ts
+++ b/packages/daemon/src/peers/link_choice.ts
@@ -11,8 +11,8 @@
 
 /** Up to so many VMs in all, each keeps a connection to every other one. */
 export const MAX_FULLY_LINKED_VMS = 16;
-/** Standing connections to each other data centre of a larger fleet. */
-export const STANDING_LINKS_PER_DATA_CENTRE = 2;
+/** Kept connections to each other data centre of a larger fleet. */
+export const GOSSIP_LINKS_PER_DATA_CENTRE = 2;
 
 /**
  * Whether a second connection to the same process life replaces the first.
@@ -46,16 +46,17 @@
   self: PeerIdentity,
   peers: readonly PeerRecord[],
 ): Map<PeerRecord, LinkNeed> {
-  const isSmallFleet = peers.length + 1 <= MAX_FULLY_LINKED_VMS;
-  const standing = isSmallFleet ? new Set<VmId>() : chooseStanding(self, peers);
+  if (peers.length + 1 <= MAX_FULLY_LINKED_VMS) {
+    return new Map(peers.map((peer) => [peer, "standing"]));
+  }
+  const gossip = chooseGossip(self, peers);
   return new Map(peers.map((peer) => {
-    const isStanding = isSmallFleet || peer.dataCentre === self.dataCentre ||
-      standing.has(peer.vmId);
-    return [peer, isStanding ? "standing" : "onDemand"];
+    if (peer.dataCentre === self.dataCentre) return [peer, "standing"];
+    return [peer, gossip.has(peer.vmId) ? "gossip" : "onDemand"];
   }));
 }
 
-function chooseStanding(
+function chooseGossip(
   self: PeerIdentity,
   peers: readonly PeerRecord[],
 ): Set<VmId> {
@@ -69,7 +70,7 @@
   const chosen = new Set<VmId>();
   for (const vmIds of byDataCentre.values()) {
     const ranked = rankByRendezvous(self.vmId, vmIds);
-    for (const vmId of ranked.slice(0, STANDING_LINKS_PER_DATA_CENTRE)) {
+    for (const vmId of ranked.slice(0, GOSSIP_LINKS_PER_DATA_CENTRE)) {
       chosen.add(vmId);
     }
   }
--- a/packages/daemon/src/peers/link_choice_test.ts
+++ b/packages/daemon/src/peers/link_choice_test.ts
@@ -8,7 +8,7 @@
 import { describe, it } from "node:test";
 import {
   chooseLinkNeeds,
-  STANDING_LINKS_PER_DATA_CENTRE,
+  GOSSIP_LINKS_PER_DATA_CENTRE,
 } from "./link_choice.js";
 import { PeerRecord } from "./peer_record.js";
 
@@ -38,9 +38,12 @@
     const peers = makePeers(389);
     const needs = chooseLinkNeeds(SELF, peers);
     const standing = peers.filter((peer) => needs.get(peer) === "standing");
+    const gossip = peers.filter((peer) => needs.get(peer) === "gossip");
     const own = peers.filter((peer) => peer.dataCentre === SELF.dataCentre);
-    expect(standing.length).toEqual(
-      own.length + 10 * STANDING_LINKS_PER_DATA_CENTRE,
-    );
+    expect(standing).toEqual(own);
+    expect(gossip.length).toEqual(10 * GOSSIP_LINKS_PER_DATA_CENTRE);
+    const dataCentres = new Set(gossip.map((peer) => peer.dataCentre));
+    expect(dataCentres.size).toEqual(10);
+    expect(needs.size).toEqual(389);
   });
 });
--- a/packages/daemon/src/peers/member_state.ts
+++ b/packages/daemon/src/peers/member_state.ts
@@ -12,8 +12,8 @@
   readonly heartbeatTimeoutMs: number;
 }
 
-/** Links made on demand carry a heartbeat only every so many intervals. */
-export const ON_DEMAND_INTERVALS = 5;
+/** Links that aren't standing carry a heartbeat every so many intervals. */
+export const RARE_HEARTBEAT_INTERVALS = 5;
 
 /**
  * The silence after which a peer counts as silent.
@@ -30,8 +30,9 @@
   switch (peer.linkNeed) {
     case "standing":
       return heartbeatTimeoutMs;
+    case "gossip":
     case "onDemand":
-      return heartbeatTimeoutMs * ON_DEMAND_INTERVALS;
+      return heartbeatTimeoutMs * RARE_HEARTBEAT_INTERVALS;
   }
 }
 
--- a/packages/daemon/src/peers/peer_record.ts
+++ b/packages/daemon/src/peers/peer_record.ts
@@ -31,7 +31,11 @@
 export type ListedState = "neverListed" | "live" | "leaving" | "dropped";
 
 /** Whether a connection is kept up, or made by the first message. */
-export type LinkNeed = "standing" | "onDemand";
+export type LinkNeed =
+  | "standing"
+  /** Kept up with rare heartbeats, to hear of generations from afar. */
+  | "gossip"
+  | "onDemand";
 
 export interface PeerRecordOptions {
   readonly vmId: VmId;
--- a/packages/daemon/src/peers/peer_task.ts
+++ b/packages/daemon/src/peers/peer_task.ts
@@ -66,7 +66,7 @@
 /** Where to connect to now, if a connection is needed. */
 function addressToDial(peer: PeerRecord): Address | undefined {
   if (peer.link !== undefined) return undefined;
-  const isNeeded = peer.linkNeed === "standing" || peer.isSuspect ||
+  const isNeeded = peer.linkNeed !== "onDemand" || peer.isSuspect ||
     peer.pendingFrames.length > 0;
   return isNeeded ? peer.address : undefined;
 }
