Prove the configuration's promises between real processes

Eleven tests on six daemons in two data centres behind the fault proxy: in force everywhere within the stated 5 s, with a data centre cut from the platform, from the other one, or from both; a VM that starts in an outage; lost answers; six operators racing; refusals that change nothing; a frozen VM. Each daemon's log shows only rising generations.

--- /dev/null
+++ b/tests/src/configuration/configuration_in_force_test.ts
@@ -0,0 +1,219 @@
+import {
+  type Cluster,
+  startCluster,
+} from "@sassafrasstage/stand-ins/cluster/cluster";
+import { expect } from "earl";
+import { after, afterEach, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  acceptedGeneration,
+  CLUSTER_PLAN,
+  daemonAt,
+  findLateDaemons,
+  markConfiguration,
+  post,
+  readAdoptions,
+  readGeneration,
+  readMark,
+  waitUntilPlatformIsReached,
+} from "./configuration_cluster.js";
+
+const CHANGES = 10;
+/** Longer than every timeout between daemons. */
+const FROZEN_MS = 2500;
+
+describe("an accepted configuration", () => {
+  let cluster: Cluster;
+  let mark = 1000;
+
+  before(async () => {
+    cluster = await startCluster(CLUSTER_PLAN);
+  });
+
+  afterEach(async () => {
+    cluster.heal();
+    await cluster.platform.setFaults({ isDown: false, lostAnswers: 0 });
+    await cluster.startDaemons();
+    await cluster.waitUntilReady();
+    // The proxies open their ports again a little after the platform does.
+    await waitUntilPlatformIsReached(cluster);
+  });
+
+  after(async () => {
+    await cluster.stop();
+  });
+
+  /** Applies a new content through a daemon. */
+  function apply(index: number, fields: object = {}) {
+    mark += 1;
+    return post(daemonAt(cluster, index), "configuration", {
+      ...markConfiguration(cluster.configuration, mark),
+      ...fields,
+    });
+  }
+
+  it("is in force at every daemon in time", async () => {
+    for (let change = 0; change < CHANGES; change += 1) {
+      const generation = acceptedGeneration(await apply(change % 6));
+      expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+      for (const daemon of cluster.daemons) {
+        expect(await readMark(daemon)).toEqual(mark);
+      }
+    }
+  });
+
+  it("reaches a data centre that is cut off from the platform", async () => {
+    cluster.cutFromPlatform("palermo");
+    for (let change = 0; change < 3; change += 1) {
+      const generation = acceptedGeneration(await apply(3 + change));
+      expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+    }
+  });
+
+  it("reaches data centres that are cut off from each other", async () => {
+    cluster.cutDataCentres("palermo", "catania");
+    for (let change = 0; change < 3; change += 1) {
+      const generation = acceptedGeneration(await apply(change));
+      expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+    }
+  });
+
+  it("reaches a data centre cut off from all once that heals", async () => {
+    cluster.cutDataCentres("palermo", "catania");
+    cluster.cutFromPlatform("palermo");
+    const generation = acceptedGeneration(await apply(3));
+    const [near, far] = [daemonAt(cluster, 3), daemonAt(cluster, 0)];
+    expect(await findLateDaemons([near], generation)).toEqual([]);
+    expect(await readGeneration(far)).toEqual(generation - 1);
+    cluster.heal();
+    expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+  });
+
+  it("comes from peers to a VM that starts in an outage", async () => {
+    const generation = await readGeneration(daemonAt(cluster, 0));
+    for (const index of [2, 5]) await daemonAt(cluster, index).kill();
+    await cluster.platform.setFaults({ isDown: true });
+    await daemonAt(cluster, 2).start();
+    await daemonAt(cluster, 5).start();
+    expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+    expect(await readMark(daemonAt(cluster, 2))).toEqual(mark);
+  });
+
+  it("stays in force, unchanged, while a change can't be accepted", async () => {
+    const generation = await readGeneration(daemonAt(cluster, 0));
+    const before = mark;
+    await cluster.platform.setFaults({ isDown: true });
+    const answer = await apply(0);
+    expect(answer.status).toEqual(503);
+    expect(answer.body as object).toLooseEqual(
+      expect.subset({ reason: "platformUnavailable", notRun: true }),
+    );
+    for (const daemon of cluster.daemons) {
+      expect(await readGeneration(daemon)).toEqual(generation);
+      expect(await readMark(daemon)).toEqual(before);
+    }
+    mark = before;
+  });
+
+  it("is accepted once though answers are lost", async () => {
+    const generation = await readGeneration(daemonAt(cluster, 0));
+    // That of the changed part, and that of the head.
+    await cluster.platform.setFaults({ lostAnswers: 2 });
+    expect(acceptedGeneration(await apply(1))).toEqual(generation + 1);
+    const record = await cluster.platform.record();
+    expect(record.answersLost).toEqual(2);
+    expect(await findLateDaemons(cluster.daemons, generation + 1)).toEqual([]);
+    const repeat = { changeId: "same-change" };
+    expect(acceptedGeneration(await apply(2, repeat))).toEqual(generation + 2);
+    expect(acceptedGeneration(await apply(4, repeat))).toEqual(generation + 2);
+    mark -= 1;
+  });
+
+  it("is one of those that operators race with", async () => {
+    const basedOnGeneration = await readGeneration(daemonAt(cluster, 0));
+    const first = mark;
+    const answers = await Promise.all(
+      [0, 1, 2, 3, 4, 5].map((index) => apply(index, { basedOnGeneration })),
+    );
+    const accepted = answers.filter((answer) => answer.status === 200);
+    expect(accepted.length).toEqual(1);
+    const winner = answers.findIndex((answer) => answer.status === 200);
+    mark = first + 1 + winner;
+    for (const answer of answers) {
+      if (answer.status === 200) continue;
+      expect(answer.status).toEqual(409);
+      const { newer } = answer.body as { newer: { generation: number } };
+      expect(newer.generation).toEqual(basedOnGeneration + 1);
+    }
+    const generation = basedOnGeneration + 1;
+    expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+    for (const daemon of cluster.daemons) {
+      expect(await readMark(daemon)).toEqual(mark);
+    }
+  });
+
+  it("keeps what racing operators took out", async () => {
+    const answers = await Promise.all([
+      post(daemonAt(cluster, 0), "data-centres/catania/out"),
+      post(daemonAt(cluster, 2), "backend-servers/registry-palermo-1/out"),
+      post(daemonAt(cluster, 4), "backend-servers/registry-catania-1/out"),
+    ]);
+    const generation = Math.max(...answers.map(acceptedGeneration));
+    expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+    for (const daemon of cluster.daemons) {
+      const answer = await daemon.admin("/admin/v1/configuration");
+      const { rules } = answer.body as typeof cluster.configuration;
+      expect(rules.dataCentresOut).toEqual(["catania"]);
+      expect([...rules.backendServersOut].sort()).toEqual([
+        "registry-catania-1",
+        "registry-palermo-1",
+      ]);
+    }
+  });
+
+  it("is refused with the path of a broken reference", async () => {
+    const generation = await readGeneration(daemonAt(cluster, 0));
+    const { register, rules } = cluster.configuration;
+    const answer = await post(daemonAt(cluster, 5), "configuration", {
+      register: { ...register, services: [] },
+      rules,
+    });
+    expect(answer.status).toEqual(422);
+    const absent = await post(daemonAt(cluster, 5), "configuration", {
+      register,
+      rules: { ...rules, dataCentresOut: ["rome"] },
+    });
+    const { faults } = absent.body as { faults: { path: string }[] };
+    expect(faults.map((fault) => fault.path)).toEqual([
+      "rules.dataCentresOut.0",
+    ]);
+    for (const daemon of cluster.daemons) {
+      expect(await readGeneration(daemon)).toEqual(generation);
+    }
+  });
+
+  it("never goes back at a VM that was frozen, nor elsewhere", async () => {
+    const [frozen, other] = [daemonAt(cluster, 1), daemonAt(cluster, 4)];
+    frozen.freeze();
+    let generation = 0;
+    try {
+      for (let change = 0; change < 4; change += 1) {
+        generation = acceptedGeneration(await apply(4));
+      }
+      const running = cluster.daemons.filter((daemon) => daemon !== frozen);
+      expect(await findLateDaemons(running, generation)).toEqual([]);
+      await sleep(FROZEN_MS);
+    } finally {
+      frozen.thaw();
+    }
+    expect(await findLateDaemons(cluster.daemons, generation)).toEqual([]);
+    expect(await readMark(frozen)).toEqual(await readMark(other));
+    for (const daemon of cluster.daemons) {
+      for (const adoptions of readAdoptions(daemon)) {
+        const rising = [...new Set(adoptions)].sort((one, two) => one - two);
+        expect(adoptions.length).toBeGreaterThan(0);
+        expect(adoptions).toEqual(rising);
+      }
+    }
+  });
+});
