--- a/packages/cli/src/wait_for_generation.ts
+++ b/packages/cli/src/wait_for_generation.ts
@@ -43,7 +43,7 @@
     }
     if (performance.now() - startedAtMs > wait.timeoutMs) {
       terminal.showProgress("");
-      throw timedOut(wait, behind);
+      throw timedOut(wait, daemons.filter(isBehindOrUnheard(generation)));
     }
     await sleep(POLL_INTERVAL_MS);
   }
@@ -75,6 +75,14 @@
   wait.terminal.tell(`Not heard of: ${describe(unheard)}`);
 }
 
+function isBehindOrUnheard(
+  generation: number,
+): (daemon: MemberStatus) => boolean {
+  return (daemon) =>
+    daemon.generation < generation &&
+    (daemon.state === "live" || daemon.state === "silent");
+}
+
 function timedOut(
   wait: GenerationWait,
   behind: readonly MemberStatus[],
@@ -88,6 +96,8 @@
 
 function describe(daemons: readonly MemberStatus[]): string {
   return daemons
-    .map((daemon) => `${daemon.vmId} (generation ${daemon.generation})`)
+    .map((daemon) =>
+      `${daemon.vmId} (${daemon.state}, generation ${daemon.generation})`
+    )
     .join(", ");
 }
