--- a/packages/daemon/src/configuration/accept_configuration_test.ts
+++ b/packages/daemon/src/configuration/accept_configuration_test.ts
@@ -9,7 +9,7 @@
   type AcceptResult,
   type Submission,
 } from "./accept_configuration.js";
-import { PARTS_PREFIX } from "./configuration_head.js";
+import { HEAD_KEY, PARTS_PREFIX } from "./configuration_head.js";
 import { PartReader, readHead, toConfiguration } from "./read_configuration.js";
 import { makeSampleContent, readMark } from "./testing/sample_content.js";
 
@@ -92,7 +92,8 @@
   it("settles a lost answer by reading back", async () => {
     const store = new MemoryObjectStore();
     await acceptConfiguration(store.connect(), submission("first"));
-    store.answersToLose = 2;
+    const lost: string[] = [];
+    store.isAnswerLost = (key) => lost.push(key) <= 2;
     const result = await acceptConfiguration(
       store.connect(),
       replaceWithMark("lost", 1234),
@@ -101,6 +102,7 @@
       expect.subset({ kind: "accepted", generation: 2 }),
     );
     expect(await readMarkInStore(store)).toEqual(1234);
+    expect(lost.at(-1)).toEqual(HEAD_KEY);
   });
 
   it("accepts a repeated change id once", async () => {
--- a/packages/daemon/src/platform/testing/memory_object_store.ts
+++ b/packages/daemon/src/platform/testing/memory_object_store.ts
@@ -34,6 +34,8 @@
   isDown = false;
   /** Updates that take effect and then answer with an error. */
   answersToLose = 0;
+  /** The same, chosen by the object's key. */
+  isAnswerLost: (key: string) => boolean = () => false;
   /** Called before each call; what it returns is waited for. */
   delayMs: () => number = () => 0;
   #events: LoggedEvent[] = [];
@@ -132,7 +134,10 @@
       return this.#answer({ kind: "conflict" });
     }
     const version = this.#store.put(key, value);
-    return this.#answer({ kind: "updated", version });
+    if (!this.#store.isAnswerLost(key)) {
+      return this.#answer({ kind: "updated", version });
+    }
+    throw new PlatformError("outcomeUnknown", "The answer was lost");
   }
 
   async remove(key: string, version: number): Promise<UpdateResult> {
