--- a/bench/src/scenarios/scenarios.ts
+++ b/bench/src/scenarios/scenarios.ts
@@ -98,9 +98,15 @@
           submitOut(cluster, [deployment.leavingDataCentre]),
       },
       {
-        name: "the data centre is taken back",
+        name: "the data centre is taken back, its servers cold",
         atPart: RETURN_AT_PART,
-        run: (cluster) => submitOut(cluster, []),
+        run: async (cluster, deployment) => {
+          const cold = cluster.servers.filter((server) =>
+            server.dataCentre === deployment.leavingDataCentre
+          );
+          await Promise.all(cold.map((server) => server.turnCold()));
+          await submitOut(cluster, []);
+        },
       },
     ],
   };
