--- a/bench/src/check/check_result_test.ts
+++ b/bench/src/check/check_result_test.ts
@@ -27,6 +27,7 @@
     coldOverloads: 0,
   },
   maxSendDelayMs: 0,
+  loadAverage: 0,
 };
 
 function withCounter(ratio: number): ScenarioResult {
--- a/bench/src/measure/run_scenario.ts
+++ b/bench/src/measure/run_scenario.ts
@@ -8,6 +8,7 @@
   type Cluster,
   startCluster,
 } from "@sassafrasstage/stand-ins/cluster/cluster";
+import { loadavg } from "node:os";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Deployment } from "../deployments/deployment.js";
 import { exampleKey } from "../deployments/example_files.js";
@@ -53,6 +54,8 @@
   readonly callsWhileOut?: number;
   /** The furthest that the load generator fell behind. */
   readonly maxSendDelayMs: number;
+  /** Of the machine, over the minute that the run ended with. */
+  readonly loadAverage: number;
 }
 
 /**
@@ -107,6 +110,7 @@
     invariants: countInvariantBreaks(records, servers),
     ...countCallsWhileOut(context, { servers, startedAtMs }),
     maxSendDelayMs: findMaxSendDelay(records),
+    loadAverage: loadavg()[0] ?? 0,
   };
 }
 
--- a/bench/src/report/format_result.ts
+++ b/bench/src/report/format_result.ts
@@ -115,5 +115,6 @@
       ? []
       : [["calls while out", String(callsWhileOut)]]),
     ["load generator late by at most ms", result.maxSendDelayMs.toFixed(0)],
+    ["load average of the machine", result.loadAverage.toFixed(1)],
   ]);
 }
