Take a backend server that comes back into service for cold

Cause: an owner kept a server's warm limit while its data centre was out. Ruled out: the stand-in's grace for a sudden cold, which covers only the time before the first sign. Nobody sees whether a server stays warm while it is out or leaving, so it starts again from the cold limit.

--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -122,11 +122,14 @@
       const server = this.#servers.get(registered.id) ??
         enterServer(registered.id, world.nowMs);
       this.#servers.set(server.id, server);
+      const wasInService = server.availability === "inService";
       server.availability = availabilityOf(
         registered,
         world.layout,
         world.vms,
       );
+      const isBack = !wasInService && server.availability === "inService";
+      if (isBack) this.#returnToService(server, world.nowMs);
     }
     this.refresh(world.nowMs);
   }
@@ -222,6 +225,16 @@
     this.#setHealth(server, health, when.nowMs);
   }
 
+  /** Nobody saw meanwhile whether it stayed warm. */
+  #returnToService(server: PooledServer, nowMs: number): void {
+    if (isCold(server.health.state)) return;
+    this.#setHealth(
+      server,
+      { ...server.health, state: coldState(nowMs) },
+      nowMs,
+    );
+  }
+
   #setHealth(server: PooledServer, next: ServerHealth, nowMs: number): void {
     const hasCooled = !isCold(server.health.state) && isCold(next.state);
     server.health = next;
--- /dev/null
+++ b/packages/daemon/src/pools/server_table_test.ts
@@ -0,0 +1,51 @@
+import { poolKey, toId } from "@sassafrasstage/protocol/ids";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { arrangePools, readVmAvailability } from "./pool_layout.js";
+import { ServerTable } from "./server_table.js";
+import {
+  makeConfiguration,
+  makePool,
+} from "./test_support/test_configuration.js";
+
+const WARM_LIMIT = 4;
+const COLD_LIMIT = 1;
+
+function makeWorld(dataCentresOut: readonly string[]) {
+  const layout = arrangePools(makeConfiguration({
+    servers: { palermo: 1 },
+    warmLimit: WARM_LIMIT,
+    coldLimit: COLD_LIMIT,
+    dataCentresOut,
+  }));
+  const entry = layout.pools.get(poolKey(makePool("palermo")));
+  if (entry === undefined) throw new Error("No pool");
+  return { entry, layout, vms: readVmAvailability(undefined) };
+}
+
+describe("ServerTable", () => {
+  it("takes a server that comes back into service for cold", () => {
+    const inService = makeWorld([]);
+    const table = new ServerTable({
+      entry: inService.entry,
+      hasPrefixAffinity: false,
+      onCooled: () => undefined,
+    });
+    table.configure(inService.entry, { ...inService, nowMs: 0 });
+    table.setRights({ mayGrantCold: true, warm: { kind: "full" } }, 0);
+    for (let call = 1; call <= 20; call += 1) {
+      table.report(
+        toId("palermo-1"),
+        { outcome: "completed", grade: "usual", grantedAtMs: call },
+        call,
+      );
+    }
+    expect(table.slots).toEqual(WARM_LIMIT);
+
+    const out = makeWorld(["palermo"]);
+    table.configure(out.entry, { ...out, nowMs: 30 });
+    expect(table.slots).toEqual(0);
+    table.configure(inService.entry, { ...inService, nowMs: 40 });
+    expect(table.slots).toEqual(COLD_LIMIT);
+  });
+});
