Fall to the cold limit at the first slow completion

Ruled out: going back to a sure cold start at the first slow call, which cost warm servers 20 calls at half their limit for chance delays. The test of slow completions now asks for the cold limit after the first slow call in place of the third, and that unclear calls don't clear the suspicion.

--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -9,8 +9,6 @@
 import type { Service } from "@sassafrasstage/protocol/register";
 import type { LatencyGrade } from "./latency_baseline.js";
 
-/** A slow call or two may be chance; in slow start one is enough. */
-const SLOW_COMPLETIONS = 3;
 const BREAKER_FAILURES = 3;
 /** A timeout may be the fault of the request's own short deadline. */
 const TIMEOUT_WEIGHT = 0.3;
@@ -34,8 +32,11 @@
     readonly kind: "cold";
     readonly sinceMs: number;
     readonly completions: number;
-    /** Only suspected: a few usual completions clear it. */
-    readonly isSuspected: boolean;
+    /**
+     * Usual completions that would clear a server which is only suspected;
+     * undefined if the cold start is sure.
+     */
+    readonly usualLeft: number | undefined;
   }
   | {
     readonly kind: "warming";
@@ -63,8 +64,6 @@
 /** A state with what counts towards leaving it. */
 export interface ServerHealth {
   readonly state: ServerState;
-  /** Completions in a row as slow as in a cold start. */
-  readonly slowInRow: number;
   /** Failures since the last completion; a timeout counts in part. */
   readonly failures: number;
 }
@@ -91,7 +90,6 @@
 export function unknownHealth(nowMs: number): ServerHealth {
   return {
     state: { kind: "unknown", sinceMs: nowMs },
-    slowInRow: 0,
     failures: 0,
   };
 }
@@ -113,7 +111,6 @@
   const limit = Math.max(service.coldLimit, inFlight);
   return {
     state: raiseTo(limit, context, nowMs),
-    slowInRow: 0,
     failures: 0,
   };
 }
@@ -177,14 +174,11 @@
     case "notSent":
     case "canceled":
       return health;
-    case "completed": {
-      const slowInRow = report.grade === "coldStart" ? health.slowInRow + 1 : 0;
+    case "completed":
       return {
-        state: afterCompletion({ ...health, slowInRow }, report, context),
-        slowInRow,
+        state: afterCompletion(health.state, report, context),
         failures: 0,
       };
-    }
     case "connectFailed":
     case "refusedByServer":
     case "failed":
@@ -221,34 +215,37 @@
  * ```
  */
 export function coldState(nowMs: number): ServerState {
-  return { kind: "cold", sinceMs: nowMs, completions: 0, isSuspected: false };
+  return {
+    kind: "cold",
+    sinceMs: nowMs,
+    completions: 0,
+    usualLeft: undefined,
+  };
 }
 
 /** Holds a server at the cold limit until a few usual calls have ended. */
-function suspectedState(context: ReportContext): ServerState {
-  const completions = context.service.warmAfterCompletions -
-    SUSPECT_COMPLETIONS;
+function suspectedState(nowMs: number): ServerState {
   return {
     kind: "cold",
-    sinceMs: context.nowMs,
-    completions: Math.max(0, completions),
-    isSuspected: true,
+    sinceMs: nowMs,
+    completions: 0,
+    usualLeft: SUSPECT_COMPLETIONS,
   };
 }
 
 function afterCompletion(
-  health: ServerHealth,
+  state: ServerState,
   report: CallReport,
   context: ReportContext,
 ): ServerState {
-  const { state, slowInRow } = health;
   const { nowMs } = context;
   const isOfThisState = report.grantedAtMs >= state.sinceMs;
   switch (state.kind) {
     case "unknown":
       return isOfThisState
         ? countCompletion(
-          { ...state, kind: "cold", completions: 0, isSuspected: false },
+          { ...state, kind: "cold", completions: 0, usualLeft: undefined },
+          report,
           context,
         )
         : state;
@@ -256,25 +253,31 @@
       return coldState(nowMs);
     case "cold":
       if (!isOfThisState) return state;
-      return state.isSuspected && report.grade === "coldStart"
+      return state.usualLeft !== undefined && report.grade === "coldStart"
         ? coldState(nowMs)
-        : countCompletion(state, context);
+        : countCompletion(state, report, context);
     case "warming":
-      if (report.grade === "coldStart") return coldState(nowMs);
+      if (report.grade === "coldStart") return suspectedState(nowMs);
       return raiseTo(state.limit + 1, context, state.sinceMs);
     case "warm":
-      if (slowInRow >= SLOW_COMPLETIONS) return suspectedState(context);
+      if (report.grade === "coldStart") return suspectedState(nowMs);
       return adaptLimit(state, report, context);
   }
 }
 
 function countCompletion(
   state: Extract<ServerState, { kind: "cold" }>,
+  report: CallReport,
   context: ReportContext,
 ): ServerState {
   const completions = state.completions + 1;
-  if (completions < context.service.warmAfterCompletions) {
-    return { ...state, completions };
+  const isUsual = report.grade === "usual";
+  const usualLeft = state.usualLeft === undefined
+    ? undefined
+    : state.usualLeft - (isUsual ? 1 : 0);
+  const isCounted = completions >= context.service.warmAfterCompletions;
+  if (!isCounted && usualLeft !== 0) {
+    return { ...state, completions, usualLeft };
   }
   return raiseTo(context.service.coldLimit + 1, context, context.nowMs);
 }
@@ -307,7 +310,7 @@
   const { service, nowMs } = context;
   const completions = state.completions + 1;
   const highLatencies = state.highLatencies +
-    (report.grade === "usual" ? 0 : 1);
+    (report.grade === "high" ? 1 : 0);
   if (completions < Math.max(MIN_WINDOW, state.limit)) {
     return { ...state, completions, highLatencies, lastUsedAtMs: nowMs };
   }
@@ -374,5 +377,5 @@
     report.outcome === "refusedByServer";
   if (isSureSign || isCold(state)) return coldState(nowMs);
   if (report.outcome === "timedOut") return lowerLimit(state, context);
-  return suspectedState(context);
+  return suspectedState(nowMs);
 }
--- a/packages/daemon/src/pools/backend_server_state_test.ts
+++ b/packages/daemon/src/pools/backend_server_state_test.ts
@@ -84,13 +84,15 @@
     });
   }
 
-  it("suspects a cold start after slow completions in a row", () => {
+  it("suspects a cold start at the first slow completion", () => {
     const slow: Step = { outcome: "completed", grade: "coldStart" };
-    const fair = repeat(repeat(warmHealth(), slow, 2), COMPLETED, 1);
-    expect(limit(repeat(fair, slow, 2)) > COLD_LIMIT).toEqual(true);
-    const suspected = repeat(warmHealth(), slow, 3);
+    const raised: Step = { outcome: "completed", grade: "raised" };
+    const suspected = repeat(warmHealth(), slow, 1);
     expect(suspected.state.kind).toEqual("cold");
+    expect(limit(suspected)).toEqual(COLD_LIMIT);
     expect(limit(repeat(suspected, COMPLETED, 5)) > COLD_LIMIT).toEqual(true);
+    const unclear = repeat(suspected, raised, WARM_AFTER - 1);
+    expect(limit(unclear)).toEqual(COLD_LIMIT);
     const confirmed = apply(repeat(suspected, COMPLETED, 4), slow, 100);
     expect(limit(repeat(confirmed, COMPLETED, WARM_AFTER - 1)))
       .toEqual(COLD_LIMIT);
--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -16,6 +16,7 @@
 const COLD_DEVIATIONS = 8;
 /** Less than this above the baseline is never taken for a cold start. */
 const COLD_EXTRA_MS = 20;
+const RAISED_FACTOR = 1.3;
 const PRESSURE_FACTOR = 2;
 const PRESSURE_EXTRA_MS = 20;
 
@@ -27,7 +28,7 @@
 }
 
 /** How a latency compares with the baseline. */
-export type LatencyGrade = "usual" | "high" | "coldStart";
+export type LatencyGrade = "usual" | "raised" | "high" | "coldStart";
 
 /**
  * The part of a call that shows the server's state: the first token of an
@@ -80,7 +81,7 @@
   ) {
     return "high";
   }
-  return "usual";
+  return sampleMs > meanMs * RAISED_FACTOR ? "raised" : "usual";
 }
 
 /** The baselines of all services, as this daemon has seen them. */
