--- a/tests/src/claims/claims_test.ts
+++ b/tests/src/claims/claims_test.ts
@@ -179,6 +179,27 @@
     expect(await countRuns(cluster, key)).toEqual(1);
   });
 
+  it("is truly not run when the platform is slower than its deadline", async () => {
+    const key = "slow-platform";
+    await cluster.platform.setFaults({ slowMs: 900 });
+    const refused = await Promise.all(
+      VMS.map((vmId) =>
+        issue(cluster, vmId, { key, marker: key, deadlineMs: 700 })
+      ),
+    );
+    for (const result of refused) {
+      if (result.kind !== "problem") throw new Error(result.kind);
+      expect(result.problem.notRun).toEqual(true);
+    }
+    // Claims that are made late must not be run, nor keep the key.
+    await cluster.platform.setFaults({ slowMs: 0 });
+    await sleep(1000);
+    expect(await countRuns(cluster, key)).toEqual(0);
+    const repeat = await issue(cluster, FAR, { key, marker: key });
+    expect(repeat.kind).toEqual("answer");
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
   it("is answered in an outage that began after its claim", async () => {
     const key = "outage-during";
     const first = issue(cluster, FIRST, { key, marker: key });
