--- a/tests/src/claims/claims_test.ts
+++ b/tests/src/claims/claims_test.ts
@@ -224,6 +224,19 @@
     expect(await countRuns(cluster, key)).toEqual(1);
   });
 
+  it("is answered and recorded by a daemon that shuts down", async () => {
+    const key = "shut-down";
+    const first = issue(cluster, FIRST, { key, marker: key });
+    await untilRunning(cluster, key);
+    const ended = cluster.daemon(FIRST).terminate();
+    const answer = await first;
+    expect(answer.kind).toEqual("answer");
+    expect((await ended).code).toEqual(0);
+    const repeat = await issue(cluster, SECOND, { key, marker: key });
+    expect(summarize(repeat)).toEqual(summarize(answer));
+    expect(await countRuns(cluster, key)).toEqual(1);
+  });
+
   it("runs once though its daemon is frozen and thawed", async () => {
     const key = "frozen";
     const first = issue(cluster, FIRST, { key, marker: key });
