--- a/packages/stand-ins/src/backend_servers/cold_start.ts
+++ b/packages/stand-ins/src/backend_servers/cold_start.ts
@@ -72,6 +72,10 @@
     return this.#temperature.kind !== "warm";
   }
 
+  get isSuddenlyCold(): boolean {
+    return this.#temperature.kind === "suddenlyCold";
+  }
+
   get inFlight(): number {
     return this.#inFlight;
   }
@@ -150,10 +154,11 @@
       nowMs < firstSignAtMs + SIGN_GRACE_MS;
   }
 
+  /** The warming up begins again. */
   #restartCold(): void {
     this.#temperature = {
       kind: "cold",
-      completionsLeft: 2 * this.#options.warmAfterCompletions,
+      completionsLeft: this.#options.warmAfterCompletions,
     };
   }
 }
