--- a/tests/src/configuration/command_line_test.ts
+++ b/tests/src/configuration/command_line_test.ts
@@ -66,6 +66,22 @@
     expect(refused.messages).toMatchRegex(/^unknownPipeline: /);
   });
 
+  it("prints a stream's text as it comes, or its events", async () => {
+    const send = "sassafrasstage request send write --stream " +
+      `--input '{"prompt": "a short note"}'`;
+    const shown = await shell.run(send);
+    expect(shown).toLooseEqual(expect.subset({ exitCode: 0 }));
+    const events = await shell.run(`${send} --json`);
+    const lines = events.output.trim().split("\n").map((line) =>
+      JSON.parse(line) as { event: string; data: { text?: string } }
+    );
+    const tokens = lines.filter((line) => line.event === "token");
+    expect(tokens.length).toBeGreaterThan(1);
+    expect(lines.at(-1)?.event).toEqual("answer");
+    const text = tokens.map((line) => line.data.text).join("");
+    expect(shown.output.trim()).toEqual(text.trim());
+  });
+
   it("ends with the documented exit codes", async () => {
     const get = "sassafrasstage config get > now.json";
     expect(await exitCodeOf(get)).toEqual(0);
