--- a/packages/daemon/src/configuration/watch_head.ts
+++ b/packages/daemon/src/configuration/watch_head.ts
@@ -49,7 +49,8 @@
   /** Where the watch goes on; undefined when the head has to be listed. */
   #revision: number | undefined;
   #failures = 0;
-  #wake = new AbortController();
+  /** Ends the present pause early. */
+  #pauseAbort: AbortController | undefined;
 
   constructor(options: HeadWatchOptions) {
     this.#options = options;
@@ -58,13 +59,14 @@
 
   async close(): Promise<void> {
     this.#abort.abort();
+    this.#pauseAbort?.abort();
     await this.#ended;
   }
 
   async #run(): Promise<void> {
     const { network } = this.#options;
     const stopListening = network.life.on("membershipChanged", () => {
-      if (this.#isWatcher()) this.#wake.abort();
+      if (this.#isWatcher()) this.#pauseAbort?.abort();
     });
     await this.#pause(this.#options.startDelayMs);
     while (!this.#abort.signal.aborted) await this.#step();
@@ -147,9 +149,12 @@
 
   /** Ends early on close and when this daemon becomes a watcher. */
   async #pause(ms: number): Promise<void> {
-    if (this.#wake.signal.aborted) this.#wake = new AbortController();
-    const signal = AbortSignal.any([this.#abort.signal, this.#wake.signal]);
+    if (this.#abort.signal.aborted) return;
+    const pauseAbort = new AbortController();
+    this.#pauseAbort = pauseAbort;
+    const { signal } = pauseAbort;
     await sleep(ms, undefined, { signal }).catch(() => undefined);
+    this.#pauseAbort = undefined;
   }
 }
 
--- a/packages/daemon/src/platform/platform_transport.ts
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -49,11 +49,7 @@
   agent: Agent,
   call: PlatformCall,
 ): Promise<PlatformReply> {
-  const timeout = AbortSignal.timeout(call.timeoutMs);
-  const signal = call.signal === undefined
-    ? timeout
-    : AbortSignal.any([call.signal, timeout]);
-  const reply = await exchange(agent, { ...call, signal });
+  const reply = await exchangeInTime(agent, call);
   if (!NOT_DONE_STATUSES.has(reply.status)) return reply;
   throw new PlatformError(
     "notDone",
@@ -61,6 +57,28 @@
   );
 }
 
+/** `AbortSignal.any` would leave something behind at a long-lived signal. */
+async function exchangeInTime(
+  agent: Agent,
+  call: PlatformCall,
+): Promise<PlatformReply> {
+  const abort = new AbortController();
+  function cancel(): void {
+    abort.abort();
+  }
+  const timer = setTimeout(() => {
+    abort.abort(new DOMException("No answer in time", "TimeoutError"));
+  }, call.timeoutMs);
+  call.signal?.addEventListener("abort", cancel);
+  if (call.signal?.aborted === true) cancel();
+  try {
+    return await exchange(agent, { ...call, signal: abort.signal });
+  } finally {
+    clearTimeout(timer);
+    call.signal?.removeEventListener("abort", cancel);
+  }
+}
+
 async function exchange(
   agent: Agent,
   call: PlatformCall & { readonly signal: AbortSignal },
