Adopt a submitted content only if it is the one accepted under its change id

Cause, found by reading: two daemons given the same change id with different contents at once both learn that the id was accepted, and the loser would have put its own content into force under the accepted generation. It now leaves that to the watch. Also splits the operators' routes into queries and changes.

--- a/packages/daemon/src/configuration/accept_configuration.ts
+++ b/packages/daemon/src/configuration/accept_configuration.ts
@@ -12,6 +12,7 @@
 } from "@sassafrasstage/protocol/configuration";
 import type { ChangeId } from "@sassafrasstage/protocol/ids";
 import { MAX_OBJECT_BYTES } from "@sassafrasstage/protocol/platform_objects";
+import { isDeepStrictEqual } from "node:util";
 import type { ObjectStore } from "../platform/object_store.js";
 import {
   applyChange,
@@ -168,15 +169,12 @@
   switch (outcome.kind) {
     case "accepted": {
       const { generation } = outcome.change;
+      const accepted = { kind: "accepted", generation, changeId } as const;
+      if (!isSameChange(outcome.change, change)) return accepted;
       if (base.head !== undefined) {
         void removeParts(store, findUnusedParts(base.head.head, head));
       }
-      return {
-        kind: "accepted",
-        generation,
-        changeId,
-        configuration: { ...content, generation },
-      };
+      return { ...accepted, configuration: { ...content, generation } };
     }
     case "conflict":
       void removeParts(store, written.fresh);
@@ -189,6 +187,14 @@
   }
 }
 
+/**
+ * False when another daemon's submission under the same change id came first:
+ * its content may be another one.
+ */
+function isSameChange(one: AcceptedChange, other: AcceptedChange): boolean {
+  return isDeepStrictEqual(one.parts, other.parts);
+}
+
 function makeChange(
   publication: Publication,
   written: WrittenParts,
--- a/packages/daemon/src/configuration/accept_configuration_test.ts
+++ b/packages/daemon/src/configuration/accept_configuration_test.ts
@@ -121,6 +121,25 @@
     expect(await readMarkInStore(store)).toEqual(1002);
   });
 
+  it("hands on only what was accepted under a change id", async () => {
+    const store = new MemoryObjectStore();
+    await acceptConfiguration(store.connect(), submission("first"));
+    store.delayMs = () => 1;
+    const results = await Promise.all(
+      [1001, 1002, 1003].map((mark) =>
+        acceptConfiguration(store.connect(), replaceWithMark("same", mark))
+      ),
+    );
+    expect(kinds(results)).toEqual(["accepted", "accepted", "accepted"]);
+    const marks = results.flatMap((result) =>
+      result.kind === "accepted" && result.configuration !== undefined
+        ? [readMark(result.configuration)]
+        : []
+    );
+    store.delayMs = () => 0;
+    expect(marks).toEqual([await readMarkInStore(store)]);
+  });
+
   it("refuses a change that is based on an older generation", async () => {
     const store = new MemoryObjectStore();
     await acceptConfiguration(store.connect(), submission("a"));
--- a/packages/daemon/src/operators/operator_routes.ts
+++ b/packages/daemon/src/operators/operator_routes.ts
@@ -57,58 +57,65 @@
 export function addOperatorRoutes(
   service: HttpService,
   options: OperatorRoutesOptions,
+): void {
+  addQueryRoutes(service, options);
+  addChangeRoutes(service, options);
+}
+
+function addQueryRoutes(
+  service: HttpService,
+  options: OperatorRoutesOptions,
 ): void {
   const { configuration, status } = options;
-  function guard(handler: Handler) {
-    return (request: HttpRequest, response: ServerResponse) =>
-      handle(options, { handler, request, response });
+  const queries: Readonly<Record<string, () => Promise<AdminAnswer>>> = {
+    "/admin/v1/configuration": () =>
+      Promise.resolve(showConfiguration(configuration)),
+    "/admin/v1/configuration/history": () => showHistory(configuration),
+    "/admin/v1/status": () => Promise.resolve({ kind: "done", body: status() }),
+    "/admin/v1/fleet": () => Promise.resolve(showFleet(status())),
+  };
+  for (const [path, handler] of Object.entries(queries)) {
+    service.get(path, guard(options, handler));
   }
-  service.get(
-    "/admin/v1/configuration",
-    guard(() => Promise.resolve(showConfiguration(configuration))),
-  );
-  service.get(
-    "/admin/v1/configuration/history",
-    guard(() => showHistory(configuration)),
-  );
-  service.get(
-    "/admin/v1/status",
-    guard(() => Promise.resolve({ kind: "done", body: status() })),
-  );
-  service.get(
-    "/admin/v1/fleet",
-    guard(() => Promise.resolve(showFleet(status()))),
-  );
+}
+
+function addChangeRoutes(
+  service: HttpService,
+  options: OperatorRoutesOptions,
+): void {
+  const { configuration } = options;
   service.post(
     "/admin/v1/configuration",
-    guard((body) => replaceConfiguration(configuration, body)),
+    guard(options, (body) => replaceConfiguration(configuration, body)),
   );
   for (const direction of ["out", "in"] as const) {
     service.post(
       `/admin/v1/data-centres/:name/${direction}`,
-      guard((body, params) => {
+      guard(options, (body, params) => {
         const name = toId<DataCentreName>(params["name"] ?? "");
-        return move(configuration, body, {
-          kind: "dataCentre",
-          name,
-          direction,
-        });
+        const change = { kind: "dataCentre", name, direction } as const;
+        return move(configuration, body, change);
       }),
     );
     service.post(
       `/admin/v1/backend-servers/:id/${direction}`,
-      guard((body, params) => {
+      guard(options, (body, params) => {
         const id = toId<BackendServerId>(params["id"] ?? "");
-        return move(configuration, body, {
-          kind: "backendServer",
-          id,
-          direction,
-        });
+        const change = { kind: "backendServer", id, direction } as const;
+        return move(configuration, body, change);
       }),
     );
   }
 }
 
+/** Lets only operators through, and sends what the handler answers. */
+function guard(
+  options: OperatorRoutesOptions,
+  handler: Handler,
+): (request: HttpRequest, response: ServerResponse) => Promise<void> {
+  return (request, response) => handle(options, { handler, request, response });
+}
+
 interface Exchange {
   readonly handler: Handler;
   readonly request: HttpRequest;
