Let the load leave a VM that shuts down as a balancer does

The load went on sending up to the end of the process and so to the very moment of closing, which no server can take; it stops 100 ms after SIGTERM now, in an accept window of 200 ms.

--- a/packages/stand-ins/src/cluster/daemon_handle.ts
+++ b/packages/stand-ins/src/cluster/daemon_handle.ts
@@ -30,6 +30,8 @@
 const PROBE_TIMEOUT_MS = 1000;
 const ADMIN_TIMEOUT_MS = 10_000;
 const START_ATTEMPTS = 3;
+/** Less than `accept_for_ms` in the settings that the harness writes. */
+const BALANCER_DELAY_MS = 100;
 
 /** Starts, signals and asks one daemon. */
 export class DaemonHandle {
@@ -51,7 +53,7 @@
     return this.#process?.isRunning ?? false;
   }
 
-  /** Whether it became ready since its start, and runs. */
+  /** Whether a balancer would send to it. */
   get isInService(): boolean {
     return this.isRunning && this.#wasReady;
   }
@@ -88,9 +90,15 @@
     this.#running().thaw();
   }
 
-  /** SIGTERM; resolves when the process has ended. */
+  /**
+   * SIGTERM; resolves when the process has ended. A balancer notices within
+   * the time that the harness's settings leave it, and sends nothing more.
+   */
   async terminate(): Promise<ExitStatus> {
     const running = this.#running();
+    setTimeout(() => {
+      this.#wasReady = false;
+    }, BALANCER_DELAY_MS);
     const status = await running.terminate();
     this.#options.onEnded(running.processId);
     return status;
