Never say not run while an earlier request holds the key

Cause: a repeat that waits for the claim of a running request could be overtaken by its own deadline, and was then refused with notRun true, though the earlier request may have run (found by the reader of the claim keeper). Ruled out: relying on the keeper deciding 100 ms before the deadline, which a pause of the process defeats. After: the request counts as possibly run from the asking of the claim to its decision; an exception after the claim records its outcome too.

--- a/packages/daemon/src/pipelines/run_pipeline.ts
+++ b/packages/daemon/src/pipelines/run_pipeline.ts
@@ -68,16 +68,45 @@
   });
 }
 
+interface KeyedRequest extends PipelineRequest {
+  readonly idempotencyKey: string;
+}
+
+function isKeyed(request: PipelineRequest): request is KeyedRequest {
+  return request.idempotencyKey !== undefined;
+}
+
 async function runClaimed(
   environment: PipelineEnvironment,
   request: PipelineRequest,
   lifetime: RequestLifetime,
 ): Promise<PipelineResult> {
-  if (
-    request.idempotencyKey === undefined || !isNonIdempotent(request.pipeline)
-  ) {
+  if (!isKeyed(request) || !isNonIdempotent(request.pipeline)) {
     return await runStages(environment, request, lifetime);
   }
+  const decision = await claimKey(environment, request, lifetime);
+  if (decision.kind !== "held") return toResult(decision, lifetime);
+  try {
+    const result = await runStages(environment, request, lifetime);
+    void recordOutcome(environment, decision.claim, toClaimOutcome(result));
+    return result;
+  } catch (error) {
+    const kind = lifetime.mayHaveRun ? "unknown" : "notRun";
+    void recordOutcome(environment, decision.claim, { kind });
+    throw error;
+  }
+}
+
+/**
+ * Until the claim is decided, an earlier request with the key may be running,
+ * so that a deadline in between must not be answered with "not run".
+ */
+async function claimKey(
+  environment: PipelineEnvironment,
+  request: KeyedRequest,
+  lifetime: RequestLifetime,
+): Promise<ClaimDecision> {
+  lifetime.markSent();
   const decision = await environment.claims.claim({
     key: {
       clientAccountId: request.clientAccountId,
@@ -87,10 +116,8 @@
     attemptId: toId<AttemptId>(randomUUID()),
     deadlineAtMs: request.deadlineAtMs,
   }, lifetime.wantedSignal);
-  if (decision.kind !== "held") return toResult(decision, lifetime);
-  const result = await runStages(environment, request, lifetime);
-  void recordOutcome(environment, decision.claim, toClaimOutcome(result));
-  return result;
+  lifetime.markNotSent();
+  return decision;
 }
 
 function toResult(
--- a/packages/daemon/src/pipelines/run_pipeline_test.ts
+++ b/packages/daemon/src/pipelines/run_pipeline_test.ts
@@ -219,6 +219,26 @@
     ]);
   });
 
+  it("doesn't say not run while an earlier request holds the key", async () => {
+    const script = new Script([]);
+    const environment = script.environment();
+    const waiting: PipelineEnvironment = {
+      ...environment,
+      claims: {
+        ...environment.claims,
+        claim: () => new Promise(() => undefined),
+      },
+    };
+    const request = makeRequest("issue", {
+      idempotencyKey: "key-1",
+      deadlineAtMs: MONOTONIC_CLOCK.nowMs() + 20,
+    });
+    const result = await startPipeline(waiting, request).result;
+    if (result.kind !== "refused") throw new Error("Expected a refusal");
+    expect(result.reason).toEqual("deadlineExceeded");
+    expect(result.notRun).toEqual(false);
+  });
+
   it("stops retrying when the budget is spent", async () => {
     const script = new Script([]);
     const environment = script.environment();
