Let an asker report a slow first token while its call runs

Adds the optional noteFirstToken to PermitSource. A cold sign that comes from another daemon now raises a suspicion at the owner, which the release of a refused call makes sure.

--- a/packages/daemon/src/pools/asker_role.ts
+++ b/packages/daemon/src/pools/asker_role.ts
@@ -104,6 +104,12 @@
     }
   }
 
+  noteFirstToken(permit: Permit, firstTokenMs: number, nowMs: number): void {
+    const held = this.#options.held.find(permit.permitId);
+    if (held === undefined) return;
+    this.#observer.noteFirstToken(held, firstTokenMs, nowMs);
+  }
+
   noteDecision(
     from: VmId,
     decided: {
--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -223,8 +223,15 @@
   };
 }
 
-/** Holds a server at the cold limit until a few usual calls have ended. */
-function suspectedState(nowMs: number): ServerState {
+/**
+ * Holds a server at the cold limit until a few usual calls have ended.
+ *
+ * @example
+ * ```ts
+ * suspectedState(nowMs);
+ * ```
+ */
+export function suspectedState(nowMs: number): ServerState {
   return {
     kind: "cold",
     sinceMs: nowMs,
--- a/packages/daemon/src/pools/call_observer.ts
+++ b/packages/daemon/src/pools/call_observer.ts
@@ -54,6 +54,17 @@
     baselines.note(name, sampleMs);
   }
 
+  /** The owner hears of a slow first token before the call has ended. */
+  noteFirstToken(held: HeldPermit, firstTokenMs: number, nowMs: number): void {
+    const { context, baselines } = this.#options;
+    const { service } = held.permit.pool;
+    const entry = context.layout().pools.get(poolKey(held.permit.pool));
+    if (entry?.service.kind !== "modelEngine") return;
+    if (held.permit.warmth === "cold") return;
+    const grade = gradeLatency(firstTokenMs, baselines.of(service));
+    if (grade === "coldStart") this.#noteCold(held, nowMs);
+  }
+
   #noteCold({ permit }: HeldPermit, nowMs: number): void {
     const { coldSigns } = this.#options;
     coldSigns.send(permit.pool, permit.backendServerId, nowMs);
--- /dev/null
+++ b/packages/daemon/src/pools/call_observer_test.ts
@@ -0,0 +1,92 @@
+import {
+  type BackendServerId,
+  type PermitId,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { CallObserver } from "./call_observer.js";
+import { ColdSignSender } from "./cold_sign_sender.js";
+import type { HeldPermit } from "./held_permits.js";
+import { LatencyBaselines } from "./latency_baseline.js";
+import { arrangePools, type PoolEntry } from "./pool_layout.js";
+import type { PoolContext } from "./pool_context.js";
+import {
+  makeAsk,
+  makeConfiguration,
+  makeVmId,
+} from "./test_support/test_configuration.js";
+import { WarmthLog } from "./warmth_log.js";
+
+const USUAL_MS = 100;
+const ask = makeAsk();
+const server = toId<BackendServerId>("palermo-1");
+
+function makeContext(): PoolContext {
+  const layout = arrangePools(makeConfiguration({ servers: { palermo: 1 } }));
+  const pools = new Map<string, PoolEntry>();
+  for (const [key, entry] of layout.pools) {
+    const service = {
+      ...entry.service,
+      kind: "modelEngine",
+      model: "dossier",
+    } as const;
+    pools.set(key, { ...entry, service });
+  }
+  const context: Pick<PoolContext, "layout" | "members"> = {
+    layout: () => ({ ...layout, pools }),
+    members: ["vm-1", "vm-2"].map((vmId) => ({
+      vmId: makeVmId(vmId),
+      dataCentre: ask.pool.dataCentre,
+      state: "live",
+      isSelf: vmId === "vm-1",
+      generation: 1,
+    })),
+  };
+  return context as PoolContext;
+}
+
+function makeHeld(): HeldPermit {
+  return {
+    permit: {
+      permitId: toId<PermitId>("permit-1"),
+      attemptId: ask.attemptId,
+      pool: ask.pool,
+      backendServerId: server,
+      warmth: "warm",
+    },
+    granter: { kind: "fallback" },
+    heldFromMs: 0,
+    endsAtMs: 10_000,
+  };
+}
+
+describe("CallObserver", () => {
+  it("tells every member of a slow first token while the call runs", () => {
+    const told: string[] = [];
+    const context = makeContext();
+    const warmth = new WarmthLog();
+    const link = {
+      send: (to: string) => {
+        told.push(to);
+        return true;
+      },
+    };
+    const baselines = new LatencyBaselines();
+    for (let index = 0; index < 20; index++) {
+      baselines.note(ask.pool.service, USUAL_MS);
+    }
+    const coldSigns = new ColdSignSender({ context, link, warmth });
+    const observer = new CallObserver({
+      context,
+      warmth,
+      coldSigns,
+      baselines,
+    });
+    observer.noteFirstToken(makeHeld(), USUAL_MS, 1000);
+    expect(told).toEqual([]);
+    observer.noteFirstToken(makeHeld(), 3 * USUAL_MS, 1500);
+    expect(told).toEqual(["vm-1", "vm-2"]);
+    expect(warmth.of(server)).toEqual({ warmth: "cold", seenAtMs: 1500 });
+  });
+});
--- a/packages/daemon/src/pools/cold_sign_sender.ts
+++ b/packages/daemon/src/pools/cold_sign_sender.ts
@@ -1,5 +1,5 @@
 /**
- * Tells the members that may own a pool, or use a share of it, that one of its
+ * Tells the members, this one included, that may own a pool, or use a share of it, that one of its
  * backend servers shows a cold start, so that none of them takes an older sign
  * of warmth for the latest.
  *
@@ -34,7 +34,7 @@
     warmth.note(server, { warmth: "cold", seenAtMs: nowMs });
     if (wasCold) return;
     for (const member of context.members) {
-      if (member.isSelf || member.dataCentre !== pool.dataCentre) continue;
+      if (member.dataCentre !== pool.dataCentre) continue;
       link.send(member.vmId, {
         type: "outstandingReply",
         pool,
--- a/packages/daemon/src/pools/create_permit_source.ts
+++ b/packages/daemon/src/pools/create_permit_source.ts
@@ -48,6 +48,9 @@
     release: (permit, release) => {
       source.release(permit, release);
     },
+    noteFirstToken: (permit, firstTokenMs) => {
+      source.noteFirstToken(permit, firstTokenMs);
+    },
     isSpendable: (permit, nowMs) => source.isSpendable(permit, nowMs),
     candidatePools: (service, nowMs) => source.candidatePools(service, nowMs),
     statuses: (nowMs) => source.statuses(nowMs),
--- a/packages/daemon/src/pools/held_permits.ts
+++ b/packages/daemon/src/pools/held_permits.ts
@@ -38,6 +38,10 @@
     this.#countFallback(held, 1);
   }
 
+  find(permitId: PermitId): HeldPermit | undefined {
+    return this.#byId.get(permitId);
+  }
+
   take(permitId: PermitId): HeldPermit | undefined {
     const held = this.#byId.get(permitId);
     if (held === undefined) return undefined;
--- a/packages/daemon/src/pools/permit_source.ts
+++ b/packages/daemon/src/pools/permit_source.ts
@@ -23,6 +23,8 @@
    * When `signal` aborts, a permit that still arrives is given back.
    */
   acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision>;
+  /** Tells of the first token of a call while it still runs. */
+  noteFirstToken?(permit: Permit, firstTokenMs: number): void;
   /** Gives a permit back. Must be called once for each granted permit. */
   release(permit: Permit, release: PermitRelease): void;
   /**
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -13,10 +13,10 @@
   afterCall,
   afterTime,
   type CallReport,
-  coldState,
   isCold,
   observedWarmHealth,
   type ServerHealth,
+  suspectedState,
 } from "./backend_server_state.js";
 import { areSameRights, type GrantRights, NO_RIGHTS } from "./grant_rights.js";
 import {
@@ -218,7 +218,7 @@
     const server = this.#servers.get(id);
     if (server === undefined || isCold(server.health.state)) return;
     if (when.seenAtMs < server.health.state.sinceMs) return;
-    const health = { ...server.health, state: coldState(when.nowMs) };
+    const health = { ...server.health, state: suspectedState(when.nowMs) };
     this.#setHealth(server, health, when.nowMs);
   }
 
--- a/packages/daemon/src/pools/shared_permit_source.ts
+++ b/packages/daemon/src/pools/shared_permit_source.ts
@@ -102,6 +102,10 @@
     this.#asker.release(permit, release, this.#begin());
   }
 
+  noteFirstToken(permit: Permit, firstTokenMs: number): void {
+    this.#asker.noteFirstToken(permit, firstTokenMs, this.#begin());
+  }
+
   isSpendable(permit: Permit, nowMs: number): boolean {
     return this.#held.isSpendable(permit.permitId, nowMs);
   }
