Let a daemon connect from an address of its own; tell test links by it

Ruled out: a faster scan, since its cost still grows with what else the machine does; one URL for each daemon, since all share one register. After: the setting vm.source_address binds outgoing connections, of use on VMs with several addresses; the harness gives each daemon a loopback address, and the proxy reads the source off the connection. source_finder.ts is gone.

--- a/packages/daemon/src/backend_servers/create_stage_caller.ts
+++ b/packages/daemon/src/backend_servers/create_stage_caller.ts
@@ -13,6 +13,12 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 4000;
 
+export interface StageCallerOptions {
+  readonly clock: Clock;
+  /** Local address of the connections; the kernel's choice by default. */
+  readonly sourceAddress?: string | undefined;
+}
+
 export interface RunningStageCaller extends StageCaller {
   close(): Promise<void>;
 }
@@ -22,12 +28,18 @@
  *
  * @example
  * ```ts
- * const caller = createStageCaller(MONOTONIC_CLOCK);
+ * const caller = createStageCaller({ clock: MONOTONIC_CLOCK });
  * ```
  */
-export function createStageCaller(clock: Clock): RunningStageCaller {
+export function createStageCaller(
+  options: StageCallerOptions,
+): RunningStageCaller {
+  const { clock, sourceAddress } = options;
   const dispatcher = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: {
+      timeout: CONNECT_TIMEOUT_MS,
+      ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
+    },
     keepAliveTimeout: KEEP_ALIVE_MS,
     // Every call has its own deadline, by its signal.
     headersTimeout: 0,
--- a/packages/daemon/src/daemon_parts.ts
+++ b/packages/daemon/src/daemon_parts.ts
@@ -106,7 +106,10 @@
     vmList,
     permits,
     claims,
-    stageCaller: createStageCaller(clock),
+    stageCaller: createStageCaller({
+      clock,
+      sourceAddress: settings.vm.source_address,
+    }),
     latencies: new LatencyRecords(),
     inFlight: new RequestsInFlight(),
   };
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -198,6 +198,7 @@
       links: this.#links,
       clock,
       connectTimeoutMs: this.#heartbeatTimeoutMs,
+      sourceAddress: this.#options.settings.vm.source_address,
       handshake: () => this.#handshake(),
       onEnded: (_, error) => {
         if (error !== undefined) reportPeerError(error, { metrics, logger });
--- a/packages/daemon/src/peers/peer_task.ts
+++ b/packages/daemon/src/peers/peer_task.ts
@@ -25,6 +25,8 @@
   readonly links: PeerLinks;
   readonly clock: Clock;
   readonly connectTimeoutMs: number;
+  /** Local address of the connections; the kernel's choice by default. */
+  readonly sourceAddress?: string | undefined;
   readonly handshake: () => HandshakeOptions;
   /** Called for each connection that ended or could not be made. */
   readonly onEnded: (peer: PeerRecord, error: PeerError | undefined) => void;
@@ -82,7 +84,12 @@
   dial: Dial,
 ): Promise<PeerError | undefined> {
   const { address, options } = dial;
-  const channel = new FrameChannel(connect(address), {
+  const { sourceAddress } = options;
+  const socket = connect({
+    ...address,
+    ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
+  });
+  const channel = new FrameChannel(socket, {
     maxBufferedBytes: MAX_BUFFERED_BYTES,
   });
   const timer = setTimeout(() => {
--- a/packages/daemon/src/platform/create_platform_client.ts
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -82,9 +82,16 @@
   readonly #baseUrl: string;
 
   constructor(options: PlatformClientOptions) {
-    const { platform } = options.settings;
+    const { platform, vm } = options.settings;
     this.#options = options;
-    this.#agent = new Agent({ connect: { timeout: platform.call_timeout_ms } });
+    this.#agent = new Agent({
+      connect: {
+        timeout: platform.call_timeout_ms,
+        ...(vm.source_address === undefined
+          ? {}
+          : { localAddress: vm.source_address }),
+      },
+    });
     this.#baseUrl = platform.url.replace(/\/+$/, "");
     this.#limiter = new CallLimiter({
       maxInFlight: platform.max_calls_in_flight,
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -70,6 +70,8 @@
   vm: z.strictObject({
     id: vmIdSchema,
     data_centre: dataCentreNameSchema,
+    /** Local address of outgoing connections; the kernel's choice if absent. */
+    source_address: z.union([z.ipv4(), z.ipv6()]).optional(),
   }),
   listen: z.strictObject({
     /** Callers, operators, probes and metrics. */
--- a/packages/stand-ins/src/cluster/daemon_handle.ts
+++ b/packages/stand-ins/src/cluster/daemon_handle.ts
@@ -17,8 +17,7 @@
   readonly logFile: string;
   /** Frees the ports that are held for it; may be called twice. */
   readonly releasePorts: () => Promise<void>;
-  readonly onStarted: (processId: number) => void;
-  readonly onEnded: (processId: number) => void;
+  readonly onEnded: () => void;
 }
 
 export interface AdminAnswer {
@@ -77,7 +76,7 @@
   async kill(): Promise<void> {
     const running = this.#running();
     await running.kill();
-    this.#options.onEnded(running.processId);
+    this.#options.onEnded();
   }
 
   /** SIGSTOP. */
@@ -100,7 +99,7 @@
       this.#wasReady = false;
     }, BALANCER_DELAY_MS);
     const status = await running.terminate();
-    this.#options.onEnded(running.processId);
+    this.#options.onEnded();
     return status;
   }
 
@@ -165,12 +164,11 @@
     });
     started.ignoreOutput();
     this.#process = started;
-    this.#options.onStarted(started.processId);
     while (started.isRunning) {
       if (await this.#probe("/healthz")) return true;
       await sleep(POLL_INTERVAL_MS);
     }
-    this.#options.onEnded(started.processId);
+    this.#options.onEnded();
     return false;
   }
 
--- a/packages/stand-ins/src/cluster/daemon_launch.ts
+++ b/packages/stand-ins/src/cluster/daemon_launch.ts
@@ -95,7 +95,11 @@
     .filter((other) => other.vmId !== vm.vmId)
     .map((other) => `${other.vmId}@${other.dataCentre}@${other.peerAddress}`);
   return {
-    vm: { id: vm.vmId, data_centre: vm.dataCentre },
+    vm: {
+      id: vm.vmId,
+      data_centre: vm.dataCentre,
+      source_address: context.launch.network.sourceAddress(vm.vmId),
+    },
     listen: { http: vm.httpAddress, peers: vm.peerListenAddress },
     peers: { shared_key: SHARED_KEY, seeds: seeds.join(",") },
     platform: { url: context.launch.platformUrl },
@@ -126,11 +130,7 @@
       if (isReserved) await vm.reservation.release();
       isReserved = false;
     },
-    onStarted: (processId) => {
-      network.addSource(processId, vm.vmId);
-    },
-    onEnded: (processId) => {
-      network.removeSource(processId);
+    onEnded: () => {
       network.refuseUntilTargetListens(vm.vmId);
     },
   });
--- a/packages/stand-ins/src/cluster/network.ts
+++ b/packages/stand-ins/src/cluster/network.ts
@@ -6,7 +6,6 @@
  */
 
 import { type LinkMode, PASS } from "../proxy/link_mode.js";
-import { SourceFinder } from "../proxy/source_finder.js";
 import { TcpProxy } from "../proxy/tcp_proxy.js";
 
 /** A party that daemons connect to. */
@@ -28,12 +27,13 @@
 /** The name of the platform as a link target. */
 export const PLATFORM_TARGET = "platform";
 
+const BYTE = 256;
 const FROZEN: LinkMode = { kind: "freeze" };
 
 /** All proxied links. Without proxies, addresses are given back unchanged. */
 export class ClusterNetwork {
   readonly #isProxied: boolean;
-  readonly #sourceFinder = new SourceFinder();
+  readonly #vmByAddress: ReadonlyMap<string, string>;
   readonly #targets = new Map<string, ProxiedTarget>();
   readonly #sources: readonly LinkSource[];
 
@@ -45,6 +45,16 @@
   ) {
     this.#isProxied = options.isProxied;
     this.#sources = options.sources;
+    this.#vmByAddress = new Map(
+      options.sources.map(({ vmId }) => [this.sourceAddress(vmId), vmId]),
+    );
+  }
+
+  /** The loopback address from which the VM's daemon connects. */
+  sourceAddress(vmId: string): string {
+    const index = this.#sources.findIndex((source) => source.vmId === vmId);
+    const number = index + 1;
+    return `127.1.${Math.floor(number / BYTE)}.${number % BYTE}`;
   }
 
   /** The "host:port" under which daemons reach the target. */
@@ -53,7 +63,7 @@
     const { hostname, port } = new URL(`http://${address}`);
     const proxy = new TcpProxy({
       target: { host: hostname, port: Number(port) },
-      findSources: (ports) => this.#sourceFinder.find(ports),
+      findSource: (address) => this.#vmByAddress.get(address),
     });
     await proxy.start();
     this.#targets.set(target.name, { ...target, proxy });
@@ -65,15 +75,6 @@
     return `http://${await this.addTarget(target, new URL(url).host)}`;
   }
 
-  /** Connections of this process are the VM's from now on. */
-  addSource(processId: number, vmId: string): void {
-    this.#sourceFinder.add(processId, vmId);
-  }
-
-  removeSource(processId: number): void {
-    this.#sourceFinder.remove(processId);
-  }
-
   /** The target has ended: its port refuses until it listens again. */
   refuseUntilTargetListens(name: string): void {
     this.#targets.get(name)?.proxy.refuseUntilTargetListens();
--- a/packages/stand-ins/src/proxy/tcp_proxy.ts
+++ b/packages/stand-ins/src/proxy/tcp_proxy.ts
@@ -9,20 +9,14 @@
 import { type LinkMode, PASS } from "./link_mode.js";
 import { type Endpoint, ProxiedConnection } from "./proxied_connection.js";
 
-export type SourcesOfPorts = (
-  ports: readonly number[],
-) => ReadonlyMap<number, string>;
-
 export interface TcpProxyOptions {
   readonly target: Endpoint;
-  /** Names who connects, by the ports connected from. */
-  readonly findSources?: SourcesOfPorts;
+  /** Names who connects, by the address connected from. */
+  readonly findSource?: (address: string) => string | undefined;
 }
 
 interface OpenConnection {
-  readonly sourcePort: number;
-  /** Found out only when some source has a mode of its own. */
-  source: string | undefined;
+  readonly source: string | undefined;
   readonly connection: ProxiedConnection;
 }
 
@@ -41,7 +35,7 @@
  */
 export class TcpProxy {
   readonly #target: Endpoint;
-  readonly #findSources: SourcesOfPorts;
+  readonly #findSource: (address: string) => string | undefined;
   readonly #server = createServer({ allowHalfOpen: true });
   readonly #open = new Set<OpenConnection>();
   readonly #modes = new Map<string, LinkMode>();
@@ -53,7 +47,7 @@
 
   constructor(options: TcpProxyOptions) {
     this.#target = options.target;
-    this.#findSources = options.findSources ?? (() => new Map());
+    this.#findSource = options.findSource ?? (() => undefined);
     this.#server.on("connection", (socket) => {
       this.#accept(socket);
     });
@@ -81,7 +75,6 @@
   setMode(mode: LinkMode, source?: string): void {
     if (source === undefined) this.#defaultMode = mode;
     else this.#modes.set(source, mode);
-    if (this.#modes.size > 0) this.#findUnknownSources();
     for (const open of this.#open) {
       open.connection.setMode(this.#modeOf(open.source));
     }
@@ -148,10 +141,7 @@
 
   #accept(socket: Socket): void {
     this.#connections++;
-    const sourcePort = socket.remotePort ?? 0;
-    const source = this.#modes.size > 0
-      ? this.#findSources([sourcePort]).get(sourcePort)
-      : undefined;
+    const source = this.#findSource(socket.remoteAddress ?? "");
     const mode = this.#modeOf(source);
     if (mode.kind === "cut") {
       socket.on("error", () => undefined);
@@ -169,17 +159,10 @@
         this.refuseUntilTargetListens();
       },
     });
-    const open: OpenConnection = { sourcePort, source, connection };
+    const open: OpenConnection = { source, connection };
     this.#open.add(open);
   }
 
-  #findUnknownSources(): void {
-    const unknown = [...this.#open].filter((open) => open.source === undefined);
-    if (unknown.length === 0) return;
-    const sources = this.#findSources(unknown.map((open) => open.sourcePort));
-    for (const open of unknown) open.source = sources.get(open.sourcePort);
-  }
-
   #modeOf(source: string | undefined): LinkMode {
     const own = source === undefined ? undefined : this.#modes.get(source);
     return own ?? this.#defaultMode;
--- a/packages/stand-ins/src/proxy/tcp_proxy_test.ts
+++ b/packages/stand-ins/src/proxy/tcp_proxy_test.ts
@@ -1,7 +1,6 @@
 import { expect } from "earl";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { SourceFinder } from "./source_finder.js";
 import { TcpProxy } from "./tcp_proxy.js";
 
 const WAIT_MS = 100;
@@ -20,11 +19,9 @@
       echo.listen(0, "127.0.0.1", resolve);
     });
     const { port } = echo.address() as AddressInfo;
-    const finder = new SourceFinder();
-    finder.add(process.pid, "self");
     proxy = new TcpProxy({
       target: { host: "127.0.0.1", port },
-      findSources: (ports) => finder.find(ports),
+      findSource: (address) => address === "127.0.0.1" ? "self" : undefined,
     });
     await proxy.start();
     received = "";
--- a/tests/src/configuration/settings_page_test.ts
+++ b/tests/src/configuration/settings_page_test.ts
@@ -19,7 +19,7 @@
 /** Parsing fills in every key that has a default. */
 function readSchemaKeys(): string[] {
   const settings = settingsSchema.parse({
-    vm: { id: "vm-a1", data_centre: "palermo" },
+    vm: { id: "vm-a1", data_centre: "palermo", source_address: "127.0.0.1" },
     listen: { http: "127.0.0.1:1", peers: "127.0.0.1:2" },
     peers: { shared_key: "0123456789abcdef" },
     platform: { url: "http://127.0.0.1:3" },
