Tell a cold start from a smaller rise of latency

After: twice the baseline and four mean deviations count as slow, in place of 2.5 and eight; the limit falls from 1.6 times on.

--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -11,13 +11,13 @@
 
 const MIN_SAMPLES = 10;
 const SMOOTHING = 0.05;
-const COLD_FACTOR = 2.5;
+const COLD_FACTOR = 2;
 /** In mean deviations above the baseline. */
-const COLD_DEVIATIONS = 8;
+const COLD_DEVIATIONS = 4;
 /** Less than this above the baseline is never taken for a cold start. */
 const COLD_EXTRA_MS = 20;
 const RAISED_FACTOR = 1.3;
-const PRESSURE_FACTOR = 2;
+const PRESSURE_FACTOR = 1.6;
 const PRESSURE_EXTRA_MS = 20;
 
 export interface LatencyBaseline {
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -13,6 +13,7 @@
   afterCall,
   afterTime,
   type CallReport,
+  coldState,
   isCold,
   observedWarmHealth,
   type ServerHealth,
