--- a/packages/stand-ins/src/backend_servers/backend_server_core.ts
+++ b/packages/stand-ins/src/backend_servers/backend_server_core.ts
@@ -190,7 +190,10 @@
   finish(call: Call): void {
     this.#calls.delete(call);
     this.coldStart.leave(call.entry.outcome === "completed");
-    this.coldStart.noteSign(Date.now());
+    // Nobody was left to see how a canceled call ended.
+    if (call.entry.outcome !== "canceled") {
+      this.coldStart.noteSign(Date.now());
+    }
   }
 
   /** Works for a time, longer under faults; rejects when interrupted. */
