Elect owners by the one rendezvous hash

Cause: the same hash and ranking stood in peers/ and in pools/. After: owner_election.ts uses peers/rendezvous.ts; other owners are elected than before for the same members, which no stored state depends on.

--- a/packages/daemon/src/pools/grant_rights.ts
+++ b/packages/daemon/src/pools/grant_rights.ts
@@ -5,7 +5,7 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
-import { hashText } from "./owner_election.js";
+import { hash32 } from "../peers/rendezvous.js";
 
 export type WarmRights =
   /** The outstanding permits aren't known yet. */
@@ -48,7 +48,7 @@
 export function warmShareOf(server: LimitedServer, share: WarmShare): number {
   if (share.vmCount <= 0) return 0;
   const whole = Math.floor(server.limit / share.vmCount);
-  const turn = (share.rank + hashText(server.backendServerId)) % share.vmCount;
+  const turn = (share.rank + hash32(server.backendServerId)) % share.vmCount;
   return whole + (turn < server.limit % share.vmCount ? 1 : 0);
 }
 
--- a/packages/daemon/src/pools/owner_election.ts
+++ b/packages/daemon/src/pools/owner_election.ts
@@ -6,10 +6,8 @@
  */
 
 import { type PoolId, poolKey, type VmId } from "@sassafrasstage/protocol/ids";
-import type { Member } from "../peers/peer_network.js";
-
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+import type { Member, MemberState } from "../peers/peer_network.js";
+import { rankByRendezvous } from "../peers/rendezvous.js";
 
 /**
  * The member that should own the pool. Members that are leaving own one only
@@ -25,43 +23,15 @@
   members: readonly Member[],
 ): VmId | undefined {
   const local = members.filter((m) => m.dataCentre === pool.dataCentre);
-  return highestScore(pool, local.filter((m) => m.state === "live")) ??
-    highestScore(pool, local.filter((m) => m.state === "leaving"));
+  return electAmong(pool, idsInState(local, "live")) ??
+    electAmong(pool, idsInState(local, "leaving"));
 }
 
-function highestScore(
-  pool: PoolId,
-  members: readonly Member[],
-): VmId | undefined {
-  const key = poolKey(pool);
-  let best: VmId | undefined;
-  let bestScore = -1;
-  for (const member of members) {
-    const score = hashText(`${key}/${member.vmId}`);
-    if (score < bestScore) continue;
-    if (score === bestScore && best !== undefined && best < member.vmId) {
-      continue;
-    }
-    best = member.vmId;
-    bestScore = score;
-  }
-  return best;
+function idsInState(members: readonly Member[], state: MemberState): VmId[] {
+  return members.filter((m) => m.state === state).map((m) => m.vmId);
 }
 
-/**
- * A 32-bit hash with well mixed bits, equal in every process.
- *
- * @example
- * ```ts
- * const turn = hashText(serverId) % vmCount;
- * ```
- */
-export function hashText(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
+function electAmong(pool: PoolId, vmIds: readonly VmId[]): VmId | undefined {
+  const [owner] = rankByRendezvous(poolKey(pool), vmIds);
+  return owner;
 }
