--- a/packages/stand-ins/src/proxy/tcp_proxy.ts
+++ b/packages/stand-ins/src/proxy/tcp_proxy.ts
@@ -23,6 +23,7 @@
   readonly sourcePort: number;
   /** Found out only when some source has a mode of its own. */
   source: string | undefined;
+  isLookedUp: boolean;
   readonly connection: ProxiedConnection;
 }
 
@@ -169,15 +170,23 @@
         this.refuseUntilTargetListens();
       },
     });
-    const open: OpenConnection = { sourcePort, source, connection };
+    const open: OpenConnection = {
+      sourcePort,
+      source,
+      isLookedUp: this.#modes.size > 0,
+      connection,
+    };
     this.#open.add(open);
   }
 
   #findUnknownSources(): void {
-    const unknown = [...this.#open].filter((open) => open.source === undefined);
+    const unknown = [...this.#open].filter((open) => !open.isLookedUp);
     if (unknown.length === 0) return;
     const sources = this.#findSources(unknown.map((open) => open.sourcePort));
-    for (const open of unknown) open.source = sources.get(open.sourcePort);
+    for (const open of unknown) {
+      open.source = sources.get(open.sourcePort);
+      open.isLookedUp = true;
+    }
   }
 
   #modeOf(source: string | undefined): LinkMode {
