Tell the owner of a slow first token while the stream runs

After: the engine adapter reports the first token as it comes, and the pipelines pass it to the permit source, which tells the owner when it is a sign of cold.

--- a/packages/daemon/src/backend_servers/model_engine_caller.ts
+++ b/packages/daemon/src/backend_servers/model_engine_caller.ts
@@ -80,10 +80,13 @@
       await response.body.dump();
       return failureOfStatus(response.statusCode);
     }
-    const reader = new CompletionReader(call, this.#clock);
+    const reader = new CompletionReader(call, {
+      clock: this.#clock,
+      startedAtMs,
+    });
     response.body.setEncoding("utf8");
     for await (const text of response.body) reader.feed(text as string);
-    return reader.finish(startedAtMs);
+    return reader.finish();
   }
 }
 
@@ -102,10 +105,15 @@
   return typeof input === "string" ? input : JSON.stringify(input);
 }
 
+interface ReaderTiming {
+  readonly clock: Clock;
+  readonly startedAtMs: number;
+}
+
 /** Gathers one stream. */
 class CompletionReader {
   readonly #call: StageCall;
-  readonly #clock: Clock;
+  readonly #timing: ReaderTiming;
   readonly #parser = createParser({
     onEvent: (event) => {
       this.#takeData(event.data);
@@ -113,32 +121,34 @@
   });
   #text = "";
   #tokens = 0;
-  #firstTokenAtMs: number | undefined;
+  #firstTokenMs: number | undefined;
   #foreignId: string | undefined;
   #isEnded = false;
 
-  constructor(call: StageCall, clock: Clock) {
+  constructor(call: StageCall, timing: ReaderTiming) {
     this.#call = call;
-    this.#clock = clock;
+    this.#timing = timing;
   }
 
   feed(text: string): void {
     this.#parser.feed(text);
   }
 
-  finish(startedAtMs: number): CallResult {
+  finish(): CallResult {
     if (this.#foreignId !== undefined) return foreignResult(this.#foreignId);
     if (!this.#isEnded) return brokenStream(this.#tokens);
-    const firstTokenMs = (this.#firstTokenAtMs ?? this.#clock.nowMs()) -
-      startedAtMs;
     return {
       kind: "completed",
       output: this.#text,
-      firstTokenMs,
+      firstTokenMs: this.#firstTokenMs ?? this.#elapsedMs(),
       tokens: this.#tokens,
     };
   }
 
+  #elapsedMs(): number {
+    return this.#timing.clock.nowMs() - this.#timing.startedAtMs;
+  }
+
   #takeData(data: string): void {
     if (data === END_OF_STREAM) {
       this.#isEnded = true;
@@ -151,7 +161,10 @@
     }
     const text = chunk.choices[0]?.text ?? "";
     if (text === "" || this.#foreignId !== undefined) return;
-    this.#firstTokenAtMs ??= this.#clock.nowMs();
+    if (this.#firstTokenMs === undefined) {
+      this.#firstTokenMs = this.#elapsedMs();
+      this.#call.onFirstToken?.(this.#firstTokenMs);
+    }
     this.#tokens += 1;
     this.#text += text;
     this.#call.onToken?.(text);
--- a/packages/daemon/src/backend_servers/stage_call.ts
+++ b/packages/daemon/src/backend_servers/stage_call.ts
@@ -20,6 +20,8 @@
   readonly idempotencyKey?: string;
   /** Called for each piece of text as it arrives; model engines only. */
   readonly onToken?: (text: string) => void;
+  /** Called once, with the time from the start of the call. */
+  readonly onFirstToken?: (firstTokenMs: number) => void;
 }
 
 export interface CompletedCall {
--- a/packages/daemon/src/pipelines/run_call.ts
+++ b/packages/daemon/src/pipelines/run_call.ts
@@ -44,7 +44,7 @@
   const startedAtMs = environment.clock.nowMs();
   const limit = limitCall(environment, request);
   const ended = environment.stageCaller.call(
-    makeStageCall(request),
+    makeStageCall(environment, request),
     limit.signal,
   )
     .then((result) => {
@@ -89,7 +89,10 @@
   };
 }
 
-function makeStageCall(request: CallRequest): StageCall {
+function makeStageCall(
+  environment: PipelineEnvironment,
+  request: CallRequest,
+): StageCall {
   const { run, granted, attemptId } = request;
   const { idempotencyKey, listener } = run.request;
   const isLastStage = run.request.pipeline.stages.at(-1) === run.stage;
@@ -101,6 +104,9 @@
     input: run.input,
     maxTokens: run.stage.maxTokens,
     urgency: run.request.pipeline.urgency,
+    onFirstToken: (firstTokenMs) => {
+      environment.permits.noteFirstToken(granted.permit, firstTokenMs);
+    },
     ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
     ...(listener === undefined || !isLastStage ? {} : {
       onToken: (text: string) => {
--- a/packages/daemon/src/pipelines/run_pipeline_test.ts
+++ b/packages/daemon/src/pipelines/run_pipeline_test.ts
@@ -58,6 +58,7 @@
           this.releases.push(release);
         },
         isSpendable: () => true,
+        noteFirstToken: () => undefined,
         candidatePools: (service) => [
           { service, dataCentre: toId<DataCentreName>("palermo") },
         ],
--- a/packages/daemon/src/pools/baseline_permit_source.ts
+++ b/packages/daemon/src/pools/baseline_permit_source.ts
@@ -92,6 +92,11 @@
     });
   }
 
+  /** Cold starts aren't looked for. */
+  noteFirstToken(): void {
+    return;
+  }
+
   release(permit: Permit, release: PermitRelease): void {
     if (!this.#endsAtMs.delete(permit.permitId)) return;
     const id = release.backendServerId;
--- a/packages/daemon/src/pools/permit_source.ts
+++ b/packages/daemon/src/pools/permit_source.ts
@@ -24,7 +24,7 @@
    */
   acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision>;
   /** Tells of the first token of a call while it still runs. */
-  noteFirstToken?(permit: Permit, firstTokenMs: number): void;
+  noteFirstToken(permit: Permit, firstTokenMs: number): void;
   /** Gives a permit back. Must be called once for each granted permit. */
   release(permit: Permit, release: PermitRelease): void;
   /**
