--- a/packages/daemon/src/pools/granted_permits.ts
+++ b/packages/daemon/src/pools/granted_permits.ts
@@ -70,14 +70,6 @@
     }
   }
 
-  /** The permits granted before the given time, the oldest first. */
-  *grantedBefore(atMs: number): Iterable<GrantedPermit> {
-    for (const granted of this.#byId.values()) {
-      if (granted.grantedAtMs >= atMs) return;
-      yield granted;
-    }
-  }
-
   /** For the rare event of a holder's end only: reads all. */
   heldBy(holder: VmId): GrantedPermit[] {
     return [...this.#byId.values()].filter((g) => g.holder === holder);
--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -68,8 +68,14 @@
   presentMs = 0,
 ): LatencyGrade {
   if (baseline === undefined || baseline.samples < MIN_SAMPLES) return "usual";
+  const { deviationMs } = baseline;
   const meanMs = Math.max(baseline.meanMs, presentMs);
-  if (sampleMs > coldStartMs(baseline, presentMs)) return "coldStart";
+  const coldMs = Math.max(
+    meanMs * COLD_FACTOR,
+    meanMs + COLD_EXTRA_MS,
+    meanMs + COLD_DEVIATIONS * deviationMs,
+  );
+  if (sampleMs > coldMs) return "coldStart";
   if (
     sampleMs > Math.max(meanMs * PRESSURE_FACTOR, meanMs + PRESSURE_EXTRA_MS)
   ) {
@@ -78,27 +84,6 @@
   return sampleMs > meanMs * RAISED_FACTOR ? "raised" : "usual";
 }
 
-/**
- * The latency from which a call speaks for a cold start.
- *
- * @example
- * ```ts
- * coldStartMs({ meanMs: 80, deviationMs: 9, samples: 50 }, 0); // 160
- * ```
- */
-export function coldStartMs(
-  baseline: LatencyBaseline | undefined,
-  presentMs: number,
-): number {
-  if (baseline === undefined || baseline.samples < MIN_SAMPLES) return Infinity;
-  const meanMs = Math.max(baseline.meanMs, presentMs);
-  return Math.max(
-    meanMs * COLD_FACTOR,
-    meanMs + COLD_EXTRA_MS,
-    meanMs + COLD_DEVIATIONS * baseline.deviationMs,
-  );
-}
-
 /** The baselines of all services, as this daemon has seen them. */
 export class LatencyBaselines {
   readonly #byService = new Map<ServiceName, LatencyBaseline>();
--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -26,7 +26,6 @@
 import type { GrantRights } from "./grant_rights.js";
 import { type GrantedPermit, GrantedPermits } from "./granted_permits.js";
 import {
-  coldStartMs,
   gradeLatency,
   type LatencyBaselines,
   latencySample,
@@ -137,7 +136,6 @@
     this.#servers.refresh(nowMs);
     this.#refuseInOutage(nowMs);
     this.#updateCounterPart(nowMs);
-    this.#suspectOverdue(nowMs);
     this.pump(nowMs);
   }
 
@@ -328,24 +326,6 @@
     return aheadMs / (this.#servers.slots * ADMITTED_PART);
   }
 
-  /**
-   * A plain call that runs longer than a cold start's is a sign before it
-   * ends. Of an engine only the first token tells, which the asker reports.
-   */
-  #suspectOverdue(nowMs: number): void {
-    const { service } = this.#servers;
-    if (service.kind !== "plain") return;
-    const baseline = this.#options.baselines.of(service.name);
-    const beforeMs = nowMs - coldStartMs(baseline, 0);
-    for (const granted of this.#permits.grantedBefore(beforeMs)) {
-      const id = granted.permit.backendServerId;
-      const presentMs = this.#servers.latencyWithout(id);
-      const overdueMs = nowMs - granted.grantedAtMs;
-      if (overdueMs <= coldStartMs(baseline, presentMs)) continue;
-      this.#servers.coolDown(id, { seenAtMs: granted.grantedAtMs, nowMs });
-    }
-  }
-
   /** Nobody waits, and there is room. */
   #isIdle(): boolean {
     return this.#queue.size === 0 && this.#servers.hasRoom;
--- a/packages/daemon/src/pools/owned_pool_test.ts
+++ b/packages/daemon/src/pools/owned_pool_test.ts
@@ -182,23 +182,6 @@
     expect(bench.kindOf(hopeless)).toEqual("refused");
   });
 
-  it("suspects a server whose plain call is overdue", () => {
-    const bench = new Bench();
-    let nowMs = 0;
-    for (; nowMs < 3000; nowMs += 50) {
-      bench.release(bench.submit({}, nowMs), "completed", nowMs + 50);
-    }
-    function states(): string[] {
-      return bench.pool.statuses().map((server) => server.state);
-    }
-    expect(states().includes("cold")).toEqual(false);
-    bench.submit({}, nowMs);
-    bench.pool.tick(nowMs + 60);
-    expect(states().includes("cold")).toEqual(false);
-    bench.pool.tick(nowMs + 200);
-    expect(states().filter((state) => state === "cold").length).toEqual(1);
-  });
-
   it("refuses when every server is excluded", () => {
     const bench = new Bench();
     const excluded = bench.pool.statuses().map((server) => server.id);
