--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -11,12 +11,13 @@
 
 const MIN_SAMPLES = 10;
 const SMOOTHING = 0.05;
-const COLD_FACTOR = 2.5;
+const COLD_FACTOR = 2;
 /** In mean deviations above the baseline. */
-const COLD_DEVIATIONS = 8;
+const COLD_DEVIATIONS = 4;
 /** Less than this above the baseline is never taken for a cold start. */
 const COLD_EXTRA_MS = 20;
-const PRESSURE_FACTOR = 2;
+const RAISED_FACTOR = 1.3;
+const PRESSURE_FACTOR = 1.6;
 const PRESSURE_EXTRA_MS = 20;
 
 export interface LatencyBaseline {
@@ -27,7 +28,7 @@
 }
 
 /** How a latency compares with the baseline. */
-export type LatencyGrade = "usual" | "high" | "coldStart";
+export type LatencyGrade = "usual" | "raised" | "high" | "coldStart";
 
 /**
  * The part of a call that shows the server's state: the first token of an
@@ -80,7 +81,7 @@
   ) {
     return "high";
   }
-  return "usual";
+  return sampleMs > meanMs * RAISED_FACTOR ? "raised" : "usual";
 }
 
 /** The baselines of all services, as this daemon has seen them. */
