--- a/packages/daemon/src/pipelines/run_pipeline.ts
+++ b/packages/daemon/src/pipelines/run_pipeline.ts
@@ -1,30 +1,18 @@
 /**
- * Runs one request through all stages of its pipeline.
+ * Starts a request and answers it at its deadline at the latest.
  *
  * @module
  */
 
-import type { ClaimOutcome } from "@sassafrasstage/protocol/claims";
-import { randomUUID } from "node:crypto";
-import { type AttemptId, toId } from "@sassafrasstage/protocol/ids";
-import type { Service } from "@sassafrasstage/protocol/register";
-import type { Stage } from "@sassafrasstage/protocol/rules";
-import { indexOf } from "../configuration/configuration_index.js";
-import type { ClaimDecision, HeldClaim } from "../claims/claim_keeper.js";
 import type { PipelineEnvironment } from "./pipeline_environment.js";
-import {
-  isNonIdempotent,
-  type PipelineAnswer,
-  type PipelineRequest,
-  type PipelineResult,
-  type Refusal,
-  type StageReport,
+import type {
+  PipelineRequest,
+  PipelineResult,
+  Refusal,
 } from "./pipeline_request.js";
-import { refuse, refuseUnwanted } from "./refuse.js";
+import { refuseUnwanted } from "./refuse.js";
 import { RequestLifetime } from "./request_lifetime.js";
-import { runStage } from "./run_stage.js";
-import type { StageResult, StageRun } from "./stage_run.js";
-import { toRecordedAnswer } from "./recorded_answer.js";
+import { runClaimed } from "./run_claimed.js";
 
 /** The result for the caller, and the end of all work for the request. */
 export interface RunningPipeline {
@@ -67,172 +55,3 @@
     }, { once: true });
   });
 }
-
-async function runClaimed(
-  environment: PipelineEnvironment,
-  request: PipelineRequest,
-  lifetime: RequestLifetime,
-): Promise<PipelineResult> {
-  if (
-    request.idempotencyKey === undefined || !isNonIdempotent(request.pipeline)
-  ) {
-    return await runStages(environment, request, lifetime);
-  }
-  const decision = await environment.claims.claim({
-    key: {
-      clientAccountId: request.clientAccountId,
-      idempotencyKey: request.idempotencyKey,
-    },
-    contentSha256: request.contentSha256,
-    attemptId: toId<AttemptId>(randomUUID()),
-    deadlineAtMs: request.deadlineAtMs,
-  }, lifetime.wantedSignal);
-  if (decision.kind !== "held") return toResult(decision, lifetime);
-  const result = await runStages(environment, request, lifetime);
-  void recordOutcome(environment, decision.claim, toClaimOutcome(result));
-  return result;
-}
-
-function toResult(
-  decision: Exclude<ClaimDecision, { kind: "held" }>,
-  lifetime: RequestLifetime,
-): PipelineResult {
-  switch (decision.kind) {
-    case "answered":
-      return { kind: "repeated", answer: decision.answer };
-    case "outcomeUnknown":
-      return {
-        kind: "refused",
-        reason: "outcomeUnknown",
-        detail: "An earlier request with this key may have run",
-        notRun: false,
-      };
-    case "otherContent":
-      return refuse(lifetime, {
-        reason: "keyReusedWithOtherContent",
-        detail: "The key was used for another pipeline or body",
-      });
-    case "unavailable":
-      return refuse(lifetime, {
-        reason: "claimsUnavailable",
-        detail: decision.detail,
-        retryAfterMs: decision.retryAfterMs,
-      });
-  }
-}
-
-function toClaimOutcome(result: PipelineResult): ClaimOutcome {
-  switch (result.kind) {
-    case "answered":
-      return { kind: "answered", answer: toRecordedAnswer(result.answer) };
-    case "repeated":
-      return { kind: "answered", answer: result.answer };
-    case "refused":
-      return { kind: result.notRun ? "notRun" : "unknown" };
-  }
-}
-
-async function recordOutcome(
-  environment: PipelineEnvironment,
-  claim: HeldClaim,
-  outcome: ClaimOutcome,
-): Promise<void> {
-  const isRecorded = await environment.claims.recordOutcome(claim, outcome);
-  if (isRecorded) return;
-  environment.metrics.countEvent("claimOutcomeLate");
-  environment.logger.warn("claimOutcomeLate", { outcome: outcome.kind });
-}
-
-async function runStages(
-  environment: PipelineEnvironment,
-  request: PipelineRequest,
-  lifetime: RequestLifetime,
-): Promise<PipelineResult> {
-  const reports: StageReport[] = [];
-  let previous: unknown;
-  for (const stage of request.pipeline.stages) {
-    const startedAtMs = environment.clock.nowMs();
-    const run: StageRun = {
-      request,
-      lifetime,
-      stage,
-      service: findService(request, stage),
-      input: reports.length === 0
-        ? { input: request.input }
-        : { input: request.input, previous },
-    };
-    const result = await runStage(environment, run);
-    if (result.kind === "refused") return result;
-    previous = result.call.output;
-    const report = makeReport(run, result, {
-      durationMs: environment.clock.nowMs() - startedAtMs,
-    });
-    reports.push(report);
-    recordStage(environment, request, report);
-  }
-  return {
-    kind: "answered",
-    answer: makeAnswer(request, {
-      output: previous,
-      stages: reports,
-      totalMs: environment.clock.nowMs() - request.receivedAtMs,
-    }),
-  };
-}
-
-function findService(request: PipelineRequest, stage: Stage): Service {
-  const service = indexOf(request.configuration).services.get(stage.service);
-  if (service === undefined) {
-    throw new Error(`Service "${stage.service}" is absent from the register`);
-  }
-  return service;
-}
-
-function makeReport(
-  run: StageRun,
-  result: Extract<StageResult, { kind: "completed" }>,
-  timing: { readonly durationMs: number },
-): StageReport {
-  const { tokens } = result.call;
-  return {
-    stage: run.stage.name,
-    service: run.service.name,
-    backendServerId: result.granted.permit.backendServerId,
-    dataCentre: result.granted.permit.pool.dataCentre,
-    attempts: result.attempts,
-    durationMs: timing.durationMs,
-    callMs: result.callMs,
-    ...(tokens === undefined ? {} : { tokens }),
-  };
-}
-
-function recordStage(
-  environment: PipelineEnvironment,
-  request: PipelineRequest,
-  report: StageReport,
-): void {
-  const pipeline = request.pipeline.name;
-  environment.estimates.record(
-    { pipeline, stage: report.stage },
-    report.callMs,
-    environment.clock.nowMs(),
-  );
-  environment.latencies.record({
-    pipeline,
-    stage: report.stage,
-    durationMs: report.durationMs,
-    callMs: report.callMs,
-    tokens: report.tokens ?? 0,
-  });
-}
-
-function makeAnswer(
-  request: PipelineRequest,
-  outcome: Pick<PipelineAnswer, "output" | "stages" | "totalMs">,
-): PipelineAnswer {
-  return {
-    requestId: request.requestId,
-    pipeline: request.pipeline.name,
-    ...outcome,
-  };
-}
--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -11,12 +11,13 @@
 
 const MIN_SAMPLES = 10;
 const SMOOTHING = 0.05;
-const COLD_FACTOR = 2.5;
+const COLD_FACTOR = 2;
 /** In mean deviations above the baseline. */
-const COLD_DEVIATIONS = 8;
+const COLD_DEVIATIONS = 4;
 /** Less than this above the baseline is never taken for a cold start. */
 const COLD_EXTRA_MS = 20;
-const PRESSURE_FACTOR = 2;
+const RAISED_FACTOR = 1.3;
+const PRESSURE_FACTOR = 1.6;
 const PRESSURE_EXTRA_MS = 20;
 
 export interface LatencyBaseline {
@@ -27,7 +28,7 @@
 }
 
 /** How a latency compares with the baseline. */
-export type LatencyGrade = "usual" | "high" | "coldStart";
+export type LatencyGrade = "usual" | "raised" | "high" | "coldStart";
 
 /**
  * The part of a call that shows the server's state: the first token of an
@@ -67,20 +68,35 @@
   presentMs = 0,
 ): LatencyGrade {
   if (baseline === undefined || baseline.samples < MIN_SAMPLES) return "usual";
-  const { deviationMs } = baseline;
   const meanMs = Math.max(baseline.meanMs, presentMs);
-  const coldMs = Math.max(
-    meanMs * COLD_FACTOR,
-    meanMs + COLD_EXTRA_MS,
-    meanMs + COLD_DEVIATIONS * deviationMs,
-  );
-  if (sampleMs > coldMs) return "coldStart";
+  if (sampleMs > coldStartMs(baseline, presentMs)) return "coldStart";
   if (
     sampleMs > Math.max(meanMs * PRESSURE_FACTOR, meanMs + PRESSURE_EXTRA_MS)
   ) {
     return "high";
   }
-  return "usual";
+  return sampleMs > meanMs * RAISED_FACTOR ? "raised" : "usual";
+}
+
+/**
+ * The latency from which a call speaks for a cold start.
+ *
+ * @example
+ * ```ts
+ * coldStartMs({ meanMs: 80, deviationMs: 9, samples: 50 }, 0); // 160
+ * ```
+ */
+export function coldStartMs(
+  baseline: LatencyBaseline | undefined,
+  presentMs: number,
+): number {
+  if (baseline === undefined || baseline.samples < MIN_SAMPLES) return Infinity;
+  const meanMs = Math.max(baseline.meanMs, presentMs);
+  return Math.max(
+    meanMs * COLD_FACTOR,
+    meanMs + COLD_EXTRA_MS,
+    meanMs + COLD_DEVIATIONS * baseline.deviationMs,
+  );
 }
 
 /** The baselines of all services, as this daemon has seen them. */
--- a/packages/stand-ins/src/cluster/daemon_handle.ts
+++ b/packages/stand-ins/src/cluster/daemon_handle.ts
@@ -17,8 +17,7 @@
   readonly logFile: string;
   /** Frees the ports that are held for it; may be called twice. */
   readonly releasePorts: () => Promise<void>;
-  readonly onStarted: (processId: number) => void;
-  readonly onEnded: (processId: number) => void;
+  readonly onEnded: () => void;
 }
 
 export interface AdminAnswer {
@@ -30,6 +29,8 @@
 const PROBE_TIMEOUT_MS = 1000;
 const ADMIN_TIMEOUT_MS = 10_000;
 const START_ATTEMPTS = 3;
+/** Less than `accept_for_ms` in the settings that the harness writes. */
+const BALANCER_DELAY_MS = 100;
 
 /** Starts, signals and asks one daemon. */
 export class DaemonHandle {
@@ -51,7 +52,7 @@
     return this.#process?.isRunning ?? false;
   }
 
-  /** Whether it became ready since its start, and runs. */
+  /** Whether a balancer would send to it. */
   get isInService(): boolean {
     return this.isRunning && this.#wasReady;
   }
@@ -75,7 +76,7 @@
   async kill(): Promise<void> {
     const running = this.#running();
     await running.kill();
-    this.#options.onEnded(running.processId);
+    this.#options.onEnded();
   }
 
   /** SIGSTOP. */
@@ -88,11 +89,17 @@
     this.#running().thaw();
   }
 
-  /** SIGTERM; resolves when the process has ended. */
+  /**
+   * SIGTERM; resolves when the process has ended. A balancer notices within
+   * the time that the harness's settings leave it, and sends nothing more.
+   */
   async terminate(): Promise<ExitStatus> {
     const running = this.#running();
+    setTimeout(() => {
+      this.#wasReady = false;
+    }, BALANCER_DELAY_MS);
     const status = await running.terminate();
-    this.#options.onEnded(running.processId);
+    this.#options.onEnded();
     return status;
   }
 
@@ -157,12 +164,11 @@
     });
     started.ignoreOutput();
     this.#process = started;
-    this.#options.onStarted(started.processId);
     while (started.isRunning) {
       if (await this.#probe("/healthz")) return true;
       await sleep(POLL_INTERVAL_MS);
     }
-    this.#options.onEnded(started.processId);
+    this.#options.onEnded();
     return false;
   }
 
