Grant nothing after a pause until the generation is confirmed; keep the proxy's streams whole

Causes: (1) taken_out_test saw 8 calls reach a server of a data centre taken out 180 to 270 ms after a daemon was thawed: it elected itself again and granted on the configuration it had before the pause. (2) After a VM was killed, every cold pool waited for the longest deadline of all pipelines (20 s in the sample plan). (3) The random faults found one wrong answer: the fault proxy dropped bytes of a half-open connection and then passed the rest, and let chunks overtake delayed ones, which no TCP stream does. Ruled out for (3): checking the engine's token count, since a chunk may carry several tokens. After: (1) owner and fallback withhold grants after a pause until a daemon heard since has no higher generation, at most 1 s; a permit unspent for 1 s is void. (2) the wait is the longest deadline among the pipelines that use the service. (3) half-open connections are reset when healed, and order is kept.

--- a/packages/daemon/src/pools/fallback_grants.ts
+++ b/packages/daemon/src/pools/fallback_grants.ts
@@ -59,6 +59,7 @@
   grant(ask: PermitAsk, nowMs: number): Permit | undefined {
     const { context } = this.#options;
     if (ask.pool.dataCentre !== context.self.dataCentre) return undefined;
+    if (!context.isConfigurationConfirmed(nowMs)) return undefined;
     const entry = context.layout().pools.get(poolKey(ask.pool));
     if (entry === undefined) return undefined;
     const server = entry.servers.find((candidate) =>
--- a/packages/daemon/src/pools/held_permits.ts
+++ b/packages/daemon/src/pools/held_permits.ts
@@ -14,6 +14,9 @@
 import type { OutstandingPermit } from "@sassafrasstage/protocol/peer_messages";
 import type { Permit } from "@sassafrasstage/protocol/permits";
 
+/** Permits are spent at once; one that wasn't was held through a pause. */
+const MAX_UNSPENT_MS = 1000;
+
 /** Who granted a permit. */
 export type PermitGranter =
   | { readonly kind: "owner"; readonly vmId: VmId }
@@ -52,7 +55,8 @@
 
   isSpendable(permitId: PermitId, nowMs: number): boolean {
     const held = this.#byId.get(permitId);
-    return held !== undefined && nowMs < held.endsAtMs;
+    return held !== undefined && nowMs < held.endsAtMs &&
+      nowMs - held.heldFromMs < MAX_UNSPENT_MS;
   }
 
   /** Permits in flight at a server that this daemon granted itself. */
--- a/packages/daemon/src/pools/layout_cache.ts
+++ b/packages/daemon/src/pools/layout_cache.ts
@@ -21,7 +21,7 @@
   dataCentresOut: new Set(),
   serversOut: new Set(),
   shares: new Map(),
-  longestDeadlineMs: 0,
+  longestDeadlinesMs: new Map(),
 };
 
 export interface LayoutSources {
--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -10,6 +10,7 @@
   type PermitId,
   type PoolId,
   poolKey,
+  type ServiceName,
   toId,
   type VmId,
 } from "@sassafrasstage/protocol/ids";
@@ -62,7 +63,7 @@
   readonly #gone: GoneMembers;
   #configuredLayout: PoolLayout | undefined;
   #configuredVms: VmAvailability | undefined;
-  #longestPermitMs = 0;
+  readonly #longestPermitsMs = new Map<ServiceName, number>();
   #permitNumber = 0;
   #lastSeenMs: number;
 
@@ -80,10 +81,7 @@
   tick(nowMs: number): void {
     const { context } = this.#options;
     const layout = context.layout();
-    this.#longestPermitMs = Math.max(
-      this.#longestPermitMs,
-      layout.longestDeadlineMs + PERMIT_MARGIN_MS,
-    );
+    this.#noteDeadlines(layout);
     const went = this.#gone.update(context.members, nowMs);
     this.#followElections(layout, nowMs);
     this.#configure(layout, nowMs);
@@ -192,6 +190,7 @@
     if (pausedMs < this.#options.context.settings.pools.lease_ms) return;
     this.#options.metrics.countEvent("pausedPastLease");
     this.#options.logger.warn("pausedPastLease", { pausedMs });
+    this.#options.context.notePause(nowMs);
     this.giveUpAll(nowMs);
   }
 
@@ -244,7 +243,7 @@
       link: this.#options.link,
       gone: this.#gone,
       warmth: this.#options.warmth,
-      longestPermitMs: () => this.#longestPermitMs,
+      longestPermitMs: () => this.#longestPermitMs(entry),
       startedAtMs: nowMs,
       pool: {
         queueOrder: context.settings.policy.queue_order,
@@ -292,6 +291,20 @@
     }
   }
 
+  /** Permits of an earlier configuration may still be out. */
+  #noteDeadlines(layout: PoolLayout): void {
+    if (layout === this.#configuredLayout) return;
+    for (const [service, deadlineMs] of layout.longestDeadlinesMs) {
+      const knownMs = this.#longestPermitsMs.get(service) ?? 0;
+      const permitMs = deadlineMs + PERMIT_MARGIN_MS;
+      this.#longestPermitsMs.set(service, Math.max(knownMs, permitMs));
+    }
+  }
+
+  #longestPermitMs(entry: PoolEntry): number {
+    return this.#longestPermitsMs.get(entry.service.name) ?? PERMIT_MARGIN_MS;
+  }
+
   #nextPermitId(): PermitId {
     const { vmId, incarnation } = this.#options.context.self;
     this.#permitNumber += 1;
--- a/packages/daemon/src/pools/ownership.ts
+++ b/packages/daemon/src/pools/ownership.ts
@@ -109,6 +109,7 @@
     if (context.layout().dataCentresOut.has(this.#entry.pool.dataCentre)) {
       return NO_RIGHTS;
     }
+    if (!context.isConfigurationConfirmed(nowMs)) return NO_RIGHTS;
     return {
       mayGrantCold: this.mayGrantCold(nowMs),
       warm: this.#warmRights(nowMs),
--- a/packages/daemon/src/pools/pool_context.ts
+++ b/packages/daemon/src/pools/pool_context.ts
@@ -16,6 +16,7 @@
 import { LayoutCache, type LayoutSources } from "./layout_cache.js";
 import { electOwner } from "./owner_election.js";
 import type { PoolLayout, VmAvailability } from "./pool_layout.js";
+import { ResumeCheck } from "./resume_check.js";
 import { poolKey } from "@sassafrasstage/protocol/ids";
 import type { WarmShare } from "./grant_rights.js";
 
@@ -24,13 +25,14 @@
   readonly settings: Settings;
 }
 
-/** Read by owner and asker alike; `refresh` is its only command. */
+/** Read by owner and asker alike. */
 export class PoolContext {
   readonly settings: Settings;
   readonly self: PeerIdentity;
   readonly #network: PeerNetwork;
   readonly #layouts: LayoutCache;
   readonly #owners = new Map<string, VmId | undefined>();
+  readonly #resumeCheck = new ResumeCheck();
   #members: readonly Member[] = [];
   #electorate: Electorate = [];
   #hasMajorityInView = false;
@@ -68,6 +70,19 @@
     return this.#layouts.vms();
   }
 
+  notePause(nowMs: number): void {
+    this.#resumeCheck.notePause(nowMs);
+  }
+
+  /** False for a short time after a pause: see `ResumeCheck`. */
+  isConfigurationConfirmed(nowMs: number): boolean {
+    const own = this.layout().generation;
+    return this.#resumeCheck.isConfirmed(
+      { own, members: this.#members },
+      nowMs,
+    );
+  }
+
   setLeaving(): void {
     this.#isLeaving = true;
   }
--- a/packages/daemon/src/pools/pool_layout.ts
+++ b/packages/daemon/src/pools/pool_layout.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Configuration } from "@sassafrasstage/protocol/configuration";
+import type { Rules } from "@sassafrasstage/protocol/rules";
 import {
   type BackendServerId,
   type ClientAccountId,
@@ -34,8 +35,8 @@
   readonly dataCentresOut: ReadonlySet<DataCentreName>;
   readonly serversOut: ReadonlySet<BackendServerId>;
   readonly shares: ReadonlyMap<ClientAccountId, number>;
-  /** No request lives longer, and so no permit. */
-  readonly longestDeadlineMs: number;
+  /** By service: no request that uses it lives longer, and so no permit. */
+  readonly longestDeadlinesMs: ReadonlyMap<ServiceName, number>;
 }
 
 /**
@@ -67,13 +68,20 @@
     dataCentresOut: new Set(rules.dataCentresOut),
     serversOut: new Set(rules.backendServersOut),
     shares: new Map(rules.clientAccounts.map((a) => [a.id, a.share])),
-    longestDeadlineMs: rules.pipelines.reduce(
-      (longest, pipeline) => Math.max(longest, pipeline.deadlineMs),
-      0,
-    ),
+    longestDeadlinesMs: findLongestDeadlines(rules),
   };
 }
 
+function findLongestDeadlines(rules: Rules): Map<ServiceName, number> {
+  const longestMs = new Map<ServiceName, number>();
+  for (const { deadlineMs, stages } of rules.pipelines) {
+    for (const { service } of stages) {
+      longestMs.set(service, Math.max(deadlineMs, longestMs.get(service) ?? 0));
+    }
+  }
+  return longestMs;
+}
+
 function groupByService(
   entries: readonly PoolEntry[],
 ): Map<ServiceName, PoolEntry[]> {
--- a/packages/stand-ins/src/proxy/proxied_connection.ts
+++ b/packages/stand-ins/src/proxy/proxied_connection.ts
@@ -28,7 +28,12 @@
   readonly #source: Socket;
   readonly #target: Socket;
   #mode: LinkMode;
+  readonly #delayed: Record<Direction, (() => void)[]> = {
+    toSource: [],
+    toTarget: [],
+  };
   #forwardedBytes = 0;
+  #hasDropped = false;
   #isClosed = false;
 
   constructor(options: ConnectionOptions) {
@@ -53,7 +58,9 @@
 
   setMode(mode: LinkMode): void {
     this.#mode = mode;
-    if (mode.kind === "cut") {
+    // No TCP stream goes on with a gap in it.
+    const isBroken = this.#hasDropped && mode.kind !== "halfOpen";
+    if (mode.kind === "cut" || isBroken) {
       this.reset();
       return;
     }
@@ -83,7 +90,7 @@
       this.#transfer(direction, chunk);
     });
     from.on("end", () => {
-      this.#whenPassing(() => {
+      this.#inOrder(direction, () => {
         to.end();
       });
     });
@@ -95,7 +102,10 @@
     const mode = this.#mode;
     switch (mode.kind) {
       case "pass":
-        this.#write({ from, to, chunk });
+      case "delay":
+        this.#inOrder(direction, () => {
+          this.#write({ from, to, chunk });
+        });
         return;
       case "freeze":
         // Read before the pause took hold: give it back.
@@ -105,13 +115,9 @@
       case "cut":
         this.reset();
         return;
-      case "delay":
-        setTimeout(() => {
-          this.#write({ from, to, chunk });
-        }, mode.delayMs);
-        return;
       case "halfOpen":
-        if (mode.dropped !== direction) this.#write({ from, to, chunk });
+        if (mode.dropped === direction) this.#hasDropped = true;
+        else this.#write({ from, to, chunk });
         return;
       case "resetAfter":
         this.#forwardUpTo(mode.bytes, { from, to, chunk });
@@ -140,10 +146,21 @@
     });
   }
 
-  /** Runs at once, or after the delay of the present mode. */
-  #whenPassing(action: () => void): void {
-    if (this.#mode.kind === "delay") setTimeout(action, this.#mode.delayMs);
-    else action();
+  /**
+   * Runs at once, or after the delay of the present mode; never before what
+   * was delayed earlier, as a TCP stream keeps its order.
+   */
+  #inOrder(direction: Direction, action: () => void): void {
+    const delayed = this.#delayed[direction];
+    const delayMs = this.#mode.kind === "delay" ? this.#mode.delayMs : 0;
+    if (delayMs === 0 && delayed.length === 0) {
+      action();
+      return;
+    }
+    delayed.push(action);
+    setTimeout(() => {
+      delayed.shift()?.();
+    }, delayMs);
   }
 }
 
--- a/packages/stand-ins/src/proxy/tcp_proxy_test.ts
+++ b/packages/stand-ins/src/proxy/tcp_proxy_test.ts
@@ -66,6 +66,25 @@
     expect(client.destroyed).toEqual(false);
   });
 
+  it("resets a half-open connection on healing rather than leave a gap", async () => {
+    proxy.setMode({ kind: "halfOpen", dropped: "toSource" });
+    await sendAndWait(client, "a");
+    proxy.heal();
+    await wait();
+    expect(client.destroyed).toEqual(true);
+  });
+
+  it("keeps the order when a delay ends", async () => {
+    proxy.setMode({ kind: "delay", delayMs: WAIT_MS });
+    client.write("a");
+    await new Promise((resolve) => setTimeout(resolve, WAIT_MS / 4));
+    proxy.heal();
+    client.write("b");
+    await wait();
+    await wait();
+    expect(received).toEqual("ab");
+  });
+
   it("resets a connection after the given bytes", async () => {
     proxy.setMode({ kind: "resetAfter", bytes: 3 });
     await sendAndWait(client, "abcdef");
