Ask whether a call may start right before its first byte leaves

Traced: the thawed daemon granted nothing; the calls were granted 2 ms before the freeze and waited in the process for a connection. Also the check after a pause took the view from before it, in which all others were live; and undici ignores connect.localAddress, so HTTP links were not told apart by source and cuts from the platform had no effect (configuration_across_cuts_test failed). Ruled out: the owner (its log shows no grant after the thaw), stale decisions in the socket (given back now as well). After: undici's onConnect, called just before a request is written, asks the permit source again; a call stopped there is known not to have run. The view is renewed at a pause. The source address is an option of the Agent itself.

--- a/packages/daemon/src/backend_servers/call_failure.ts
+++ b/packages/daemon/src/backend_servers/call_failure.ts
@@ -6,6 +6,7 @@
  */
 
 import { CallTimeoutError } from "../call_timeout_error.js";
+import { CallNotStartedError } from "./start_gate.js";
 import type { FailedCall } from "./stage_call.js";
 
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
@@ -30,6 +31,7 @@
   error: unknown,
   signal: AbortSignal,
 ): FailedCall {
+  if (error instanceof CallNotStartedError) return failureOfGate(error);
   if (signal.aborted) return failureOfAbort(signal);
   const detail = error instanceof Error ? error.message : String(error);
   const isConnectError = CONNECT_ERROR_CODES.has(findErrorCode(error) ?? "");
@@ -61,6 +63,15 @@
   };
 }
 
+function failureOfGate(error: CallNotStartedError): FailedCall {
+  return {
+    kind: "failed",
+    cause: "connectFailed",
+    detail: error.message,
+    mayHaveRun: false,
+  };
+}
+
 function failureOfAbort(signal: AbortSignal): FailedCall {
   const isTimeout = signal.reason instanceof CallTimeoutError;
   return {
--- a/packages/daemon/src/backend_servers/create_stage_caller.ts
+++ b/packages/daemon/src/backend_servers/create_stage_caller.ts
@@ -36,10 +36,8 @@
 ): RunningStageCaller {
   const { clock, sourceAddress } = options;
   const dispatcher = new Agent({
-    connect: {
-      timeout: CONNECT_TIMEOUT_MS,
-      ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
-    },
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
     keepAliveTimeout: KEEP_ALIVE_MS,
     // Every call has its own deadline, by its signal.
     headersTimeout: 0,
--- a/packages/daemon/src/backend_servers/model_engine_caller.ts
+++ b/packages/daemon/src/backend_servers/model_engine_caller.ts
@@ -14,6 +14,7 @@
   failureOfStatus,
   foreignResult,
 } from "./call_failure.js";
+import { withStartGate } from "./start_gate.js";
 import type {
   CallResult,
   FailedCall,
@@ -67,7 +68,7 @@
   async #send(call: StageCall, signal: AbortSignal): Promise<CallResult> {
     const startedAtMs = this.#clock.nowMs();
     const response = await request(`${call.url}/v1/completions`, {
-      dispatcher: this.#dispatcher,
+      dispatcher: withStartGate(this.#dispatcher, call.mayStart),
       method: "POST",
       headers: {
         "content-type": "application/json",
--- a/packages/daemon/src/backend_servers/plain_service_caller.ts
+++ b/packages/daemon/src/backend_servers/plain_service_caller.ts
@@ -11,6 +11,7 @@
   failureOfStatus,
   foreignResult,
 } from "./call_failure.js";
+import { withStartGate } from "./start_gate.js";
 import type { CallResult, StageCall, StageCaller } from "./stage_call.js";
 
 const answerSchema = z.object({
@@ -43,7 +44,7 @@
 
   async #send(call: StageCall, signal: AbortSignal): Promise<CallResult> {
     const response = await request(`${call.url}/v1/${call.operation}`, {
-      dispatcher: this.#dispatcher,
+      dispatcher: withStartGate(this.#dispatcher, call.mayStart),
       method: "POST",
       headers: makeHeaders(call),
       body: JSON.stringify({ input: call.input }),
--- a/packages/daemon/src/backend_servers/stage_call.ts
+++ b/packages/daemon/src/backend_servers/stage_call.ts
@@ -18,6 +18,8 @@
   readonly maxTokens: number;
   readonly urgency: Urgency;
   readonly idempotencyKey?: string;
+  /** Asked right before the first byte leaves. */
+  readonly mayStart: () => boolean;
   /** Called for each piece of text as it arrives; model engines only. */
   readonly onToken?: (text: string) => void;
   /** Called once, with the time from the start of the call. */
--- a/packages/daemon/src/pipelines/run_call.ts
+++ b/packages/daemon/src/pipelines/run_call.ts
@@ -104,6 +104,11 @@
     input: run.input,
     maxTokens: run.stage.maxTokens,
     urgency: run.request.pipeline.urgency,
+    mayStart: () =>
+      environment.permits.isSpendable(
+        granted.permit,
+        environment.clock.nowMs(),
+      ),
     onFirstToken: (firstTokenMs) => {
       environment.permits.noteFirstToken(granted.permit, firstTokenMs);
     },
--- a/packages/daemon/src/platform/create_platform_client.ts
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -85,12 +85,10 @@
     const { platform, vm } = options.settings;
     this.#options = options;
     this.#agent = new Agent({
-      connect: {
-        timeout: platform.call_timeout_ms,
-        ...(vm.source_address === undefined
-          ? {}
-          : { localAddress: vm.source_address }),
-      },
+      connect: { timeout: platform.call_timeout_ms },
+      ...(vm.source_address === undefined
+        ? {}
+        : { localAddress: vm.source_address }),
     });
     this.#baseUrl = platform.url.replace(/\/+$/, "");
     this.#limiter = new CallLimiter({
--- a/packages/daemon/src/pools/asker_role.ts
+++ b/packages/daemon/src/pools/asker_role.ts
@@ -127,6 +127,12 @@
       return;
     }
     this.#bySending.delete(attemptId);
+    if (!this.#options.context.isConfigurationConfirmed(nowMs)) {
+      // It was granted before a pause of this process: ask again after it.
+      this.#giveBack(from, decision, nowMs);
+      pending.progress = { kind: "unsent", sendAtMs: nowMs + ASK_AGAIN_MS };
+      return;
+    }
     if (decision.kind === "granted") {
       const granter = { kind: "owner", vmId: from } as const;
       this.#takeGrant(pending, { permit: decision.permit, granter, nowMs });
--- a/packages/daemon/src/pools/pool_context.ts
+++ b/packages/daemon/src/pools/pool_context.ts
@@ -72,6 +72,8 @@
 
   notePause(nowMs: number): void {
     this.#resumeCheck.notePause(nowMs);
+    // The view from before the pause still shows the others as live.
+    this.refresh(nowMs);
   }
 
   /** False for a short time after a pause: see `ResumeCheck`. */
--- a/packages/daemon/src/pools/shared_permit_source.ts
+++ b/packages/daemon/src/pools/shared_permit_source.ts
@@ -107,7 +107,9 @@
   }
 
   isSpendable(permit: Permit, nowMs: number): boolean {
-    return this.#held.isSpendable(permit.permitId, nowMs);
+    this.#begin();
+    return this.#context.isConfigurationConfirmed(nowMs) &&
+      this.#held.isSpendable(permit.permitId, nowMs);
   }
 
   candidatePools(service: ServiceName, nowMs: number): PoolId[] {
--- a/tests/src/not_run_test.ts
+++ b/tests/src/not_run_test.ts
@@ -45,6 +45,11 @@
     await first?.setFaults({ isDown: false, isFrozen: true });
     await sleep(1000);
     await first?.setFaults({ isFrozen: false });
+    // Nowhere a server that listens: these refusals have to say "not run".
+    const servers = cluster.serversOf("registry");
+    for (const server of servers) await server.setFaults({ isDown: true });
+    await sleep(1500);
+    for (const server of servers) await server.setFaults({ isDown: false });
     const requests = await load.stop();
     expect(findViolations(requests, await readRecords(cluster))).toEqual([]);
     // Both kinds of refusal must have come about for this to prove anything.
