--- a/packages/daemon/src/pools/create_permit_source.ts
+++ b/packages/daemon/src/pools/create_permit_source.ts
@@ -11,7 +11,7 @@
 } from "./running_permit_source.js";
 import { SharedPermitSource } from "./shared_permit_source.js";
 
-const TICK_MS = 20;
+const TICK_MS = 50;
 
 /**
  * Makes the permit source of a daemon. The caller hands its
