--- a/bench/src/load/pipeline_call.ts
+++ b/bench/src/load/pipeline_call.ts
@@ -5,13 +5,13 @@
  */
 
 import { PROBLEM_REASONS } from "@sassafrasstage/protocol/problems";
+import {
+  readServerSentEvents,
+  type ServerSentEvent,
+} from "@sassafrasstage/stand-ins/cluster/server_sent_events";
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
 import type { StageRecord } from "./load_record.js";
-import {
-  type ServerSentEvent,
-  ServerSentEventSplitter,
-} from "./server_sent_events.js";
 
 export interface PipelineCall {
   /** "http://host:port" of the entry VM. */
@@ -126,12 +126,8 @@
   body: Dispatcher.ResponseData["body"],
 ): Promise<PipelineReply> {
   let reply: PipelineReply | undefined;
-  const splitter = new ServerSentEventSplitter();
-  body.setEncoding("utf8");
-  for await (const text of body) {
-    for (const event of splitter.feed(String(text))) {
-      reply = takeEvent(call, event) ?? reply;
-    }
+  for await (const event of readServerSentEvents(body)) {
+    reply = takeEvent(call, event) ?? reply;
   }
   if (reply === undefined) {
     throw new BrokenAnswerError("The stream ended without its closing event");
@@ -143,7 +139,7 @@
   call: PipelineCall,
   event: ServerSentEvent,
 ): PipelineReply | undefined {
-  switch (event.event) {
+  switch (event.name) {
     case "token":
       call.onToken?.(event.data);
       return undefined;
