Judge the cold limit apart from the rest under random faults

After: three tests for each seed from one run: enough happened; everything but the cold limit holds; the cold limit holds. No check is dropped.

--- a/tests/src/random_faults/random_faults_test.ts
+++ b/tests/src/random_faults/random_faults_test.ts
@@ -1,16 +1,32 @@
 import { expect } from "earl";
-import { describe, it } from "node:test";
-import { runRandomFaults } from "./random_faults.js";
+import { before, describe, it } from "node:test";
+import { type RandomFaultsReport, runRandomFaults } from "./random_faults.js";
 
 const DURATION_MS = 15_000;
+/** How `findViolations` words what a cold server got above its limit. */
+const OVERLOAD = / overloaded at /;
 
-describe("Under random faults", () => {
-  for (const seed of [1, 2]) {
-    it(`everything holds that must always hold, seed ${seed}`, async () => {
-      const report = await runRandomFaults({ seed, durationMs: DURATION_MS });
-      expect(report.violations).toEqual([]);
+for (const seed of [1, 2]) {
+  describe(`Under random faults, seed ${seed}`, () => {
+    let report: RandomFaultsReport;
+
+    before(async () => {
+      report = await runRandomFaults({ seed, durationMs: DURATION_MS });
+    });
+
+    it(`happens enough to prove something, seed ${seed}`, () => {
       expect(report.faults.length).toBeGreaterThan(10);
       expect(report.requestCount).toBeGreaterThan(500);
     });
-  }
-});
+
+    it(`everything but the cold limit holds, seed ${seed}`, () => {
+      expect(report.violations.filter((text) => !OVERLOAD.test(text)))
+        .toEqual([]);
+    });
+
+    it(`the cold limit holds, seed ${seed}`, () => {
+      expect(report.violations.filter((text) => OVERLOAD.test(text)))
+        .toEqual([]);
+    });
+  });
+}
