--- a/packages/daemon/src/pools/permit_source.ts
+++ b/packages/daemon/src/pools/permit_source.ts
@@ -4,11 +4,7 @@
  * @module
  */
 
-import type {
-  AttemptId,
-  PoolId,
-  ServiceName,
-} from "@sassafrasstage/protocol/ids";
+import type { PoolId, ServiceName } from "@sassafrasstage/protocol/ids";
 import type {
   Permit,
   PermitAsk,
@@ -36,9 +32,3 @@
   /** The pools that may run the service now, the best one first. */
   candidatePools(service: ServiceName, nowMs: number): PoolId[];
 }
-
-/** An attempt that waits for its decision. */
-export interface PendingAsk {
-  readonly attemptId: AttemptId;
-  readonly pool: PoolId;
-}
