--- /dev/null
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -0,0 +1,109 @@
+/**
+ * This VM's copy of the platform's objects of one kind.
+ *
+ * @module
+ */
+
+import type { ObjectsCopy } from "@sassafrasstage/protocol/peer_messages";
+import type {
+  ObjectListing,
+  StoredObject,
+  WatchAnswer,
+} from "@sassafrasstage/protocol/platform_objects";
+
+export interface MirrorListener {
+  readonly onUpdated: (object: StoredObject) => void;
+  readonly onDeleted: (object: StoredObject) => void;
+}
+
+/** Takes news from the platform and from peers; never goes back. */
+export class ObjectMirror {
+  readonly prefix: string;
+  readonly #listener: MirrorListener;
+  readonly #objects = new Map<string, StoredObject>();
+  #revision: number | undefined;
+  #newsVersion = 0;
+
+  constructor(prefix: string, listener: MirrorListener) {
+    this.prefix = prefix;
+    this.#listener = listener;
+  }
+
+  /** Where a watch goes on; undefined before the first listing. */
+  get revision(): number | undefined {
+    return this.#revision;
+  }
+
+  /** The version of the newest change that was seen. */
+  get newsVersion(): number {
+    return this.#newsVersion;
+  }
+
+  get objects(): IterableIterator<StoredObject> {
+    return this.#objects.values();
+  }
+
+  /** The whole list has to be read again. */
+  forgetRevision(): void {
+    this.#revision = undefined;
+  }
+
+  applyListing(listing: ObjectListing): void {
+    if (listing.revision < (this.#revision ?? 0)) return;
+    this.#replaceAll(listing.objects);
+    this.#revision = listing.revision;
+  }
+
+  applyEvents(answer: WatchAnswer): void {
+    for (const event of answer.events) {
+      if (event.kind === "updated") this.#update(event.object);
+      else this.#delete(event.key, event.version);
+    }
+    this.#revision = Math.max(this.#revision ?? 0, answer.revision);
+  }
+
+  /** Takes a peer's copy if it is newer; true if it was taken. */
+  applyCopy(copy: ObjectsCopy): boolean {
+    if (copy.revision <= (this.#revision ?? -1)) return false;
+    this.#replaceAll(copy.objects);
+    this.#revision = copy.revision;
+    this.#newsVersion = Math.max(this.#newsVersion, copy.newsVersion);
+    return true;
+  }
+
+  copy(): ObjectsCopy | undefined {
+    if (this.#revision === undefined) return undefined;
+    return {
+      prefix: this.prefix,
+      revision: this.#revision,
+      newsVersion: this.#newsVersion,
+      objects: [...this.#objects.values()],
+    };
+  }
+
+  #replaceAll(objects: readonly StoredObject[]): void {
+    const listed = new Set(objects.map((object) => object.key));
+    for (const key of [...this.#objects.keys()]) {
+      if (!listed.has(key)) this.#delete(key, Infinity);
+    }
+    for (const object of objects) this.#update(object);
+  }
+
+  #update(object: StoredObject): void {
+    const known = this.#objects.get(object.key);
+    if (known !== undefined && known.version >= object.version) return;
+    this.#objects.set(object.key, object);
+    this.#newsVersion = Math.max(this.#newsVersion, object.version);
+    this.#listener.onUpdated(object);
+  }
+
+  #delete(key: string, version: number): void {
+    if (Number.isFinite(version)) {
+      this.#newsVersion = Math.max(this.#newsVersion, version);
+    }
+    const known = this.#objects.get(key);
+    if (known === undefined || known.version > version) return;
+    this.#objects.delete(key);
+    this.#listener.onDeleted(known);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/event_splitter.ts
@@ -0,0 +1,70 @@
+/**
+ * Cuts a stream of events into whole events, byte for byte as they came.
+ *
+ * @module
+ */
+
+export interface WholeEvents {
+  readonly bytes: Buffer;
+  /** Of the last event that has one. */
+  readonly lastId: string | undefined;
+}
+
+const LINE_FEED = 0x0a;
+const NO_BYTES = Buffer.alloc(0);
+
+/**
+ * Holds back what is not a whole event yet, so that a stream which breaks in
+ * the middle of an event can go on elsewhere.
+ *
+ * @example
+ * ```ts
+ * const splitter = new EventSplitter();
+ * const { bytes, lastId } = splitter.push(chunk);
+ * ```
+ */
+export class EventSplitter {
+  #rest: Buffer = NO_BYTES;
+
+  get hasRest(): boolean {
+    return this.#rest.length > 0;
+  }
+
+  /** What was held back, when the stream ended as complete. */
+  takeRest(): Buffer {
+    const rest = this.#rest;
+    this.#rest = NO_BYTES;
+    return rest;
+  }
+
+  push(chunk: Buffer): WholeEvents {
+    const bytes = this.#rest.length === 0
+      ? chunk
+      : Buffer.concat([this.#rest, chunk]);
+    const end = endOfLastEvent(bytes);
+    this.#rest = bytes.subarray(end);
+    const whole = bytes.subarray(0, end);
+    return { bytes: whole, lastId: lastIdOf(whole) };
+  }
+}
+
+/** The place after the last blank line. */
+function endOfLastEvent(bytes: Buffer): number {
+  for (let index = bytes.length - 1; index > 0; index--) {
+    if (bytes[index] !== LINE_FEED) continue;
+    if (bytes[index - 1] === LINE_FEED) return index + 1;
+    const isCarriageReturn = bytes[index - 1] === 0x0d;
+    if (isCarriageReturn && bytes[index - 2] === LINE_FEED) return index + 1;
+  }
+  return 0;
+}
+
+function lastIdOf(whole: Buffer): string | undefined {
+  const text = whole.toString("latin1");
+  const at = text.startsWith("id:") ? 0 : -1;
+  const last = text.lastIndexOf("\nid:");
+  const start = last >= 0 ? last + 1 : at;
+  if (start < 0) return undefined;
+  const end = text.indexOf("\n", start);
+  return text.slice(start + 3, end < 0 ? undefined : end).trim();
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -0,0 +1,319 @@
+/**
+ * Forwards a request whose answer is a stream of numbered events.
+ *
+ * Events are passed on whole and as they come. Where the route allows it, a
+ * stream that breaks or falls silent goes on at another backend server after
+ * the last event that was passed on.
+ *
+ * @module
+ */
+
+import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import { EventSplitter } from "./event_splitter.js";
+import type { ForwardContext, ForwardEnd } from "./forward_context.js";
+import { sendAnswer, sendOwn } from "./forward_whole.js";
+import { type PreparedInputs, prepareInputs } from "./prepare_inputs.js";
+import { judgeFailure, startCall } from "./run_attempt.js";
+import type { AnswerHead } from "./server_caller.js";
+
+/** Silence before the first event after which a resumable stream moves. */
+const FIRST_EVENT_STALL_MS = 1500;
+/** Silence between events after which a resumable stream moves. */
+const EVENT_STALL_MS = 1000;
+const STALL_CHECK_MS = 250;
+/** Answers "not run" that one request looks for another server after. */
+const MOST_REFUSALS = 3;
+const FULL_RETRY_AFTER_MS = 250;
+
+/** What one call of a backend server brought. */
+type StreamResult =
+  | { readonly kind: "complete" }
+  | {
+    readonly kind: "answered";
+    readonly head: AnswerHead;
+    readonly body: Buffer;
+  }
+  | { readonly kind: "notRun"; readonly isInputGone: boolean }
+  | { readonly kind: "notSent"; readonly detail: string }
+  | { readonly kind: "broken"; readonly detail: string }
+  | { readonly kind: "ended" };
+
+interface StreamState {
+  readonly tried: Set<BackendServerId>;
+  readonly relativeSize: number;
+  inputs: PreparedInputs | undefined;
+  /** Calls that may have run. */
+  runs: number;
+  refusals: number;
+  isHeadSent: boolean;
+  /** Id of the last event that was passed on. */
+  lastEventId: string | undefined;
+}
+
+export async function forwardStream(
+  context: ForwardContext,
+): Promise<ForwardEnd> {
+  const { environment, request, route, lifetime } = context;
+  const state: StreamState = {
+    tried: new Set(),
+    relativeSize: environment.measures.relativeSize(route.name, request.prompt),
+    inputs: undefined,
+    runs: 0,
+    refusals: 0,
+    isHeadSent: false,
+    lastEventId: request.resumeAfter,
+  };
+  environment.directory.retryBudgetOf(context.service)
+    .noteRequest(environment.clock.nowMs());
+  try {
+    return await run(context, state);
+  } finally {
+    state.inputs?.release();
+    lifetime.close();
+  }
+}
+
+async function run(
+  context: ForwardContext,
+  state: StreamState,
+): Promise<ForwardEnd> {
+  for (;;) {
+    const preparedEnd = await prepare(context, state);
+    if (preparedEnd !== undefined) return preparedEnd;
+    const result = await attempt(context, state);
+    const end = judge(context, state, result);
+    if (end !== undefined) return end;
+  }
+}
+
+/** Sees to the inputs; returns the request's end when there won't be any. */
+async function prepare(
+  context: ForwardContext,
+  state: StreamState,
+): Promise<ForwardEnd | undefined> {
+  if (state.inputs !== undefined) return undefined;
+  const preparation = await prepareInputs(context, state.relativeSize);
+  switch (preparation.kind) {
+    case "prepared":
+      state.inputs = preparation.inputs;
+      return undefined;
+    case "refused":
+      if (state.runs === 0) return sendOwn(context, preparation.own);
+      return giveUp(context, state, "stages");
+    case "ended":
+      return endEarly(context, state);
+  }
+}
+
+function judge(
+  context: ForwardContext,
+  state: StreamState,
+  result: StreamResult | undefined,
+): ForwardEnd | undefined {
+  if (result === undefined) return giveUp(context, state, "noServer");
+  switch (result.kind) {
+    case "complete":
+      return { kind: "answered", status: 200 };
+    case "answered":
+      return sendAnswer(context, result);
+    case "ended":
+      return endEarly(context, state);
+    case "notRun":
+    case "notSent":
+      state.runs -= 1;
+      state.refusals += 1;
+      if (result.kind === "notRun" && result.isInputGone) {
+        state.inputs?.release();
+        state.inputs = undefined;
+      }
+      if (state.refusals > MOST_REFUSALS || !spendRepeat(context)) {
+        return giveUp(context, state, result.kind);
+      }
+      return undefined;
+    case "broken":
+      if (!isResumable(context) || state.runs >= context.route.maxAttempts) {
+        return giveUp(context, state, result.detail);
+      }
+      if (!spendRepeat(context)) return giveUp(context, state, "retryBudget");
+      context.environment.metrics.countRetry(context.service, "streamBroken");
+      context.environment.logger.info("streamResumed", {
+        request: context.request.attemptId,
+        after: state.lastEventId,
+        cause: result.detail,
+      });
+      return undefined;
+  }
+}
+
+function attempt(
+  context: ForwardContext,
+  state: StreamState,
+): Promise<StreamResult> | undefined {
+  const { environment, request } = context;
+  const { directory, clock, dataCentre } = environment;
+  const candidate = directory.pick({
+    service: context.service,
+    dataCentre: (state.inputs?.dataCentre as typeof dataCentre | undefined) ??
+      dataCentre,
+    prefixKey: prefixKeyOf(context),
+    excluded: state.tried,
+  }, clock.nowMs());
+  if (candidate === undefined) return undefined;
+  state.tried.add(candidate.server.id);
+  state.runs += 1;
+  environment.logger.debug("placed", {
+    request: request.attemptId,
+    server: candidate.server.id,
+    inFlight: candidate.health.inFlight,
+  });
+  return relayStream(context, state, candidate);
+}
+
+/** The longest part of the prompt that other requests may share. */
+function prefixKeyOf(context: ForwardContext): string | undefined {
+  const parts = context.request.prompt?.parts;
+  if (parts === undefined || parts.length === 0) return undefined;
+  return parts[Math.max(0, parts.length - 2)]?.id;
+}
+
+function relayStream(
+  context: ForwardContext,
+  state: StreamState,
+  candidate: Parameters<typeof startCall>[0]["candidate"],
+): Promise<StreamResult> {
+  const { environment, channel, lifetime, route } = context;
+  const startedAtMs = environment.clock.nowMs();
+  const splitter = new EventSplitter();
+  const chunks: Buffer[] = [];
+  let head: AnswerHead | undefined;
+  let lastHeardAtMs = startedAtMs;
+  let hasEvents = false;
+  return new Promise((resolve) => {
+    let stallTimer: NodeJS.Timeout | undefined;
+    let stopListening: () => void = () => undefined;
+    function finish(result: StreamResult): void {
+      clearInterval(stallTimer);
+      stopListening();
+      resolve(result);
+    }
+    function passOn(bytes: Buffer): void {
+      if (bytes.length === 0 || head === undefined) return;
+      if (!state.isHeadSent) {
+        state.isHeadSent = true;
+        channel.writeHead(head.status, head.headers);
+      }
+      if (!hasEvents) {
+        hasEvents = true;
+        environment.measures.noteFinish(
+          route.name,
+          environment.clock.nowMs() - startedAtMs,
+        );
+        state.inputs?.release();
+        state.inputs = undefined;
+      }
+      channel.write(bytes);
+    }
+    const call = startCall({
+      context,
+      candidate,
+      inputs: state.inputs?.references,
+      resumeAfter: state.lastEventId,
+    }, {
+      onHead: (newHead) => {
+        head = newHead;
+        lastHeardAtMs = environment.clock.nowMs();
+      },
+      onBody: (chunk) => {
+        lastHeardAtMs = environment.clock.nowMs();
+        if (head === undefined || !isStream(head)) {
+          chunks.push(chunk);
+          return;
+        }
+        const { bytes, lastId } = splitter.push(chunk);
+        passOn(bytes);
+        if (lastId !== undefined) state.lastEventId = lastId;
+      },
+      onEnd: () => {
+        if (head === undefined) finish({ kind: "broken", detail: "noHead" });
+        else if (head.isNotRun) {
+          finish({ kind: "notRun", isInputGone: head.isInputGone });
+        } else if (!head.isGenuine) {
+          finish({ kind: "broken", detail: "notGenuine" });
+        } else if (isStream(head)) {
+          passOn(splitter.takeRest());
+          if (!state.isHeadSent) channel.writeHead(head.status, head.headers);
+          channel.end();
+          finish({ kind: "complete" });
+        } else if (state.isHeadSent) {
+          finish({ kind: "broken", detail: `status${head.status}` });
+        } else {
+          finish({ kind: "answered", head, body: Buffer.concat(chunks) });
+        }
+      },
+      onFailure: (failure) => {
+        const judged = judgeFailure(head, failure);
+        finish(judged.kind === "answered"
+          ? { kind: "broken", detail: "failed" }
+          : judged);
+      },
+    });
+    stopListening = lifetime.onEnd(() => {
+      call.cancel();
+      finish({ kind: "ended" });
+    });
+    if (!isResumable(context) || state.runs >= route.maxAttempts) return;
+    stallTimer = setInterval(() => {
+      const silentMs = environment.clock.nowMs() - lastHeardAtMs;
+      const limitMs = hasEvents ? EVENT_STALL_MS : FIRST_EVENT_STALL_MS;
+      if (silentMs < limitMs) return;
+      call.cancel();
+      candidate.health.noteFailure(environment.clock.nowMs());
+      finish({ kind: "broken", detail: "silent" });
+    }, STALL_CHECK_MS);
+  });
+}
+
+function isStream(head: AnswerHead): boolean {
+  return head.status === 200 && head.isGenuine && !head.isNotRun;
+}
+
+function isResumable(context: ForwardContext): boolean {
+  const { repeatability } = context.route;
+  return repeatability.kind === "stream" && repeatability.isResumable;
+}
+
+function spendRepeat(context: ForwardContext): boolean {
+  const { directory, clock, metrics } = context.environment;
+  const isAllowed = directory.retryBudgetOf(context.service)
+    .tryRepeat(clock.nowMs());
+  if (!isAllowed) metrics.countEvent("retryBudgetSpent");
+  return isAllowed;
+}
+
+/** Ends a request for which no server is left. */
+function giveUp(
+  context: ForwardContext,
+  state: StreamState,
+  detail: string,
+): ForwardEnd {
+  if (state.isHeadSent) {
+    context.channel.abort();
+    return { kind: "brokenOff", detail };
+  }
+  if (state.runs > 0) return sendOwn(context, { kind: "failed", detail });
+  return sendOwn(context, {
+    kind: "refused",
+    reason: state.tried.size === 0 ? "noServer" : "serversFull",
+    retryAfterMs: FULL_RETRY_AFTER_MS,
+    detail: `No server could take the request: ${detail}`,
+  });
+}
+
+function endEarly(context: ForwardContext, state: StreamState): ForwardEnd {
+  if (context.lifetime.end === "clientGone") return { kind: "clientGone" };
+  if (state.isHeadSent) {
+    context.channel.abort();
+    return { kind: "brokenOff", detail: "timeUp" };
+  }
+  return sendOwn(context, { kind: "timedOut" });
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -0,0 +1,190 @@
+/**
+ * Judges each request of a client by the routes in force, and forwards it.
+ *
+ * @module
+ */
+
+import { findGraphFault } from "@sassafrasstage/protocol/stage_graph";
+import type { RouteTable } from "../routing/route_table.js";
+import { chooseService } from "../routing/route_table.js";
+import type {
+  ClientAccount,
+  Route,
+} from "../routing/routing_configuration.js";
+import type {
+  ForwardContext,
+  ForwardEnd,
+  ForwardEnvironment,
+} from "./forward_context.js";
+import { forwardStream } from "./forward_stream.js";
+import { forwardWhole } from "./forward_whole.js";
+import { graphStagesOf } from "./prepare_inputs.js";
+import { RequestLifetime } from "./request_lifetime.js";
+import type {
+  ClientChannel,
+  OwnAnswer,
+  RefusalReason,
+  RoutedRequest,
+} from "./routed_request.js";
+
+export interface RequestForwarderOptions {
+  readonly environment: ForwardEnvironment;
+  /** The routes in force; undefined before the first configuration. */
+  readonly table: () => RouteTable | undefined;
+}
+
+type Admission =
+  | { readonly kind: "admitted"; readonly context: ForwardContext }
+  | { readonly kind: "refused"; readonly own: OwnAnswer };
+
+/** A daemon that knows no configuration yet is likely to know one by then. */
+const NOT_READY_RETRY_AFTER_MS = 300;
+
+export class RequestForwarder {
+  readonly #options: RequestForwarderOptions;
+  #inFlight = 0;
+
+  constructor(options: RequestForwarderOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that have no final answer yet. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Resolves when the request has its final answer. */
+  async forward(
+    request: RoutedRequest,
+    channel: ClientChannel,
+  ): Promise<void> {
+    this.#inFlight += 1;
+    try {
+      const admission = this.#admit(request, channel);
+      if (admission.kind === "refused") {
+        channel.answer(admission.own);
+        this.#note(request, {
+          kind: "own",
+          answer: admission.own.kind === "refused"
+            ? admission.own.reason
+            : admission.own.kind,
+          detail: "",
+        });
+        return;
+      }
+      const { context } = admission;
+      this.#note(request, await forwardAdmitted(context), context);
+    } finally {
+      this.#inFlight -= 1;
+    }
+  }
+
+  #admit(request: RoutedRequest, channel: ClientChannel): Admission {
+    const table = this.#options.table();
+    if (table === undefined) {
+      return refuse("notReady", "No configuration is in force yet");
+    }
+    const route = table.findRoute(request.host, request.path);
+    if (route === undefined) return refuse("noRoute", "No route matches");
+    const account = findAccount(table, route, request.key);
+    if (account === "unknown") return refuse("unknownKey", "Unknown key");
+    const service = chooseService(route, Math.random());
+    if (service === undefined) return refuse("noServer", "No service");
+    const { environment } = this.#options;
+    const limitMs = Math.min(
+      route.timeoutMs,
+      request.deadlineInMs ?? route.timeoutMs,
+    );
+    const lifetime = new RequestLifetime({
+      endsAtMs: request.receivedAtMs + limitMs,
+      clock: environment.clock,
+    });
+    channel.onClosed(() => {
+      lifetime.noteClientGone();
+    });
+    const context: ForwardContext = {
+      environment,
+      request,
+      channel,
+      route,
+      service,
+      account,
+      lifetime,
+      stageGroup: table.stageGroupOf(route),
+      configurationVersion: table.configuration.version,
+    };
+    const fault = findStageFault(context);
+    if (fault === undefined) return { kind: "admitted", context };
+    lifetime.close();
+    return refuse("badRequest", fault);
+  }
+
+  #note(
+    request: RoutedRequest,
+    end: ForwardEnd,
+    context?: ForwardContext,
+  ): void {
+    const { environment } = this.#options;
+    const { metrics, logger, clock } = environment;
+    const durationMs = clock.nowMs() - request.receivedAtMs;
+    metrics.countEvent(
+      `request.${end.kind}${end.kind === "own" ? `.${end.answer}` : ""}`,
+    );
+    const fields = {
+      request: request.attemptId,
+      route: context?.route.name,
+      version: context?.configurationVersion,
+      outcome: end.kind,
+      reason: end.kind === "own" ? end.answer : undefined,
+      status: end.kind === "answered" ? end.status : undefined,
+      detail: end.kind === "own" || end.kind === "brokenOff"
+        ? end.detail
+        : undefined,
+      durationMs: Math.round(durationMs),
+    };
+    if (end.kind === "answered" && end.status < 500) {
+      logger.debug("requestEnded", fields);
+    } else logger.info("requestEnded", fields);
+  }
+}
+
+async function forwardAdmitted(context: ForwardContext): Promise<ForwardEnd> {
+  try {
+    return context.route.repeatability.kind === "stream"
+      ? await forwardStream(context)
+      : await forwardWhole(context);
+  } finally {
+    context.lifetime.close();
+  }
+}
+
+function refuse(reason: RefusalReason, detail: string): Admission {
+  const retryAfterMs = reason === "notReady"
+    ? NOT_READY_RETRY_AFTER_MS
+    : undefined;
+  return {
+    kind: "refused",
+    own: { kind: "refused", reason, retryAfterMs, detail },
+  };
+}
+
+function findAccount(
+  table: RouteTable,
+  route: Route,
+  key: string | undefined,
+): ClientAccount | undefined | "unknown" {
+  const account = key === undefined ? undefined : table.findAccount(key);
+  if (account !== undefined) return account;
+  return table.needsKeys && !route.isPublic ? "unknown" : undefined;
+}
+
+function findStageFault(context: ForwardContext): string | undefined {
+  const { route, request } = context;
+  if (route.stages.length === 0) return undefined;
+  const items = request.stageItems;
+  if (items === undefined) return "The numbers of stage items are missing";
+  if (items.length !== route.stages.length) {
+    return `Expected ${route.stages.length} numbers of stage items`;
+  }
+  return findGraphFault(graphStagesOf(context));
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -0,0 +1,170 @@
+/**
+ * One call of a backend server for a request.
+ *
+ * @module
+ */
+
+import type { ServerCandidate } from "../placement/choose_server.js";
+import type { ForwardContext } from "./forward_context.js";
+import type {
+  AnswerHead,
+  RunningServerCall,
+  ServerCall,
+  ServerCallFailure,
+  ServerCallListener,
+} from "./server_caller.js";
+
+/** A whole answer of a backend server. */
+export interface WholeAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
+export type AttemptResult =
+  | { readonly kind: "answered"; readonly answer: WholeAnswer }
+  /** The server has not run it. */
+  | { readonly kind: "notRun"; readonly isInputGone: boolean }
+  | { readonly kind: "notSent"; readonly detail: string }
+  /** It may have run, and its answer can't be trusted or didn't come. */
+  | { readonly kind: "broken"; readonly detail: string };
+
+export interface AttemptInput {
+  readonly context: ForwardContext;
+  readonly candidate: ServerCandidate;
+  readonly inputs: readonly string[] | undefined;
+  readonly resumeAfter: string | undefined;
+}
+
+/** The call as the adapter takes it. */
+export function toServerCall(input: AttemptInput): ServerCall {
+  const { context, candidate, inputs, resumeAfter } = input;
+  return {
+    server: candidate.server,
+    request: context.request,
+    connectionShare: context.environment.directory
+      .connectionShare(candidate.server.service),
+    remainingMs: Math.max(1, Math.floor(context.lifetime.remainingMs())),
+    account: context.account?.id,
+    inputs,
+    resumeAfter,
+  };
+}
+
+/**
+ * Starts a call and keeps the server's health up to date.
+ *
+ * @param listener Hears of everything after the health was updated
+ */
+export function startCall(
+  input: AttemptInput,
+  listener: ServerCallListener,
+): RunningServerCall {
+  const { environment } = input.context;
+  const { health, server } = input.candidate;
+  const startedAtMs = environment.clock.nowMs();
+  let isOver = false;
+  function finish(): boolean {
+    if (isOver) return false;
+    isOver = true;
+    health.inFlight -= 1;
+    return true;
+  }
+  health.inFlight += 1;
+  const call = environment.caller.start(toServerCall(input), {
+    onHead: (head) => {
+      const nowMs = environment.clock.nowMs();
+      if (head.isNotRun) health.noteFull(nowMs);
+      else if (!head.isGenuine) health.noteFailure(nowMs);
+      else {
+        health.noteAnswer(nowMs - startedAtMs);
+        if (head.status >= 500) health.noteFailure(nowMs);
+      }
+      listener.onHead(head);
+    },
+    onBody: (chunk) => {
+      listener.onBody(chunk);
+    },
+    onEnd: () => {
+      if (finish()) listener.onEnd();
+    },
+    onFailure: (failure) => {
+      const nowMs = environment.clock.nowMs();
+      if (!finish()) return;
+      if (failure.kind === "notSent") health.noteUnreachable(nowMs);
+      else health.noteFailure(nowMs);
+      environment.logger.info("serverCallFailed", {
+        request: input.context.request.attemptId,
+        server: server.id,
+        failure: failure.kind,
+        detail: failure.detail,
+        afterMs: Math.round(nowMs - startedAtMs),
+      });
+      listener.onFailure(failure);
+    },
+  });
+  return {
+    cancel: () => {
+      if (finish()) call.cancel();
+    },
+  };
+}
+
+/** A whole answer that is on its way. */
+export interface RunningAttempt {
+  readonly result: Promise<AttemptResult>;
+  cancel(): void;
+}
+
+/** Calls the server and gathers its whole answer. */
+export function runWholeAttempt(input: AttemptInput): RunningAttempt {
+  let settle: (result: AttemptResult) => void = () => undefined;
+  const result = new Promise<AttemptResult>((resolve) => {
+    settle = resolve;
+  });
+  const chunks: Buffer[] = [];
+  let head: AnswerHead | undefined;
+  const call = startCall(input, {
+    onHead: (newHead) => {
+      head = newHead;
+    },
+    onBody: (chunk) => {
+      chunks.push(chunk);
+    },
+    onEnd: () => {
+      settle(judgeAnswer(head, chunks));
+    },
+    onFailure: (failure) => {
+      settle(judgeFailure(head, failure));
+    },
+  });
+  return {
+    result,
+    cancel: () => {
+      call.cancel();
+      settle({ kind: "broken", detail: "canceled" });
+    },
+  };
+}
+
+function judgeAnswer(
+  head: AnswerHead | undefined,
+  chunks: readonly Buffer[],
+): AttemptResult {
+  if (head === undefined) return { kind: "broken", detail: "noHead" };
+  if (head.isNotRun) {
+    return { kind: "notRun", isInputGone: head.isInputGone };
+  }
+  if (!head.isGenuine) return { kind: "broken", detail: "notGenuine" };
+  return { kind: "answered", answer: { head, body: Buffer.concat(chunks) } };
+}
+
+/** The head of a server that has not run the request says enough. */
+export function judgeFailure(
+  head: AnswerHead | undefined,
+  failure: ServerCallFailure,
+): AttemptResult {
+  if (head?.isNotRun === true) {
+    return { kind: "notRun", isInputGone: head.isInputGone };
+  }
+  return { kind: failure.kind, detail: failure.detail };
+}
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -99,6 +99,31 @@
   rules: shape({}),
 });
 
+const isGraphStage = shape({
+  service: isName,
+  after: listOf(isWholeNumber),
+  itemCount: isWholeNumber,
+  resultBytes: isFiniteNumber,
+});
+
+const isStageGraph = shape({
+  attemptId: isName,
+  inputKey: isName,
+  stages: listOf(isGraphStage),
+  priority: isFiniteNumber,
+  relativeSize: isFiniteNumber,
+  kind: isName,
+  objectiveInMs: isFiniteNumber,
+  deadlineInMs: isFiniteNumber,
+  finishMs: isFiniteNumber,
+});
+
+const isResultReference = shape({
+  reference: isName,
+  maker: isName,
+  dataCentre: isName,
+});
+
 const MESSAGE_SHAPES: Readonly<Record<PeerMessageType, ShapeCheck>> = {
   heartbeat: shape({
     sequence: isWholeNumber,
@@ -150,6 +175,26 @@
     }),
   }),
   claimOutcomeReply: shape({ requestNumber: isWholeNumber, recorded: isFlag }),
+  stageGraphRun: shape({ requestNumber: isWholeNumber, graph: isStageGraph }),
+  stageGraphEnded: shape({
+    requestNumber: isWholeNumber,
+    outcome: variant("kind", {
+      completed: shape({ results: listOf(isResultReference) }),
+      refused: shape({ reason: isName, retryAfterMs: isFiniteNumber }),
+    }),
+  }),
+  stageGraphRelease: shape({ requestNumber: isWholeNumber }),
+  objectsRequest: shape({
+    known: listOf(shape({ prefix: isName, revision: isWholeNumber })),
+  }),
+  objects: shape({
+    copies: listOf(shape({
+      prefix: isName,
+      revision: isWholeNumber,
+      newsVersion: isWholeNumber,
+      objects: listOf(shape({ key: isName, version: isWholeNumber })),
+    })),
+  }),
   leaving: shape({ vmId: isName }),
 };
 
--- a/packages/daemon/src/platform/platform_transport.ts
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -28,7 +28,7 @@
 ]);
 
 export interface PlatformCall {
-  readonly method: "GET" | "PUT" | "DELETE";
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
   readonly url: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
--- /dev/null
+++ b/packages/daemon/src/routed_daemon.ts
@@ -0,0 +1,198 @@
+/**
+ * The parts of a daemon that serves pass-through routes, joined.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Incarnation, toId } from "@sassafrasstage/protocol/ids";
+import type { Readiness } from "@sassafrasstage/protocol/status";
+import { MONOTONIC_CLOCK } from "./clock.js";
+import { Deployment } from "./deployment/deployment.js";
+import type { DeploymentForm } from "./deployment/deployment_form.js";
+import { RequestForwarder } from "./forwarding/request_forwarder.js";
+import { RouteMeasures } from "./forwarding/route_measures.js";
+import type { ServerCaller } from "./forwarding/server_caller.js";
+import type { Logger } from "./observability/logger.js";
+import type { Metrics } from "./observability/metrics.js";
+import type { RunningPeerNetwork } from "./peers/running_peer_network.js";
+import { startPeerNetwork } from "./peers/start_peer_network.js";
+import {
+  ServerDirectory,
+  type SharedLimits,
+} from "./placement/server_directory.js";
+import type { ObjectStore } from "./platform/object_store.js";
+import type {
+  RegisterChange,
+  RegisteredServer,
+} from "./register/server_register.js";
+import type { RouteTable } from "./routing/route_table.js";
+import type { Settings } from "./settings/settings.js";
+import type { BatchCaller } from "./stage_graphs/batch_caller.js";
+import { StageCoordinator } from "./stage_graphs/stage_coordinator.js";
+import { StageGraphClient } from "./stage_graphs/stage_graph_client.js";
+
+export interface RoutedDaemonOptions {
+  readonly settings: Settings;
+  readonly store: ObjectStore;
+  readonly form: DeploymentForm;
+  readonly serverCaller: ServerCaller;
+  readonly batchCaller: BatchCaller;
+  readonly limits: SharedLimits;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly onRoutes: (table: RouteTable) => void;
+  readonly onServerEnded: (server: RegisteredServer) => void;
+}
+
+/** The balancer has noticed by now that this VM isn't ready. */
+const BALANCER_NOTICE_MS = 3500;
+const DRAIN_CHECK_MS = 50;
+
+/** One for each process. */
+export class RoutedDaemon {
+  readonly forwarder: RequestForwarder;
+  readonly #options: RoutedDaemonOptions;
+  readonly #network: RunningPeerNetwork;
+  readonly #deployment: Deployment;
+  readonly #directory: ServerDirectory;
+  readonly #coordinator: StageCoordinator;
+  #isLeaving = false;
+
+  private constructor(
+    options: RoutedDaemonOptions,
+    network: RunningPeerNetwork,
+  ) {
+    const clock = MONOTONIC_CLOCK;
+    const { settings, metrics, logger } = options;
+    this.#options = options;
+    this.#network = network;
+    this.#deployment = new Deployment({
+      ...options,
+      network,
+      clock,
+      self: {
+        vmId: settings.vm.id,
+        dataCentre: settings.vm.data_centre,
+        role: "entry",
+        state: "live",
+        peerAddress: `${network.address.host}:${network.address.port}`,
+      },
+      onServerChange: (change) => {
+        this.#onServerChange(change);
+      },
+    });
+    const findService = (
+      name: Parameters<RouteTable["findService"]>[0],
+    ): ReturnType<RouteTable["findService"]> =>
+      this.#deployment.table?.findService(name);
+    this.#directory = new ServerDirectory({
+      register: this.#deployment.register,
+      limits: options.limits,
+      findService,
+      vmCount: () => this.#deployment.entryVmCount,
+    });
+    this.#coordinator = new StageCoordinator({
+      register: this.#deployment.register,
+      caller: options.batchCaller,
+      limitsOf: (name) => findService(name)?.batches,
+      retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
+      clock,
+      metrics,
+      logger,
+    });
+    this.forwarder = new RequestForwarder({
+      environment: {
+        directory: this.#directory,
+        caller: options.serverCaller,
+        graphs: new StageGraphClient({
+          network,
+          coordinator: this.#coordinator,
+          clock,
+          metrics,
+          logger,
+        }),
+        measures: new RouteMeasures(),
+        dataCentre: settings.vm.data_centre,
+        clock,
+        metrics,
+        logger,
+      },
+      table: () => this.#deployment.table,
+    });
+  }
+
+  /** Rejects when the peers' address can't be listened on. */
+  static async start(options: RoutedDaemonOptions): Promise<RoutedDaemon> {
+    const network = await startPeerNetwork({
+      settings: options.settings,
+      incarnation: toId<Incarnation>(randomUUID()),
+      clock: MONOTONIC_CLOCK,
+      metrics: options.metrics,
+      logger: options.logger,
+    });
+    return new RoutedDaemon(options, network);
+  }
+
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  get table(): RouteTable | undefined {
+    return this.#deployment.table;
+  }
+
+  readiness(): Readiness {
+    if (this.#isLeaving) {
+      return { kind: "notReady", reason: "The daemon is shutting down" };
+    }
+    if (!this.#deployment.isKnown) {
+      return { kind: "notReady", reason: "No configuration is in force yet" };
+    }
+    return { kind: "ready" };
+  }
+
+  /**
+   * Isn't ready from now on, and resolves when every request has its answer,
+   * but no later than after `graceMs`.
+   */
+  async drain(graceMs: number): Promise<void> {
+    this.#isLeaving = true;
+    const endsAtMs = MONOTONIC_CLOCK.nowMs() + graceMs;
+    this.#options.logger.info("shutdownStarted", {
+      inFlight: this.forwarder.inFlight,
+    });
+    this.#network.announceLeaving();
+    await sleep(Math.min(BALANCER_NOTICE_MS, graceMs));
+    while (MONOTONIC_CLOCK.nowMs() < endsAtMs) {
+      if (this.forwarder.inFlight + this.#coordinator.jobCount === 0) break;
+      await sleep(DRAIN_CHECK_MS);
+    }
+    this.#options.logger.info("shutdownFinished", {
+      inFlight: this.forwarder.inFlight,
+    });
+  }
+
+  async close(): Promise<void> {
+    this.#coordinator.close();
+    await this.#deployment.close();
+    await this.#network.close();
+  }
+
+  #onServerChange(change: RegisterChange): void {
+    const { logger, onServerEnded } = this.#options;
+    const { server } = change;
+    logger.info(`server_${change.kind}`, {
+      server: server.id,
+      service: server.service,
+      dataCentre: server.dataCentre,
+      draining: server.isDraining,
+      coldRemainingMs: server.coldRemainingMs,
+    });
+    if (change.kind !== "ended") return;
+    this.#directory.forget(server.id);
+    this.#coordinator.noteServerEnded(server);
+    onServerEnded(server);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/routing/route_table.ts
@@ -0,0 +1,123 @@
+/**
+ * Finds a request's route and client account.
+ *
+ * @module
+ */
+
+import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import type {
+  ClientAccount,
+  Route,
+  RoutedService,
+  RoutingConfiguration,
+} from "./routing_configuration.js";
+
+/** The index of one configuration. A new one is made for each version. */
+export class RouteTable {
+  readonly configuration: RoutingConfiguration;
+  readonly #routesByHost = new Map<string, Route[]>();
+  readonly #accountsByKey = new Map<string, ClientAccount>();
+  readonly #services = new Map<ServiceName, RoutedService>();
+
+  #stageGroups: Map<ServiceName, string> | undefined;
+
+  constructor(configuration: RoutingConfiguration) {
+    this.configuration = configuration;
+    for (const route of configuration.routes) this.#addRoute(route);
+    for (const routes of this.#routesByHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    for (const account of configuration.accounts ?? []) {
+      for (const key of account.keys) this.#accountsByKey.set(key, account);
+    }
+    for (const service of configuration.services) {
+      this.#services.set(service.name, service);
+    }
+  }
+
+  get needsKeys(): boolean {
+    return this.configuration.accounts !== undefined;
+  }
+
+  /**
+   * The route with the longest prefix of the path.
+   *
+   * @example
+   * ```ts
+   * const route = table.findRoute("api.example", "/lookups/17?full=1");
+   * ```
+   */
+  findRoute(host: string, path: string): Route | undefined {
+    const pathOnly = path.split("?", 1)[0] ?? path;
+    return this.#routesByHost.get(host.toLowerCase())
+      ?.find((route) => pathOnly.startsWith(route.pathPrefix));
+  }
+
+  findAccount(key: string): ClientAccount | undefined {
+    return this.#accountsByKey.get(key);
+  }
+
+  findService(name: ServiceName): RoutedService | undefined {
+    return this.#services.get(name);
+  }
+
+  /**
+   * Names the stage services that one coordinator has to run together: those
+   * that are joined by routes which use several of them.
+   */
+  stageGroupOf(route: Route): string {
+    const [first] = route.stages;
+    if (first === undefined) return "";
+    this.#stageGroups ??= groupStageServices(this.configuration.routes);
+    return this.#stageGroups.get(first.service) ?? first.service;
+  }
+
+  #addRoute(route: Route): void {
+    const host = route.host.toLowerCase();
+    const routes = this.#routesByHost.get(host) ?? [];
+    routes.push(route);
+    this.#routesByHost.set(host, routes);
+  }
+}
+
+/**
+ * Draws one of a route's services by weight.
+ *
+ * @param draw Uniform between 0 and 1
+ *
+ * @example
+ * ```ts
+ * const service = chooseService(route, Math.random());
+ * ```
+ */
+export function chooseService(
+  route: Route,
+  draw: number,
+): ServiceName | undefined {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let rest = draw * total;
+  for (const target of route.targets) {
+    rest -= target.weight;
+    if (rest < 0) return target.service;
+  }
+  return route.targets.at(-1)?.service;
+}
+
+/** Joins the services of each route, so that each group has one name. */
+function groupStageServices(
+  routes: readonly Route[],
+): Map<ServiceName, string> {
+  const groups = new Map<ServiceName, Set<ServiceName>>();
+  for (const route of routes) {
+    const joined = new Set(route.stages.map((stage) => stage.service));
+    for (const service of [...joined]) {
+      for (const member of groups.get(service) ?? []) joined.add(member);
+    }
+    for (const service of joined) groups.set(service, joined);
+  }
+  const names = new Map<ServiceName, string>();
+  for (const [service, group] of groups) {
+    names.set(service, `stages/${[...group].sort()[0] ?? service}`);
+  }
+  return names;
+}
--- /dev/null
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -0,0 +1,436 @@
+/**
+ * Runs the stages of all requests of one group of stage services: forms
+ * batched calls, follows each item to its result, and gives results back as
+ * soon as nothing needs them.
+ *
+ * Decides only; whoever drives it makes the calls.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  ServiceName,
+  VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
+import type {
+  RegisteredServer,
+  ServerRegister,
+} from "../register/server_register.js";
+import type { BatchLimits } from "../routing/routing_configuration.js";
+import { BatchServer } from "./batch_server.js";
+import { findHopeless } from "./find_hopeless.js";
+import {
+  type BatchEntry,
+  type PlannedBatch,
+  planBatches,
+} from "./form_batch.js";
+import { HeldResults } from "./held_results.js";
+import type { ResultReference, StageGraphOutcome } from "@sassafrasstage/protocol/stage_graph";
+import { type StageItem, StageJob, type StageJobOptions } from "./stage_job.js";
+import { servicesOf, WorkEstimates } from "./work_estimates.js";
+
+export interface BatchSchedulerOptions {
+  readonly register: ServerRegister;
+  readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
+  /** Bounds how many items are sent a second time. */
+  readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
+  readonly onEnded: (job: StageJob, outcome: StageGraphOutcome) => void;
+  /** These results at one server are needed no longer. */
+  readonly onFree: (
+    server: RegisteredServer,
+    results: readonly ResultReference[],
+  ) => void;
+}
+
+/** A call that has to be made now. */
+export interface StageCall {
+  readonly id: number;
+  readonly service: ServiceName;
+  readonly server: RegisteredServer;
+  readonly entries: readonly BatchEntry[];
+  readonly startedAtMs: number;
+}
+
+export type ItemOutcome =
+  | { readonly kind: "made"; readonly reference: string }
+  | { readonly kind: "failed"; readonly reason: ItemFailure };
+
+export type ItemFailure = "outOfTime" | "inputGone" | "noRoom" | "error";
+
+export type StageCallOutcome =
+  | { readonly kind: "answered"; readonly items: readonly ItemOutcome[] }
+  /** The server took nothing of it. */
+  | { readonly kind: "notRun"; readonly reason: "full" | "notConnected" }
+  /** What became of it is not known. */
+  | { readonly kind: "unknown"; readonly detail: string };
+
+interface OpenCall extends StageCall {
+  readonly batchServer: BatchServer;
+  readonly overdueAtMs: number;
+  isOverdue: boolean;
+}
+
+/** Sends of one item before its job is given up. */
+const MAX_ITEM_SENDS = 4;
+/** A result is taken as dropped this long before its maker would. */
+const LAPSE_MARGIN_MS = 150;
+
+export class BatchScheduler {
+  readonly #options: BatchSchedulerOptions;
+  readonly #jobs = new Map<string, StageJob>();
+  /** Their results are in use by their requests. */
+  readonly #completed = new Map<string, StageJob>();
+  readonly #servers = new Map<BackendServerId, BatchServer>();
+  readonly #calls = new Map<number, OpenCall>();
+  readonly #held = new HeldResults();
+  readonly #estimates: WorkEstimates;
+  #lastCallId = 0;
+
+  constructor(options: BatchSchedulerOptions) {
+    this.#options = options;
+    this.#estimates = new WorkEstimates(options.limitsOf);
+  }
+
+  get jobCount(): number {
+    return this.#jobs.size;
+  }
+
+  /** Takes a job, or ends it at once when it can't be done in time. */
+  submit(options: StageJobOptions): void {
+    const job = new StageJob(options);
+    this.#jobs.set(job.id, job);
+    for (const service of servicesOf(job)) {
+      this.#options.retryBudgetOf(service).noteRequest(options.nowMs);
+    }
+    this.refuseHopeless(options.nowMs);
+    this.#completeIfDone(job);
+  }
+
+  /** The request has used the results, or was given up. */
+  release(jobId: string): void {
+    const job = this.#jobs.get(jobId) ?? this.#completed.get(jobId);
+    if (job === undefined) return;
+    this.#drop(job);
+  }
+
+  /** Gives up the unfinished jobs of a VM that can't be told any more. */
+  cancelOwnedBy(vmId: VmId): void {
+    for (const job of [...this.#jobs.values()]) {
+      if (job.owner === vmId) this.#drop(job);
+    }
+  }
+
+  /** Forms the calls that can start now and counts them as started. */
+  plan(nowMs: number): StageCall[] {
+    const services = new Set<ServiceName>();
+    for (const job of this.#jobs.values()) {
+      for (const position of job.readyStages()) {
+        services.add(job.stage(position).service);
+      }
+    }
+    return [...services].flatMap((service) => this.#planFor(service, nowMs));
+  }
+
+  endCall(callId: number, outcome: StageCallOutcome, nowMs: number): void {
+    const call = this.#calls.get(callId);
+    if (call === undefined) return;
+    this.#calls.delete(callId);
+    call.batchServer.endCall();
+    switch (outcome.kind) {
+      case "answered":
+        this.#takeItems(call, outcome.items, nowMs);
+        break;
+      case "notRun":
+        if (outcome.reason === "full") call.batchServer.pause(nowMs);
+        else call.batchServer.suspend(nowMs);
+        this.#returnItems(call, nowMs);
+        break;
+      case "unknown":
+        call.batchServer.suspend(nowMs);
+        this.#returnItems(call, nowMs);
+        break;
+    }
+  }
+
+  /** Looks for overdue calls, dropped results and hopeless jobs. */
+  tick(nowMs: number): void {
+    for (const call of this.#calls.values()) this.#checkOverdue(call, nowMs);
+    for (const held of this.#held.takeLapsed(nowMs + LAPSE_MARGIN_MS)) {
+      this.#noteLost([held.result], nowMs);
+      this.#servers.get(held.result.maker)?.freeRoom(held.bytes);
+    }
+    this.refuseHopeless(nowMs);
+  }
+
+  /** All that the server held or worked on is lost. */
+  noteServerEnded(id: BackendServerId, nowMs: number): void {
+    const lost = this.#held.takeMadeBy(id).map((held) => held.result);
+    this.#noteLost(lost, nowMs);
+    for (const call of [...this.#calls.values()]) {
+      if (call.server.id !== id) continue;
+      this.endCall(call.id, { kind: "unknown", detail: "ended" }, nowMs);
+    }
+    this.#servers.delete(id);
+  }
+
+  refuseHopeless(nowMs: number): void {
+    const hopeless = findHopeless({
+      jobs: this.#jobs.values(),
+      estimates: this.#estimates,
+      capacityOf: (service) => this.#capacityOf(service, nowMs),
+      nowMs,
+    });
+    for (const { job, reason, retryAfterMs } of hopeless) {
+      if (job.items.flat().some((item) => item.state.kind === "running")) {
+        if (nowMs <= job.deadlineAtMs) continue;
+      }
+      this.#refuse(job, { kind: "refused", reason, retryAfterMs });
+    }
+  }
+
+  #planFor(service: ServiceName, nowMs: number): StageCall[] {
+    const servers = this.#usableServers(service);
+    const idle = servers.filter((server) => server.canStart(nowMs));
+    if (idle.length === 0) return [];
+    const busy = servers.filter((server) => !idle.includes(server));
+    const nextFreeAtMs = busy.length === 0
+      ? undefined
+      : Math.min(...busy.map((server) => server.likelyFreeAtMs));
+    return planBatches({
+      service,
+      idle,
+      nextFreeAtMs,
+      jobs: this.#jobs.values(),
+      estimates: this.#estimates,
+      nowMs,
+    }).flatMap((batch) => this.#start(service, batch, nowMs));
+  }
+
+  #start(
+    service: ServiceName,
+    batch: PlannedBatch,
+    nowMs: number,
+  ): StageCall[] {
+    const entries = batch.entries.filter((entry) =>
+      this.#maySend(entry, service, nowMs)
+    );
+    if (entries.length === 0) return [];
+    this.#lastCallId += 1;
+    const id = this.#lastCallId;
+    const call: OpenCall = {
+      id,
+      service,
+      server: batch.server.server,
+      entries,
+      startedAtMs: nowMs,
+      batchServer: batch.server,
+      overdueAtMs: nowMs + batch.server.overdueMs(entries.length, nowMs),
+      isOverdue: false,
+    };
+    for (const { item } of entries) {
+      item.state = { kind: "running", callId: id };
+      item.sendCount += 1;
+    }
+    batch.server.startCall(entries.length, roomOf(entries), nowMs);
+    this.#calls.set(id, call);
+    return [call];
+  }
+
+  #maySend(entry: BatchEntry, service: ServiceName, nowMs: number): boolean {
+    if (entry.job.isEnded) return false;
+    if (entry.item.sendCount === 0) return true;
+    const budget = this.#options.retryBudgetOf(service);
+    if (entry.item.sendCount < MAX_ITEM_SENDS && budget.tryRepeat(nowMs)) {
+      return true;
+    }
+    this.#refuse(entry.job, {
+      kind: "refused",
+      reason: "noServer",
+      retryAfterMs: this.#estimates.likelyCallMs(service),
+    });
+    return false;
+  }
+
+  #takeItems(
+    call: OpenCall,
+    outcomes: readonly ItemOutcome[],
+    nowMs: number,
+  ): void {
+    const durationMs = nowMs - call.startedAtMs;
+    const wasWorkedOn = outcomes.some((outcome) => outcome.kind === "made");
+    if (wasWorkedOn) {
+      call.batchServer.noteDuration(call.entries.length, durationMs, nowMs);
+      this.#estimates.noteCall(call.service, durationMs);
+    }
+    const unused: ResultReference[] = [];
+    for (const [place, entry] of call.entries.entries()) {
+      const outcome = outcomes[place] ??
+        { kind: "failed", reason: "error" };
+      if (outcome.kind === "made") {
+        const result = {
+          reference: outcome.reference,
+          maker: call.server.id,
+          dataCentre: call.server.dataCentre,
+        };
+        if (!this.#takeResult(call, entry, result, nowMs)) unused.push(result);
+      } else this.#takeFailure(call, entry, outcome.reason, nowMs);
+    }
+    this.#free(unused);
+    const jobs = new Set(call.entries.map((entry) => entry.job));
+    for (const job of jobs) this.#completeIfDone(job);
+  }
+
+  /** False when nothing needs the result. */
+  #takeResult(
+    call: OpenCall,
+    entry: BatchEntry,
+    result: ResultReference,
+    nowMs: number,
+  ): boolean {
+    const { job, item } = entry;
+    const lapsesAtMs = nowMs + call.batchServer.limits.resultKeptMs;
+    const bytes = job.stage(item.stage).resultBytes;
+    this.#held.add({ result, bytes, lapsesAtMs });
+    if (job.isEnded || item.state.kind === "done") return false;
+    item.state = { kind: "done", result, lapsesAtMs };
+    this.#freeUsedInputs(job, item.stage);
+    return true;
+  }
+
+  #takeFailure(
+    call: OpenCall,
+    entry: BatchEntry,
+    reason: ItemFailure,
+    nowMs: number,
+  ): void {
+    const { job, item } = entry;
+    call.batchServer.freeRoom(job.stage(item.stage).resultBytes);
+    returnItem(call, item);
+    switch (reason) {
+      case "noRoom":
+        call.batchServer.pause(nowMs);
+        break;
+      case "inputGone":
+        // Which input is gone isn't told, so all are made again.
+        this.#noteLost(job.inputsOf(item.stage), nowMs);
+        break;
+      case "outOfTime":
+      case "error":
+        break;
+    }
+  }
+
+  /** Gives back the results that the finished stage took as its inputs. */
+  #freeUsedInputs(job: StageJob, stage: number): void {
+    if (!job.isStageDone(stage)) return;
+    for (const before of job.stage(stage).after) {
+      if (!job.isResultNeeded(before)) this.#free(job.resultsOf(before));
+    }
+  }
+
+  #returnItems(call: OpenCall, _nowMs: number): void {
+    call.batchServer.freeRoom(roomOf(call.entries));
+    for (const { item } of call.entries) returnItem(call, item);
+  }
+
+  #checkOverdue(call: OpenCall, nowMs: number): void {
+    if (call.isOverdue || nowMs < call.overdueAtMs) return;
+    call.isOverdue = true;
+    const durationMs = nowMs - call.startedAtMs;
+    call.batchServer.noteDuration(call.entries.length, durationMs, nowMs);
+    for (const { item } of call.entries) returnItem(call, item);
+  }
+
+  #noteLost(results: readonly ResultReference[], _nowMs: number): void {
+    if (results.length === 0) return;
+    const lost = new Set(results.map((result) => result.reference));
+    for (const job of this.#jobs.values()) {
+      for (const item of job.items.flat()) {
+        if (item.state.kind !== "done") continue;
+        if (!lost.has(item.state.result.reference)) continue;
+        if (job.isResultNeeded(item.stage)) item.state = { kind: "waiting" };
+      }
+    }
+  }
+
+  #completeIfDone(job: StageJob): void {
+    if (job.isEnded || !job.isComplete()) return;
+    job.isEnded = true;
+    this.#jobs.delete(job.id);
+    this.#completed.set(job.id, job);
+    this.#options.onEnded(job, {
+      kind: "completed",
+      results: job.finalResults(),
+    });
+  }
+
+  #refuse(job: StageJob, outcome: StageGraphOutcome): void {
+    if (job.isEnded) return;
+    this.#drop(job);
+    this.#options.onEnded(job, outcome);
+  }
+
+  #drop(job: StageJob): void {
+    job.isEnded = true;
+    this.#jobs.delete(job.id);
+    this.#completed.delete(job.id);
+    this.#free(
+      [...job.graph.stages.keys()].flatMap((stage) => job.resultsOf(stage)),
+    );
+  }
+
+  #free(results: readonly ResultReference[]): void {
+    const byMaker = new Map<BackendServerId, ResultReference[]>();
+    for (const result of results) {
+      const held = this.#held.take(result);
+      if (held === undefined) continue;
+      this.#servers.get(result.maker)?.freeRoom(held.bytes);
+      const ofMaker = byMaker.get(result.maker) ?? [];
+      ofMaker.push(result);
+      byMaker.set(result.maker, ofMaker);
+    }
+    for (const [maker, ofMaker] of byMaker) {
+      const server = this.#options.register.get(maker);
+      if (server !== undefined) this.#options.onFree(server, ofMaker);
+    }
+  }
+
+  #usableServers(service: ServiceName): BatchServer[] {
+    const limits = this.#options.limitsOf(service);
+    if (limits === undefined) return [];
+    return this.#options.register.usable(service).map((server) => {
+      const known = this.#servers.get(server.id);
+      if (known !== undefined) {
+        known.server = server;
+        known.limits = limits;
+        return known;
+      }
+      const added = new BatchServer(server, limits);
+      this.#servers.set(server.id, added);
+      return added;
+    });
+  }
+
+  #capacityOf(service: ServiceName, nowMs: number): number {
+    let capacity = 0;
+    for (const server of this.#usableServers(service)) {
+      capacity += server.limits.callsAtOnce / server.slowness(nowMs);
+    }
+    return capacity;
+  }
+}
+
+function roomOf(entries: readonly BatchEntry[]): number {
+  return entries.reduce(
+    (sum, { job, item }) => sum + job.stage(item.stage).resultBytes,
+    0,
+  );
+}
+
+/** Lets the item be sent again, unless another call has it by now. */
+function returnItem(call: StageCall, item: StageItem): void {
+  if (item.state.kind !== "running" || item.state.callId !== call.id) return;
+  item.state = { kind: "waiting" };
+}
--- /dev/null
+++ b/packages/daemon/src/stage_graphs/form_batch.ts
@@ -0,0 +1,240 @@
+/**
+ * Chooses what goes into the next batched call of a service.
+ *
+ * Load pattern: calls cost far more than the items in them, and bursts ask for
+ * more items than all calls hold. Work that can still be on time goes first,
+ * by worth for each millisecond of server time; the places that are left go
+ * to work that is late already but still of use.
+ *
+ * @module
+ */
+
+import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import type { BatchServer } from "./batch_server.js";
+import type { StageItem, StageJob } from "./stage_job.js";
+import type { WorkEstimates } from "./work_estimates.js";
+
+/** Waiting items of one stage of one job. */
+export interface WaitingGroup {
+  readonly job: StageJob;
+  readonly stage: number;
+  readonly items: readonly StageItem[];
+}
+
+export interface PlannedBatch {
+  readonly server: BatchServer;
+  readonly entries: readonly BatchEntry[];
+}
+
+export interface BatchEntry {
+  readonly job: StageJob;
+  readonly item: StageItem;
+}
+
+export interface BatchPlanInput {
+  readonly service: ServiceName;
+  /** Servers that can start a call now. */
+  readonly idle: readonly BatchServer[];
+  /** When a server of nominal speed will next be free, if one is busy. */
+  readonly nextFreeAtMs: number | undefined;
+  readonly jobs: Iterable<StageJob>;
+  readonly estimates: WorkEstimates;
+  readonly nowMs: number;
+}
+
+/** A server this much slower than nominal takes only what is late anyway. */
+const SLOW_FROM = 1.6;
+/** How much longer a call may take to spare results the way between sites. */
+const CROSSING_MS = 40;
+/** A stage that nothing follows starts this many of its calls early. */
+const EARLY_CALLS = 1.5;
+
+interface RankedGroup extends WaitingGroup {
+  readonly isOnTime: boolean;
+  readonly rank: number;
+}
+
+/**
+ * Plans one call for each idle server for which there is work.
+ *
+ * @example
+ * ```ts
+ * for (const batch of planBatches(input)) send(batch);
+ * ```
+ */
+export function planBatches(input: BatchPlanInput): PlannedBatch[] {
+  const batches: PlannedBatch[] = [];
+  const idle = [...input.idle];
+  let groups = rankGroups(input);
+  while (idle.length > 0 && groups.length > 0) {
+    const choice = chooseServer(input, groups, idle);
+    if (choice === undefined) break;
+    idle.splice(idle.indexOf(choice), 1);
+    const taken = fillBatch(input, groups, choice);
+    if (taken.length === 0) continue;
+    batches.push({ server: choice, entries: taken });
+    const gone = new Set(taken.map((entry) => entry.item));
+    groups = withoutItems(groups, gone);
+  }
+  return batches;
+}
+
+function rankGroups(input: BatchPlanInput): RankedGroup[] {
+  const groups: RankedGroup[] = [];
+  for (const job of input.jobs) {
+    for (const stage of job.readyStages()) {
+      if (job.stage(stage).service !== input.service) continue;
+      if (isTooEarly(input, job, stage)) continue;
+      groups.push(rankGroup(input, job, stage));
+    }
+  }
+  return groups.sort(compareGroups);
+}
+
+function rankGroup(
+  input: BatchPlanInput,
+  job: StageJob,
+  stage: number,
+): RankedGroup {
+  const { estimates, nowMs } = input;
+  const pathMs = estimates.pathFromMs(job, stage);
+  const waited = (nowMs - job.acceptedAtMs) /
+    Math.max(1, job.graph.objectiveInMs);
+  return {
+    job,
+    stage,
+    items: job.waitingItems(stage),
+    isOnTime: nowMs + pathMs <= job.lateAtMs,
+    rank: estimates.worthPerMs(job) * (1 + waited),
+  };
+}
+
+function compareGroups(a: RankedGroup, b: RankedGroup): number {
+  if (a.isOnTime !== b.isOnTime) return a.isOnTime ? -1 : 1;
+  return b.rank - a.rank;
+}
+
+/**
+ * Results take room until they are used. A stage that nothing follows waits
+ * while the job's other stages need much longer than it does.
+ */
+function isTooEarly(
+  input: BatchPlanInput,
+  job: StageJob,
+  stage: number,
+): boolean {
+  if (job.followersOf(stage).length > 0) return false;
+  const ownMs = input.estimates.likelyCallMs(input.service);
+  return input.estimates.remainingPathMs(job) > ownMs * (1 + EARLY_CALLS);
+}
+
+/** The server that ends the first group's call first, near its inputs. */
+function chooseServer(
+  input: BatchPlanInput,
+  groups: readonly RankedGroup[],
+  idle: readonly BatchServer[],
+): BatchServer | undefined {
+  const [first] = groups;
+  if (first === undefined) return undefined;
+  const home = homeOf(first);
+  let best: BatchServer | undefined;
+  let bestMs = Infinity;
+  for (const server of idle) {
+    const away = server.server.dataCentre === home ? 0 : CROSSING_MS;
+    const costMs = server.estimateMs(first.items.length, input.nowMs) + away;
+    if (costMs >= bestMs) continue;
+    best = server;
+    bestMs = costMs;
+  }
+  return best;
+}
+
+/** The data centre that the group's inputs, or its request, came from. */
+function homeOf(group: WaitingGroup): string {
+  const [input] = group.job.inputsOf(group.stage);
+  return input?.dataCentre ?? group.job.dataCentre;
+}
+
+function fillBatch(
+  input: BatchPlanInput,
+  groups: readonly RankedGroup[],
+  server: BatchServer,
+): BatchEntry[] {
+  const entries: BatchEntry[] = [];
+  let roomBytes = server.freeRoomBytes;
+  let latestEndMs = Infinity;
+  for (const group of groups) {
+    const { resultBytes } = group.job.stage(group.stage);
+    const placesLeft = server.limits.maxItems - entries.length;
+    if (placesLeft <= 0) break;
+    const count = countThatFits(group, { placesLeft, roomBytes, server });
+    if (count === 0) continue;
+    const endMs = input.nowMs +
+      server.estimateMs(entries.length + count, input.nowMs);
+    if (endMs > latestEndMs) continue;
+    const place = placeGroup(input, group, endMs, server);
+    if (place === "skip") continue;
+    if (place === "onTime") {
+      const pathMs = input.estimates.pathAfterMs(group.job, group.stage);
+      latestEndMs = Math.min(latestEndMs, group.job.lateAtMs - pathMs);
+    }
+    roomBytes -= count * resultBytes;
+    for (const item of group.items.slice(0, count)) {
+      entries.push({ job: group.job, item });
+    }
+  }
+  return entries;
+}
+
+interface Space {
+  readonly placesLeft: number;
+  readonly roomBytes: number;
+  readonly server: BatchServer;
+}
+
+/** Whole groups only, unless one is too large for any call. */
+function countThatFits(group: RankedGroup, space: Space): number {
+  const { resultBytes } = group.job.stage(group.stage);
+  const wanted = group.items.length;
+  const fits = Math.min(
+    space.placesLeft,
+    resultBytes > 0 ? Math.floor(space.roomBytes / resultBytes) : Infinity,
+  );
+  if (wanted <= fits) return wanted;
+  const { limits } = space.server;
+  const mostAtOnce = Math.min(
+    limits.maxItems,
+    resultBytes > 0 ? Math.floor(limits.resultRoomBytes / resultBytes) : Infinity,
+  );
+  return wanted > mostAtOnce / 2 ? Math.max(0, fits) : 0;
+}
+
+function placeGroup(
+  input: BatchPlanInput,
+  group: RankedGroup,
+  endMs: number,
+  server: BatchServer,
+): "onTime" | "late" | "skip" {
+  const { job } = group;
+  const afterMs = input.estimates.pathAfterMs(job, group.stage);
+  if (endMs + afterMs <= job.lateAtMs) return "onTime";
+  if (endMs + afterMs > job.deadlineAtMs) return "skip";
+  if (group.isOnTime && server.slowness(input.nowMs) > SLOW_FROM) {
+    const pathMs = input.estimates.pathFromMs(job, group.stage);
+    const nextMs = input.nextFreeAtMs ?? Infinity;
+    if (nextMs + pathMs <= job.lateAtMs) return "skip";
+  }
+  return "late";
+}
+
+function withoutItems(
+  groups: readonly RankedGroup[],
+  gone: ReadonlySet<StageItem>,
+): RankedGroup[] {
+  return groups
+    .map((group) => ({
+      ...group,
+      items: group.items.filter((item) => !gone.has(item)),
+    }))
+    .filter((group) => group.items.length > 0);
+}
--- /dev/null
+++ b/packages/daemon/src/stage_graphs/stage_job.ts
@@ -0,0 +1,153 @@
+/**
+ * One request's stages while they run.
+ *
+ * @module
+ */
+
+import type { VmId } from "@sassafrasstage/protocol/ids";
+import {
+  followersOf,
+  type GraphStage,
+  type ResultReference,
+  type StageGraph,
+} from "@sassafrasstage/protocol/stage_graph";
+
+export type ItemState =
+  | { readonly kind: "waiting" }
+  /** Names the newest call that includes it. */
+  | { readonly kind: "running"; readonly callId: number }
+  | {
+    readonly kind: "done";
+    readonly result: ResultReference;
+    /** When its maker drops the result by itself. */
+    readonly lapsesAtMs: number;
+  };
+
+/** One item of work of one stage. */
+export interface StageItem {
+  readonly stage: number;
+  readonly index: number;
+  state: ItemState;
+  /** Times that it was sent to a backend server. */
+  sendCount: number;
+}
+
+export interface StageJobOptions {
+  readonly id: string;
+  /** The VM that owns the request. */
+  readonly owner: VmId;
+  /** Where the request entered. */
+  readonly dataCentre: string;
+  readonly graph: StageGraph;
+  readonly nowMs: number;
+}
+
+/** The progress of one stage graph. */
+export class StageJob {
+  readonly id: string;
+  readonly owner: VmId;
+  readonly dataCentre: string;
+  readonly graph: StageGraph;
+  readonly acceptedAtMs: number;
+  /** The last result has to be there by now for an answer on time. */
+  readonly lateAtMs: number;
+  /** The last result is useless after this. */
+  readonly deadlineAtMs: number;
+  readonly items: readonly (readonly StageItem[])[];
+  readonly #followers: readonly (readonly number[])[];
+  /** Set once the outcome was told. */
+  isEnded = false;
+
+  constructor(options: StageJobOptions) {
+    const { graph, nowMs } = options;
+    this.id = options.id;
+    this.owner = options.owner;
+    this.dataCentre = options.dataCentre;
+    this.graph = graph;
+    this.acceptedAtMs = nowMs;
+    this.lateAtMs = nowMs + graph.objectiveInMs - graph.finishMs;
+    this.deadlineAtMs = nowMs + graph.deadlineInMs - graph.finishMs;
+    this.items = graph.stages.map((stage, position) =>
+      Array.from({ length: stage.itemCount }, (_, index): StageItem => ({
+        stage: position,
+        index,
+        state: { kind: "waiting" },
+        sendCount: 0,
+      }))
+    );
+    this.#followers = graph.stages.map((_, position) =>
+      followersOf(graph.stages, position)
+    );
+  }
+
+  stage(position: number): GraphStage {
+    const stage = this.graph.stages[position];
+    if (stage === undefined) throw new RangeError("No such stage");
+    return stage;
+  }
+
+  itemsOf(position: number): readonly StageItem[] {
+    return this.items[position] ?? [];
+  }
+
+  followersOf(position: number): readonly number[] {
+    return this.#followers[position] ?? [];
+  }
+
+  isStageDone(position: number): boolean {
+    return this.itemsOf(position).every((item) => item.state.kind === "done");
+  }
+
+  /** Whether all that the stage needs has been made. */
+  isStageReady(position: number): boolean {
+    return this.stage(position).after.every((before) =>
+      this.isStageDone(before)
+    );
+  }
+
+  waitingItems(position: number): StageItem[] {
+    return this.itemsOf(position)
+      .filter((item) => item.state.kind === "waiting");
+  }
+
+  /** Positions of the stages that have items to start now. */
+  readyStages(): number[] {
+    return [...this.graph.stages.keys()].filter((position) =>
+      this.itemsOf(position).some((item) => item.state.kind === "waiting") &&
+      this.isStageReady(position)
+    );
+  }
+
+  /** Results that the stage's items take as their inputs, in order. */
+  inputsOf(position: number): ResultReference[] {
+    return this.stage(position).after
+      .flatMap((before) => this.resultsOf(before));
+  }
+
+  resultsOf(position: number): ResultReference[] {
+    return this.itemsOf(position).flatMap((item) =>
+      item.state.kind === "done" ? [item.state.result] : []
+    );
+  }
+
+  /** Positions of the stages whose results the request itself takes. */
+  lastStages(): number[] {
+    return [...this.graph.stages.keys()]
+      .filter((position) => this.followersOf(position).length === 0);
+  }
+
+  isComplete(): boolean {
+    return this.lastStages().every((position) => this.isStageDone(position));
+  }
+
+  finalResults(): ResultReference[] {
+    return this.lastStages().flatMap((position) => this.resultsOf(position));
+  }
+
+  /** Whether a later stage or the request itself will still take the results. */
+  isResultNeeded(position: number): boolean {
+    const followers = this.followersOf(position);
+    return followers.length === 0 ||
+      followers.some((follower) => !this.isStageDone(follower));
+  }
+}
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -15,6 +15,8 @@
   PoolId,
   VmId,
 } from "./ids.js";
+import type { StageGraph, StageGraphOutcome } from "./stage_graph.js";
+import type { StoredObject } from "./platform_objects.js";
 import type {
   Permit,
   PermitAsk,
@@ -23,7 +25,7 @@
 } from "./permits.js";
 
 /** Raised whenever a message changes its form. */
-export const PEER_PROTOCOL_VERSION = 1;
+export const PEER_PROTOCOL_VERSION = 2;
 /** A longer frame closes the connection. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
@@ -169,6 +171,50 @@
   readonly recorded: boolean;
 }
 
+/** Has the stages of one of the sender's requests run. */
+export interface StageGraphRunMessage {
+  readonly type: "stageGraphRun";
+  readonly requestNumber: number;
+  readonly graph: StageGraph;
+}
+
+export interface StageGraphEndedMessage {
+  readonly type: "stageGraphEnded";
+  readonly requestNumber: number;
+  readonly outcome: StageGraphOutcome;
+}
+
+/** The results were used, or the request was given up. */
+export interface StageGraphReleaseMessage {
+  readonly type: "stageGraphRelease";
+  readonly requestNumber: number;
+}
+
+/** How far the sender's copy of one kind of objects goes. */
+export interface KnownObjects {
+  readonly prefix: string;
+  readonly revision: number;
+}
+
+/** The sender has heard that others know newer objects of the platform. */
+export interface ObjectsRequestMessage {
+  readonly type: "objectsRequest";
+  readonly known: readonly KnownObjects[];
+}
+
+/** All objects of one kind, as of a revision. */
+export interface ObjectsCopy {
+  readonly prefix: string;
+  readonly revision: number;
+  readonly newsVersion: number;
+  readonly objects: readonly StoredObject[];
+}
+
+export interface ObjectsMessage {
+  readonly type: "objects";
+  readonly copies: readonly ObjectsCopy[];
+}
+
 /** An orderly end: the sender takes no new work and gives up its pools. */
 export interface LeavingMessage {
   readonly type: "leaving";
@@ -192,6 +238,11 @@
   | ClaimReplyMessage
   | ClaimOutcomeMessage
   | ClaimOutcomeReplyMessage
+  | StageGraphRunMessage
+  | StageGraphEndedMessage
+  | StageGraphReleaseMessage
+  | ObjectsRequestMessage
+  | ObjectsMessage
   | LeavingMessage;
 
 export type PeerMessageType = PeerMessage["type"];
