--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/node_modules/**"] },
+  { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
   {
     files: ["**/*.ts"],
     extends: [...tseslint.configs.strictTypeChecked],
--- a/packages/daemon/src/deployment/deployment_form.ts
+++ b/packages/daemon/src/deployment/deployment_form.ts
@@ -33,5 +33,7 @@
   readTakenOut(object: StoredObject): DataCentreName;
   readEntryVm(object: StoredObject): Readout<ListedVm>;
   /** The object by which this VM makes itself known. */
-  entryVmObject(vm: ListedVm): { readonly key: string; readonly value: unknown };
+  entryVmObject(
+    vm: ListedVm,
+  ): { readonly key: string; readonly value: unknown };
 }
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -40,7 +40,9 @@
 
   /** When the platform answered again after failures. */
   get regainedAtMs(): number {
-    return this.#failures > 0 ? this.#options.clock.nowMs() : this.#regainedAtMs;
+    return this.#failures > 0
+      ? this.#options.clock.nowMs()
+      : this.#regainedAtMs;
   }
 
   async close(): Promise<void> {
@@ -49,18 +51,22 @@
   }
 
   async #run(): Promise<void> {
-    while (!this.#abort.signal.aborted) {
+    while (!this.#isClosed()) {
       try {
         await this.#step();
         this.#noteSuccess();
       } catch (error) {
-        if (this.#abort.signal.aborted) return;
+        if (this.#isClosed()) return;
         this.#noteFailure(error);
         await this.#pause();
       }
     }
   }
 
+  #isClosed(): boolean {
+    return this.#abort.signal.aborted;
+  }
+
   async #step(): Promise<void> {
     const { store, mirror, metrics, waitMs, onListed } = this.#options;
     if (mirror.revision === undefined) {
--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -4,14 +4,8 @@
  * @module
  */
 
-import type {
-  ClientAccount,
-  Route,
-} from "../routing/routing_configuration.js";
-import type {
-  DataCentreName,
-  ServiceName,
-} from "@sassafrasstage/protocol/ids";
+import type { ClientAccount, Route } from "../routing/routing_configuration.js";
+import type { DataCentreName, ServiceName } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -9,45 +9,26 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
-import { EventSplitter } from "./event_splitter.js";
 import type { ForwardContext, ForwardEnd } from "./forward_context.js";
 import { sendAnswer, sendOwn } from "./forward_whole.js";
 import { type PreparedInputs, prepareInputs } from "./prepare_inputs.js";
-import { judgeFailure, startCall } from "./run_attempt.js";
-import type { AnswerHead } from "./server_caller.js";
+import {
+  type StreamProgress,
+  StreamRelay,
+  type StreamResult,
+} from "./stream_relay.js";
 
-/** Silence before the first event after which a resumable stream moves. */
-const FIRST_EVENT_STALL_MS = 1500;
-/** Silence between events after which a resumable stream moves. */
-const EVENT_STALL_MS = 1000;
-const STALL_CHECK_MS = 250;
 /** Answers "not run" that one request looks for another server after. */
 const MOST_REFUSALS = 3;
 const FULL_RETRY_AFTER_MS = 250;
 
-/** What one call of a backend server brought. */
-type StreamResult =
-  | { readonly kind: "complete" }
-  | {
-    readonly kind: "answered";
-    readonly head: AnswerHead;
-    readonly body: Buffer;
-  }
-  | { readonly kind: "notRun"; readonly isInputGone: boolean }
-  | { readonly kind: "notSent"; readonly detail: string }
-  | { readonly kind: "broken"; readonly detail: string }
-  | { readonly kind: "ended" };
-
-interface StreamState {
+interface StreamState extends StreamProgress {
   readonly tried: Set<BackendServerId>;
   readonly relativeSize: number;
   inputs: PreparedInputs | undefined;
   /** Calls that may have run. */
   runs: number;
   refusals: number;
-  isHeadSent: boolean;
-  /** Id of the last event that was passed on. */
-  lastEventId: string | undefined;
 }
 
 export async function forwardStream(
@@ -166,115 +147,28 @@
     server: candidate.server.id,
     inFlight: candidate.health.inFlight,
   });
-  return relayStream(context, state, candidate);
-}
-
-/** The longest part of the prompt that other requests may share. */
-function prefixKeyOf(context: ForwardContext): string | undefined {
-  const parts = context.request.prompt?.parts;
-  if (parts === undefined || parts.length === 0) return undefined;
-  return parts[Math.max(0, parts.length - 2)]?.id;
-}
-
-function relayStream(
-  context: ForwardContext,
-  state: StreamState,
-  candidate: Parameters<typeof startCall>[0]["candidate"],
-): Promise<StreamResult> {
-  const { environment, channel, lifetime, route } = context;
-  const startedAtMs = environment.clock.nowMs();
-  const splitter = new EventSplitter();
-  const chunks: Buffer[] = [];
-  let head: AnswerHead | undefined;
-  let lastHeardAtMs = startedAtMs;
-  let hasEvents = false;
-  return new Promise((resolve) => {
-    let stallTimer: NodeJS.Timeout | undefined;
-    let stopListening: () => void = () => undefined;
-    function finish(result: StreamResult): void {
-      clearInterval(stallTimer);
-      stopListening();
-      resolve(result);
-    }
-    function passOn(bytes: Buffer): void {
-      if (bytes.length === 0 || head === undefined) return;
-      if (!state.isHeadSent) {
-        state.isHeadSent = true;
-        channel.writeHead(head.status, head.headers);
-      }
-      if (!hasEvents) {
-        hasEvents = true;
-        environment.measures.noteFinish(
-          route.name,
-          environment.clock.nowMs() - startedAtMs,
-        );
-        state.inputs?.release();
-        state.inputs = undefined;
-      }
-      channel.write(bytes);
-    }
-    const call = startCall({
+  return StreamRelay.run({
+    attempt: {
       context,
       candidate,
       inputs: state.inputs?.references,
       resumeAfter: state.lastEventId,
-    }, {
-      onHead: (newHead) => {
-        head = newHead;
-        lastHeardAtMs = environment.clock.nowMs();
-      },
-      onBody: (chunk) => {
-        lastHeardAtMs = environment.clock.nowMs();
-        if (head === undefined || !isStream(head)) {
-          chunks.push(chunk);
-          return;
-        }
-        const { bytes, lastId } = splitter.push(chunk);
-        passOn(bytes);
-        if (lastId !== undefined) state.lastEventId = lastId;
-      },
-      onEnd: () => {
-        if (head === undefined) finish({ kind: "broken", detail: "noHead" });
-        else if (head.isNotRun) {
-          finish({ kind: "notRun", isInputGone: head.isInputGone });
-        } else if (!head.isGenuine) {
-          finish({ kind: "broken", detail: "notGenuine" });
-        } else if (isStream(head)) {
-          passOn(splitter.takeRest());
-          if (!state.isHeadSent) channel.writeHead(head.status, head.headers);
-          channel.end();
-          finish({ kind: "complete" });
-        } else if (state.isHeadSent) {
-          finish({ kind: "broken", detail: `status${head.status}` });
-        } else {
-          finish({ kind: "answered", head, body: Buffer.concat(chunks) });
-        }
-      },
-      onFailure: (failure) => {
-        const judged = judgeFailure(head, failure);
-        finish(judged.kind === "answered"
-          ? { kind: "broken", detail: "failed" }
-          : judged);
-      },
-    });
-    stopListening = lifetime.onEnd(() => {
-      call.cancel();
-      finish({ kind: "ended" });
-    });
-    if (!isResumable(context) || state.runs >= route.maxAttempts) return;
-    stallTimer = setInterval(() => {
-      const silentMs = environment.clock.nowMs() - lastHeardAtMs;
-      const limitMs = hasEvents ? EVENT_STALL_MS : FIRST_EVENT_STALL_MS;
-      if (silentMs < limitMs) return;
-      call.cancel();
-      candidate.health.noteFailure(environment.clock.nowMs());
-      finish({ kind: "broken", detail: "silent" });
-    }, STALL_CHECK_MS);
+    },
+    progress: state,
+    mayMove: isResumable(context) && state.runs < context.route.maxAttempts,
+    onFirstEvent: (afterMs) => {
+      environment.measures.noteFinish(context.route.name, afterMs);
+      state.inputs?.release();
+      state.inputs = undefined;
+    },
   });
 }
 
-function isStream(head: AnswerHead): boolean {
-  return head.status === 200 && head.isGenuine && !head.isNotRun;
+/** The longest part of the prompt that other requests may share. */
+function prefixKeyOf(context: ForwardContext): string | undefined {
+  const parts = context.request.prompt?.parts;
+  if (parts === undefined || parts.length === 0) return undefined;
+  return parts[Math.max(0, parts.length - 2)]?.id;
 }
 
 function isResumable(context: ForwardContext): boolean {
--- a/packages/daemon/src/forwarding/forward_whole.ts
+++ b/packages/daemon/src/forwarding/forward_whole.ts
@@ -9,6 +9,7 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import { makeDeferred } from "../deferred.js";
 import type { ForwardContext, ForwardEnd } from "./forward_context.js";
 import {
   type AttemptResult,
@@ -106,7 +107,9 @@
   state: ForwardState,
   options: { readonly ended: Promise<RaceEvent>; readonly mayHedge: boolean },
 ): Promise<RaceEvent> {
-  const results = [...state.running].map(async (attempt): Promise<RaceEvent> => ({
+  const results = [...state.running].map(async (
+    attempt,
+  ): Promise<RaceEvent> => ({
     kind: "result",
     attempt,
     result: await attempt.result,
@@ -245,11 +248,9 @@
 function lifetimeEnd(
   context: ForwardContext,
 ): { readonly promise: Promise<RaceEvent>; readonly stop: () => void } {
-  let stop: () => void = () => undefined;
-  const promise = new Promise<RaceEvent>((resolve) => {
-    stop = context.lifetime.onEnd(() => {
-      resolve({ kind: "ended" });
-    });
+  const ended = makeDeferred<RaceEvent>();
+  const stop = context.lifetime.onEnd(() => {
+    ended.resolve({ kind: "ended" });
   });
-  return { promise, stop };
+  return { promise: ended.promise, stop };
 }
--- a/packages/daemon/src/forwarding/prepare_inputs.ts
+++ b/packages/daemon/src/forwarding/prepare_inputs.ts
@@ -5,6 +5,7 @@
  */
 
 import type { GraphStage } from "@sassafrasstage/protocol/stage_graph";
+import { makeDeferred } from "../deferred.js";
 import type { RunningGraph } from "../stage_graphs/stage_graph_client.js";
 import type { ForwardContext } from "./forward_context.js";
 import type { OwnAnswer } from "./routed_request.js";
@@ -54,13 +55,11 @@
     return { kind: "prepared", inputs: NO_INPUTS };
   }
   const running = startGraph(context, stages, relativeSize);
-  let stopListening: () => void = () => undefined;
-  const ended = new Promise<"ended">((resolve) => {
-    stopListening = context.lifetime.onEnd(() => {
-      resolve("ended");
-    });
+  const ended = makeDeferred<"ended">();
+  const stopListening = context.lifetime.onEnd(() => {
+    ended.resolve("ended");
   });
-  const outcome = await Promise.race([running.outcome, ended]);
+  const outcome = await Promise.race([running.outcome, ended.promise]);
   stopListening();
   if (outcome === "ended") {
     running.release();
--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -7,10 +7,7 @@
 import { findGraphFault } from "@sassafrasstage/protocol/stage_graph";
 import type { RouteTable } from "../routing/route_table.js";
 import { chooseService } from "../routing/route_table.js";
-import type {
-  ClientAccount,
-  Route,
-} from "../routing/routing_configuration.js";
+import type { ClientAccount, Route } from "../routing/routing_configuration.js";
 import type {
   ForwardContext,
   ForwardEnd,
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { makeDeferred } from "../deferred.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
 import type { ForwardContext } from "./forward_context.js";
 import type {
@@ -117,10 +118,7 @@
 
 /** Calls the server and gathers its whole answer. */
 export function runWholeAttempt(input: AttemptInput): RunningAttempt {
-  let settle: (result: AttemptResult) => void = () => undefined;
-  const result = new Promise<AttemptResult>((resolve) => {
-    settle = resolve;
-  });
+  const result = makeDeferred<AttemptResult>();
   const chunks: Buffer[] = [];
   let head: AnswerHead | undefined;
   const call = startCall(input, {
@@ -131,17 +129,17 @@
       chunks.push(chunk);
     },
     onEnd: () => {
-      settle(judgeAnswer(head, chunks));
+      result.resolve(judgeAnswer(head, chunks));
     },
     onFailure: (failure) => {
-      settle(judgeFailure(head, failure));
+      result.resolve(judgeFailure(head, failure));
     },
   });
   return {
-    result,
+    result: result.promise,
     cancel: () => {
       call.cancel();
-      settle({ kind: "broken", detail: "canceled" });
+      result.resolve({ kind: "broken", detail: "canceled" });
     },
   };
 }
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -12,10 +12,7 @@
 } from "@sassafrasstage/protocol/ids";
 import type { ServerRegister } from "../register/server_register.js";
 import type { RoutedService } from "../routing/routing_configuration.js";
-import {
-  chooseServer,
-  type ServerCandidate,
-} from "./choose_server.js";
+import { chooseServer, type ServerCandidate } from "./choose_server.js";
 import { ServerHealth } from "./server_health.js";
 import {
   type RetryBudgetLimits,
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -23,11 +23,14 @@
 import { findHopeless } from "./find_hopeless.js";
 import {
   type BatchEntry,
-  type PlannedBatch,
   planBatches,
+  type PlannedBatch,
 } from "./form_batch.js";
 import { HeldResults } from "./held_results.js";
-import type { ResultReference, StageGraphOutcome } from "@sassafrasstage/protocol/stage_graph";
+import type {
+  ResultReference,
+  StageGraphOutcome,
+} from "@sassafrasstage/protocol/stage_graph";
 import { type StageItem, StageJob, type StageJobOptions } from "./stage_job.js";
 import { servicesOf, WorkEstimates } from "./work_estimates.js";
 
@@ -145,11 +148,11 @@
       case "notRun":
         if (outcome.reason === "full") call.batchServer.pause(nowMs);
         else call.batchServer.suspend(nowMs);
-        this.#returnItems(call, nowMs);
+        this.#returnItems(call);
         break;
       case "unknown":
         call.batchServer.suspend(nowMs);
-        this.#returnItems(call, nowMs);
+        this.#returnItems(call);
         break;
     }
   }
@@ -158,7 +161,7 @@
   tick(nowMs: number): void {
     for (const call of this.#calls.values()) this.#checkOverdue(call, nowMs);
     for (const held of this.#held.takeLapsed(nowMs + LAPSE_MARGIN_MS)) {
-      this.#noteLost([held.result], nowMs);
+      this.#noteLost([held.result]);
       this.#servers.get(held.result.maker)?.freeRoom(held.bytes);
     }
     this.refuseHopeless(nowMs);
@@ -167,7 +170,7 @@
   /** All that the server held or worked on is lost. */
   noteServerEnded(id: BackendServerId, nowMs: number): void {
     const lost = this.#held.takeMadeBy(id).map((held) => held.result);
-    this.#noteLost(lost, nowMs);
+    this.#noteLost(lost);
     for (const call of [...this.#calls.values()]) {
       if (call.server.id !== id) continue;
       this.endCall(call.id, { kind: "unknown", detail: "ended" }, nowMs);
@@ -265,6 +268,7 @@
       this.#estimates.noteCall(call.service, durationMs);
     }
     const unused: ResultReference[] = [];
+    const lapsesAtMs = nowMs + call.batchServer.limits.resultKeptMs;
     for (const [place, entry] of call.entries.entries()) {
       const outcome = outcomes[place] ??
         { kind: "failed", reason: "error" };
@@ -274,23 +278,22 @@
           maker: call.server.id,
           dataCentre: call.server.dataCentre,
         };
-        if (!this.#takeResult(call, entry, result, nowMs)) unused.push(result);
-      } else this.#takeFailure(call, entry, outcome.reason, nowMs);
+        if (!this.#takeResult(entry, result, lapsesAtMs)) unused.push(result);
+      } else this.#takeFailure(call, entry, outcome.reason);
     }
     this.#free(unused);
+    if (outcomes.some(isNoRoom)) call.batchServer.pause(nowMs);
     const jobs = new Set(call.entries.map((entry) => entry.job));
     for (const job of jobs) this.#completeIfDone(job);
   }
 
   /** False when nothing needs the result. */
   #takeResult(
-    call: OpenCall,
     entry: BatchEntry,
     result: ResultReference,
-    nowMs: number,
+    lapsesAtMs: number,
   ): boolean {
     const { job, item } = entry;
-    const lapsesAtMs = nowMs + call.batchServer.limits.resultKeptMs;
     const bytes = job.stage(item.stage).resultBytes;
     this.#held.add({ result, bytes, lapsesAtMs });
     if (job.isEnded || item.state.kind === "done") return false;
@@ -303,18 +306,15 @@
     call: OpenCall,
     entry: BatchEntry,
     reason: ItemFailure,
-    nowMs: number,
   ): void {
     const { job, item } = entry;
     call.batchServer.freeRoom(job.stage(item.stage).resultBytes);
     returnItem(call, item);
     switch (reason) {
       case "noRoom":
-        call.batchServer.pause(nowMs);
-        break;
       case "inputGone":
         // Which input is gone isn't told, so all are made again.
-        this.#noteLost(job.inputsOf(item.stage), nowMs);
+        this.#noteLost(job.inputsOf(item.stage));
         break;
       case "outOfTime":
       case "error":
@@ -330,7 +330,7 @@
     }
   }
 
-  #returnItems(call: OpenCall, _nowMs: number): void {
+  #returnItems(call: OpenCall): void {
     call.batchServer.freeRoom(roomOf(call.entries));
     for (const { item } of call.entries) returnItem(call, item);
   }
@@ -343,7 +343,7 @@
     for (const { item } of call.entries) returnItem(call, item);
   }
 
-  #noteLost(results: readonly ResultReference[], _nowMs: number): void {
+  #noteLost(results: readonly ResultReference[]): void {
     if (results.length === 0) return;
     const lost = new Set(results.map((result) => result.reference));
     for (const job of this.#jobs.values()) {
@@ -434,3 +434,7 @@
   if (item.state.kind !== "running" || item.state.callId !== call.id) return;
   item.state = { kind: "waiting" };
 }
+
+function isNoRoom(outcome: ItemOutcome): boolean {
+  return outcome.kind === "failed" && outcome.reason === "noRoom";
+}
--- a/packages/daemon/src/stage_graphs/form_batch.ts
+++ b/packages/daemon/src/stage_graphs/form_batch.ts
@@ -172,7 +172,7 @@
     const endMs = input.nowMs +
       server.estimateMs(entries.length + count, input.nowMs);
     if (endMs > latestEndMs) continue;
-    const place = placeGroup(input, group, endMs, server);
+    const place = placeGroup(input, group, { endMs, server });
     if (place === "skip") continue;
     if (place === "onTime") {
       const pathMs = input.estimates.pathAfterMs(group.job, group.stage);
@@ -204,7 +204,9 @@
   const { limits } = space.server;
   const mostAtOnce = Math.min(
     limits.maxItems,
-    resultBytes > 0 ? Math.floor(limits.resultRoomBytes / resultBytes) : Infinity,
+    resultBytes > 0
+      ? Math.floor(limits.resultRoomBytes / resultBytes)
+      : Infinity,
   );
   return wanted > mostAtOnce / 2 ? Math.max(0, fits) : 0;
 }
@@ -212,10 +214,10 @@
 function placeGroup(
   input: BatchPlanInput,
   group: RankedGroup,
-  endMs: number,
-  server: BatchServer,
+  call: { readonly endMs: number; readonly server: BatchServer },
 ): "onTime" | "late" | "skip" {
   const { job } = group;
+  const { endMs, server } = call;
   const afterMs = input.estimates.pathAfterMs(job, group.stage);
   if (endMs + afterMs <= job.lateAtMs) return "onTime";
   if (endMs + afterMs > job.deadlineAtMs) return "skip";
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -143,20 +143,15 @@
     const { metrics, logger, clock } = this.#options;
     metrics.countEvent("stageCall");
     metrics.countEvent("stageItem", call.entries.length);
-    const failed = outcome.kind === "answered"
-      ? outcome.items.filter((item) => item.kind === "failed")
-      : [];
-    if (outcome.kind === "answered" && failed.length === 0) return;
+    const fault = faultOf(outcome);
+    if (fault === undefined) return;
+    metrics.countEvent(`stageCallFailed.${outcome.kind}`);
     logger.info("stageCallFailed", {
       service: call.service,
       server: call.server.id,
       items: call.entries.length,
       outcome: outcome.kind,
-      reason: outcome.kind === "notRun"
-        ? outcome.reason
-        : outcome.kind === "unknown"
-        ? outcome.detail
-        : failed.map((item) => item.kind === "failed" ? item.reason : "").join(),
+      reason: fault,
       durationMs: Math.round(clock.nowMs() - call.startedAtMs),
       requests: [
         ...new Set(call.entries.map(({ job }) => job.graph.attemptId)),
@@ -203,3 +198,19 @@
       },
   };
 }
+
+/** What went wrong in a call; undefined when every item was made. */
+function faultOf(outcome: StageCallOutcome): string | undefined {
+  switch (outcome.kind) {
+    case "answered": {
+      const reasons = outcome.items.flatMap((item) =>
+        item.kind === "failed" ? [item.reason] : []
+      );
+      return reasons.length === 0 ? undefined : reasons.join();
+    }
+    case "notRun":
+      return outcome.reason;
+    case "unknown":
+      return outcome.detail;
+  }
+}
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -11,6 +11,7 @@
 import type { VmId } from "@sassafrasstage/protocol/ids";
 import type { PeerMessage } from "@sassafrasstage/protocol/peer_messages";
 import type { Clock } from "../clock.js";
+import { makeDeferred } from "../deferred.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type {
@@ -20,7 +21,10 @@
 } from "../peers/peer_network.js";
 import { rankByRendezvous } from "../peers/rendezvous.js";
 import type { StageCoordinator } from "./stage_coordinator.js";
-import type { StageGraph, StageGraphOutcome } from "@sassafrasstage/protocol/stage_graph";
+import type {
+  StageGraph,
+  StageGraphOutcome,
+} from "@sassafrasstage/protocol/stage_graph";
 
 export interface StageGraphClientOptions {
   readonly network: PeerNetwork;
@@ -77,23 +81,20 @@
   run(graph: StageGraph, group: string): RunningGraph {
     this.#lastRequestNumber += 1;
     const requestNumber = this.#lastRequestNumber;
-    let settle: (outcome: StageGraphOutcome) => void = () => undefined;
-    const outcome = new Promise<StageGraphOutcome>((resolve) => {
-      settle = resolve;
-    });
+    const outcome = makeDeferred<StageGraphOutcome>();
     const pending: PendingGraph = {
       requestNumber,
       group,
       graph,
       startedAtMs: this.#options.clock.nowMs(),
-      settle,
+      settle: outcome.resolve,
       coordinator: this.#options.network.self.vmId,
       isSettled: false,
     };
     this.#pending.set(requestNumber, pending);
     this.#submit(pending);
     return {
-      outcome,
+      outcome: outcome.promise,
       release: () => {
         this.#release(pending);
       },
