--- /dev/null
+++ b/packages/daemon/src/forwarding/event_splitter_test.ts
@@ -0,0 +1,39 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import { EventSplitter } from "./event_splitter.js";
+
+const STREAM = "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\nid: 3\n\n";
+
+describe("EventSplitter", () => {
+  it("passes every byte on, in whole events, however they are cut", () => {
+    fc.assert(fc.property(
+      fc.array(fc.integer({ min: 1, max: 12 }), { minLength: 1 }),
+      (sizes) => {
+        const splitter = new EventSplitter();
+        let passed = "";
+        let lastId: string | undefined;
+        let at = 0;
+        for (let turn = 0; at < STREAM.length; turn++) {
+          const size = sizes[turn % sizes.length] ?? 1;
+          const chunk = Buffer.from(STREAM.slice(at, at + size));
+          at += size;
+          const whole = splitter.push(chunk);
+          passed += whole.bytes.toString();
+          lastId = whole.lastId ?? lastId;
+          if (passed !== "") expect(passed.endsWith("\n\n")).toEqual(true);
+        }
+        expect(passed).toEqual(STREAM);
+        expect(lastId).toEqual("3");
+      },
+    ));
+  });
+
+  it("holds back an event that broke off in the middle", () => {
+    const splitter = new EventSplitter();
+    const whole = splitter.push(Buffer.from("id: 7\ndata: a\n\nid: 8\nda"));
+    expect(whole.bytes.toString()).toEqual("id: 7\ndata: a\n\n");
+    expect(whole.lastId).toEqual("7");
+    expect(splitter.hasRest).toEqual(true);
+  });
+});
--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -11,6 +11,7 @@
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
 import type { ForwardContext, ForwardEnd } from "./forward_context.js";
 import { sendAnswer, sendOwn } from "./forward_whole.js";
+import { placementNeedOf } from "./placement_need.js";
 import { type PreparedInputs, prepareInputs } from "./prepare_inputs.js";
 import {
   type StreamProgress,
@@ -131,14 +132,11 @@
   state: StreamState,
 ): Promise<StreamResult> | undefined {
   const { environment, request } = context;
-  const { directory, clock, dataCentre } = environment;
-  const candidate = directory.pick({
-    service: context.service,
-    dataCentre: (state.inputs?.dataCentre as typeof dataCentre | undefined) ??
-      dataCentre,
-    prefixKey: prefixKeyOf(context),
-    excluded: state.tried,
-  }, clock.nowMs());
+  const { directory, clock } = environment;
+  const candidate = directory.pick(
+    placementNeedOf(context, state.inputs?.dataCentre, state.tried),
+    clock.nowMs(),
+  );
   if (candidate === undefined) return undefined;
   state.tried.add(candidate.server.id);
   state.runs += 1;
@@ -164,13 +162,6 @@
   });
 }
 
-/** The longest part of the prompt that other requests may share. */
-function prefixKeyOf(context: ForwardContext): string | undefined {
-  const parts = context.request.prompt?.parts;
-  if (parts === undefined || parts.length === 0) return undefined;
-  return parts[Math.max(0, parts.length - 2)]?.id;
-}
-
 function isResumable(context: ForwardContext): boolean {
   const { repeatability } = context.route;
   return repeatability.kind === "stream" && repeatability.isResumable;
--- a/packages/daemon/src/forwarding/prepare_inputs.ts
+++ b/packages/daemon/src/forwarding/prepare_inputs.ts
@@ -4,10 +4,15 @@
  * @module
  */
 
+import type {
+  BackendServerId,
+  DataCentreName,
+} from "@sassafrasstage/protocol/ids";
 import type { GraphStage } from "@sassafrasstage/protocol/stage_graph";
 import { makeDeferred } from "../deferred.js";
 import type { RunningGraph } from "../stage_graphs/stage_graph_client.js";
 import type { ForwardContext } from "./forward_context.js";
+import { placementNeedOf } from "./placement_need.js";
 import type { OwnAnswer } from "./routed_request.js";
 
 /** The results that the request's own service takes. */
@@ -15,7 +20,7 @@
   /** Undefined where the request has no stages to run. */
   readonly references: readonly string[] | undefined;
   /** Where most of them lie. */
-  readonly dataCentre: string | undefined;
+  readonly dataCentre: DataCentreName | undefined;
   /** Gives the results back. */
   release(): void;
 }
@@ -31,6 +36,8 @@
   release: () => undefined,
 };
 
+const NONE_TRIED: ReadonlySet<BackendServerId> = new Set();
+
 /** A client comes back within this part of the time that it has left. */
 const LONGEST_RETRY_AFTER_PART = 0.3;
 
@@ -86,11 +93,17 @@
   relativeSize: number,
 ): RunningGraph {
   const { environment, request, route, lifetime } = context;
-  const spentMs = environment.clock.nowMs() - request.receivedAtMs;
+  const nowMs = environment.clock.nowMs();
+  const spentMs = nowMs - request.receivedAtMs;
+  const likely = environment.directory.choose(
+    placementNeedOf(context, undefined, NONE_TRIED),
+    nowMs,
+  );
   return environment.graphs.run({
     attemptId: request.attemptId,
     inputKey: request.inputKey ?? "",
     stages,
+    dataCentre: likely?.server.dataCentre ?? environment.dataCentre,
     priority: context.account?.priority ?? route.priority,
     relativeSize,
     kind: route.name,
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -110,6 +110,7 @@
   attemptId: isName,
   inputKey: isName,
   stages: listOf(isGraphStage),
+  dataCentre: isName,
   priority: isFiniteNumber,
   relativeSize: isFiniteNumber,
   kind: isName,
--- a/packages/daemon/src/placement/choose_server.ts
+++ b/packages/daemon/src/placement/choose_server.ts
@@ -31,7 +31,7 @@
 }
 
 /** A prefix leaves its engine when that has this many more in flight. */
-const AFFINITY_EXCESS = 4;
+const AFFINITY_EXCESS = 6;
 /** One recent failure weighs like so many requests in flight. */
 const FAILURE_WEIGHT = 4;
 /** Another data centre weighs like so many requests in flight. */
@@ -103,7 +103,10 @@
     (isCold ? FAILURE_WEIGHT : 0);
 }
 
-/** Engines near the request first, in the order of the prefix's ranking. */
+/**
+ * The engine that ranks first for the prefix, wherever it is: reading a prompt
+ * again costs far more than carrying it to another data centre.
+ */
 function byPrefix(
   input: ServerChoiceInput,
   prefixKey: string,
@@ -111,20 +114,11 @@
 ): ServerCandidate | undefined {
   const least = leastLoaded(input, candidates);
   if (least === undefined) return undefined;
-  const byId = new Map(
-    candidates.map((candidate) => [candidate.server.id, candidate]),
-  );
-  const near = candidates.filter(({ server }) =>
-    server.dataCentre === input.dataCentre
-  );
-  const group = near.length > 0 ? near : candidates;
   const [preferredId] = rankByRendezvous(
     prefixKey,
-    group.map(({ server }) => server.id),
+    candidates.map(({ server }) => server.id),
   );
-  const preferred = preferredId === undefined
-    ? undefined
-    : byId.get(preferredId);
+  const preferred = candidates.find(({ server }) => server.id === preferredId);
   if (preferred === undefined) return least;
   const excess = costOf(input, preferred) - costOf(input, least);
   return excess > AFFINITY_EXCESS ? least : preferred;
--- /dev/null
+++ b/packages/daemon/src/placement/choose_server_test.ts
@@ -0,0 +1,109 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { RegisteredServer } from "../register/server_register.js";
+import { EAST, makeReport, WEST } from "../testing/stage_samples.js";
+import {
+  chooseServer,
+  type ServerCandidate,
+  type ServerChoiceInput,
+} from "./choose_server.js";
+import { ServerHealth } from "./server_health.js";
+
+function makeCandidate(
+  id: string,
+  server: Partial<RegisteredServer> = {},
+): ServerCandidate {
+  return {
+    server: { ...makeReport(id), coldUntilMs: 0, ...server },
+    health: new ServerHealth(),
+  };
+}
+
+function choose(
+  candidates: readonly ServerCandidate[],
+  input: Partial<ServerChoiceInput> = {},
+): ServerCandidate | undefined {
+  return chooseServer({
+    candidates,
+    dataCentre: EAST,
+    prefixKey: undefined,
+    coldQuota: 3,
+    nowMs: 1000,
+    ...input,
+  });
+}
+
+describe("chooseServer for plain services", () => {
+  it("takes the near server until it has clearly more in flight", () => {
+    const near = makeCandidate("near");
+    const far = makeCandidate("far", { dataCentre: WEST });
+    near.health.inFlight = 1;
+    expect(choose([far, near])).toEqual(near);
+    near.health.inFlight = 3;
+    expect(choose([far, near])).toEqual(far);
+  });
+
+  it("leaves a server that fails part of its requests", () => {
+    const grey = makeCandidate("grey");
+    const sound = makeCandidate("sound", { dataCentre: WEST });
+    grey.health.noteFailure(900);
+    grey.health.noteFailure(950);
+    expect(choose([grey, sound])).toEqual(sound);
+    // It is tried again once its failures are old.
+    expect(choose([grey, sound], { nowMs: 20_000 })).toEqual(grey);
+  });
+
+  it("tries a suspended server when there is no other", () => {
+    const only = makeCandidate("only");
+    only.health.noteUnreachable(990);
+    expect(choose([only])).toEqual(only);
+  });
+});
+
+describe("chooseServer for servers that come back cold", () => {
+  it("sends no more requests a second than its share of the limit", () => {
+    const cold = makeCandidate("cold", { coldUntilMs: 5000 });
+    let sent = 0;
+    for (let nowMs = 1000; nowMs < 2000; nowMs += 10) {
+      const choice = choose([cold], { nowMs });
+      if (choice === undefined) continue;
+      choice.health.noteColdStart(nowMs);
+      sent += 1;
+    }
+    expect(sent).toEqual(3);
+    expect(choose([cold], { nowMs: 2001 })).toEqual(cold);
+  });
+});
+
+describe("chooseServer for engines that cache prompts", () => {
+  const engines = ["a", "b", "c", "d"].map((id) => makeCandidate(id));
+
+  it("sends the same prefix to the same engine, from every VM", () => {
+    const first = choose(engines, { prefixKey: "p1" });
+    const reversed = [...engines].reverse();
+    expect(choose(reversed, { prefixKey: "p1" })).toEqual(first);
+  });
+
+  it("spreads prefixes over the engines", () => {
+    const used = new Set(
+      Array.from(
+        { length: 64 },
+        (_, index) => choose(engines, { prefixKey: `p${index}` })?.server.id,
+      ),
+    );
+    expect(used.size).toEqual(4);
+  });
+
+  it("bounds how much more a popular prefix's engine has to do", () => {
+    const loads = engines.map((engine) => ({
+      ...engine,
+      health: new ServerHealth(),
+    }));
+    for (let i = 0; i < 40; i++) {
+      const choice = choose(loads, { prefixKey: "hot" });
+      if (choice !== undefined) choice.health.inFlight += 1;
+    }
+    const inFlight = loads.map((load) => load.health.inFlight);
+    expect(Math.max(...inFlight) - Math.min(...inFlight) <= 7).toEqual(true);
+  });
+});
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -58,20 +58,25 @@
 
   /** The server for one request; counts against a cold server's limit. */
   pick(need: PlacementNeed, nowMs: number): ServerCandidate | undefined {
+    const choice = this.choose(need, nowMs);
+    if (choice !== undefined && nowMs < choice.server.coldUntilMs) {
+      choice.health.noteColdStart(nowMs);
+    }
+    return choice;
+  }
+
+  /** The server that a request would get now; counts nothing. */
+  choose(need: PlacementNeed, nowMs: number): ServerCandidate | undefined {
     const candidates = this.#options.register.usable(need.service)
       .filter((server) => !need.excluded.has(server.id))
       .map((server) => ({ server, health: this.healthOf(server.id) }));
-    const choice = chooseServer({
+    return chooseServer({
       candidates,
       dataCentre: need.dataCentre,
       prefixKey: need.prefixKey,
       coldQuota: this.#coldQuota(need.service),
       nowMs,
     });
-    if (choice !== undefined && nowMs < choice.server.coldUntilMs) {
-      choice.health.noteColdStart(nowMs);
-    }
-    return choice;
   }
 
   healthOf(id: BackendServerId): ServerHealth {
--- /dev/null
+++ b/packages/daemon/src/placement/sliding_retry_budget_test.ts
@@ -0,0 +1,43 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { SlidingRetryBudget } from "./sliding_retry_budget.js";
+
+const LIMITS = { windowMs: 10_000, ratio: 0.2, slack: 50 };
+
+function spendAll(budget: SlidingRetryBudget, nowMs: number): number {
+  let spent = 0;
+  while (budget.tryRepeat(nowMs)) spent += 1;
+  return spent;
+}
+
+describe("SlidingRetryBudget", () => {
+  it("keeps all VMs together within the bound, with no word between them", () => {
+    const vms = 5;
+    const requests = 40;
+    let repeats = 0;
+    for (let vm = 0; vm < vms; vm++) {
+      const budget = new SlidingRetryBudget(() => LIMITS, () => 1 / vms);
+      for (let i = 0; i < requests; i++) budget.noteRequest(i * 100);
+      repeats += spendAll(budget, 5000);
+    }
+    const bound = LIMITS.ratio * vms * requests + LIMITS.slack;
+    expect(repeats <= bound).toEqual(true);
+    expect(repeats > bound / 2).toEqual(true);
+  });
+
+  it("allows new repeats when old ones leave the window", () => {
+    const budget = new SlidingRetryBudget(() => LIMITS, () => 1);
+    const first = spendAll(budget, 0);
+    expect(first > 0).toEqual(true);
+    expect(budget.tryRepeat(9000)).toEqual(false);
+    expect(budget.tryRepeat(10_001)).toEqual(true);
+  });
+
+  it("forgets the requests that earned repeats", () => {
+    const limits = { ...LIMITS, slack: 0 };
+    const budget = new SlidingRetryBudget(() => limits, () => 1);
+    for (let i = 0; i < 100; i++) budget.noteRequest(0);
+    expect(budget.tryRepeat(1)).toEqual(true);
+    expect(budget.tryRepeat(10_001)).toEqual(false);
+  });
+});
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -40,6 +40,8 @@
   /** Bounds how many items are sent a second time. */
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
   readonly onEnded: (job: StageJob, outcome: StageGraphOutcome) => void;
+  /** Forms the calls; tests compare others with the product's own. */
+  readonly plan?: typeof planBatches;
   /** These results at one server are needed no longer. */
   readonly onFree: (
     server: RegisteredServer,
@@ -201,9 +203,14 @@
     const nextFreeAtMs = busy.length === 0
       ? undefined
       : Math.min(...busy.map((server) => server.likelyFreeAtMs));
-    return planBatches({
+    const { plan = planBatches } = this.#options;
+    return plan({
       service,
       idle,
+      dataCentres: new Set(
+        servers.filter((server) => server.isSound(nowMs))
+          .map(({ server }) => server.dataCentre),
+      ),
       nextFreeAtMs,
       jobs: this.#jobs.values(),
       estimates: this.#estimates,
--- /dev/null
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_test.ts
@@ -0,0 +1,162 @@
+import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { BatchLimits } from "../routing/routing_configuration.js";
+import {
+  EAST,
+  ENCODER,
+  makeGraph,
+  makeReport,
+  makeStage,
+  OWNER,
+  RERANKER,
+  SAMPLE_LIMITS,
+  WEST,
+} from "../testing/stage_samples.js";
+import { SimulatedStages } from "./testing/simulated_stages.js";
+
+const LIMITS: ReadonlyMap<ServiceName, BatchLimits> = new Map([
+  [ENCODER, SAMPLE_LIMITS],
+  [RERANKER, { ...SAMPLE_LIMITS, maxItems: 20, itemMs: 5 }],
+]);
+
+function makeStages(
+  options: Partial<ConstructorParameters<typeof SimulatedStages>[0]> = {},
+): SimulatedStages {
+  const stages = new SimulatedStages({ limits: LIMITS, ...options });
+  stages.register.apply(makeReport("e1"), 0);
+  stages.register.apply(makeReport("e2", { dataCentre: WEST }), 0);
+  stages.register.apply(makeReport("r1", { service: RERANKER }), 0);
+  return stages;
+}
+
+const CHAIN = [
+  makeStage({ itemCount: 2 }),
+  makeStage({ service: RERANKER, after: [0], itemCount: 3 }),
+];
+
+describe("BatchScheduler", () => {
+  it("gives each stage all results of the stages before it, of its own request", () => {
+    const stages = makeStages();
+    const graphs = [1, 2, 3].map(() => makeGraph({ stages: CHAIN }));
+    stages.submit(graphs.map((graph, n) => ({ atMs: n * 30, graph })));
+    const inputs = new Map<string, string[]>();
+    stages.at(0, () => undefined);
+    const plan = stages.scheduler.plan.bind(stages.scheduler);
+    stages.scheduler.plan = (nowMs) => {
+      const calls = plan(nowMs);
+      for (const { entries } of calls) {
+        for (const { job, item } of entries) {
+          if (item.stage !== 1) continue;
+          inputs.set(
+            `${job.id}/${item.index}`,
+            job.inputsOf(1).map((input) => input.reference),
+          );
+        }
+      }
+      return calls;
+    };
+    stages.runUntil(3000);
+    expect(stages.reports.map((report) => report.outcome.kind))
+      .toEqual(["completed", "completed", "completed"]);
+    expect(inputs.size).toEqual(9);
+    for (const references of inputs.values()) {
+      expect(new Set(references).size).toEqual(2);
+    }
+    const ofJobs = new Set([...inputs.values()].map((refs) => refs.join()));
+    expect(ofJobs.size).toEqual(3);
+  });
+
+  it("gives every result back once it is used, and none before", () => {
+    const stages = makeStages({ useMs: 100 });
+    stages.submit([{ atMs: 0, graph: makeGraph({ stages: CHAIN }) }]);
+    stages.runUntil(520);
+    const [report] = stages.reports;
+    expect(report?.outcome.kind).toEqual("completed");
+    expect(stages.freed.size).toEqual(2);
+    stages.runUntil(2000);
+    expect([...stages.freed].sort()).toEqual([...stages.made].sort());
+  });
+
+  it("joins the items of several requests in one call", () => {
+    const stages = makeStages();
+    stages.submit(
+      Array.from({ length: 8 }, () => ({ atMs: 1, graph: makeGraph() })),
+    );
+    stages.runUntil(2000);
+    expect(stages.calls.length <= 3).toEqual(true);
+  });
+
+  it("makes results again that were lost with their maker", () => {
+    const stages = makeStages();
+    const graph = makeGraph({ stages: CHAIN });
+    stages.submit([{ atMs: 0, graph }]);
+    // The first stage is done and its results are the second one's inputs.
+    stages.at(300, () => {
+      const [call] = stages.calls;
+      if (call !== undefined) stages.register.remove(call.server.id);
+    });
+    stages.runUntil(3000);
+    expect(stages.reports.map((report) => report.outcome.kind))
+      .toEqual(["completed"]);
+    const firstStage = stages.calls.filter((call) => call.service === ENCODER);
+    expect(firstStage.length).toEqual(2);
+  });
+
+  it("sends a call's items elsewhere when a server falls silent", () => {
+    const stages = makeStages({
+      slownessOf: (server) => server.dataCentre === EAST ? 1000 : 1,
+    });
+    stages.submit([{ atMs: 0, graph: makeGraph() }]);
+    stages.runUntil(3000);
+    expect(stages.reports.map((report) => report.outcome.kind))
+      .toEqual(["completed"]);
+    expect(stages.calls.length).toEqual(2);
+  });
+
+  it("never starts more calls at a server than it takes, nor results without room", () => {
+    const large = makeStage({ itemCount: 4, resultBytes: 2_000_000 });
+    const stages = makeStages({ useMs: 300 });
+    stages.submit(
+      Array.from({ length: 12 }, (_, n) => ({
+        atMs: n * 20,
+        graph: makeGraph({ stages: [large], objectiveInMs: 9000 }),
+      })),
+    );
+    stages.runUntil(9000);
+    const completed = stages.reports
+      .filter((report) => report.outcome.kind === "completed");
+    expect(completed.length).toEqual(12);
+    for (const call of stages.calls) {
+      const bytes = call.entries.length * large.resultBytes;
+      expect(bytes <= SAMPLE_LIMITS.resultRoomBytes).toEqual(true);
+      const overlapping = stages.calls.filter((other) =>
+        other !== call && other.server.id === call.server.id &&
+        other.startedAtMs === call.startedAtMs
+      );
+      expect(overlapping.length).toEqual(0);
+    }
+  });
+
+  it("sends nothing more to a server that is draining or taken out", () => {
+    const stages = makeStages();
+    stages.register.apply(makeReport("e1", { isDraining: true }), 0);
+    stages.register.setTakenOut([WEST]);
+    stages.submit([{ atMs: 10, graph: makeGraph() }]);
+    stages.runUntil(500);
+    expect(stages.calls).toEqual([]);
+    expect(stages.reports.map(({ outcome }) => outcome.kind))
+      .toEqual(["refused"]);
+  });
+
+  it("drops the unfinished jobs of a VM that is gone", () => {
+    const stages = makeStages();
+    stages.submit([{ atMs: 0, graph: makeGraph({ stages: CHAIN }) }]);
+    stages.at(100, () => {
+      stages.scheduler.cancelOwnedBy(OWNER);
+    });
+    stages.runUntil(2000);
+    expect(stages.reports).toEqual([]);
+    expect([...stages.freed].sort()).toEqual([...stages.made].sort());
+  });
+});
--- a/packages/daemon/src/stage_graphs/batch_server.ts
+++ b/packages/daemon/src/stage_graphs/batch_server.ts
@@ -11,6 +11,8 @@
 const SPEED_GAIN = 0.5;
 /** A slow server is trusted again by half after this time without a call. */
 const SPEED_FORGET_MS = 4000;
+/** A server this much slower than nominal takes only what is late anyway. */
+export const SLOW_FROM = 1.6;
 const FIRST_SUSPENSION_MS = 100;
 const LONGEST_SUSPENSION_MS = 2000;
 /** A call that takes this many times its estimate is treated as lost. */
@@ -44,6 +46,11 @@
       nowMs >= this.#suspendedUntilMs;
   }
 
+  /** Whether it is worth waiting for. */
+  isSound(nowMs: number): boolean {
+    return nowMs >= this.#suspendedUntilMs && this.slowness(nowMs) < SLOW_FROM;
+  }
+
   /** Actual against nominal duration; 1 for a server of nominal speed. */
   slowness(nowMs: number): number {
     const halvings = (nowMs - this.#measuredAtMs) / SPEED_FORGET_MS;
--- a/packages/daemon/src/stage_graphs/form_batch.ts
+++ b/packages/daemon/src/stage_graphs/form_batch.ts
@@ -9,8 +9,9 @@
  * @module
  */
 
-import type { ServiceName } from "@sassafrasstage/protocol/ids";
-import type { BatchServer } from "./batch_server.js";
+import type { DataCentreName, ServiceName } from "@sassafrasstage/protocol/ids";
+import { type BatchServer, SLOW_FROM } from "./batch_server.js";
+import { crossingBytes, waitsForNear } from "./near_inputs.js";
 import type { StageItem, StageJob } from "./stage_job.js";
 import type { WorkEstimates } from "./work_estimates.js";
 
@@ -35,6 +36,8 @@
   readonly service: ServiceName;
   /** Servers that can start a call now. */
   readonly idle: readonly BatchServer[];
+  /** Data centres that have sound servers of the service. */
+  readonly dataCentres: ReadonlySet<DataCentreName>;
   /** When a server of nominal speed will next be free, if one is busy. */
   readonly nextFreeAtMs: number | undefined;
   readonly jobs: Iterable<StageJob>;
@@ -42,10 +45,9 @@
   readonly nowMs: number;
 }
 
-/** A server this much slower than nominal takes only what is late anyway. */
-const SLOW_FROM = 1.6;
-/** How much longer a call may take to spare results the way between sites. */
-const CROSSING_MS = 40;
+/** How much longer a call may take to spare a megabyte the way across. */
+const CROSSING_MS_FOR_MB = 60;
+const LONGEST_CROSSING_MS = 150;
 /** A stage that nothing follows starts this many of its calls early. */
 const EARLY_CALLS = 1.5;
 
@@ -66,7 +68,7 @@
   const batches: PlannedBatch[] = [];
   const idle = [...input.idle];
   let groups = rankGroups(input);
-  while (idle.length > 0 && groups.length > 0) {
+  while (idle.length > 0) {
     const choice = chooseServer(input, groups, idle);
     if (choice === undefined) break;
     idle.splice(idle.indexOf(choice), 1);
@@ -128,20 +130,34 @@
   return input.estimates.remainingPathMs(job) > ownMs * (1 + EARLY_CALLS);
 }
 
-/** The server that ends the first group's call first, near its inputs. */
+/** The best server for the first group that any idle server is good for. */
 function chooseServer(
   input: BatchPlanInput,
   groups: readonly RankedGroup[],
   idle: readonly BatchServer[],
 ): BatchServer | undefined {
-  const [first] = groups;
-  if (first === undefined) return undefined;
-  const home = homeOf(first);
+  for (const group of groups) {
+    const choice = bestServerFor(input, group, idle);
+    if (choice !== undefined) return choice;
+  }
+  return undefined;
+}
+
+/** The server that ends the group's call first, near its inputs. */
+function bestServerFor(
+  input: BatchPlanInput,
+  group: RankedGroup,
+  idle: readonly BatchServer[],
+): BatchServer | undefined {
   let best: BatchServer | undefined;
   let bestMs = Infinity;
   for (const server of idle) {
-    const away = server.server.dataCentre === home ? 0 : CROSSING_MS;
-    const costMs = server.estimateMs(first.items.length, input.nowMs) + away;
+    if (waitsFor(input, group, server)) continue;
+    const { dataCentre } = server.server;
+    const crossingMs = CROSSING_MS_FOR_MB / 1_000_000 *
+      crossingBytes(group.job, group.stage, dataCentre);
+    const costMs = server.estimateMs(group.items.length, input.nowMs) +
+      Math.min(LONGEST_CROSSING_MS, crossingMs);
     if (costMs >= bestMs) continue;
     best = server;
     bestMs = costMs;
@@ -149,10 +165,17 @@
   return best;
 }
 
-/** The data centre that the group's inputs, or its request, came from. */
-function homeOf(group: WaitingGroup): string {
-  const [input] = group.job.inputsOf(group.stage);
-  return input?.dataCentre ?? group.job.dataCentre;
+function waitsFor(
+  input: BatchPlanInput,
+  group: RankedGroup,
+  server: BatchServer,
+): boolean {
+  return waitsForNear(group.job, group.stage, {
+    dataCentre: server.server.dataCentre,
+    dataCentres: input.dataCentres,
+    pathMs: input.estimates.pathFromMs(group.job, group.stage),
+    nowMs: input.nowMs,
+  });
 }
 
 function fillBatch(
@@ -164,6 +187,7 @@
   let roomBytes = server.freeRoomBytes;
   let latestEndMs = Infinity;
   for (const group of groups) {
+    if (waitsFor(input, group, server)) continue;
     const { resultBytes } = group.job.stage(group.stage);
     const placesLeft = server.limits.maxItems - entries.length;
     if (placesLeft <= 0) break;
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -43,7 +43,6 @@
 export interface GraphSubmission {
   readonly id: string;
   readonly owner: VmId;
-  readonly dataCentre: string;
   readonly graph: StageGraph;
   readonly onEnded: (outcome: StageGraphOutcome) => void;
 }
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -122,7 +122,6 @@
     coordinator.submit({
       id: jobId(network.self, requestNumber),
       owner: network.self.vmId,
-      dataCentre: network.self.dataCentre,
       graph,
       onEnded: (outcome) => {
         this.#settle(pending, outcome);
@@ -144,7 +143,6 @@
     this.#options.coordinator.submit({
       id: jobId(from, requestNumber),
       owner: from.vmId,
-      dataCentre: from.dataCentre,
       graph,
       onEnded: (outcome) => {
         this.#options.network.send(from.vmId, {
--- a/packages/daemon/src/stage_graphs/stage_job.ts
+++ b/packages/daemon/src/stage_graphs/stage_job.ts
@@ -36,8 +36,6 @@
   readonly id: string;
   /** The VM that owns the request. */
   readonly owner: VmId;
-  /** Where the request entered. */
-  readonly dataCentre: string;
   readonly graph: StageGraph;
   readonly nowMs: number;
 }
@@ -46,7 +44,6 @@
 export class StageJob {
   readonly id: string;
   readonly owner: VmId;
-  readonly dataCentre: string;
   readonly graph: StageGraph;
   readonly acceptedAtMs: number;
   /** The last result has to be there by now for an answer on time. */
@@ -62,7 +59,6 @@
     const { graph, nowMs } = options;
     this.id = options.id;
     this.owner = options.owner;
-    this.dataCentre = options.dataCentre;
     this.graph = graph;
     this.acceptedAtMs = nowMs;
     this.lateAtMs = nowMs + graph.objectiveInMs - graph.finishMs;
--- a/packages/protocol/src/stage_graph.ts
+++ b/packages/protocol/src/stage_graph.ts
@@ -33,6 +33,8 @@
   /** Passed to stages that need no other stage's results. */
   readonly inputKey: string;
   readonly stages: readonly GraphStage[];
+  /** Where the last results will likely be used. */
+  readonly dataCentre: DataCentreName;
   readonly priority: number;
   /** Size of the request against the mean of its kind. */
   readonly relativeSize: number;
