--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -28,6 +28,8 @@
   readonly environment: ForwardEnvironment;
   /** The routes in force; undefined before the first configuration. */
   readonly table: () => RouteTable | undefined;
+  /** When this process will end; undefined while it isn't shutting down. */
+  readonly endsAtMs: () => number | undefined;
 }
 
 type Admission =
@@ -36,6 +38,8 @@
 
 /** A daemon that knows no configuration yet is likely to know one by then. */
 const NOT_READY_RETRY_AFTER_MS = 300;
+/** Another VM can take the request at once. */
+const OTHER_VM_RETRY_AFTER_MS = 20;
 
 export class RequestForwarder {
   readonly #options: RequestForwarderOptions;
@@ -85,6 +89,9 @@
     if (route === undefined) return refuse("noRoute", "No route matches");
     const account = findAccount(table, route, request.key);
     if (account === "unknown") return refuse("unknownKey", "Unknown key");
+    if (!this.#isEndLateEnough(route)) {
+      return refuse("leaving", "This VM ends before the answer would");
+    }
     const service = chooseService(route, Math.random());
     if (service === undefined) return refuse("noServer", "No service");
     const { environment } = this.#options;
@@ -116,6 +123,14 @@
     return refuse("badRequest", fault);
   }
 
+  /** Another VM can serve the request whole. */
+  #isEndLateEnough(route: Route): boolean {
+    const endsAtMs = this.#options.endsAtMs();
+    if (endsAtMs === undefined) return true;
+    const { clock, measures } = this.#options.environment;
+    return clock.nowMs() + measures.longDurationMs(route.name) < endsAtMs;
+  }
+
   #note(
     request: RoutedRequest,
     end: ForwardEnd,
@@ -124,6 +139,9 @@
     const { environment } = this.#options;
     const { metrics, logger, clock } = environment;
     const durationMs = clock.nowMs() - request.receivedAtMs;
+    if (context !== undefined && end.kind === "answered") {
+      environment.measures.noteDuration(context.route.name, durationMs);
+    }
     metrics.countEvent(
       `request.${end.kind}${end.kind === "own" ? `.${end.answer}` : ""}`,
     );
@@ -155,10 +173,21 @@
   }
 }
 
+/** A request that may be let in later, or by another VM, is told when. */
+function retryAfterOf(reason: RefusalReason): number | undefined {
+  switch (reason) {
+    case "notReady":
+      return NOT_READY_RETRY_AFTER_MS;
+    case "leaving":
+    case "noServer":
+      return OTHER_VM_RETRY_AFTER_MS;
+    default:
+      return undefined;
+  }
+}
+
 function refuse(reason: RefusalReason, detail: string): Admission {
-  const retryAfterMs = reason === "notReady"
-    ? NOT_READY_RETRY_AFTER_MS
-    : undefined;
+  const retryAfterMs = retryAfterOf(reason);
   return {
     kind: "refused",
     own: { kind: "refused", reason, retryAfterMs, detail },
--- a/packages/daemon/src/forwarding/route_measures.ts
+++ b/packages/daemon/src/forwarding/route_measures.ts
@@ -1,6 +1,6 @@
 /**
- * Means measured for each route: the size of its requests and the time that
- * its own service takes to begin an answer.
+ * Means measured for each route: the size of its requests, the time that its
+ * own service takes to begin an answer, and the time to the answer's end.
  *
  * @module
  */
@@ -11,10 +11,14 @@
 const OUTPUT_TOKEN_WEIGHT = 10;
 const GAIN = 0.05;
 const FIRST_FINISH_MS = 120;
+const FIRST_DURATION_MS = 1000;
+/** A long answer takes so many times the mean. */
+const LONG_DURATION_FACTOR = 2.5;
 const FINISH_GAIN = 0.2;
 
 export class RouteMeasures {
   readonly #meanSizes = new Map<string, number>();
+  readonly #durationMs = new Map<string, number>();
   readonly #finishMs = new Map<string, number>();
 
   /** Size of the request against the mean of its route; takes it in. */
@@ -28,6 +32,17 @@
     return mean <= 0 ? 1 : size / mean;
   }
 
+  /** Time within which nearly all of the route's requests are answered. */
+  longDurationMs(route: string): number {
+    return (this.#durationMs.get(route) ?? FIRST_DURATION_MS) *
+      LONG_DURATION_FACTOR;
+  }
+
+  noteDuration(route: string, durationMs: number): void {
+    const known = this.#durationMs.get(route) ?? durationMs;
+    this.#durationMs.set(route, known + (durationMs - known) * GAIN);
+  }
+
   /** Likely time from the call of the service to the answer's first byte. */
   finishMs(route: string): number {
     return this.#finishMs.get(route) ?? FIRST_FINISH_MS;
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -46,6 +46,7 @@
 
 export type RefusalReason =
   | "notReady"
+  | "leaving"
   | "noRoute"
   | "unknownKey"
   | "badRequest"
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -58,7 +58,8 @@
   readonly #deployment: Deployment;
   readonly #directory: ServerDirectory;
   readonly #coordinator: StageCoordinator;
-  #isLeaving = false;
+  /** Set once the daemon is shutting down. */
+  #endsAtMs: number | undefined;
 
   private constructor(
     options: RoutedDaemonOptions,
@@ -120,6 +121,7 @@
         logger,
       },
       table: () => this.#deployment.table,
+      endsAtMs: () => this.#endsAtMs,
     });
   }
 
@@ -136,7 +138,7 @@
   }
 
   get isLeaving(): boolean {
-    return this.#isLeaving;
+    return this.#endsAtMs !== undefined;
   }
 
   get table(): RouteTable | undefined {
@@ -144,7 +146,7 @@
   }
 
   readiness(): Readiness {
-    if (this.#isLeaving) {
+    if (this.isLeaving) {
       return { kind: "notReady", reason: "The daemon is shutting down" };
     }
     if (!this.#deployment.isKnown) {
@@ -158,8 +160,8 @@
    * but no later than after `graceMs`.
    */
   async drain(graceMs: number): Promise<void> {
-    this.#isLeaving = true;
     const endsAtMs = MONOTONIC_CLOCK.nowMs() + graceMs;
+    this.#endsAtMs = endsAtMs;
     this.#options.logger.info("shutdownStarted", {
       inFlight: this.forwarder.inFlight,
     });
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -289,7 +289,7 @@
       } else this.#takeFailure(call, entry, outcome.reason);
     }
     this.#free(unused);
-    if (outcomes.some(isNoRoom)) call.batchServer.pause(nowMs);
+    if (outcomes.some(isNoRoom)) call.batchServer.noteNoRoom(nowMs);
     const jobs = new Set(call.entries.map((entry) => entry.job));
     for (const job of jobs) this.#completeIfDone(job);
   }
@@ -319,6 +319,9 @@
     returnItem(call, item);
     switch (reason) {
       case "noRoom":
+        // It wasn't worked on.
+        item.sendCount -= 1;
+        break;
       case "inputGone":
         // Which input is gone isn't told, so all are made again.
         this.#noteLost(job.inputsOf(item.stage));
--- a/packages/daemon/src/stage_graphs/batch_server.ts
+++ b/packages/daemon/src/stage_graphs/batch_server.ts
@@ -27,6 +27,8 @@
   /** When the newest call should end. */
   likelyFreeAtMs = 0;
   #usedRoomBytes = 0;
+  #foreignBytes = 0;
+  #foreignSeenAtMs = -Infinity;
   #slowness = 1;
   #measuredAtMs = 0;
   #suspendedUntilMs = 0;
@@ -37,8 +39,26 @@
     this.limits = limits;
   }
 
-  get freeRoomBytes(): number {
-    return Math.max(0, this.limits.resultRoomBytes - this.#usedRoomBytes);
+  /** Room that isn't taken, as far as is known. */
+  freeRoomBytes(nowMs: number): number {
+    const { resultRoomBytes, resultKeptMs } = this.limits;
+    const sinceMs = nowMs - this.#foreignSeenAtMs;
+    const left = Math.max(0, 1 - sinceMs / resultKeptMs);
+    return Math.max(
+      0,
+      resultRoomBytes - this.#usedRoomBytes - this.#foreignBytes * left,
+    );
+  }
+
+  /**
+   * The server had no room for results that should have fitted: it holds some
+   * that this scheduler doesn't know, such as a former coordinator's. They
+   * lapse one after the other.
+   */
+  noteNoRoom(nowMs: number): void {
+    const { resultRoomBytes } = this.limits;
+    this.#foreignBytes = Math.max(0, resultRoomBytes - this.#usedRoomBytes);
+    this.#foreignSeenAtMs = nowMs;
   }
 
   canStart(nowMs: number): boolean {
--- a/packages/daemon/src/stage_graphs/form_batch.ts
+++ b/packages/daemon/src/stage_graphs/form_batch.ts
@@ -184,7 +184,7 @@
   server: BatchServer,
 ): BatchEntry[] {
   const entries: BatchEntry[] = [];
-  let roomBytes = server.freeRoomBytes;
+  let roomBytes = server.freeRoomBytes(input.nowMs);
   let latestEndMs = Infinity;
   for (const group of groups) {
     if (waitsFor(input, group, server)) continue;
--- a/packages/daemon/src/stage_graphs/testing/arrival_order.ts
+++ b/packages/daemon/src/stage_graphs/testing/arrival_order.ts
@@ -22,7 +22,7 @@
   const batches: PlannedBatch[] = [];
   for (const server of input.idle) {
     const entries: BatchEntry[] = [];
-    let roomBytes = server.freeRoomBytes;
+    let roomBytes = server.freeRoomBytes(input.nowMs);
     while (waiting.length > 0 && entries.length < server.limits.maxItems) {
       const [next] = waiting;
       if (next === undefined) break;
