--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -10,7 +10,7 @@
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
 import type { ForwardContext, ForwardEnd } from "./forward_context.js";
-import { sendAnswer, sendOwn } from "./forward_whole.js";
+import { endEarly, sendAnswer, sendOwn } from "./forward_whole.js";
 import { placementNeedOf } from "./placement_need.js";
 import { type PreparedInputs, prepareInputs } from "./prepare_inputs.js";
 import {
@@ -83,7 +83,7 @@
       if (state.runs === 0) return sendOwn(context, preparation.own);
       return giveUp(context, state, "stages");
     case "ended":
-      return endEarly(context, state);
+      return endStream(context, state);
   }
 }
 
@@ -99,7 +99,7 @@
     case "answered":
       return sendAnswer(context, result);
     case "ended":
-      return endEarly(context, state);
+      return endStream(context, state);
     case "notRun":
     case "notSent":
       state.runs -= 1;
@@ -194,11 +194,11 @@
   });
 }
 
-function endEarly(context: ForwardContext, state: StreamState): ForwardEnd {
-  if (context.lifetime.end === "clientGone") return { kind: "clientGone" };
-  if (state.isHeadSent) {
-    context.channel.abort();
-    return { kind: "brokenOff", detail: "timeUp" };
+function endStream(context: ForwardContext, state: StreamState): ForwardEnd {
+  const { end } = context.lifetime;
+  if (!state.isHeadSent || end === "clientGone") {
+    return endEarly(context, state.runs > 0);
   }
-  return sendOwn(context, { kind: "timedOut" });
+  context.channel.abort();
+  return { kind: "brokenOff", detail: end ?? "" };
 }
--- a/packages/daemon/src/forwarding/forward_whole.ts
+++ b/packages/daemon/src/forwarding/forward_whole.ts
@@ -83,7 +83,7 @@
     const event = await nextEvent(context, state, { ended, mayHedge });
     switch (event.kind) {
       case "ended":
-        return endEarly(context);
+        return endEarly(context, state.runs > 0);
       case "hedge":
         mayHedge = false;
         if (spendRepeat(context, state)) startAttempt(context, state);
@@ -240,9 +240,28 @@
   };
 }
 
-function endEarly(context: ForwardContext): ForwardEnd {
-  if (context.lifetime.end === "clientGone") return { kind: "clientGone" };
-  return sendOwn(context, { kind: "timedOut" });
+/** The answer to a request whose lifetime ended without one. */
+export function endEarly(
+  context: ForwardContext,
+  mayHaveRun: boolean,
+): ForwardEnd {
+  switch (context.lifetime.end) {
+    case "clientGone":
+      return { kind: "clientGone" };
+    case "processEnding":
+      return sendOwn(
+        context,
+        mayHaveRun ? { kind: "failed", detail: "processEnding" } : {
+          kind: "refused",
+          reason: "leaving",
+          retryAfterMs: FULL_RETRY_AFTER_MS,
+          detail: "This VM ends before the request ran",
+        },
+      );
+    case "timeUp":
+    case undefined:
+      return sendOwn(context, { kind: "timedOut" });
+  }
 }
 
 function lifetimeEnd(
--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -43,6 +43,7 @@
 
 export class RequestForwarder {
   readonly #options: RequestForwarderOptions;
+  readonly #lifetimes = new Set<RequestLifetime>();
   #inFlight = 0;
 
   constructor(options: RequestForwarderOptions) {
@@ -54,6 +55,11 @@
     return this.#inFlight;
   }
 
+  /** Gives every request that is left its final answer, as far as it can. */
+  endAll(): void {
+    for (const lifetime of this.#lifetimes) lifetime.noteProcessEnding();
+  }
+
   /** Resolves when the request has its final answer. */
   async forward(
     request: RoutedRequest,
@@ -74,7 +80,10 @@
         return;
       }
       const { context } = admission;
-      this.#note(request, await forwardAdmitted(context), context);
+      this.#lifetimes.add(context.lifetime);
+      const end = await forwardAdmitted(context);
+      this.#lifetimes.delete(context.lifetime);
+      this.#note(request, end, context);
     } finally {
       this.#inFlight -= 1;
     }
--- a/packages/daemon/src/forwarding/request_lifetime.ts
+++ b/packages/daemon/src/forwarding/request_lifetime.ts
@@ -1,12 +1,17 @@
 /**
- * How long a request is worked on: until its client is gone or its time is up.
+ * How long a request is worked on: until its client is gone, its time is up, or
+ * this process ends.
  *
  * @module
  */
 
 import type { Clock } from "../clock.js";
 
-export type LifetimeEnd = "clientGone" | "timeUp";
+export type LifetimeEnd =
+  | "clientGone"
+  | "timeUp"
+  /** This process ends, and what hasn't run yet won't run here. */
+  | "processEnding";
 
 export interface RequestLifetimeOptions {
   readonly endsAtMs: number;
@@ -42,6 +47,10 @@
     this.#finish("clientGone");
   }
 
+  noteProcessEnding(): void {
+    this.#finish("processEnding");
+  }
+
   /** Calls at once if it has ended; returns a function that stops listening. */
   onEnd(listener: (end: LifetimeEnd) => void): () => void {
     if (this.#end !== undefined) {
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -171,6 +171,7 @@
       if (this.forwarder.inFlight + this.#coordinator.jobCount === 0) break;
       await sleep(DRAIN_CHECK_MS);
     }
+    this.forwarder.endAll();
     this.#options.logger.info("shutdownFinished", {
       inFlight: this.forwarder.inFlight,
     });
