Stay with the coordinator that works when a former one comes back

Two coordinators filled the same servers; calls took 500 to 950 ms instead of 330, counted as overdue, and were sent again. Ruled out: lost rooms alone (294 of 393 refusals said overloaded). A coordinator now announces itself, the longest working one is chosen, and one that is passed over hands over what has not started.

--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -176,15 +176,21 @@
     }),
   }),
   claimOutcomeReply: shape({ requestNumber: isWholeNumber, recorded: isFlag }),
-  stageGraphRun: shape({ requestNumber: isWholeNumber, graph: isStageGraph }),
+  stageGraphRun: shape({
+    requestNumber: isWholeNumber,
+    group: isName,
+    graph: isStageGraph,
+  }),
   stageGraphEnded: shape({
     requestNumber: isWholeNumber,
     outcome: variant("kind", {
       completed: shape({ results: listOf(isResultReference) }),
+      moved: shape({}),
       refused: shape({ reason: isName, retryAfterMs: isFiniteNumber }),
     }),
   }),
   stageGraphRelease: shape({ requestNumber: isWholeNumber }),
+  stageCoordinating: shape({ group: isName, activeForMs: isFiniteNumber }),
   objectsRequest: shape({
     known: listOf(shape({ prefix: isName, revision: isWholeNumber })),
   }),
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -58,6 +58,7 @@
   readonly #deployment: Deployment;
   readonly #directory: ServerDirectory;
   readonly #coordinator: StageCoordinator;
+  readonly #graphs: StageGraphClient;
   /** Set once the daemon is shutting down. */
   #endsAtMs: number | undefined;
 
@@ -103,17 +104,18 @@
       metrics,
       logger,
     });
+    this.#graphs = new StageGraphClient({
+      network,
+      coordinator: this.#coordinator,
+      clock,
+      metrics,
+      logger,
+    });
     this.forwarder = new RequestForwarder({
       environment: {
         directory: this.#directory,
         caller: options.serverCaller,
-        graphs: new StageGraphClient({
-          network,
-          coordinator: this.#coordinator,
-          clock,
-          metrics,
-          logger,
-        }),
+        graphs: this.#graphs,
         measures: new RouteMeasures(),
         dataCentre: settings.vm.data_centre,
         clock,
@@ -178,6 +180,7 @@
   }
 
   async close(): Promise<void> {
+    this.#graphs.close();
     this.#coordinator.close();
     await this.#deployment.close();
     await this.#network.close();
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -127,6 +127,13 @@
     }
   }
 
+  /** Gives up the jobs that have not started, for another VM to run. */
+  handOver(): void {
+    for (const job of [...this.#jobs.values()]) {
+      if (!job.hasStarted()) this.#refuse(job, { kind: "moved" });
+    }
+  }
+
   /** Forms the calls that can start now and counts them as started. */
   plan(nowMs: number): StageCall[] {
     const services = new Set<ServiceName>();
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -94,6 +94,11 @@
     this.#scheduler.cancelOwnedBy(vmId);
   }
 
+  /** Another VM coordinates by now; what has started here ends here. */
+  handOver(): void {
+    this.#scheduler.handOver();
+  }
+
   noteServerEnded(server: RegisteredServer): void {
     this.#scheduler.noteServerEnded(server.id, this.#options.clock.nowMs());
     this.#planSoon();
@@ -143,7 +148,16 @@
     metrics.countEvent("stageCall");
     metrics.countEvent("stageItem", call.entries.length);
     const fault = faultOf(outcome);
-    if (fault === undefined) return;
+    if (fault === undefined) {
+      logger.debug("stageCallEnded", {
+        service: call.service,
+        server: call.server.id,
+        items: call.entries.length,
+        durationMs: Math.round(clock.nowMs() - call.startedAtMs),
+        jobs: this.#scheduler.jobCount,
+      });
+      return;
+    }
     metrics.countEvent(`stageCallFailed.${outcome.kind}`);
     logger.info("stageCallFailed", {
       service: call.service,
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -19,7 +19,7 @@
   PeerNetwork,
   Received,
 } from "../peers/peer_network.js";
-import { rankByRendezvous } from "../peers/rendezvous.js";
+import { CoordinatorChoice } from "./coordinator_choice.js";
 import type { StageCoordinator } from "./stage_coordinator.js";
 import type {
   StageGraph,
@@ -34,9 +34,12 @@
   readonly logger: Logger;
 }
 
+/** How a graph ended, wherever it ran. */
+export type GraphEnd = Exclude<StageGraphOutcome, { readonly kind: "moved" }>;
+
 /** A graph that runs, or whose results are in use. */
 export interface RunningGraph {
-  readonly outcome: Promise<StageGraphOutcome>;
+  readonly outcome: Promise<GraphEnd>;
   /** Gives the results back, or gives the graph up. */
   release(): void;
 }
@@ -47,15 +50,23 @@
   readonly group: string;
   readonly graph: StageGraph;
   readonly startedAtMs: number;
-  readonly settle: (outcome: StageGraphOutcome) => void;
+  readonly settle: (outcome: GraphEnd) => void;
   coordinator: VmId;
   isSettled: boolean;
 }
 
+/** How often a coordinator tells the others that it works. */
+const ANNOUNCE_INTERVAL_MS = 300;
+/** A process that got no turn for so long may have been taken over from. */
+const PAUSED_AFTER_MS = 1000;
+
 export class StageGraphClient {
   readonly #options: StageGraphClientOptions;
   readonly #pending = new Map<number, PendingGraph>();
+  readonly #choice = new CoordinatorChoice();
+  readonly #timer: NodeJS.Timeout;
   #lastRequestNumber = 0;
+  #lastTurnAtMs: number;
 
   constructor(options: StageGraphClientOptions) {
     this.#options = options;
@@ -69,19 +80,34 @@
     network.messages.on("stageGraphRelease", ({ from, message }) => {
       options.coordinator.release(jobId(from, message.requestNumber));
     });
+    network.messages.on("stageCoordinating", ({ from, message }) => {
+      this.#choice.noteAnnouncement(message.group, from.vmId, {
+        activeForMs: message.activeForMs,
+        nowMs: options.clock.nowMs(),
+      });
+    });
     network.life.on("disconnected", ({ vmId }) => {
       options.coordinator.cancelOwnedBy(vmId);
       this.#resubmitFrom(vmId);
+      if (this.#liveVms().length <= 1) this.#choice.forgetOwnActivity();
     });
     network.life.on("membershipChanged", () => {
       this.#resubmitFromSilent();
     });
+    this.#lastTurnAtMs = options.clock.nowMs();
+    this.#timer = setInterval(() => {
+      this.#announce();
+    }, ANNOUNCE_INTERVAL_MS);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
   }
 
   run(graph: StageGraph, group: string): RunningGraph {
     this.#lastRequestNumber += 1;
     const requestNumber = this.#lastRequestNumber;
-    const outcome = makeDeferred<StageGraphOutcome>();
+    const outcome = makeDeferred<GraphEnd>();
     const pending: PendingGraph = {
       requestNumber,
       group,
@@ -115,10 +141,12 @@
       network.send(pending.coordinator, {
         type: "stageGraphRun",
         requestNumber,
+        group: pending.group,
         graph,
       });
     if (isSent) return;
     pending.coordinator = network.self.vmId;
+    this.#choice.noteOwnJob(pending.group, this.#options.clock.nowMs());
     coordinator.submit({
       id: jobId(network.self, requestNumber),
       owner: network.self.vmId,
@@ -131,15 +159,44 @@
 
   #chooseCoordinator(group: string): VmId {
     const { network, clock } = this.#options;
-    const candidates = network.view(clock.nowMs()).members
+    return this.#choice.choose(
+      group,
+      { self: network.self.vmId, liveVms: this.#liveVms() },
+      clock.nowMs(),
+    );
+  }
+
+  /** VMs that take new work. */
+  #liveVms(): VmId[] {
+    const { network, clock } = this.#options;
+    return network.view(clock.nowMs()).members
       .filter((member) => member.state === "live")
       .map((member) => member.vmId);
-    return rankByRendezvous(group, candidates)[0] ?? network.self.vmId;
+  }
+
+  /** Tells the others what this VM coordinates, or leaves it to an older one. */
+  #announce(): void {
+    const { network, clock, coordinator } = this.#options;
+    const nowMs = clock.nowMs();
+    const isPaused = nowMs - this.#lastTurnAtMs > PAUSED_AFTER_MS;
+    this.#lastTurnAtMs = nowMs;
+    if (isPaused) this.#choice.forgetOwnActivity();
+    for (const { group, activeForMs } of this.#choice.ownGroups(nowMs)) {
+      if (this.#chooseCoordinator(group) !== network.self.vmId) {
+        coordinator.handOver();
+        continue;
+      }
+      for (const vmId of this.#liveVms()) {
+        if (vmId === network.self.vmId) continue;
+        network.send(vmId, { type: "stageCoordinating", group, activeForMs });
+      }
+    }
   }
 
   #serve(received: Received<PeerMessage & { type: "stageGraphRun" }>): void {
     const { from, message } = received;
     const { requestNumber, graph } = message;
+    this.#choice.noteOwnJob(message.group, this.#options.clock.nowMs());
     this.#options.coordinator.submit({
       id: jobId(from, requestNumber),
       owner: from.vmId,
@@ -173,11 +230,23 @@
 
   #settle(pending: PendingGraph, outcome: StageGraphOutcome): void {
     if (pending.isSettled) return;
+    if (outcome.kind === "moved") {
+      this.#resubmitSoon(pending);
+      return;
+    }
     pending.isSettled = true;
     if (outcome.kind === "refused") this.#pending.delete(pending.requestNumber);
     pending.settle(outcome);
   }
 
+  /** Not in the same turn: the former coordinator is in the middle of it. */
+  #resubmitSoon(pending: PendingGraph): void {
+    this.#options.metrics.countEvent("stageGraphMoved");
+    setImmediate(() => {
+      if (this.#pending.has(pending.requestNumber)) this.#submit(pending);
+    });
+  }
+
   #release(pending: PendingGraph): void {
     if (!this.#pending.delete(pending.requestNumber)) return;
     pending.isSettled = true;
--- a/packages/daemon/src/stage_graphs/stage_job.ts
+++ b/packages/daemon/src/stage_graphs/stage_job.ts
@@ -132,6 +132,11 @@
       .filter((position) => this.followersOf(position).length === 0);
   }
 
+  /** Whether any item was ever sent to a server. */
+  hasStarted(): boolean {
+    return this.items.flat().some((item) => item.sendCount > 0);
+  }
+
   isComplete(): boolean {
     return this.lastStages().every((position) => this.isStageDone(position));
   }
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -175,6 +175,8 @@
 export interface StageGraphRunMessage {
   readonly type: "stageGraphRun";
   readonly requestNumber: number;
+  /** Names the stage services that one VM coordinates. */
+  readonly group: string;
   readonly graph: StageGraph;
 }
 
@@ -190,6 +192,13 @@
   readonly requestNumber: number;
 }
 
+/** The sender coordinates a group of stage services. */
+export interface StageCoordinatingMessage {
+  readonly type: "stageCoordinating";
+  readonly group: string;
+  readonly activeForMs: number;
+}
+
 /** How far the sender's copy of one kind of objects goes. */
 export interface KnownObjects {
   readonly prefix: string;
@@ -241,6 +250,7 @@
   | StageGraphRunMessage
   | StageGraphEndedMessage
   | StageGraphReleaseMessage
+  | StageCoordinatingMessage
   | ObjectsRequestMessage
   | ObjectsMessage
   | LeavingMessage;
--- a/packages/protocol/src/stage_graph.ts
+++ b/packages/protocol/src/stage_graph.ts
@@ -54,6 +54,8 @@
     /** Results of the stages that no other stage follows, in order. */
     readonly results: readonly ResultReference[];
   }
+  /** Nothing of it has started, and another VM coordinates by now. */
+  | { readonly kind: "moved" }
   | {
     readonly kind: "refused";
     readonly reason: "overloaded" | "outOfTime" | "noServer";
