--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -43,6 +43,7 @@
     runs: 0,
     refusals: 0,
     isHeadSent: false,
+    endsWithConnection: false,
     lastEventId: request.resumeAfter,
   };
   environment.directory.retryBudgetOf(context.service)
--- a/packages/daemon/src/forwarding/forward_whole.ts
+++ b/packages/daemon/src/forwarding/forward_whole.ts
@@ -213,7 +213,7 @@
   answer: WholeAnswer,
 ): ForwardEnd {
   const { channel } = context;
-  channel.writeHead(answer.head.status, answer.head.headers);
+  channel.writeHead(answer.head);
   if (answer.body.length > 0) channel.write(answer.body);
   channel.end();
   return { kind: "answered", status: answer.head.status };
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -55,6 +55,14 @@
   | "noServer"
   | "serversFull";
 
+/** The head of an answer as the client gets it. */
+export interface ClientAnswerHead {
+  readonly status: number;
+  readonly headers: HeaderList;
+  /** The client is told no more of the body's end than the server told. */
+  readonly endsWithConnection: boolean;
+}
+
 /** A final answer of the system's own. */
 export type OwnAnswer =
   /** It has not run and never will. */
@@ -73,7 +81,7 @@
 export interface ClientChannel {
   readonly isClosed: boolean;
   onClosed(listener: () => void): void;
-  writeHead(status: number, headers: HeaderList): void;
+  writeHead(head: ClientAnswerHead): void;
   write(chunk: Buffer): void;
   end(): void;
   /** Ends an answer that can't be completed, so that it looks broken. */
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -30,6 +30,11 @@
   readonly isNotRun: boolean;
   /** It did not run, as an input's maker has dropped it. */
   readonly isInputGone: boolean;
+  /**
+   * The body ends with the connection, so nobody can tell whether it was cut
+   * off there.
+   */
+  readonly endsWithConnection: boolean;
   /** Carries the server's signature, and is of this request. */
   readonly isGenuine: boolean;
 }
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -33,6 +33,8 @@
 /** What the client has of the stream, over all calls for it. */
 export interface StreamProgress {
   isHeadSent: boolean;
+  /** The client was told that the stream ends with its connection. */
+  endsWithConnection: boolean;
   /** Id of the last event that was passed on. */
   lastEventId: string | undefined;
 }
@@ -132,7 +134,8 @@
     const { progress, attempt } = this.#options;
     if (progress.isHeadSent || this.#head === undefined) return;
     progress.isHeadSent = true;
-    attempt.context.channel.writeHead(this.#head.status, this.#head.headers);
+    progress.endsWithConnection = this.#head.endsWithConnection;
+    attempt.context.channel.writeHead(this.#head);
   }
 
   #judgeEnd(): StreamResult {
@@ -143,6 +146,7 @@
     }
     if (!head.isGenuine) return { kind: "broken", detail: "notGenuine" };
     if (this.#isStream()) {
+      if (this.#isDoubtful(head)) return { kind: "broken", detail: "cutOff" };
       this.#passOn(this.#splitter.takeRest());
       this.#sendHead();
       this.#options.attempt.context.channel.end();
@@ -154,6 +158,14 @@
     return { kind: "answered", head, body: Buffer.concat(this.#otherBody) };
   }
 
+  /** Whether the stream may have been cut off and the client couldn't see it. */
+  #isDoubtful(head: AnswerHead): boolean {
+    if (!head.endsWithConnection) return false;
+    const { progress } = this.#options;
+    return this.#splitter.hasRest ||
+      (progress.isHeadSent && !progress.endsWithConnection);
+  }
+
   #takeFailure(failure: ServerCallFailure): void {
     const result = judgeFailure(this.#head, failure);
     this.#result.resolve(
--- a/packages/daemon/src/observability/logger.ts
+++ b/packages/daemon/src/observability/logger.ts
@@ -1,10 +1,12 @@
 /**
- * Logs: one line of key=value pairs for each event.
+ * Logs: one line of key=value pairs for each event, to the standard output.
  *
  * @module
  */
 
 import { type ConsolaInstance, createConsola } from "consola";
+import { MONOTONIC_CLOCK } from "../clock.js";
+import { LogSink, openStandardOutput } from "./log_sink.js";
 
 export const LOG_LEVELS = ["error", "warn", "info", "debug"] as const;
 export type LogLevel = (typeof LOG_LEVELS)[number];
@@ -26,6 +28,18 @@
   debug(event: string, fields?: LogFields): void;
 }
 
+/** One for the process, as all loggers share its standard output. */
+let standardSink: LogSink | undefined;
+
+function makeStandardSink(): LogSink {
+  return new LogSink({
+    stream: openStandardOutput(),
+    nowMs: () => MONOTONIC_CLOCK.nowMs(),
+    formatDropped: (count) =>
+      `${formatHead("warn", "logLinesDropped")} count=${count}`,
+  });
+}
+
 /**
  * Makes a logger whose lines all carry the given fields.
  *
@@ -37,10 +51,16 @@
  * ```
  */
 export function createLogger(level: LogLevel, common: LogFields): Logger {
+  standardSink ??= makeStandardSink();
+  const sink = standardSink;
   const consola = createConsola({
     level: CONSOLA_LEVELS[level],
+    // The sink bounds the volume, and no line is merged into another.
+    throttle: 0,
     reporters: [{
-      log: (entry) => process.stderr.write(`${entry.args.join(" ")}\n`),
+      log: (entry) => {
+        sink.write(entry.args.join(" "));
+      },
     }],
   });
   return {
@@ -87,11 +107,14 @@
 }
 
 function write(entry: LogEntry): void {
-  const time = new Date().toISOString();
-  const head = `time=${time} level=${entry.level} event=${entry.event}`;
+  const head = formatHead(entry.level, entry.event);
   entry.consola[entry.level](formatFields(head, entry.fields));
 }
 
+function formatHead(level: LogLevel, event: string): string {
+  return `time=${new Date().toISOString()} level=${level} event=${event}`;
+}
+
 function formatFields(head: string, fields: LogFields): string {
   let line = head;
   for (const [key, value] of Object.entries(fields)) {
--- a/packages/stand-ins/src/cluster/daemon_handle.ts
+++ b/packages/stand-ins/src/cluster/daemon_handle.ts
@@ -162,7 +162,7 @@
       args: ["--settings", this.#options.settingsFile],
       logFile: this.#options.logFile,
     });
-    started.ignoreOutput();
+    started.logOutput();
     this.#process = started;
     while (started.isRunning) {
       if (await this.#probe("/healthz")) return true;
--- a/packages/stand-ins/src/cluster/managed_process.ts
+++ b/packages/stand-ins/src/cluster/managed_process.ts
@@ -5,7 +5,7 @@
  */
 
 import { type ChildProcess, spawn } from "node:child_process";
-import { closeSync, openSync, readFileSync } from "node:fs";
+import { appendFileSync, closeSync, openSync, readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
 import { type Announcement, parseAnnouncement } from "../bin/announce.js";
 
@@ -112,9 +112,11 @@
     return readFileSync(this.#logFile, "utf8");
   }
 
-  /** Lets a program that prints much run on. */
-  ignoreOutput(): void {
-    this.#child.stdout?.resume();
+  /** Adds what the program prints to its log. */
+  logOutput(): void {
+    this.#child.stdout?.on("data", (chunk: Buffer) => {
+      appendFileSync(this.#logFile, chunk);
+    });
   }
 
   #signal(signal: NodeJS.Signals): void {
