--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -30,7 +30,7 @@
 
 export interface ServerDirectoryOptions {
   readonly register: ServerRegister;
-  readonly limits: SharedLimits;
+  readonly limits: () => SharedLimits;
   readonly findService: (name: ServiceName) => RoutedService | undefined;
   readonly vmCount: () => number;
 }
@@ -96,7 +96,7 @@
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
       budget = new SlidingRetryBudget(
-        () => this.#options.limits.retries,
+        () => this.#options.limits().retries,
         () => 1 / this.#options.vmCount(),
       );
       this.#budgets.set(service, budget);
@@ -116,7 +116,7 @@
     const perSecond = this.#options.findService(service)
       ?.coldRequestsPerSecond ?? 0;
     if (perSecond <= 0) return Infinity;
-    const { coldOverage, coldSlack } = this.#options.limits;
+    const { coldOverage, coldSlack } = this.#options.limits();
     const limit = perSecond * coldOverage + coldSlack;
     return Math.floor(limit * COLD_SHARE / this.#options.vmCount());
   }
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -39,7 +39,8 @@
   readonly form: DeploymentForm;
   readonly serverCaller: ServerCaller;
   readonly batchCaller: BatchCaller;
-  readonly limits: SharedLimits;
+  /** Asked at each use, as the settings may change. */
+  readonly limits: () => SharedLimits;
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly onRoutes: (table: RouteTable) => void;
