--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -7,6 +7,7 @@
 import type { ClientAccount, Route } from "../routing/routing_configuration.js";
 import type { DataCentreName, ServiceName } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
+import type { LatencyRecords } from "../observability/latency_records.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { ServerDirectory } from "../placement/server_directory.js";
@@ -25,6 +26,7 @@
   readonly dataCentre: DataCentreName;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly latencies: LatencyRecords;
   readonly logger: Logger;
 }
 
--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -150,6 +150,13 @@
     const durationMs = clock.nowMs() - request.receivedAtMs;
     if (context !== undefined && end.kind === "answered") {
       environment.measures.noteDuration(context.route.name, durationMs);
+      environment.latencies.record({
+        pipeline: context.route.name,
+        stage: "whole",
+        durationMs,
+        callMs: 0,
+        tokens: context.request.prompt?.inputTokens ?? 0,
+      });
     }
     metrics.countEvent(
       `request.${end.kind}${end.kind === "own" ? `.${end.answer}` : ""}`,
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -14,6 +14,7 @@
 import { RequestForwarder } from "./forwarding/request_forwarder.js";
 import { RouteMeasures } from "./forwarding/route_measures.js";
 import type { ServerCaller } from "./forwarding/server_caller.js";
+import type { LatencyRecords } from "./observability/latency_records.js";
 import type { Logger } from "./observability/logger.js";
 import type { Metrics } from "./observability/metrics.js";
 import type { RunningPeerNetwork } from "./peers/running_peer_network.js";
@@ -42,6 +43,7 @@
   /** Asked at each use, as the settings may change. */
   readonly limits: () => SharedLimits;
   readonly metrics: Metrics;
+  readonly latencies: LatencyRecords;
   readonly logger: Logger;
   readonly onRoutes: (table: RouteTable) => void;
   readonly onServerEnded: (server: RegisteredServer) => void;
@@ -68,7 +70,7 @@
     network: RunningPeerNetwork,
   ) {
     const clock = MONOTONIC_CLOCK;
-    const { settings, metrics, logger } = options;
+    const { settings, metrics, latencies, logger } = options;
     this.#options = options;
     this.#network = network;
     this.#deployment = new Deployment({
@@ -103,6 +105,7 @@
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
       clock,
       metrics,
+      latencies,
       logger,
     });
     this.#graphs = new StageGraphClient({
@@ -121,6 +124,7 @@
         dataCentre: settings.vm.data_centre,
         clock,
         metrics,
+        latencies,
         logger,
       },
       table: () => this.#deployment.table,
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -7,6 +7,7 @@
 
 import type { ServiceName, VmId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
+import type { LatencyRecords } from "../observability/latency_records.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
@@ -36,6 +37,7 @@
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly latencies: LatencyRecords;
   readonly logger: Logger;
 }
 
@@ -147,6 +149,15 @@
     const { metrics, logger, clock } = this.#options;
     metrics.countEvent("stageCall");
     metrics.countEvent("stageItem", call.entries.length);
+    metrics.setValue("stageJobs", this.#scheduler.jobCount);
+    const callMs = clock.nowMs() - call.startedAtMs;
+    this.#options.latencies.record({
+      pipeline: "stages",
+      stage: call.service,
+      durationMs: callMs,
+      callMs,
+      tokens: 0,
+    });
     const fault = faultOf(outcome);
     if (fault === undefined) {
       logger.debug("stageCallEnded", {
