--- a/packages/daemon/src/stage_graphs/form_batch.ts
+++ b/packages/daemon/src/stage_graphs/form_batch.ts
@@ -45,12 +45,19 @@
   readonly nowMs: number;
 }
 
+/** Part of a full call that has to wait before no server is spared. */
+const CROWDED_FROM = 0.5;
 /** How much longer a call may take to spare a megabyte the way across. */
 const CROSSING_MS_FOR_MB = 60;
 const LONGEST_CROSSING_MS = 150;
 /** A stage that nothing follows starts this many of its calls early. */
 const EARLY_CALLS = 1.5;
 
+interface BatchPlan extends BatchPlanInput {
+  /** No server may stand idle for the sake of nearness. */
+  readonly isCrowded: boolean;
+}
+
 interface RankedGroup extends WaitingGroup {
   readonly isOnTime: boolean;
   readonly rank: number;
@@ -68,11 +75,12 @@
   const batches: PlannedBatch[] = [];
   const idle = [...input.idle];
   let groups = rankGroups(input);
+  const plan = { ...input, isCrowded: isCrowded(input, groups) };
   while (idle.length > 0) {
-    const choice = chooseServer(input, groups, idle);
+    const choice = chooseServer(plan, groups, idle);
     if (choice === undefined) break;
     idle.splice(idle.indexOf(choice), 1);
-    const taken = fillBatch(input, groups, choice);
+    const taken = fillBatch(plan, groups, choice);
     if (taken.length === 0) continue;
     batches.push({ server: choice, entries: taken });
     const gone = new Set(taken.map((entry) => entry.item));
@@ -81,6 +89,17 @@
   return batches;
 }
 
+/** Whether a good part of a whole call waits. */
+function isCrowded(
+  input: BatchPlanInput,
+  groups: readonly RankedGroup[],
+): boolean {
+  const [server] = input.idle;
+  if (server === undefined) return true;
+  const waiting = groups.reduce((sum, group) => sum + group.items.length, 0);
+  return waiting > server.limits.maxItems * CROWDED_FROM;
+}
+
 function rankGroups(input: BatchPlanInput): RankedGroup[] {
   const groups: RankedGroup[] = [];
   for (const job of input.jobs) {
@@ -132,7 +151,7 @@
 
 /** The best server for the first group that any idle server is good for. */
 function chooseServer(
-  input: BatchPlanInput,
+  input: BatchPlan,
   groups: readonly RankedGroup[],
   idle: readonly BatchServer[],
 ): BatchServer | undefined {
@@ -145,7 +164,7 @@
 
 /** The server that ends the group's call first, near its inputs. */
 function bestServerFor(
-  input: BatchPlanInput,
+  input: BatchPlan,
   group: RankedGroup,
   idle: readonly BatchServer[],
 ): BatchServer | undefined {
@@ -166,10 +185,11 @@
 }
 
 function waitsFor(
-  input: BatchPlanInput,
+  input: BatchPlan,
   group: RankedGroup,
   server: BatchServer,
 ): boolean {
+  if (input.isCrowded) return false;
   return waitsForNear(group.job, group.stage, {
     dataCentre: server.server.dataCentre,
     dataCentres: input.dataCentres,
@@ -179,7 +199,7 @@
 }
 
 function fillBatch(
-  input: BatchPlanInput,
+  input: BatchPlan,
   groups: readonly RankedGroup[],
   server: BatchServer,
 ): BatchEntry[] {
--- a/packages/daemon/src/stage_graphs/near_inputs.ts
+++ b/packages/daemon/src/stage_graphs/near_inputs.ts
@@ -3,8 +3,8 @@
  *
  * Load pattern: each item of a stage takes all results of the stages before
  * it, so a stage placed in another data centre carries them across many times
- * over. While a request has time to spare, it waits for a near server; when it
- * hasn't, any server will do.
+ * over. While little waits and a request has time to spare, it waits for a near
+ * server. Under a burst no server may stand idle, so any one will do.
  *
  * @module
  */
@@ -15,7 +15,7 @@
 /** Fewer bytes than these are not worth waiting for. */
 const LARGE_CROSSING_BYTES = 150_000;
 /** Time to spare that a request keeps for the stages after this one. */
-const KEPT_SLACK_MS = 350;
+const KEPT_SLACK_MS = 500;
 
 /** Bytes that cross data centres when the stage runs in this one. */
 export function crossingBytes(
