--- a/packages/daemon/src/forwarding/prepare_inputs.ts
+++ b/packages/daemon/src/forwarding/prepare_inputs.ts
@@ -106,7 +106,6 @@
     dataCentre: likely?.server.dataCentre ?? environment.dataCentre,
     priority: context.account?.priority ?? route.priority,
     relativeSize,
-    kind: route.name,
     objectiveInMs: route.objectiveMs - spentMs,
     deadlineInMs: lifetime.remainingMs(),
     finishMs: environment.measures.finishMs(route.name),
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -113,7 +113,6 @@
   dataCentre: isName,
   priority: isFiniteNumber,
   relativeSize: isFiniteNumber,
-  kind: isName,
   objectiveInMs: isFiniteNumber,
   deadlineInMs: isFiniteNumber,
   finishMs: isFiniteNumber,
--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -99,10 +99,6 @@
     return this.#listed(service).filter((server) => this.mayReceive(server));
   }
 
-  all(): IterableIterator<RegisteredServer> {
-    return this.#servers.values();
-  }
-
   get size(): number {
     return this.#servers.size;
   }
--- a/packages/daemon/src/routing/route_table_test.ts
+++ b/packages/daemon/src/routing/route_table_test.ts
@@ -24,7 +24,6 @@
     objectiveMs: 100,
     priority: 0,
     isPublic: false,
-    hasPrompt: false,
     stages: [],
     ...route,
   };
--- a/packages/daemon/src/routing/routing_configuration.ts
+++ b/packages/daemon/src/routing/routing_configuration.ts
@@ -6,7 +6,6 @@
 
 import type {
   ClientAccountId,
-  DataCentreName,
   ServiceName,
 } from "@sassafrasstage/protocol/ids";
 
@@ -50,8 +49,6 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly isPublic: boolean;
-  /** Requests carry a prompt whose parts the engines cache. */
-  readonly hasPrompt: boolean;
   readonly stages: readonly RouteStage[];
 }
 
@@ -70,11 +67,8 @@
 
 export interface RoutedService {
   readonly name: ServiceName;
-  readonly healthPath: string;
   /** Connections that one backend server takes from all callers. */
   readonly connectionLimit: number;
-  /** How long a backend server is cold after its start. */
-  readonly coldMs: number;
   /** Requests a second that a cold backend server bears. */
   readonly coldRequestsPerSecond: number;
   readonly batches: BatchLimits | undefined;
@@ -103,8 +97,3 @@
   /** Undefined where requests need no key. */
   readonly accounts: readonly ClientAccount[] | undefined;
 }
-
-/** An operator's order to send nothing to a data centre's backend servers. */
-export interface Evacuation {
-  readonly dataCentre: DataCentreName;
-}
--- a/packages/daemon/src/stage_graphs/batch_caller.ts
+++ b/packages/daemon/src/stage_graphs/batch_caller.ts
@@ -6,7 +6,7 @@
 
 import type { AttemptId } from "@sassafrasstage/protocol/ids";
 import type { RegisteredServer } from "../register/server_register.js";
-import type { StageCallOutcome } from "./batch_scheduler.js";
+import type { StageCallOutcome } from "./stage_call.js";
 
 export type BatchItemInput =
   /** For a stage that needs no other stage's results. */
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -19,7 +19,8 @@
   ServerRegister,
 } from "../register/server_register.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
-import { BatchServer } from "./batch_server.js";
+import type { BatchServer } from "./batch_server.js";
+import { BatchServers } from "./batch_servers.js";
 import { findHopeless } from "./find_hopeless.js";
 import {
   type BatchEntry,
@@ -31,6 +32,12 @@
   ResultReference,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type {
+  ItemFailure,
+  ItemOutcome,
+  StageCall,
+  StageCallOutcome,
+} from "./stage_call.js";
 import { type StageItem, StageJob, type StageJobOptions } from "./stage_job.js";
 import { servicesOf, WorkEstimates } from "./work_estimates.js";
 
@@ -49,28 +56,6 @@
   ) => void;
 }
 
-/** A call that has to be made now. */
-export interface StageCall {
-  readonly id: number;
-  readonly service: ServiceName;
-  readonly server: RegisteredServer;
-  readonly entries: readonly BatchEntry[];
-  readonly startedAtMs: number;
-}
-
-export type ItemOutcome =
-  | { readonly kind: "made"; readonly reference: string }
-  | { readonly kind: "failed"; readonly reason: ItemFailure };
-
-export type ItemFailure = "outOfTime" | "inputGone" | "noRoom" | "error";
-
-export type StageCallOutcome =
-  | { readonly kind: "answered"; readonly items: readonly ItemOutcome[] }
-  /** The server took nothing of it. */
-  | { readonly kind: "notRun"; readonly reason: "full" | "notConnected" }
-  /** What became of it is not known. */
-  | { readonly kind: "unknown"; readonly detail: string };
-
 interface OpenCall extends StageCall {
   readonly batchServer: BatchServer;
   readonly overdueAtMs: number;
@@ -87,7 +72,7 @@
   readonly #jobs = new Map<string, StageJob>();
   /** Their results are in use by their requests. */
   readonly #completed = new Map<string, StageJob>();
-  readonly #servers = new Map<BackendServerId, BatchServer>();
+  readonly #servers: BatchServers;
   readonly #calls = new Map<number, OpenCall>();
   readonly #held = new HeldResults();
   readonly #estimates: WorkEstimates;
@@ -95,6 +80,7 @@
 
   constructor(options: BatchSchedulerOptions) {
     this.#options = options;
+    this.#servers = new BatchServers(options);
     this.#estimates = new WorkEstimates(options.limitsOf);
   }
 
@@ -102,8 +88,17 @@
     return this.#jobs.size;
   }
 
-  /** Takes a job, or ends it at once when it can't be done in time. */
+  /**
+   * Takes a job, or ends it at once when it can't be done in time. For a job
+   * that is known by its id, the outcome is told again if there is one.
+   */
   submit(options: StageJobOptions): void {
+    if (this.#jobs.has(options.id)) return;
+    const completed = this.#completed.get(options.id);
+    if (completed !== undefined) {
+      this.#tellCompleted(completed);
+      return;
+    }
     const job = new StageJob(options);
     this.#jobs.set(job.id, job);
     for (const service of servicesOf(job)) {
@@ -184,14 +179,14 @@
       if (call.server.id !== id) continue;
       this.endCall(call.id, { kind: "unknown", detail: "ended" }, nowMs);
     }
-    this.#servers.delete(id);
+    this.#servers.forget(id);
   }
 
   refuseHopeless(nowMs: number): void {
     const hopeless = findHopeless({
       jobs: this.#jobs.values(),
       estimates: this.#estimates,
-      capacityOf: (service) => this.#capacityOf(service, nowMs),
+      capacityOf: (service) => this.#servers.capacityOf(service, nowMs),
       nowMs,
     });
     for (const { job, reason, retryAfterMs } of hopeless) {
@@ -203,7 +198,7 @@
   }
 
   #planFor(service: ServiceName, nowMs: number): StageCall[] {
-    const servers = this.#usableServers(service);
+    const servers = this.#servers.usable(service);
     const idle = servers.filter((server) => server.canStart(nowMs));
     if (idle.length === 0) return [];
     const busy = servers.filter((server) => !idle.includes(server));
@@ -296,7 +291,11 @@
       } else this.#takeFailure(call, entry, outcome.reason);
     }
     this.#free(unused);
-    if (outcomes.some(isNoRoom)) call.batchServer.noteNoRoom(nowMs);
+    const unplaced = call.entries
+      .filter((_, place) => isNoRoom(outcomes[place]));
+    if (unplaced.length > 0) {
+      call.batchServer.noteNoRoom(roomOf(unplaced), nowMs);
+    }
     const jobs = new Set(call.entries.map((entry) => entry.job));
     for (const job of jobs) this.#completeIfDone(job);
   }
@@ -377,6 +376,10 @@
     job.isEnded = true;
     this.#jobs.delete(job.id);
     this.#completed.set(job.id, job);
+    this.#tellCompleted(job);
+  }
+
+  #tellCompleted(job: StageJob): void {
     this.#options.onEnded(job, {
       kind: "completed",
       results: job.finalResults(),
@@ -413,30 +416,6 @@
       if (server !== undefined) this.#options.onFree(server, ofMaker);
     }
   }
-
-  #usableServers(service: ServiceName): BatchServer[] {
-    const limits = this.#options.limitsOf(service);
-    if (limits === undefined) return [];
-    return this.#options.register.usable(service).map((server) => {
-      const known = this.#servers.get(server.id);
-      if (known !== undefined) {
-        known.server = server;
-        known.limits = limits;
-        return known;
-      }
-      const added = new BatchServer(server, limits);
-      this.#servers.set(server.id, added);
-      return added;
-    });
-  }
-
-  #capacityOf(service: ServiceName, nowMs: number): number {
-    let capacity = 0;
-    for (const server of this.#usableServers(service)) {
-      capacity += server.limits.callsAtOnce / server.slowness(nowMs);
-    }
-    return capacity;
-  }
 }
 
 function roomOf(entries: readonly BatchEntry[]): number {
@@ -452,6 +431,6 @@
   item.state = { kind: "waiting" };
 }
 
-function isNoRoom(outcome: ItemOutcome): boolean {
-  return outcome.kind === "failed" && outcome.reason === "noRoom";
+function isNoRoom(outcome: ItemOutcome | undefined): boolean {
+  return outcome?.kind === "failed" && outcome.reason === "noRoom";
 }
--- a/packages/daemon/src/stage_graphs/batch_server.ts
+++ b/packages/daemon/src/stage_graphs/batch_server.ts
@@ -41,12 +41,10 @@
 
   /** Room that isn't taken, as far as is known. */
   freeRoomBytes(nowMs: number): number {
-    const { resultRoomBytes, resultKeptMs } = this.limits;
-    const sinceMs = nowMs - this.#foreignSeenAtMs;
-    const left = Math.max(0, 1 - sinceMs / resultKeptMs);
+    const { resultRoomBytes } = this.limits;
     return Math.max(
       0,
-      resultRoomBytes - this.#usedRoomBytes - this.#foreignBytes * left,
+      resultRoomBytes - this.#usedRoomBytes - this.#foreignLeft(nowMs),
     );
   }
 
@@ -55,12 +53,17 @@
    * that this scheduler doesn't know, such as a former coordinator's. They
    * lapse one after the other.
    */
-  noteNoRoom(nowMs: number): void {
-    const { resultRoomBytes } = this.limits;
-    this.#foreignBytes = Math.max(0, resultRoomBytes - this.#usedRoomBytes);
+  noteNoRoom(missingBytes: number, nowMs: number): void {
+    this.#foreignBytes = this.#foreignLeft(nowMs) + missingBytes;
     this.#foreignSeenAtMs = nowMs;
   }
 
+  #foreignLeft(nowMs: number): number {
+    const sinceMs = nowMs - this.#foreignSeenAtMs;
+    const left = Math.max(0, 1 - sinceMs / this.limits.resultKeptMs);
+    return this.#foreignBytes * left;
+  }
+
   canStart(nowMs: number): boolean {
     return this.callsUnderWay < this.limits.callsAtOnce &&
       nowMs >= this.#suspendedUntilMs;
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -17,17 +17,14 @@
 } from "../register/server_register.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
-import {
-  BatchScheduler,
-  type StageCall,
-  type StageCallOutcome,
-} from "./batch_scheduler.js";
+import { BatchScheduler } from "./batch_scheduler.js";
 import type { BatchEntry } from "./form_batch.js";
 import type {
   ResultReference,
   StageGraph,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type { StageCall, StageCallOutcome } from "./stage_call.js";
 import type { StageJob } from "./stage_job.js";
 
 export interface StageCoordinatorOptions {
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import type { VmId } from "@sassafrasstage/protocol/ids";
+import type { Incarnation, VmId } from "@sassafrasstage/protocol/ids";
 import type { PeerMessage } from "@sassafrasstage/protocol/peer_messages";
 import type { Clock } from "../clock.js";
 import { makeDeferred } from "../deferred.js";
@@ -57,6 +57,13 @@
 
 /** How often a coordinator tells the others that it works. */
 const ANNOUNCE_INTERVAL_MS = 300;
+/** A reset link is back by then; its coordinator went on meanwhile. */
+const RETURN_GRACE_MS = 500;
+/** Jobs of an owner that stays away longer are given up. */
+const OWNER_GRACE_MS = 1500;
+const SEND_RETRY_MS = 50;
+/** Together about as long as a broken link is waited for. */
+const MOST_SEND_TRIES = 8;
 /** A process that got no turn for so long may have been taken over from. */
 const PAUSED_AFTER_MS = 1000;
 
@@ -64,6 +71,8 @@
   readonly #options: StageGraphClientOptions;
   readonly #pending = new Map<number, PendingGraph>();
   readonly #choice = new CoordinatorChoice();
+  readonly #away = new Map<VmId, readonly NodeJS.Timeout[]>();
+  readonly #incarnations = new Map<VmId, Incarnation>();
   readonly #timer: NodeJS.Timeout;
   #lastRequestNumber = 0;
   #lastTurnAtMs: number;
@@ -87,10 +96,12 @@
       });
     });
     network.life.on("disconnected", ({ vmId }) => {
-      options.coordinator.cancelOwnedBy(vmId);
-      this.#resubmitFrom(vmId);
+      this.#awaitReturn(vmId);
       if (this.#liveVms().length <= 1) this.#choice.forgetOwnActivity();
     });
+    network.life.on("connected", (peer) => {
+      this.#noteReturn(peer);
+    });
     network.life.on("membershipChanged", () => {
       this.#resubmitFromSilent();
     });
@@ -102,6 +113,7 @@
 
   close(): void {
     clearInterval(this.#timer);
+    for (const vmId of [...this.#away.keys()]) this.#stopAwaiting(vmId);
   }
 
   run(graph: StageGraph, group: string): RunningGraph {
@@ -127,36 +139,92 @@
     };
   }
 
-  #submit(pending: PendingGraph): void {
+  /** The peer's link may only have been reset: its jobs and ours go on. */
+  #awaitReturn(vmId: VmId): void {
+    const own = setTimeout(() => {
+      this.#resubmitFrom(vmId);
+    }, RETURN_GRACE_MS);
+    const theirs = setTimeout(() => {
+      this.#options.coordinator.cancelOwnedBy(vmId);
+    }, OWNER_GRACE_MS);
+    this.#stopAwaiting(vmId);
+    this.#away.set(vmId, [own, theirs]);
+  }
+
+  #stopAwaiting(vmId: VmId): void {
+    for (const timer of this.#away.get(vmId) ?? []) clearTimeout(timer);
+    this.#away.delete(vmId);
+  }
+
+  /** Asks again for what is unfinished: its outcome may have been lost. */
+  #noteReturn(peer: PeerIdentity): void {
     const { network, coordinator } = this.#options;
+    this.#stopAwaiting(peer.vmId);
+    const known = this.#incarnations.get(peer.vmId);
+    if (known !== undefined && known !== peer.incarnation) {
+      coordinator.cancelOwnedBy(peer.vmId);
+    }
+    this.#incarnations.set(peer.vmId, peer.incarnation);
+    for (const pending of this.#unfinishedAt(peer.vmId)) {
+      network.send(peer.vmId, this.#runMessage(pending));
+    }
+  }
+
+  #unfinishedAt(vmId: VmId): PendingGraph[] {
+    return [...this.#pending.values()].filter((pending) =>
+      pending.coordinator === vmId && !pending.isSettled
+    );
+  }
+
+  #runMessage(
+    pending: PendingGraph,
+  ): PeerMessage & { readonly type: "stageGraphRun" } {
+    const { requestNumber, group } = pending;
+    const graph = this.#graphNow(pending);
+    return { type: "stageGraphRun", requestNumber, group, graph };
+  }
+
+  /** The graph with the times that are left. */
+  #graphNow(pending: PendingGraph): StageGraph {
     const spentMs = this.#options.clock.nowMs() - pending.startedAtMs;
-    const graph = {
+    return {
       ...pending.graph,
       objectiveInMs: pending.graph.objectiveInMs - spentMs,
       deadlineInMs: pending.graph.deadlineInMs - spentMs,
     };
+  }
+
+  /** @param tries Sends that failed before, as the link was just broken */
+  #submit(pending: PendingGraph, tries = 0): void {
+    const { network, coordinator } = this.#options;
     pending.coordinator = this.#chooseCoordinator(pending.group);
-    const { requestNumber } = pending;
-    const isSent = pending.coordinator !== network.self.vmId &&
-      network.send(pending.coordinator, {
-        type: "stageGraphRun",
-        requestNumber,
-        group: pending.group,
-        graph,
-      });
-    if (isSent) return;
+    const isOwn = pending.coordinator === network.self.vmId;
+    if (!isOwn) {
+      if (network.send(pending.coordinator, this.#runMessage(pending))) return;
+      if (tries < MOST_SEND_TRIES) {
+        this.#submitLater(pending, tries + 1);
+        return;
+      }
+    }
     pending.coordinator = network.self.vmId;
     this.#choice.noteOwnJob(pending.group, this.#options.clock.nowMs());
     coordinator.submit({
-      id: jobId(network.self, requestNumber),
+      id: jobId(network.self, pending.requestNumber),
       owner: network.self.vmId,
-      graph,
+      graph: this.#graphNow(pending),
       onEnded: (outcome) => {
         this.#settle(pending, outcome);
       },
     });
   }
 
+  #submitLater(pending: PendingGraph, tries: number): void {
+    setTimeout(() => {
+      const isOpen = this.#pending.has(pending.requestNumber);
+      if (isOpen && !pending.isSettled) this.#submit(pending, tries);
+    }, SEND_RETRY_MS);
+  }
+
   #chooseCoordinator(group: string): VmId {
     const { network, clock } = this.#options;
     return this.#choice.choose(
@@ -273,9 +341,7 @@
   }
 
   #resubmitFrom(vmId: VmId): void {
-    const unfinished = [...this.#pending.values()].filter((pending) =>
-      pending.coordinator === vmId && !pending.isSettled
-    );
+    const unfinished = this.#unfinishedAt(vmId);
     if (unfinished.length === 0) return;
     this.#options.logger.warn("stageCoordinatorLost", {
       coordinator: vmId,
--- /dev/null
+++ b/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
@@ -0,0 +1,143 @@
+import type { StageGraph } from "@sassafrasstage/protocol/stage_graph";
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { MONOTONIC_CLOCK } from "../clock.js";
+import { LatencyRecords } from "../observability/latency_records.js";
+import { createLogger } from "../observability/logger.js";
+import { Metrics } from "../observability/metrics.js";
+import { rankByRendezvous } from "../peers/rendezvous.js";
+import { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
+import { ServerRegister } from "../register/server_register.js";
+import {
+  makeGraph,
+  makeReport,
+  SAMPLE_LIMITS,
+} from "../testing/stage_samples.js";
+import { StageCoordinator } from "./stage_coordinator.js";
+import { type RunningGraph, StageGraphClient } from "./stage_graph_client.js";
+import { LinkedVm, setLinked } from "./testing/linked_vms.js";
+
+const GROUP = "stages/encoder";
+const CALL_MS = 150;
+
+/** One VM's coordinator and client, over servers of its own. */
+class TestVm {
+  readonly network: LinkedVm;
+  readonly client: StageGraphClient;
+  callCount = 0;
+  readonly #coordinator: StageCoordinator;
+
+  constructor(name: string) {
+    this.network = new LinkedVm(name);
+    const register = new ServerRegister(() => undefined);
+    register.apply(makeReport(`server-of-${name}`), 0);
+    const budget = new SlidingRetryBudget(
+      () => ({ windowMs: 10_000, ratio: 0.2, slack: 50 }),
+      () => 1,
+    );
+    const common = {
+      clock: MONOTONIC_CLOCK,
+      metrics: new Metrics(),
+      logger: createLogger("error", {}),
+    };
+    this.#coordinator = new StageCoordinator({
+      ...common,
+      latencies: new LatencyRecords(),
+      register,
+      limitsOf: () => SAMPLE_LIMITS,
+      retryBudgetOf: () => budget,
+      caller: {
+        runItems: async ({ items }) => {
+          this.callCount += 1;
+          const call = this.callCount;
+          await sleep(CALL_MS);
+          return {
+            kind: "answered",
+            items: items.map((_, n) => ({
+              kind: "made",
+              reference: `${name}/${call}.${n}`,
+            })),
+          };
+        },
+        freeResults: () => Promise.resolve(),
+      },
+    });
+    this.client = new StageGraphClient({
+      ...common,
+      network: this.network,
+      coordinator: this.#coordinator,
+    });
+  }
+
+  run(graph: StageGraph): RunningGraph {
+    return this.client.run(graph, GROUP);
+  }
+
+  close(): void {
+    this.client.close();
+    this.#coordinator.close();
+  }
+}
+
+describe("StageGraphClient", () => {
+  let owner: TestVm;
+  let coordinator: TestVm;
+  let links: LinkedVm[];
+
+  beforeEach(() => {
+    const [first = "", second = ""] = rankByRendezvous(GROUP, ["a", "b"]);
+    coordinator = new TestVm(first);
+    owner = new TestVm(second);
+    owner.network.other = coordinator.network;
+    coordinator.network.other = owner.network;
+    links = [owner.network, coordinator.network];
+  });
+
+  afterEach(() => {
+    owner.close();
+    coordinator.close();
+  });
+
+  it("has the coordinator run the graph", async () => {
+    const outcome = await owner.run(makeGraph()).outcome;
+    expect(outcome.kind).toEqual("completed");
+    expect([owner.callCount, coordinator.callCount]).toEqual([0, 1]);
+  });
+
+  it("runs nothing twice when the link is reset while a call is under way", async () => {
+    const running = owner.run(makeGraph());
+    await sleep(CALL_MS / 3);
+    await setLinked(links, false);
+    await setLinked(links, true);
+    expect((await running.outcome).kind).toEqual("completed");
+    expect([owner.callCount, coordinator.callCount]).toEqual([0, 1]);
+  });
+
+  it("gets the outcome that was lost with the link", async () => {
+    const running = owner.run(makeGraph());
+    await sleep(CALL_MS / 3);
+    await setLinked(links, false);
+    await sleep(CALL_MS * 1.5);
+    await setLinked(links, true);
+    expect((await running.outcome).kind).toEqual("completed");
+    expect([owner.callCount, coordinator.callCount]).toEqual([0, 1]);
+  });
+
+  it("waits for a link that was just broken before it runs a graph itself", async () => {
+    await setLinked(links, false);
+    const running = owner.run(makeGraph());
+    await sleep(80);
+    await setLinked(links, true);
+    expect((await running.outcome).kind).toEqual("completed");
+    expect([owner.callCount, coordinator.callCount]).toEqual([0, 1]);
+  });
+
+  it("runs the graph itself when the link stays broken", async () => {
+    const running = owner.run(makeGraph());
+    await sleep(CALL_MS / 3);
+    await setLinked(links, false);
+    expect((await running.outcome).kind).toEqual("completed");
+    expect(owner.callCount).toEqual(1);
+  });
+});
--- a/packages/daemon/src/stage_graphs/stage_load_test.ts
+++ b/packages/daemon/src/stage_graphs/stage_load_test.ts
@@ -32,7 +32,7 @@
 /** Short notes are the most urgent; labels can wait and cost as much. */
 function makeNote(): StageGraph {
   return makeGraph({
-    kind: "note",
+    inputKey: "note",
     priority: 0,
     objectiveInMs: 2000,
     stages: [
@@ -44,7 +44,7 @@
 
 function makeDraft(): StageGraph {
   return makeGraph({
-    kind: "draft",
+    inputKey: "draft",
     priority: 1,
     objectiveInMs: 1500,
     stages: [makeStage({ itemCount: 2, resultBytes: 500_000 })],
@@ -53,7 +53,7 @@
 
 function makeLabel(): StageGraph {
   return makeGraph({
-    kind: "label",
+    inputKey: "label",
     priority: 2,
     objectiveInMs: 2000,
     deadlineInMs: 6000,
@@ -113,7 +113,7 @@
 
 function onTimeShare(reports: readonly JobReport[], kind?: string): number {
   const chosen = reports
-    .filter((report) => kind === undefined || report.graph.kind === kind);
+    .filter((report) => kind === undefined || report.graph.inputKey === kind);
   const onTime = chosen.filter((report) => report.isOnTime);
   return onTime.length / chosen.length;
 }
@@ -150,7 +150,7 @@
     const load = USUAL.map((one) => ({ ...one, burst: 2.5 }));
     const reports = play(load);
     function served(kind: string): number {
-      const chosen = reports.filter((report) => report.graph.kind === kind);
+      const chosen = reports.filter((report) => report.graph.inputKey === kind);
       const completed = chosen
         .filter((report) => report.outcome.kind === "completed");
       return completed.length / chosen.length;
--- /dev/null
+++ b/packages/daemon/src/stage_graphs/testing/linked_vms.ts
@@ -0,0 +1,85 @@
+/**
+ * Two VMs with one link between them that tests break and mend.
+ *
+ * @module
+ */
+
+import {
+  type DataCentreName,
+  type Incarnation,
+  toId,
+  type VmId,
+} from "@sassafrasstage/protocol/ids";
+import type {
+  PeerMessage,
+  PeerMessageType,
+} from "@sassafrasstage/protocol/peer_messages";
+import Emittery from "emittery";
+import type {
+  MembershipView,
+  PeerIdentity,
+  PeerLifeEvents,
+  PeerMessageEvents,
+  PeerNetwork,
+} from "../../peers/peer_network.js";
+
+export class LinkedVm implements PeerNetwork {
+  readonly self: PeerIdentity;
+  readonly messages = new Emittery<PeerMessageEvents>();
+  readonly life = new Emittery<PeerLifeEvents>();
+  other: LinkedVm | undefined;
+  isLinked = true;
+  /** Types of the messages that it sent. */
+  readonly sent: PeerMessageType[] = [];
+
+  constructor(name: string) {
+    this.self = {
+      vmId: toId<VmId>(name),
+      incarnation: toId<Incarnation>(`${name}-1`),
+      dataCentre: toId<DataCentreName>("east"),
+    };
+  }
+
+  send(_to: VmId, message: PeerMessage): boolean {
+    if (!this.isLinked || this.other === undefined) return false;
+    this.sent.push(message.type);
+    // The compiler can't see that message and type belong together.
+    const event = { from: this.self, message } as PeerMessageEvents[
+      PeerMessageType
+    ];
+    void this.other.messages.emit(message.type, event);
+    return true;
+  }
+
+  view(): MembershipView {
+    return {
+      members: [this, this.other].flatMap((vm) =>
+        vm === undefined ? [] : [{
+          vmId: vm.self.vmId,
+          dataCentre: vm.self.dataCentre,
+          state: "live" as const,
+          isSelf: vm === this,
+          generation: 0,
+        }]
+      ),
+    };
+  }
+
+  async setLinked(isLinked: boolean): Promise<void> {
+    this.isLinked = isLinked;
+    const { other } = this;
+    if (other === undefined) return;
+    await this.life.emit(
+      isLinked ? "connected" : "disconnected",
+      other.self,
+    );
+  }
+}
+
+/** Breaks or mends the link at both ends. */
+export async function setLinked(
+  vms: readonly LinkedVm[],
+  isLinked: boolean,
+): Promise<void> {
+  await Promise.all(vms.map((vm) => vm.setLinked(isLinked)));
+}
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -22,8 +22,8 @@
 import {
   BatchScheduler,
   type BatchSchedulerOptions,
-  type StageCall,
 } from "../batch_scheduler.js";
+import type { StageCall } from "../stage_call.js";
 
 export interface Arrival {
   readonly atMs: number;
--- a/packages/daemon/src/testing/stage_samples.ts
+++ b/packages/daemon/src/testing/stage_samples.ts
@@ -73,7 +73,6 @@
     dataCentre: EAST,
     priority: 0,
     relativeSize: 1,
-    kind: "note",
     objectiveInMs: 1500,
     deadlineInMs: 10_000,
     finishMs: 100,
--- a/packages/protocol/src/stage_graph.ts
+++ b/packages/protocol/src/stage_graph.ts
@@ -38,8 +38,6 @@
   readonly priority: number;
   /** Size of the request against the mean of its kind. */
   readonly relativeSize: number;
-  /** Names requests of one kind. */
-  readonly kind: string;
   /** Time until an answer is late, at the moment of sending. */
   readonly objectiveInMs: number;
   /** Time until an answer is useless, at the moment of sending. */
