Compare shared objects kind by kind and list again after a lost watch

Peers compared the sum of the newest changes over all kinds, so a server's deletion seen as an event by one and by a listing by the other hid the missed configuration; a copy was also refused when an empty watch answer had moved the position past the change.

Now: the newest change is compared for each kind, completeness is counted by listings and events only, and a watch that broke off is followed by a listing.

--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -22,6 +22,7 @@
   readonly #listener: MirrorListener;
   readonly #objects = new Map<string, StoredObject>();
   #revision: number | undefined;
+  #completeRevision: number | undefined;
   #newsVersion = 0;
 
   constructor(prefix: string, listener: MirrorListener) {
@@ -34,6 +35,15 @@
     return this.#revision;
   }
 
+  /**
+   * The revision up to which every change is known; undefined before the first
+   * listing. Unlike `revision` it doesn't grow with a watch that only says how
+   * far the platform is: such a watch may have missed changes.
+   */
+  get completeRevision(): number | undefined {
+    return this.#completeRevision;
+  }
+
   /** The version of the newest change that was seen. */
   get newsVersion(): number {
     return this.#newsVersion;
@@ -43,15 +53,11 @@
     return this.#objects.values();
   }
 
-  /** The whole list has to be read again. */
-  forgetRevision(): void {
-    this.#revision = undefined;
-  }
-
   applyListing(listing: ObjectListing): void {
     if (listing.revision < (this.#revision ?? 0)) return;
     this.#replaceAll(listing.objects);
     this.#revision = listing.revision;
+    this.#noteComplete(listing.revision);
   }
 
   applyEvents(answer: WatchAnswer): void {
@@ -59,28 +65,37 @@
       if (event.kind === "updated") this.#update(event.object);
       else this.#delete(event.key, event.version);
     }
+    if (answer.events.length > 0) this.#noteComplete(this.#newsVersion);
     this.#revision = Math.max(this.#revision ?? 0, answer.revision);
   }
 
-  /** Takes a peer's copy if it is newer; true if it was taken. */
+  /**
+   * Takes a peer's copy if it is newer; true if it was taken. A watch goes on
+   * from the copy, even where it had gone further without hearing of changes.
+   */
   applyCopy(copy: ObjectsCopy): boolean {
-    if (copy.revision <= (this.#revision ?? -1)) return false;
+    if (copy.revision <= (this.#completeRevision ?? -1)) return false;
     this.#replaceAll(copy.objects);
     this.#revision = copy.revision;
+    this.#noteComplete(copy.revision);
     this.#newsVersion = Math.max(this.#newsVersion, copy.newsVersion);
     return true;
   }
 
   copy(): ObjectsCopy | undefined {
-    if (this.#revision === undefined) return undefined;
+    if (this.#completeRevision === undefined) return undefined;
     return {
       prefix: this.prefix,
-      revision: this.#revision,
+      revision: this.#completeRevision,
       newsVersion: this.#newsVersion,
       objects: [...this.#objects.values()],
     };
   }
 
+  #noteComplete(revision: number): void {
+    this.#completeRevision = Math.max(this.#completeRevision ?? 0, revision);
+  }
+
   #replaceAll(objects: readonly StoredObject[]): void {
     const listed = new Set(objects.map((object) => object.key));
     for (const key of [...this.#objects.keys()]) {
--- a/packages/daemon/src/deployment/share_objects.ts
+++ b/packages/daemon/src/deployment/share_objects.ts
@@ -8,11 +8,13 @@
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
-import type { RunningPeerNetwork } from "../peers/running_peer_network.js";
+import type { PeerNetwork } from "../peers/peer_network.js";
 import type { ObjectMirror } from "./object_mirror.js";
 
 export interface SharedObjectsOptions {
-  readonly network: RunningPeerNetwork;
+  readonly network: PeerNetwork & {
+    setNewsVersions(versions: readonly number[]): void;
+  };
   readonly mirrors: readonly ObjectMirror[];
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -21,7 +23,7 @@
 
 const CHECK_INTERVAL_MS = 250;
 /** The platform's own news gets this long to arrive first. */
-const BEHIND_BEFORE_ASKING_MS = 500;
+const BEHIND_BEFORE_ASKING_MS = 250;
 
 export class SharedObjects {
   readonly #options: SharedObjectsOptions;
@@ -55,14 +57,6 @@
     clearInterval(this.#timer);
   }
 
-  /** Grows with each change of any of the objects. */
-  #ownGeneration(): number {
-    return this.#options.mirrors.reduce(
-      (sum, mirror) => sum + mirror.newsVersion,
-      0,
-    );
-  }
-
   #apply(from: string, copy: Parameters<ObjectMirror["applyCopy"]>[0]): void {
     const mirror = this.#options.mirrors
       .find((candidate) => candidate.prefix === copy.prefix);
@@ -78,18 +72,19 @@
   #check(): void {
     const { network, clock, mirrors } = this.#options;
     const nowMs = clock.nowMs();
-    const generation = this.#ownGeneration();
-    network.setGeneration(generation);
+    network.setNewsVersions(mirrors.map((mirror) => mirror.newsVersion));
     const ahead = network.view(nowMs).members.filter((member) =>
       !member.isSelf && member.state === "live" &&
-      member.generation > generation
+      this.#isAhead(member.newsVersions ?? [])
     );
     if (ahead.length === 0) {
       this.#behindSinceMs = undefined;
       return;
     }
     this.#behindSinceMs ??= nowMs;
-    const isNew = mirrors.some((mirror) => mirror.revision === undefined);
+    const isNew = mirrors.some((mirror) =>
+      mirror.completeRevision === undefined
+    );
     const patienceMs = isNew ? 0 : BEHIND_BEFORE_ASKING_MS;
     if (nowMs - this.#behindSinceMs < patienceMs) return;
     this.#behindSinceMs = nowMs;
@@ -97,11 +92,21 @@
     if (chosen === undefined) return;
     network.send(chosen.vmId, {
       type: "objectsRequest",
-      known: mirrors.flatMap((mirror) =>
-        mirror.revision === undefined
+      known: mirrors.flatMap(({ prefix, completeRevision }) =>
+        completeRevision === undefined
           ? []
-          : [{ prefix: mirror.prefix, revision: mirror.revision }]
+          : [{ prefix, revision: completeRevision }]
       ),
     });
   }
+
+  /**
+   * Each kind is compared by itself: news of one kind doesn't make up for what
+   * was missed of another.
+   */
+  #isAhead(newsVersions: readonly number[]): boolean {
+    return this.#options.mirrors.some((mirror, at) =>
+      (newsVersions[at] ?? 0) > (mirror.completeRevision ?? -1)
+    );
+  }
 }
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -30,6 +30,8 @@
   readonly #options: ObjectWatchOptions;
   readonly #abort = new AbortController();
   readonly #ended: Promise<void>;
+  /** A watch that broke off may have missed changes: all is read again. */
+  #isListingDue = true;
   #failures = 0;
   #regainedAtMs = -Infinity;
 
@@ -69,15 +71,17 @@
 
   async #step(): Promise<void> {
     const { store, mirror, metrics, waitMs, onListed } = this.#options;
-    if (mirror.revision === undefined) {
+    const { revision } = mirror;
+    if (this.#isListingDue || revision === undefined) {
       const listing = await store.list(mirror.prefix);
+      this.#isListingDue = false;
       this.#noteSuccess();
       mirror.applyListing(listing);
       onListed?.();
       return;
     }
     const result = await store.watch(
-      { prefix: mirror.prefix, afterRevision: mirror.revision, waitMs },
+      { prefix: mirror.prefix, afterRevision: revision, waitMs },
       this.#abort.signal,
     );
     this.#noteSuccess();
@@ -86,7 +90,7 @@
       return;
     }
     metrics.countEvent("watchTooOld");
-    mirror.forgetRevision();
+    this.#isListingDue = true;
   }
 
   #noteSuccess(): void {
@@ -103,6 +107,7 @@
   #noteFailure(error: unknown): void {
     const { metrics, logger, mirror } = this.#options;
     this.#failures += 1;
+    this.#isListingDue = true;
     metrics.countEvent("platformCallFailed");
     if (this.#failures > 1) return;
     logger.warn("platformLost", {
--- /dev/null
+++ b/packages/daemon/src/deployment/watch_objects_test.ts
@@ -0,0 +1,81 @@
+import { expect } from "earl";
+import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { MONOTONIC_CLOCK } from "../clock.js";
+import { createLogger } from "../observability/logger.js";
+import { Metrics } from "../observability/metrics.js";
+import type {
+  ObjectStore,
+  WatchRequest,
+  WatchResult,
+} from "../platform/object_store.js";
+import { PlatformError } from "../platform/platform_error.js";
+import {
+  MemoryConnection,
+  MemoryObjectStore,
+} from "../platform/testing/memory_object_store.js";
+import { ObjectMirror } from "./object_mirror.js";
+import { ObjectWatch } from "./watch_objects.js";
+
+const WAIT_MS = 500;
+
+const watches: ObjectWatch[] = [];
+afterEach(async () => {
+  await Promise.all(watches.splice(0).map((watch) => watch.close()));
+});
+
+/** Its watches hear nothing and stay open until they are cut. */
+class DeafConnection extends MemoryConnection {
+  #cut: ((error: Error) => void) | undefined;
+  watchCount = 0;
+
+  override watch(
+    _request: WatchRequest,
+    signal: AbortSignal,
+  ): Promise<WatchResult> {
+    this.watchCount += 1;
+    return new Promise((_resolve, reject) => {
+      this.#cut = reject;
+      signal.addEventListener("abort", () => {
+        reject(new PlatformError("notDone", "Closed"));
+      }, { once: true });
+    });
+  }
+
+  cut(): void {
+    this.#cut?.(new PlatformError("outcomeUnknown", "Reset"));
+  }
+}
+
+function watch(store: ObjectStore, mirror: ObjectMirror): ObjectWatch {
+  const started = new ObjectWatch({
+    store,
+    mirror,
+    waitMs: 4000,
+    clock: MONOTONIC_CLOCK,
+    metrics: new Metrics(),
+    logger: createLogger("error", {}),
+  });
+  watches.push(started);
+  return started;
+}
+
+describe("ObjectWatch", () => {
+  it("reads all again after a watch was cut", async () => {
+    const store = new MemoryObjectStore();
+    const connection = new DeafConnection(store);
+    const seen: unknown[] = [];
+    const mirror = new ObjectMirror("config/", {
+      onUpdated: ({ value }) => seen.push(value),
+      onDeleted: () => undefined,
+    });
+    store.put("config/main", "old");
+    watch(connection, mirror);
+    await sleep(WAIT_MS);
+    store.put("config/main", "new");
+    connection.cut();
+    await sleep(WAIT_MS);
+    expect(seen).toEqual(["old", "new"]);
+    expect(connection.watchCount).toEqual(2);
+  });
+});
--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -121,6 +121,8 @@
       leaving: membership.isLeaving,
       ownedPools,
       ...(this.#wantsReply && { wantsReply: true }),
+      ...(membership.ownNewsVersions.length > 0 &&
+        { newsVersions: membership.ownNewsVersions }),
     };
   }
 
--- a/packages/daemon/src/peers/membership.ts
+++ b/packages/daemon/src/peers/membership.ts
@@ -28,6 +28,8 @@
   readonly #options: MembershipOptions;
   /** The generation in force at this VM. */
   ownGeneration = 0;
+  /** The newest change that this VM has seen of each kind of objects. */
+  ownNewsVersions: readonly number[] = [];
   /** This VM has said that it is shutting down. */
   isLeaving = false;
   #view: MembershipView = { members: [] };
@@ -85,6 +87,7 @@
       state: memberStateOf(peer, { nowMs, heartbeatTimeoutMs }),
       isSelf: false,
       generation: peer.generation,
+      newsVersions: peer.newsVersions,
     };
   }
 
@@ -98,6 +101,7 @@
       state,
       isSelf: true,
       generation: this.ownGeneration,
+      newsVersions: this.ownNewsVersions,
     };
   }
 }
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -131,6 +131,7 @@
     leaving: isFlag,
     ownedPools: listOf(isPool),
     wantsReply: optional(isFlag),
+    newsVersions: optional(listOf(isWholeNumber)),
   }),
   heartbeatReply: shape({
     sequence: isWholeNumber,
--- a/packages/daemon/src/peers/message_intake.ts
+++ b/packages/daemon/src/peers/message_intake.ts
@@ -34,6 +34,7 @@
     switch (message.type) {
       case "heartbeat":
         this.#noteGeneration(peer, message.generation);
+        this.#noteNewsVersions(peer, message.newsVersions ?? []);
         if (message.leaving) this.#noteLeaving(peer);
         heartbeats.answer({ peer, link, message }, nowMs);
         break;
@@ -68,6 +69,14 @@
     this.#options.membership.invalidate();
   }
 
+  #noteNewsVersions(peer: PeerRecord, versions: readonly number[]): void {
+    if (versions.every((version, at) => version === peer.newsVersions[at])) {
+      return;
+    }
+    peer.newsVersions = versions;
+    this.#options.membership.invalidate();
+  }
+
   #noteLeaving(peer: PeerRecord): void {
     if (peer.saidLeaving) return;
     peer.saidLeaving = true;
--- a/packages/daemon/src/peers/peer_links.ts
+++ b/packages/daemon/src/peers/peer_links.ts
@@ -153,6 +153,7 @@
       peer.retire(former.incarnation);
       peer.saidLeaving = false;
       peer.generation = 0;
+      peer.newsVersions = [];
       peer.heardAfterSequence = undefined;
     }
     if (peer.link !== undefined) {
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -38,6 +38,11 @@
   readonly isSelf: boolean;
   /** The highest generation it told of; 0 before the first. */
   readonly generation: number;
+  /**
+   * The newest change that it told of for each kind of shared objects; absent
+   * or empty before the first.
+   */
+  readonly newsVersions?: readonly number[];
 }
 
 export interface MembershipView {
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -137,6 +137,11 @@
     this.#membership.invalidate();
   }
 
+  setNewsVersions(versions: readonly number[]): void {
+    this.#membership.ownNewsVersions = versions;
+    this.#membership.invalidate();
+  }
+
   setHeartbeatContent(content: HeartbeatContent): void {
     this.#heartbeats.content = content;
   }
--- a/packages/daemon/src/peers/peer_record.ts
+++ b/packages/daemon/src/peers/peer_record.ts
@@ -71,6 +71,7 @@
   /** No longer known: its task ends. */
   isForgotten = false;
   generation = 0;
+  newsVersions: readonly number[] = [];
   /** Frames that wait for a connection made on demand. */
   pendingFrames: Buffer[] = [];
   readonly #retired: Incarnation[] = [];
--- a/packages/daemon/src/peers/running_peer_network.ts
+++ b/packages/daemon/src/peers/running_peer_network.ts
@@ -28,6 +28,8 @@
   setListedVms(listing: VmListing): void;
   /** Told to peers from now on. */
   setGeneration(generation: number): void;
+  /** Told to peers with each heartbeat from now on. */
+  setNewsVersions(versions: readonly number[]): void;
   setHeartbeatContent(content: HeartbeatContent): void;
   /** Tells all peers that this daemon is shutting down. */
   announceLeaving(): void;
--- a/packages/daemon/src/stage_graphs/testing/linked_vms.ts
+++ b/packages/daemon/src/stage_graphs/testing/linked_vms.ts
@@ -29,6 +29,7 @@
   readonly life = new Emittery<PeerLifeEvents>();
   other: LinkedVm | undefined;
   isLinked = true;
+  newsVersions: readonly number[] = [];
   /** Types of the messages that it sent. */
   readonly sent: PeerMessageType[] = [];
 
@@ -60,11 +61,16 @@
           state: "live" as const,
           isSelf: vm === this,
           generation: 0,
+          newsVersions: vm.newsVersions,
         }]
       ),
     };
   }
 
+  setNewsVersions(versions: readonly number[]): void {
+    this.newsVersions = versions;
+  }
+
   async setLinked(isLinked: boolean): Promise<void> {
     this.isLinked = isLinked;
     const { other } = this;
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -59,6 +59,11 @@
   readonly ownedPools: readonly PoolId[];
   /** Asks for a reply even if no pools are named. */
   readonly wantsReply?: boolean;
+  /**
+   * The newest change that the sender has seen of each kind of shared objects,
+   * in the order in which all daemons list the kinds.
+   */
+  readonly newsVersions?: readonly number[];
 }
 
 /** Answers a heartbeat that names pools or wants a reply. */
--- a/packages/stand-ins/src/backend_servers/backend_server_core.ts
+++ b/packages/stand-ins/src/backend_servers/backend_server_core.ts
@@ -14,6 +14,7 @@
 } from "../http/stand_in_server.js";
 import { SeededRandom } from "../random/seeded_random.js";
 import {
+  type ColdSign,
   ColdStart,
   type ColdStartOptions,
   type ColdStartRecord,
@@ -70,6 +71,8 @@
 export interface ColdOverload {
   readonly atMs: number;
   readonly isSuddenlyCold: boolean;
+  /** What the system could have told the sudden cold by. */
+  readonly firstSign?: ColdSign;
   readonly inFlight: readonly RunEntry[];
 }
 
@@ -158,11 +161,11 @@
     makeEntry: () => Omit<RunEntry, "outcome">,
   ): Call | undefined {
     if (this.#faults.isRefusing) {
-      this.coldStart.noteSign(Date.now());
+      this.coldStart.noteSign("refusal", Date.now());
       answerUnavailable(response, "refusing");
       return undefined;
     }
-    const { isSuddenlyCold } = this.coldStart;
+    const { isSuddenlyCold, firstSign } = this.coldStart;
     const admission = this.coldStart.arrive(Date.now());
     switch (admission.kind) {
       case "admitted": {
@@ -179,6 +182,7 @@
         this.#overloads.push({
           atMs: Date.now(),
           isSuddenlyCold,
+          ...(firstSign === undefined ? {} : { firstSign }),
           inFlight: [...this.#calls].map((call) => ({ ...call.entry })),
         });
         for (const call of this.#calls) interrupt(call, "overload");
@@ -192,7 +196,7 @@
     this.coldStart.leave(call.entry.outcome === "completed");
     // Nobody was left to see how a canceled call ended.
     if (call.entry.outcome !== "canceled") {
-      this.coldStart.noteSign(Date.now());
+      this.coldStart.noteSign("callEnd", Date.now());
     }
   }
 
--- a/packages/stand-ins/src/backend_servers/cold_start.ts
+++ b/packages/stand-ins/src/backend_servers/cold_start.ts
@@ -43,13 +43,21 @@
 /** Time that the system has to act on the first sign of a sudden cold. */
 export const SIGN_GRACE_MS = 250;
 
+/** What a caller can tell a sudden cold by. */
+export type ColdSignKind = "refusal" | "token" | "callEnd";
+
+export interface ColdSign {
+  readonly kind: ColdSignKind;
+  readonly atMs: number;
+}
+
 type Temperature =
   | { readonly kind: "warm" }
   | { readonly kind: "cold"; completionsLeft: number }
   | {
     readonly kind: "suddenlyCold";
     completionsLeft: number;
-    firstSignAtMs: number | undefined;
+    firstSign: ColdSign | undefined;
   };
 
 /** The temperature of one backend server and its calls in flight. */
@@ -100,7 +108,7 @@
       this.#inFlight + 1 > this.#options.coldLimit;
     if (isAboveLimit && this.#isInGrace(nowMs)) {
       this.#suddenColdArrivals++;
-      this.noteSign(nowMs);
+      this.noteSign("refusal", nowMs);
       return { kind: "refused" };
     }
     if (isAboveLimit) {
@@ -133,9 +141,16 @@
   }
 
   /** Something that shows the sudden cold was sent to a caller. */
-  noteSign(nowMs: number): void {
+  noteSign(kind: ColdSignKind, nowMs: number): void {
     if (this.#temperature.kind !== "suddenlyCold") return;
-    this.#temperature.firstSignAtMs ??= nowMs;
+    this.#temperature.firstSign ??= { kind, atMs: nowMs };
+  }
+
+  /** The first sign of the present sudden cold. */
+  get firstSign(): ColdSign | undefined {
+    return this.#temperature.kind === "suddenlyCold"
+      ? this.#temperature.firstSign
+      : undefined;
   }
 
   /** Turns cold without warning. */
@@ -143,15 +158,14 @@
     this.#temperature = {
       kind: "suddenlyCold",
       completionsLeft: this.#options.warmAfterCompletions,
-      firstSignAtMs: undefined,
+      firstSign: undefined,
     };
   }
 
   #isInGrace(nowMs: number): boolean {
     if (this.#temperature.kind !== "suddenlyCold") return false;
-    const { firstSignAtMs } = this.#temperature;
-    return firstSignAtMs === undefined ||
-      nowMs < firstSignAtMs + SIGN_GRACE_MS;
+    const { firstSign } = this.#temperature;
+    return firstSign === undefined || nowMs < firstSign.atMs + SIGN_GRACE_MS;
   }
 
   /** The warming up begins again. */
--- a/packages/stand-ins/src/backend_servers/engine_stand_in.ts
+++ b/packages/stand-ins/src/backend_servers/engine_stand_in.ts
@@ -214,7 +214,7 @@
         await this.#core.work(call, this.#betweenTokensMs());
       }
       if (index >= breakAfter) throw new Error("Broken by fault");
-      this.#core.coldStart.noteSign(Date.now());
+      this.#core.coldStart.noteSign("token", Date.now());
       writer?.writeToken(token);
     }
     if (writer === undefined) sendWhole(response, answer);
--- a/tests/src/support/verdicts.ts
+++ b/tests/src/support/verdicts.ts
@@ -93,10 +93,14 @@
 /** Backend servers that got more than they can bear while cold. */
 export function findColdOverloads(records: readonly ServerRecord[]): string[] {
   return records.flatMap((record) =>
-    (record.overloads ?? []).map(({ atMs, isSuddenlyCold, inFlight }) => {
+    (record.overloads ?? []).map((overload) => {
+      const { atMs, isSuddenlyCold, firstSign, inFlight } = overload;
       const ages = inFlight.map((entry) => atMs - entry.arrivedAtMs);
+      const sign = firstSign === undefined
+        ? ""
+        : ` (first sign: ${firstSign.kind}, ${atMs - firstSign.atMs} ms ago)`;
       return `${record.id} overloaded at ${new Date(atMs).toISOString()}` +
-        `${isSuddenlyCold ? " after turning cold" : ""}, ` +
+        `${isSuddenlyCold ? " after turning cold" : ""}${sign}, ` +
         `in flight for ${ages.join(", ")} ms`;
     })
   );
