--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -284,7 +284,8 @@
   ): void {
     const { from, message } = received;
     const pending = this.#pending.get(message.requestNumber);
-    if (pending?.coordinator === from.vmId && !pending.isSettled) {
+    if (pending?.coordinator === from.vmId) {
+      // Told again when the link came back: the results may be in use.
       this.#settle(pending, message.outcome);
       return;
     }
--- a/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
@@ -133,6 +133,21 @@
     expect([owner.callCount, coordinator.callCount]).toEqual([0, 1]);
   });
 
+  it("keeps results in use when their outcome is told again", async () => {
+    const running = owner.run(makeGraph());
+    await running.outcome;
+    // The coordinator tells again when it is asked over a link that came back.
+    coordinator.network.send(owner.network.self.vmId, {
+      type: "stageGraphEnded",
+      requestNumber: 1,
+      outcome: { kind: "completed", results: [] },
+    });
+    await sleep(CALL_MS / 3);
+    expect(owner.network.sent).toEqual(["stageGraphRun"]);
+    running.release();
+    expect(owner.network.sent).toEqual(["stageGraphRun", "stageGraphRelease"]);
+  });
+
   it("runs the graph itself when the link stays broken", async () => {
     const running = owner.run(makeGraph());
     await sleep(CALL_MS / 3);
