Stand-in: a warm-up that begins anew shows by a refusal alone

It now counts as a sign only a refusal there, and still overloads 250 ms after one; a server that had been warm is judged as before (cold_start_test).

--- a/packages/stand-ins/src/backend_servers/cold_start.ts
+++ b/packages/stand-ins/src/backend_servers/cold_start.ts
@@ -57,6 +57,8 @@
   | {
     readonly kind: "suddenlyCold";
     completionsLeft: number;
+    /** It was cold before: nothing became slower, so only a refusal shows. */
+    readonly wasCold: boolean;
     firstSign: ColdSign | undefined;
   };
 
@@ -143,6 +145,7 @@
   /** Something that shows the sudden cold was sent to a caller. */
   noteSign(kind: ColdSignKind, nowMs: number): void {
     if (this.#temperature.kind !== "suddenlyCold") return;
+    if (this.#temperature.wasCold && kind !== "refusal") return;
     this.#temperature.firstSign ??= { kind, atMs: nowMs };
   }
 
@@ -153,10 +156,11 @@
       : undefined;
   }
 
-  /** Turns cold without warning. */
+  /** Turns cold without warning, or begins an unfinished warm-up anew. */
   turnCold(): void {
     this.#temperature = {
       kind: "suddenlyCold",
+      wasCold: this.isCold,
       completionsLeft: this.#options.warmAfterCompletions,
       firstSign: undefined,
     };
