Leave servers out that a stage call couldn't reach

Now: a server that got no connection, or didn't answer an overdue call, gets nothing for 4 s while others can be reached, isn't counted as capacity, and a call without a connection is no send. The test failed before (2 refused).

--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -147,20 +147,41 @@
     call.batchServer.endCall();
     switch (outcome.kind) {
       case "answered":
+        call.batchServer.noteReached();
         this.#takeItems(call, outcome.items, nowMs);
         break;
       case "notRun":
-        if (outcome.reason === "full") call.batchServer.pause(nowMs);
-        else call.batchServer.suspend(nowMs);
+        this.#takeNotRun(call, outcome.reason, nowMs);
         this.#returnItems(call);
         break;
       case "unknown":
+        if (call.isOverdue) call.batchServer.noteUnreachable(nowMs);
         call.batchServer.suspend(nowMs);
         this.#returnItems(call);
         break;
     }
   }
 
+  #takeNotRun(
+    call: OpenCall,
+    reason: "full" | "notConnected",
+    nowMs: number,
+  ): void {
+    const { batchServer, entries } = call;
+    switch (reason) {
+      case "full":
+        batchServer.noteReached();
+        batchServer.pause(nowMs);
+        break;
+      case "notConnected":
+        batchServer.noteUnreachable(nowMs);
+        batchServer.suspend(nowMs);
+        // Nothing was sent, so it doesn't count as a send.
+        for (const { item } of entries) item.sendCount -= 1;
+        break;
+    }
+  }
+
   /** Looks for overdue calls, dropped results and hopeless jobs. */
   tick(nowMs: number): void {
     for (const call of this.#calls.values()) this.#checkOverdue(call, nowMs);
@@ -198,7 +219,7 @@
   }
 
   #planFor(service: ServiceName, nowMs: number): StageCall[] {
-    const servers = this.#servers.usable(service);
+    const servers = this.#servers.reachable(service, nowMs);
     const idle = servers.filter((server) => server.canStart(nowMs));
     if (idle.length === 0) return [];
     const busy = servers.filter((server) => !idle.includes(server));
--- a/packages/daemon/src/stage_graphs/batch_server.ts
+++ b/packages/daemon/src/stage_graphs/batch_server.ts
@@ -15,6 +15,8 @@
 export const SLOW_FROM = 1.6;
 const FIRST_SUSPENSION_MS = 100;
 const LONGEST_SUSPENSION_MS = 2000;
+/** By then the register has lost a server that is down rather than cut off. */
+const UNREACHABLE_FOR_MS = 4000;
 /** A call that takes this many times its estimate is treated as lost. */
 const OVERDUE_FACTOR = 1.8;
 const OVERDUE_SLACK_MS = 150;
@@ -33,6 +35,7 @@
   #measuredAtMs = 0;
   #suspendedUntilMs = 0;
   #failures = 0;
+  #unreachableAtMs = -Infinity;
 
   constructor(server: RegisteredServer, limits: BatchLimits) {
     this.server = server;
@@ -71,7 +74,22 @@
 
   /** Whether it is worth waiting for. */
   isSound(nowMs: number): boolean {
-    return nowMs >= this.#suspendedUntilMs && this.slowness(nowMs) < SLOW_FROM;
+    return this.isReachable(nowMs) && nowMs >= this.#suspendedUntilMs &&
+      this.slowness(nowMs) < SLOW_FROM;
+  }
+
+  /** False for a while after a call that got no connection or no answer. */
+  isReachable(nowMs: number): boolean {
+    return nowMs >= this.#unreachableAtMs + UNREACHABLE_FOR_MS;
+  }
+
+  noteUnreachable(nowMs: number): void {
+    this.#unreachableAtMs = nowMs;
+  }
+
+  noteReached(): void {
+    this.#unreachableAtMs = -Infinity;
+    this.#failures = 0;
   }
 
   /** Actual against nominal duration; 1 for a server of nominal speed. */
@@ -106,7 +124,6 @@
     this.#slowness = this.slowness(nowMs) * (1 - SPEED_GAIN) +
       Math.max(0.5, ratio) * SPEED_GAIN;
     this.#measuredAtMs = nowMs;
-    this.#failures = 0;
   }
 
   freeRoom(resultBytes: number): void {
--- a/packages/daemon/src/stage_graphs/batch_servers.ts
+++ b/packages/daemon/src/stage_graphs/batch_servers.ts
@@ -50,10 +50,22 @@
     });
   }
 
-  /** Calls at once of nominal speed that the usable servers amount to. */
+  /**
+   * Those of the usable servers that calls reach; all of them if there is none.
+   *
+   * Load pattern: behind a cut, a server that can't be reached holds what it is
+   * given until a time-out, while the servers on this side would have done it.
+   */
+  reachable(service: ServiceName, nowMs: number): BatchServer[] {
+    const usable = this.usable(service);
+    const reachable = usable.filter((server) => server.isReachable(nowMs));
+    return reachable.length > 0 ? reachable : usable;
+  }
+
+  /** Calls at once of nominal speed that the reachable servers amount to. */
   capacityOf(service: ServiceName, nowMs: number): number {
     let capacity = 0;
-    for (const server of this.usable(service)) {
+    for (const server of this.reachable(service, nowMs)) {
       capacity += server.limits.callsAtOnce / server.slowness(nowMs);
     }
     return capacity;
--- a/packages/daemon/src/stage_graphs/stage_load_test.ts
+++ b/packages/daemon/src/stage_graphs/stage_load_test.ts
@@ -188,6 +188,23 @@
     expect(onTimeShare(own) > 0.9).toEqual(true);
   });
 
+  it("carries what a cut leaves with the servers that it reaches", () => {
+    const reports = play(
+      USUAL.map((one) => ({ ...one, perSecond: one.perSecond / 3 })),
+      {
+        isCutOff: ({ id }, nowMs) =>
+          nowMs >= BURST.fromMs && nowMs < BURST.toMs && !id.endsWith("0"),
+      },
+    );
+    const inCut = reports.filter((report) =>
+      report.arrivedAtMs >= BURST.fromMs && report.arrivedAtMs < BURST.toMs
+    );
+    const refused = inCut.flatMap(({ outcome }) =>
+      outcome.kind === "refused" ? [outcome.reason] : []
+    );
+    expect(refused).toEqual([]);
+  });
+
   it("refuses early what can't be done, with a time to come back", () => {
     const load = USUAL.map((one) => ({ ...one, burst: 6 }));
     const refused = play(load)
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -44,11 +44,15 @@
   readonly plan?: NonNullable<BatchSchedulerOptions["plan"]>;
   /** How many times longer the server's calls take. */
   readonly slownessOf?: (server: RegisteredServer, nowMs: number) => number;
+  /** Servers that no call reaches at the moment. */
+  readonly isCutOff?: (server: RegisteredServer, nowMs: number) => boolean;
   /** Time from the last result until the request has used them. */
   readonly useMs?: number;
 }
 
 const TICK_MS = 40;
+/** A connection that isn't made in this time has failed. */
+const CONNECT_TIMEOUT_MS = 900;
 
 interface Event {
   readonly atMs: number;
@@ -142,6 +146,16 @@
     this.calls.push(call);
     const limits = this.#options.limits.get(call.service);
     if (limits === undefined) return;
+    if (this.#options.isCutOff?.(call.server, this.nowMs) === true) {
+      this.at(this.nowMs + CONNECT_TIMEOUT_MS, () => {
+        this.scheduler.endCall(
+          call.id,
+          { kind: "notRun", reason: "notConnected" },
+          this.nowMs,
+        );
+      });
+      return;
+    }
     const slowness = this.#options.slownessOf?.(call.server, this.nowMs) ?? 1;
     const durationMs = nominalMs(limits, call.entries.length) * slowness;
     this.at(this.nowMs + durationMs, () => {
