Take no stream late in a shutdown

The VM had been started again shortly before, so its measured durations were short. Now: once the balancer has moved on (2.5 s), only what ends in time at its own limit is taken.

--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -17,6 +17,7 @@
 import { forwardWhole } from "./forward_whole.js";
 import { graphStagesOf } from "./prepare_inputs.js";
 import { RequestLifetime } from "./request_lifetime.js";
+import { endsInTime, type Shutdown } from "./shutdown_admission.js";
 import type {
   ClientChannel,
   OwnAnswer,
@@ -28,8 +29,8 @@
   readonly environment: ForwardEnvironment;
   /** The routes in force; undefined before the first configuration. */
   readonly table: () => RouteTable | undefined;
-  /** When this process will end; undefined while it isn't shutting down. */
-  readonly endsAtMs: () => number | undefined;
+  /** Undefined while this process isn't shutting down. */
+  readonly shutdown: () => Shutdown | undefined;
 }
 
 type Admission =
@@ -98,16 +99,16 @@
     if (route === undefined) return refuse("noRoute", "No route matches");
     const account = findAccount(table, route, request.key);
     if (account === "unknown") return refuse("unknownKey", "Unknown key");
-    if (!this.#isEndLateEnough(route)) {
+    const limitMs = Math.min(
+      route.timeoutMs,
+      request.deadlineInMs ?? route.timeoutMs,
+    );
+    if (!this.#endsInTime(route, limitMs)) {
       return refuse("leaving", "This VM ends before the answer would");
     }
     const service = chooseService(route, Math.random());
     if (service === undefined) return refuse("noServer", "No service");
     const { environment } = this.#options;
-    const limitMs = Math.min(
-      route.timeoutMs,
-      request.deadlineInMs ?? route.timeoutMs,
-    );
     const lifetime = new RequestLifetime({
       endsAtMs: request.receivedAtMs + limitMs,
       clock: environment.clock,
@@ -132,12 +133,13 @@
     return refuse("badRequest", fault);
   }
 
-  /** Another VM can serve the request whole. */
-  #isEndLateEnough(route: Route): boolean {
-    const endsAtMs = this.#options.endsAtMs();
-    if (endsAtMs === undefined) return true;
+  /** What doesn't, another VM can serve whole. */
+  #endsInTime(route: Route, limitMs: number): boolean {
+    const shutdown = this.#options.shutdown();
+    if (shutdown === undefined) return true;
     const { clock, measures } = this.#options.environment;
-    return clock.nowMs() + measures.longDurationMs(route.name) < endsAtMs;
+    const longMs = measures.longDurationMs(route.name);
+    return endsInTime(shutdown, { longMs, limitMs }, clock.nowMs());
   }
 
   #note(
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -14,6 +14,7 @@
 import { RequestForwarder } from "./forwarding/request_forwarder.js";
 import { RouteMeasures } from "./forwarding/route_measures.js";
 import type { ServerCaller } from "./forwarding/server_caller.js";
+import type { Shutdown } from "./forwarding/shutdown_admission.js";
 import type { LatencyRecords } from "./observability/latency_records.js";
 import type { Logger } from "./observability/logger.js";
 import type { Metrics } from "./observability/metrics.js";
@@ -49,8 +50,8 @@
   readonly onServerEnded: (server: RegisteredServer) => void;
 }
 
-/** The balancer has noticed by now that this VM isn't ready. */
-const BALANCER_NOTICE_MS = 3500;
+/** New connections may still come for so long after this VM isn't ready. */
+const STAY_OPEN_MS = 3500;
 const DRAIN_CHECK_MS = 50;
 
 /** One for each process. */
@@ -63,7 +64,7 @@
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
   /** Set once the daemon is shutting down. */
-  #endsAtMs: number | undefined;
+  #shutdown: Shutdown | undefined;
 
   private constructor(
     options: RoutedDaemonOptions,
@@ -128,7 +129,7 @@
         logger,
       },
       table: () => this.#deployment.table,
-      endsAtMs: () => this.#endsAtMs,
+      shutdown: () => this.#shutdown,
     });
   }
 
@@ -145,7 +146,7 @@
   }
 
   get isLeaving(): boolean {
-    return this.#endsAtMs !== undefined;
+    return this.#shutdown !== undefined;
   }
 
   get table(): RouteTable | undefined {
@@ -167,13 +168,14 @@
    * but no later than after `graceMs`.
    */
   async drain(graceMs: number): Promise<void> {
-    const endsAtMs = MONOTONIC_CLOCK.nowMs() + graceMs;
-    this.#endsAtMs = endsAtMs;
+    const startedAtMs = MONOTONIC_CLOCK.nowMs();
+    const endsAtMs = startedAtMs + graceMs;
+    this.#shutdown = { startedAtMs, endsAtMs };
     this.#options.logger.info("shutdownStarted", {
       inFlight: this.forwarder.inFlight,
     });
     this.#network.announceLeaving();
-    await sleep(Math.min(BALANCER_NOTICE_MS, graceMs));
+    await sleep(Math.min(STAY_OPEN_MS, graceMs));
     while (MONOTONIC_CLOCK.nowMs() < endsAtMs) {
       if (this.forwarder.inFlight + this.#coordinator.jobCount === 0) break;
       await sleep(DRAIN_CHECK_MS);
