Rank jobs in one place for refusing and for batching

The same rank was worked out in find_hopeless and form_batch, where the two could have drifted apart.

--- a/packages/daemon/src/stage_graphs/find_hopeless.ts
+++ b/packages/daemon/src/stage_graphs/find_hopeless.ts
@@ -9,6 +9,7 @@
  */
 
 import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import { compareRanks, type JobRank, rankJob } from "./job_rank.js";
 import { servicesOf, type WorkEstimates } from "./work_estimates.js";
 import type { StageJob } from "./stage_job.js";
 
@@ -30,10 +31,8 @@
 const LATE_WAIT_FACTOR = 1.5;
 const SHORTEST_RETRY_AFTER_MS = 250;
 
-interface RankedJob {
+interface RankedJob extends JobRank {
   readonly job: StageJob;
-  readonly isOnTime: boolean;
-  readonly rank: number;
 }
 
 /**
@@ -57,20 +56,12 @@
 
 function rankJobs(input: HopelessInput): RankedJob[] {
   const { estimates, nowMs } = input;
-  const ranked: RankedJob[] = [];
-  for (const job of input.jobs) {
-    const pathMs = estimates.remainingPathMs(job);
-    const waited = (nowMs - job.acceptedAtMs) /
-      Math.max(1, job.graph.objectiveInMs);
-    ranked.push({
-      job,
-      isOnTime: nowMs + pathMs <= job.lateAtMs,
-      rank: estimates.worthPerMs(job) * (1 + waited),
-    });
-  }
-  return ranked.sort((a, b) =>
-    a.isOnTime === b.isOnTime ? b.rank - a.rank : a.isOnTime ? -1 : 1
-  );
+  return [...input.jobs]
+    .map((job) => {
+      const pathMs = estimates.remainingPathMs(job);
+      return { job, ...rankJob(job, { estimates, pathMs, nowMs }) };
+    })
+    .sort(compareRanks);
 }
 
 function findFault(
--- a/packages/daemon/src/stage_graphs/form_batch.ts
+++ b/packages/daemon/src/stage_graphs/form_batch.ts
@@ -11,6 +11,7 @@
 
 import type { DataCentreName, ServiceName } from "@sassafrasstage/protocol/ids";
 import { type BatchServer, SLOW_FROM } from "./batch_server.js";
+import { compareRanks, type JobRank, rankJob } from "./job_rank.js";
 import { crossingBytes, waitsForNear } from "./near_inputs.js";
 import type { StageItem, StageJob } from "./stage_job.js";
 import type { WorkEstimates } from "./work_estimates.js";
@@ -58,10 +59,7 @@
   readonly isCrowded: boolean;
 }
 
-interface RankedGroup extends WaitingGroup {
-  readonly isOnTime: boolean;
-  readonly rank: number;
-}
+interface RankedGroup extends WaitingGroup, JobRank {}
 
 /**
  * Plans one call for each idle server for which there is work.
@@ -109,7 +107,7 @@
       groups.push(rankGroup(input, job, stage));
     }
   }
-  return groups.sort(compareGroups);
+  return groups.sort(compareRanks);
 }
 
 function rankGroup(
@@ -119,22 +117,14 @@
 ): RankedGroup {
   const { estimates, nowMs } = input;
   const pathMs = estimates.pathFromMs(job, stage);
-  const waited = (nowMs - job.acceptedAtMs) /
-    Math.max(1, job.graph.objectiveInMs);
   return {
     job,
     stage,
     items: job.waitingItems(stage),
-    isOnTime: nowMs + pathMs <= job.lateAtMs,
-    rank: estimates.worthPerMs(job) * (1 + waited),
+    ...rankJob(job, { estimates, pathMs, nowMs }),
   };
 }
 
-function compareGroups(a: RankedGroup, b: RankedGroup): number {
-  if (a.isOnTime !== b.isOnTime) return a.isOnTime ? -1 : 1;
-  return b.rank - a.rank;
-}
-
 /**
  * Results take room until they are used. A stage that nothing follows waits
  * while the job's other stages need much longer than it does.
