--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import { Command, CommanderError } from "commander";
 import { CliError, EXIT_CODES, type ExitCode } from "./cli_error.js";
 import { addConfigCommands } from "./commands/config_commands.js";
+import { addLogsCommand } from "./commands/logs_command.js";
 import { addOutAndInCommands } from "./commands/out_and_in_commands.js";
 import { addRequestCommand } from "./commands/request_command.js";
 import { addSettingsCommand } from "./commands/settings_command.js";
@@ -63,5 +64,6 @@
   addOutAndInCommands(program, terminal);
   addRequestCommand(program, terminal);
   addSettingsCommand(program, terminal);
+  addLogsCommand(program, terminal);
   return program;
 }
