--- a/bench/src/slopes/message_slopes.ts
+++ b/bench/src/slopes/message_slopes.ts
@@ -16,9 +16,9 @@
 import { startPeerFleet, stopPeerFleet } from "./peer_fleet.js";
 import {
   makeHeartbeat,
-  makePermitAsk,
   makePermitDecision,
   makePermitRelease,
+  makePermitRequest,
 } from "./sample_messages.js";
 import type { SlopeSeries } from "./slope_series.js";
 
@@ -39,7 +39,7 @@
  */
 export async function measureMessageSlopes(): Promise<SlopeSeries[]> {
   return [
-    measureBytes("permit ask", makePermitAsk),
+    measureBytes("permit ask", makePermitRequest),
     measureBytes("permit decision", makePermitDecision),
     measureBytes("permit release", makePermitRelease),
     {
@@ -82,7 +82,7 @@
 }
 
 interface Pair {
-  readonly asker: RunningPeerNetwork;
+  readonly permitClient: RunningPeerNetwork;
   readonly owner: RunningPeerNetwork;
   readonly count: number;
 }
@@ -93,14 +93,16 @@
   run: (pair: Pair) => Promise<void>,
 ): Promise<SlopeSeries> {
   const fleet = await startPeerFleet(2);
-  const [asker, owner] = fleet;
-  if (asker === undefined || owner === undefined) throw new Error("No fleet");
+  const [permitClient, owner] = fleet;
+  if (permitClient === undefined || owner === undefined) {
+    throw new Error("No fleet");
+  }
   try {
-    await run({ asker, owner, count: MESSAGE_COUNTS[0] ?? 0 });
+    await run({ permitClient, owner, count: MESSAGE_COUNTS[0] ?? 0 });
     const points: Point[] = [];
     for (const count of MESSAGE_COUNTS) {
       const before = process.cpuUsage();
-      await run({ asker, owner, count });
+      await run({ permitClient, owner, count });
       const used = process.cpuUsage(before);
       points.push({ size: count, value: used.user + used.system });
     }
@@ -117,12 +119,12 @@
 
 async function exchangePermits(pair: Pair): Promise<void> {
   let serial = 0;
-  const stop = pair.owner.messages.on("permitAsk", () => {
+  const stop = pair.owner.messages.on("permitRequest", () => {
     serial += 1;
-    pair.owner.send(pair.asker.self.vmId, makePermitDecision(serial));
+    pair.owner.send(pair.permitClient.self.vmId, makePermitDecision(serial));
   });
-  const all = countMessages(pair.asker, "permitDecision", pair.count);
-  await sendInTurns(pair, makePermitAsk);
+  const all = countMessages(pair.permitClient, "permitDecision", pair.count);
+  await sendInTurns(pair, makePermitRequest);
   await all;
   stop();
 }
@@ -134,11 +136,11 @@
 }
 
 async function sendInTurns(
-  { asker, owner, count }: Pair,
+  { permitClient, owner, count }: Pair,
   make: (serial: number) => PeerMessage,
 ): Promise<void> {
   for (let serial = 0; serial < count; serial += 1) {
-    asker.send(owner.self.vmId, make(serial));
+    permitClient.send(owner.self.vmId, make(serial));
     if (serial % MESSAGES_PER_TURN === 0) await sleep(0);
   }
 }
--- a/bench/src/slopes/pool_slopes.ts
+++ b/bench/src/slopes/pool_slopes.ts
@@ -18,7 +18,7 @@
   toId,
   type VmId,
 } from "@sassafrasstage/protocol/ids";
-import type { Permit, PermitAsk } from "@sassafrasstage/protocol/permits";
+import type { Permit, PermitRequest } from "@sassafrasstage/protocol/permits";
 import { measureHeapBytes } from "./heap_size.js";
 import { measureProcessorUs } from "./processor_time.js";
 import type { SlopeSeries } from "./slope_series.js";
@@ -117,7 +117,11 @@
     this.#serial += 1;
     this.#nowMs += 1;
     this.#granted = undefined;
-    const arrival = { from: ASKER, ask: makeAsk(this.#serial), share: 1 };
+    const arrival = {
+      from: ASKER,
+      permitRequest: makePermitRequest(this.#serial),
+      share: 1,
+    };
     this.#pool.submit(arrival, this.#nowMs);
     const { permitId, backendServerId } = this.#requireGranted();
     this.#pool.release(
@@ -132,7 +136,7 @@
   }
 }
 
-function makeAsk(serial: number): PermitAsk {
+function makePermitRequest(serial: number): PermitRequest {
   return {
     pool: POOL,
     requestId: toId(`request-${serial}`),
--- a/bench/src/slopes/sample_messages.ts
+++ b/bench/src/slopes/sample_messages.ts
@@ -7,14 +7,18 @@
 import { toId } from "@sassafrasstage/protocol/ids";
 import type {
   HeartbeatMessage,
-  PermitAskMessage,
   PermitDecisionMessage,
   PermitReleaseMessage,
+  PermitRequestMessage,
 } from "@sassafrasstage/protocol/peer_messages";
 
 const POOL = {
-  service: toId<PermitAskMessage["ask"]["pool"]["service"]>("language-model"),
-  dataCentre: toId<PermitAskMessage["ask"]["pool"]["dataCentre"]>("palermo"),
+  service: toId<PermitRequestMessage["permitRequest"]["pool"]["service"]>(
+    "language-model",
+  ),
+  dataCentre: toId<PermitRequestMessage["permitRequest"]["pool"]["dataCentre"]>(
+    "palermo",
+  ),
 };
 
 /** The ids of one attempt, unlike those of other attempts. */
@@ -28,10 +32,10 @@
  * network.send(owner, makePermitAsk(1));
  * ```
  */
-export function makePermitAsk(serial: number): PermitAskMessage {
+export function makePermitRequest(serial: number): PermitRequestMessage {
   return {
-    type: "permitAsk",
-    ask: {
+    type: "permitRequest",
+    permitRequest: {
       pool: POOL,
       requestId: toId(makeUuid(serial)),
       attemptId: toId(makeUuid(serial)),
@@ -49,7 +53,7 @@
 /**
  * @example
  * ```ts
- * network.send(asker, makePermitDecision(1));
+ * network.send(permitRequester, makePermitDecision(1));
  * ```
  */
 export function makePermitDecision(serial: number): PermitDecisionMessage {
@@ -63,7 +67,7 @@
         attemptId: toId(makeUuid(serial)),
         pool: POOL,
         backendServerId: toId("language-model-4"),
-        warmth: "warm",
+        warmUpState: "warm",
       },
     },
   };
--- a/packages/daemon/src/claims/claim_layout_test.ts
+++ b/packages/daemon/src/claims/claim_layout_test.ts
@@ -5,7 +5,7 @@
 import { EPOCH_MS, LayoutKeeper } from "./claim_layout.js";
 
 function makeKeeper(store: MemoryObjectStore, partitions: number): {
-  readonly keeper: LayoutKeeper;
+  readonly claimStore: LayoutKeeper;
   readonly clock: { atMs: number };
   readonly warnings: string[];
 } {
@@ -19,13 +19,13 @@
     info: () => undefined,
     debug: () => undefined,
   };
-  const keeper = new LayoutKeeper({
+  const claimStore = new LayoutKeeper({
     store: store.connect(),
     clock: { nowMs: () => clock.atMs },
     logger,
     partitions,
   });
-  return { keeper, clock, warnings };
+  return { claimStore, clock, warnings };
 }
 
 describe("LayoutKeeper", () => {
@@ -34,8 +34,8 @@
     store.answersToLose = 1;
     const first = makeKeeper(store, 4);
     const second = makeKeeper(store, 9);
-    expect(await first.keeper.partitions()).toEqual(4);
-    expect(await second.keeper.partitions()).toEqual(4);
+    expect(await first.claimStore.partitions()).toEqual(4);
+    expect(await second.claimStore.partitions()).toEqual(4);
     expect(second.warnings).toEqual(["claimPartitionsDiffer"]);
   });
 
@@ -43,17 +43,17 @@
     const store = new MemoryObjectStore();
     const a = makeKeeper(store, 4);
     const b = makeKeeper(store, 4);
-    await a.keeper.read();
-    await a.keeper.advanceEpoch();
+    await a.claimStore.read();
+    await a.claimStore.advanceEpoch();
     a.clock.atMs = EPOCH_MS - 1;
-    await a.keeper.advanceEpoch();
-    expect((await a.keeper.read()).epoch).toEqual(0);
+    await a.claimStore.advanceEpoch();
+    expect((await a.claimStore.read()).epoch).toEqual(0);
     a.clock.atMs = EPOCH_MS;
-    await a.keeper.advanceEpoch();
-    expect((await a.keeper.read()).epoch).toEqual(1);
+    await a.claimStore.advanceEpoch();
+    expect((await a.claimStore.read()).epoch).toEqual(1);
     // However late its clock is, b has only just seen the epoch.
     b.clock.atMs = 100 * EPOCH_MS;
-    await b.keeper.advanceEpoch();
-    expect((await b.keeper.read()).epoch).toEqual(1);
+    await b.claimStore.advanceEpoch();
+    expect((await b.claimStore.read()).epoch).toEqual(1);
   });
 });
--- a/packages/daemon/src/claims/claim_segments_test.ts
+++ b/packages/daemon/src/claims/claim_segments_test.ts
@@ -6,19 +6,19 @@
 import { MAX_KEPT_ANSWER_BYTES } from "./kept_answer.js";
 import {
   claimOf,
-  type FleetKeeper,
-  KeeperFleet,
+  ClaimStoreFleet,
+  type FleetClaimStore,
   makeAnswer,
   WANTED,
-} from "./testing/keeper_fleet.js";
+} from "./testing/claim_store_fleet.js";
 
 /** Several heads full. */
 const KEYS = 60;
 
-let fleet: KeeperFleet;
+let fleet: ClaimStoreFleet;
 
 beforeEach(() => {
-  fleet = new KeeperFleet({ partitions: 1 });
+  fleet = new ClaimStoreFleet({ partitions: 1 });
 });
 
 afterEach(() => {
@@ -30,13 +30,13 @@
 }
 
 async function runKeys(
-  vm: FleetKeeper,
+  vm: FleetClaimStore,
   keys: readonly string[],
 ): Promise<void> {
   await Promise.all(keys.map(async (key) => {
-    const held = claimOf(await vm.keeper.claim(fleet.request(key), WANTED));
+    const held = claimOf(await vm.claimStore.claim(fleet.request(key), WANTED));
     const answer = makeAnswer(answerTo(key));
-    await vm.keeper.recordOutcome(held, { kind: "answered", answer });
+    await vm.claimStore.recordOutcome(held, { kind: "answered", answer });
   }));
 }
 
@@ -61,7 +61,7 @@
     }
     const b = await fleet.start("vm-b");
     for (const key of keys) {
-      const repeat = await b.keeper.claim(fleet.request(key), WANTED);
+      const repeat = await b.claimStore.claim(fleet.request(key), WANTED);
       expect(repeat).toEqual({
         kind: "answered",
         answer: makeAnswer(answerTo(key)),
@@ -75,18 +75,20 @@
     const keys = makeKeys(long);
     const held = await Promise.all(
       keys.map(async (key) =>
-        claimOf(await a.keeper.claim(fleet.request(key), WANTED))
+        claimOf(await a.claimStore.claim(fleet.request(key), WANTED))
       ),
     );
     await runKeys(a, makeKeys("filler"));
-    await Promise.all(held.map((claim, index) =>
-      a.keeper.recordOutcome(claim, {
-        kind: index % 2 === 0 ? "notRun" : "unknown",
-      })
-    ));
+    await Promise.all(
+      held.map((claim, index) =>
+        a.claimStore.recordOutcome(claim, {
+          kind: index % 2 === 0 ? "notRun" : "unknown",
+        })
+      ),
+    );
     const b = await fleet.start("vm-b");
     for (const [index, key] of keys.entries()) {
-      const repeat = await b.keeper.claim(fleet.request(key), WANTED);
+      const repeat = await b.claimStore.claim(fleet.request(key), WANTED);
       expect(repeat.kind).toEqual(index % 2 === 0 ? "held" : "outcomeUnknown");
     }
   });
@@ -107,7 +109,7 @@
       expect(fleet.store.objects.has(name)).toEqual(false);
     }
     const b = await fleet.start("vm-b");
-    const kept = await b.keeper.claim(fleet.request("newer-0"), WANTED);
+    const kept = await b.claimStore.claim(fleet.request("newer-0"), WANTED);
     expect(kept.kind).toEqual("answered");
   });
 });
--- a/packages/daemon/src/claims/claim_keeper.ts
+++ b/packages/daemon/src/claims/claim_store.ts
@@ -41,7 +41,7 @@
     readonly retryAfterMs: number;
   };
 
-export interface ClaimKeeper {
+export interface ClaimStore {
   /**
    * Claims the key, or waits (until the deadline) for the outcome of the one
    * that holds it. Never rejects.
--- a/packages/daemon/src/claims/create_claim_keeper.ts
+++ b/packages/daemon/src/claims/create_claim_store.ts
@@ -13,7 +13,7 @@
 import type { Settings } from "../settings/settings.js";
 import { ActiveAttempts } from "./active_attempts.js";
 import { ClaimCommitters } from "./claim_committers.js";
-import type { ClaimKeeper } from "./claim_keeper.js";
+import type { ClaimStore } from "./claim_store.js";
 import { EPOCH_MS, LayoutKeeper } from "./claim_layout.js";
 import { ClaimStoreError } from "./claim_objects.js";
 import { UNAVAILABLE } from "./claim_operation.js";
@@ -21,11 +21,11 @@
 import { ClaimRouter } from "./claim_router.js";
 import { HolderLiveness } from "./holder_liveness.js";
 import { OutcomeRecorder } from "./outcome_recorder.js";
-import { PlatformClaimKeeper } from "./platform_claim_keeper.js";
+import { PlatformClaimStore } from "./platform_claim_store.js";
 
 const EPOCH_CHECK_MS = EPOCH_MS / 10;
 
-export interface ClaimKeeperOptions {
+export interface ClaimStoreOptions {
   readonly settings: Settings;
   readonly store: ObjectStore;
   readonly network: PeerNetwork;
@@ -39,12 +39,12 @@
  *
  * @example
  * ```ts
- * const claims = createClaimKeeper({ settings, store, network, …common });
+ * const claims = createClaimStore({ settings, store, network, …common });
  * const decision = await claims.claim(request, signal);
  * if (decision.kind === "held") await run();
  * ```
  */
-export function createClaimKeeper(options: ClaimKeeperOptions): ClaimKeeper {
+export function createClaimStore(options: ClaimStoreOptions): ClaimStore {
   const { network, settings, clock, logger } = options;
   const attempts = new ActiveAttempts(holderOf(network.self));
   const layout = new LayoutKeeper({
@@ -68,7 +68,7 @@
   });
   const router = new ClaimRouter({ ...common, committers, relay });
   startEpochChecks(layout, logger);
-  return new PlatformClaimKeeper({
+  return new PlatformClaimStore({
     ...options,
     attempts,
     router,
--- a/packages/daemon/src/claims/create_claim_keeper_test.ts
+++ b/packages/daemon/src/claims/create_claim_store_test.ts
@@ -6,35 +6,35 @@
 import { MAX_KEPT_ANSWER_BYTES } from "./kept_answer.js";
 import {
   claimOf,
-  KeeperFleet,
+  ClaimStoreFleet,
   makeAnswer,
   WANTED,
-} from "./testing/keeper_fleet.js";
+} from "./testing/claim_store_fleet.js";
 
 /** Far more than an answer needs that waits for nobody. */
 const GIVE_UP_MS = 10_000;
 
-let fleet: KeeperFleet;
+let fleet: ClaimStoreFleet;
 
 beforeEach(() => {
-  fleet = new KeeperFleet();
+  fleet = new ClaimStoreFleet();
 });
 
 afterEach(() => {
   fleet.close();
 });
 
-describe("createClaimKeeper", () => {
+describe("createClaimStore", () => {
   it("lets one of many that claim a key at once hold it", async () => {
-    const keepers = [
+    const stores = [
       await fleet.start("vm-a"),
       await fleet.start("vm-b"),
       await fleet.start("vm-c"),
     ];
-    const claimants = [...keepers, ...keepers, ...keepers, ...keepers];
+    const claimants = [...stores, ...stores, ...stores, ...stores];
     const decisions = await Promise.all(
-      claimants.map(({ keeper }) =>
-        keeper.claim(fleet.request("key-1", { deadlineMs: 300 }), WANTED)
+      claimants.map(({ claimStore }) =>
+        claimStore.claim(fleet.request("key-1", { deadlineMs: 300 }), WANTED)
       ),
     );
     const kinds = decisions.map((decision) => decision.kind);
@@ -46,12 +46,14 @@
   it("gives a repeat the recorded answer, at any VM", async () => {
     const a = await fleet.start("vm-a");
     const b = await fleet.start("vm-b");
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
     const answer = makeAnswer('{"certificate":7}');
-    expect(await a.keeper.recordOutcome(held, { kind: "answered", answer }))
+    expect(await a.claimStore.recordOutcome(held, { kind: "answered", answer }))
       .toEqual(true);
-    for (const { keeper } of [a, b]) {
-      expect(await keeper.claim(fleet.request("key-1"), WANTED))
+    for (const { claimStore } of [a, b]) {
+      expect(await claimStore.claim(fleet.request("key-1"), WANTED))
         .toEqual({ kind: "answered", answer });
     }
   });
@@ -59,13 +61,15 @@
   it("lets a repeat wait for the answer of the running request", async () => {
     const a = await fleet.start("vm-a");
     const b = await fleet.start("vm-b");
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
-    const repeats = [a, b].map(({ keeper }) =>
-      keeper.claim(fleet.request("key-1"), WANTED)
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
+    const repeats = [a, b].map(({ claimStore }) =>
+      claimStore.claim(fleet.request("key-1"), WANTED)
     );
     await sleep(100);
     const answer = makeAnswer("whole");
-    await a.keeper.recordOutcome(held, { kind: "answered", answer });
+    await a.claimStore.recordOutcome(held, { kind: "answered", answer });
     for (const decision of await Promise.all(repeats)) {
       expect(decision).toEqual({ kind: "answered", answer });
     }
@@ -73,29 +77,37 @@
 
   it("refuses other content, and says what is unknown", async () => {
     const a = await fleet.start("vm-a");
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
     const other = fleet.request("key-1", { content: "content-2" });
-    expect((await a.keeper.claim(other, WANTED)).kind).toEqual("otherContent");
-    await a.keeper.recordOutcome(held, { kind: "unknown" });
-    expect((await a.keeper.claim(fleet.request("key-1"), WANTED)).kind)
+    expect((await a.claimStore.claim(other, WANTED)).kind).toEqual(
+      "otherContent",
+    );
+    await a.claimStore.recordOutcome(held, { kind: "unknown" });
+    expect((await a.claimStore.claim(fleet.request("key-1"), WANTED)).kind)
       .toEqual("outcomeUnknown");
   });
 
   it("frees a key whose request was not run", async () => {
     const a = await fleet.start("vm-a");
     const b = await fleet.start("vm-b");
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
-    await a.keeper.recordOutcome(held, { kind: "notRun" });
-    const again = await b.keeper.claim(fleet.request("key-1"), WANTED);
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
+    await a.claimStore.recordOutcome(held, { kind: "notRun" });
+    const again = await b.claimStore.claim(fleet.request("key-1"), WANTED);
     expect(again.kind).toEqual("held");
   });
 
   it("keeps a key taken whose answer was too large to keep", async () => {
     const a = await fleet.start("vm-a");
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
     const answer = makeAnswer("x".repeat(MAX_KEPT_ANSWER_BYTES + 1));
-    await a.keeper.recordOutcome(held, { kind: "answered", answer });
-    const repeat = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    await a.claimStore.recordOutcome(held, { kind: "answered", answer });
+    const repeat = await a.claimStore.claim(fleet.request("key-1"), WANTED);
     if (repeat.kind !== "answered") throw new Error(repeat.kind);
     expect(repeat.answer.contentType).toEqual("application/problem+json");
     expect(repeat.answer.body).toEqual(expect.includes('"notRun":false'));
@@ -104,12 +116,14 @@
   it("settles lost answers by reading back", async () => {
     const a = await fleet.start("vm-a");
     fleet.store.answersToLose = 3;
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
     fleet.store.answersToLose = 2;
-    await a.keeper.recordOutcome(held, { kind: "notRun" });
-    const again = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    await a.claimStore.recordOutcome(held, { kind: "notRun" });
+    const again = await a.claimStore.claim(fleet.request("key-1"), WANTED);
     expect(again.kind).toEqual("held");
-    const second = await a.keeper.claim(
+    const second = await a.claimStore.claim(
       fleet.request("key-1", { deadlineMs: 200 }),
       WANTED,
     );
@@ -120,19 +134,21 @@
     const a = await fleet.start("vm-a");
     await fleet.start("vm-b");
     fleet.store.isDown = true;
-    const refused = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    const refused = await a.claimStore.claim(fleet.request("key-1"), WANTED);
     expect(refused.kind).toEqual("unavailable");
     fleet.store.isDown = false;
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
     fleet.store.isDown = true;
-    const recording = a.keeper.recordOutcome(held, {
+    const recording = a.claimStore.recordOutcome(held, {
       kind: "answered",
       answer: makeAnswer("late"),
     });
     await sleep(100);
     fleet.store.isDown = false;
     expect(await recording).toEqual(true);
-    const repeat = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    const repeat = await a.claimStore.claim(fleet.request("key-1"), WANTED);
     expect(repeat).toEqual({ kind: "answered", answer: makeAnswer("late") });
   });
 
@@ -142,9 +158,11 @@
     a.connection.isCut = true;
     const kinds: string[] = [];
     for (const key of ["key-1", "key-2", "key-3", "key-4"]) {
-      const held = claimOf(await a.keeper.claim(fleet.request(key), WANTED));
-      await a.keeper.recordOutcome(held, { kind: "unknown" });
-      const repeat = await b.keeper.claim(fleet.request(key), WANTED);
+      const held = claimOf(
+        await a.claimStore.claim(fleet.request(key), WANTED),
+      );
+      await a.claimStore.recordOutcome(held, { kind: "unknown" });
+      const repeat = await b.claimStore.claim(fleet.request(key), WANTED);
       kinds.push(repeat.kind);
     }
     expect(kinds).toEqual([
@@ -156,11 +174,11 @@
   });
 
   it("commits directly when the preferred VM is silent", async () => {
-    const keepers = [await fleet.start("vm-a"), await fleet.start("vm-b")];
+    const stores = [await fleet.start("vm-a"), await fleet.start("vm-b")];
     fleet.peers.isHeldBack = () => true;
-    for (const { keeper } of keepers) {
+    for (const { claimStore } of stores) {
       for (const key of ["key-1", "key-2", "key-3", "key-4"]) {
-        await keeper.claim(fleet.request(key, { deadlineMs: 700 }), WANTED);
+        await claimStore.claim(fleet.request(key, { deadlineMs: 700 }), WANTED);
       }
     }
     const held = [...fleet.store.objects.values()].flatMap((object) =>
@@ -173,27 +191,29 @@
     const a = await fleet.start("vm-a");
     const b = await fleet.start("vm-b");
     a.network.isCut = true;
-    const held = claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
-    const repeat = b.keeper.claim(fleet.request("key-1"), WANTED);
+    const held = claimOf(
+      await a.claimStore.claim(fleet.request("key-1"), WANTED),
+    );
+    const repeat = b.claimStore.claim(fleet.request("key-1"), WANTED);
     await sleep(100);
     const answer = makeAnswer("from beyond the cut");
-    await a.keeper.recordOutcome(held, { kind: "answered", answer });
+    await a.claimStore.recordOutcome(held, { kind: "answered", answer });
     expect(await repeat).toEqual({ kind: "answered", answer });
   });
 
   it("says that the outcome is unknown when the holder has died", async () => {
     const a = await fleet.start("vm-a");
     const b = await fleet.start("vm-b");
-    claimOf(await a.keeper.claim(fleet.request("key-1"), WANTED));
+    claimOf(await a.claimStore.claim(fleet.request("key-1"), WANTED));
     const renewed = await fleet.restart("vm-a", "life-2");
-    for (const { keeper } of [b, renewed]) {
+    for (const { claimStore } of [b, renewed]) {
       const abort = new AbortController();
       const request = fleet.request("key-1", { deadlineMs: 600_000 });
       const waited = sleep(GIVE_UP_MS, { kind: "waited" }, {
         signal: abort.signal,
       });
       const decision = await Promise.race([
-        keeper.claim(request, WANTED),
+        claimStore.claim(request, WANTED),
         waited,
       ]);
       abort.abort();
@@ -208,7 +228,7 @@
     const replies = new Set(["claimReply", "claimRequest"]);
     fleet.peers.isHeldBack = (message) => replies.has(message.type);
     a.connection.isCut = true;
-    const refused = await a.keeper.claim(fleet.request("key-1"), WANTED);
+    const refused = await a.claimStore.claim(fleet.request("key-1"), WANTED);
     expect(refused.kind).toEqual("unavailable");
     const { held } = fleet.peers;
     expect(held.length).toBeGreaterThan(0);
@@ -217,27 +237,29 @@
     expect(fleet.store.objects.size).toBeGreaterThan(1);
     fleet.peers.isHeldBack = () => false;
     a.connection.isCut = false;
-    const repeat = await b.keeper.claim(fleet.request("key-1"), WANTED);
+    const repeat = await b.claimStore.claim(fleet.request("key-1"), WANTED);
     expect(repeat.kind).toEqual("held");
   });
 });
 
-describe("createClaimKeeper over a store that applies updates late", () => {
+describe("createClaimStore over a store that applies updates late", () => {
   it("lets one hold the key", async () => {
     const late: Promise<unknown>[] = [];
-    const lateFleet = new KeeperFleet({
+    const lateFleet = new ClaimStoreFleet({
       wrap: (store) => delayEverySecondUpdate(store, late),
     });
     try {
       const a = await lateFleet.start("vm-a");
       const b = await lateFleet.start("vm-b");
       for (let round = 0; round < 5; round++) {
-        const kinds = await Promise.all([a, b, a, b].map(async ({ keeper }) => {
-          const request = lateFleet.request(`key-${round}`, {
-            deadlineMs: 400,
-          });
-          return (await keeper.claim(request, WANTED)).kind;
-        }));
+        const kinds = await Promise.all(
+          [a, b, a, b].map(async ({ claimStore }) => {
+            const request = lateFleet.request(`key-${round}`, {
+              deadlineMs: 400,
+            });
+            return (await claimStore.claim(request, WANTED)).kind;
+          }),
+        );
         expect(kinds.filter((kind) => kind === "held").length)
           .toBeLessThanOrEqual(1);
       }
--- a/packages/daemon/src/claims/measure_claims.ts
+++ b/packages/daemon/src/claims/measure_claims.ts
@@ -8,11 +8,11 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import {
-  type FleetKeeper,
-  KeeperFleet,
+  ClaimStoreFleet,
+  type FleetClaimStore,
   makeAnswer,
   WANTED,
-} from "./testing/keeper_fleet.js";
+} from "./testing/claim_store_fleet.js";
 
 const VMS = ["vm-a", "vm-b", "vm-c", "vm-d", "vm-e", "vm-f", "vm-g", "vm-h"];
 const PARTITIONS = 16;
@@ -34,19 +34,19 @@
 }
 
 async function runOne(
-  fleet: KeeperFleet,
-  vm: FleetKeeper,
+  fleet: ClaimStoreFleet,
+  vm: FleetClaimStore,
   run: { readonly key: string; readonly tally: Tally },
 ): Promise<void> {
   const startedAtMs = performance.now();
-  const decision = await vm.keeper.claim(fleet.request(run.key), WANTED);
+  const decision = await vm.claimStore.claim(fleet.request(run.key), WANTED);
   run.tally.latenciesMs.push(performance.now() - startedAtMs);
   if (decision.kind !== "held") {
     run.tally.refused++;
     return;
   }
   await sleep(RUN_MS);
-  await vm.keeper.recordOutcome(decision.claim, {
+  await vm.claimStore.recordOutcome(decision.claim, {
     kind: "answered",
     answer: ANSWER,
   });
@@ -54,8 +54,8 @@
 
 /** Starts requests at an even rate and waits for all of them. */
 async function runAll(
-  fleet: KeeperFleet,
-  vms: readonly FleetKeeper[],
+  fleet: ClaimStoreFleet,
+  vms: readonly FleetClaimStore[],
   claimsPerSecond: number,
 ): Promise<Tally> {
   const tally: Tally = { latenciesMs: [], refused: 0 };
@@ -75,13 +75,13 @@
 }
 
 async function measure(claimsPerSecond: number): Promise<void> {
-  const fleet = new KeeperFleet({
+  const fleet = new ClaimStoreFleet({
     partitions: PARTITIONS,
     gatherMinMs: 2,
     gatherMaxMs: 200,
   });
   fleet.store.delayMs = () => STORE_MS;
-  const vms: FleetKeeper[] = [];
+  const vms: FleetClaimStore[] = [];
   for (const vmId of VMS) vms.push(await fleet.start(vmId));
   const startedAtMs = performance.now();
   const { latenciesMs, refused } = await runAll(fleet, vms, claimsPerSecond);
--- a/packages/daemon/src/claims/outcome_recorder.ts
+++ b/packages/daemon/src/claims/outcome_recorder.ts
@@ -9,7 +9,7 @@
 import type { Metrics } from "../observability/metrics.js";
 import type { ActiveAttempts } from "./active_attempts.js";
 import { hashClaimKey } from "./claim_hash.js";
-import type { HeldClaim } from "./claim_keeper.js";
+import type { HeldClaim } from "./claim_store.js";
 import type { ClaimRouter } from "./claim_router.js";
 import { sleepUnless } from "./sleep_unless.js";
 
--- a/packages/daemon/src/claims/platform_claim_keeper.ts
+++ b/packages/daemon/src/claims/platform_claim_store.ts
@@ -16,10 +16,10 @@
 import { hashClaimKey } from "./claim_hash.js";
 import type {
   ClaimDecision,
-  ClaimKeeper,
   ClaimRequest,
+  ClaimStore,
   HeldClaim,
-} from "./claim_keeper.js";
+} from "./claim_store.js";
 import { holderOf } from "./claim_relay.js";
 import type { ClaimRouter } from "./claim_router.js";
 import type { HolderLiveness } from "./holder_liveness.js";
@@ -36,7 +36,7 @@
 const DECISION_MARGIN_MS = 100;
 
 /** What the keeper is put together from. */
-export interface ClaimKeeperParts {
+export interface ClaimStoreParts {
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -54,10 +54,10 @@
 }
 
 /** The claim keeper of a process. */
-export class PlatformClaimKeeper implements ClaimKeeper {
-  readonly #parts: ClaimKeeperParts;
+export class PlatformClaimStore implements ClaimStore {
+  readonly #parts: ClaimStoreParts;
 
-  constructor(parts: ClaimKeeperParts) {
+  constructor(parts: ClaimStoreParts) {
     this.#parts = parts;
   }
 
--- a/packages/daemon/src/claims/racing_keepers_test.ts
+++ b/packages/daemon/src/claims/racing_claim_stores_test.ts
@@ -6,11 +6,11 @@
 import type { ObjectStore } from "../platform/object_store.js";
 import { PlatformError } from "../platform/platform_error.js";
 import {
-  type FleetKeeper,
-  KeeperFleet,
+  ClaimStoreFleet,
+  type FleetClaimStore,
   makeAnswer,
   WANTED,
-} from "./testing/keeper_fleet.js";
+} from "./testing/claim_store_fleet.js";
 
 const SEED = 20_261_203;
 const RUNS = 25;
@@ -24,7 +24,7 @@
 const fault = fc.constantFrom<Fault>("none", "none", "none", ...FAULTS);
 
 const step = fc.record({
-  keeper: fc.nat({ max: KEEPERS.length - 1 }),
+  claimStore: fc.nat({ max: KEEPERS.length - 1 }),
   key: fc.constantFrom("key-1", "key-2", "key-3"),
   outcome: fc.constantFrom("answered", "notRun", "unknown", "died"),
   afterMs: fc.nat({ max: 20 }),
@@ -82,20 +82,20 @@
 }
 
 async function runStep(
-  fleet: KeeperFleet,
-  vm: FleetKeeper,
+  fleet: ClaimStoreFleet,
+  vm: FleetClaimStore,
   run: { readonly step: Step; readonly held: HeldKeys },
 ): Promise<void> {
   const { key, outcome, afterMs, runMs } = run.step;
   await sleep(afterMs);
   const request = fleet.request(key, { deadlineMs: SHORT_DEADLINE_MS });
-  const decision = await vm.keeper.claim(request, WANTED);
+  const decision = await vm.claimStore.claim(request, WANTED);
   if (decision.kind !== "held") return;
   run.held.take(key);
   await sleep(runMs);
   if (outcome === "died") return;
   if (outcome === "notRun") run.held.free(key);
-  await vm.keeper.recordOutcome(decision.claim, toOutcome(outcome));
+  await vm.claimStore.recordOutcome(decision.claim, toOutcome(outcome));
 }
 
 function toOutcome(kind: "answered" | "notRun" | "unknown"): ClaimOutcome {
@@ -103,7 +103,7 @@
   return { kind, answer: makeAnswer("an answer") };
 }
 
-describe("racing keepers", () => {
+describe("racing stores", () => {
   it("let a key be held once, unless it is freed", async () => {
     let heldInAll = 0;
     await fc.assert(
@@ -112,26 +112,26 @@
         fc.array(fault, { minLength: 5, maxLength: 40 }),
         fc.array(fc.boolean(), { minLength: 3, maxLength: 20 }),
         async (steps, faults, holds) => {
-          const fleet = new KeeperFleet({
+          const fleet = new ClaimStoreFleet({
             partitions: 1,
             wrap: (store) => withFaults(store, faults),
           });
           let messages = 0;
           fleet.peers.isHeldBack = () =>
             holds[messages++ % holds.length] ?? false;
-          const vms: FleetKeeper[] = [];
+          const vms: FleetClaimStore[] = [];
           for (const vmId of KEEPERS) vms.push(await fleet.start(vmId));
           const held = new HeldKeys();
           const work = steps.map(async (one) => {
-            const vm = vms[one.keeper];
-            if (vm === undefined) throw new Error("No such keeper");
+            const vm = vms[one.claimStore];
+            if (vm === undefined) throw new Error("No such claimStore");
             await runStep(fleet, vm, { step: one, held });
           });
           await sleep(30);
           const late = fleet.peers.held.map((_, index) => index).reverse();
           await fleet.peers.deliverHeld(late);
           await Promise.all(work);
-          await Promise.all(vms.map(({ keeper }) => keeper.flush(50)));
+          await Promise.all(vms.map(({ claimStore }) => claimStore.flush(50)));
           fleet.close();
           if (held.violations.length > 0) {
             throw new Error(`Held twice: ${held.violations.join(", ")}`);
--- a/packages/daemon/src/claims/testing/keeper_fleet.ts
+++ b/packages/daemon/src/claims/testing/claim_store_fleet.ts
@@ -29,11 +29,11 @@
 import { type Settings, settingsSchema } from "../../settings/settings.js";
 import type {
   ClaimDecision,
-  ClaimKeeper,
   ClaimRequest,
+  ClaimStore,
   HeldClaim,
-} from "../claim_keeper.js";
-import { createClaimKeeper } from "../create_claim_keeper.js";
+} from "../claim_store.js";
+import { createClaimStore } from "../create_claim_store.js";
 
 /** Long enough for a busy machine; no verdict rests on it. */
 const DEADLINE_MS = 10_000;
@@ -45,8 +45,8 @@
   debug: () => undefined,
 };
 
-export interface FleetKeeper {
-  readonly keeper: ClaimKeeper;
+export interface FleetClaimStore {
+  readonly claimStore: ClaimStore;
   readonly network: MemoryPeerNetwork;
   readonly connection: MemoryConnection;
   readonly metrics: Metrics;
@@ -61,7 +61,7 @@
 }
 
 /** Several keepers that share a store. */
-export class KeeperFleet {
+export class ClaimStoreFleet {
   readonly store = new MemoryObjectStore();
   readonly peers = new MemoryPeers();
   readonly #options: FleetOptions;
@@ -71,13 +71,13 @@
     this.#options = options;
   }
 
-  async start(vmId: string): Promise<FleetKeeper> {
+  async start(vmId: string): Promise<FleetClaimStore> {
     const network = await this.peers.join(vmId, "palermo");
     return this.#makeKeeper(network);
   }
 
   /** The VM's process died, and another one has taken its place. */
-  async restart(vmId: string, incarnation: string): Promise<FleetKeeper> {
+  async restart(vmId: string, incarnation: string): Promise<FleetClaimStore> {
     const id = toId<VmId>(vmId);
     const former = this.peers.networks.get(id);
     former?.stop();
@@ -110,11 +110,11 @@
     this.peers.close();
   }
 
-  #makeKeeper(network: MemoryPeerNetwork): FleetKeeper {
+  #makeKeeper(network: MemoryPeerNetwork): FleetClaimStore {
     const connection = this.store.connect();
     const metrics = new Metrics();
     const { wrap } = this.#options;
-    const keeper = createClaimKeeper({
+    const claimStore = createClaimStore({
       settings: makeSettings(network, this.#options),
       store: wrap === undefined ? connection : wrap(connection),
       network,
@@ -122,7 +122,7 @@
       metrics,
       logger: SILENT_LOGGER,
     });
-    return { keeper, network, connection, metrics };
+    return { claimStore, network, connection, metrics };
   }
 }
 
--- a/packages/daemon/src/configuration/share_configuration.ts
+++ b/packages/daemon/src/configuration/share_configuration.ts
@@ -101,7 +101,7 @@
     if (nowMs - this.#askedAtMs < ANSWER_TIME_MS) return;
     if (!this.#tell(peer)) return;
     this.#askedAtMs = nowMs;
-    metrics.countEvent("configurationAsked");
+    metrics.countEvent("configurationRequested");
   }
 
   /** The request says which generation is in force here. */
--- a/packages/daemon/src/configuration/start_configuration_keeper_test.ts
+++ b/packages/daemon/src/configuration/start_configuration_keeper_test.ts
@@ -7,12 +7,12 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { type ConfigurationHead, HEAD_KEY } from "./configuration_head.js";
 import {
+  ClaimStoreFleet,
   countEvents,
   haveGeneration,
-  KeeperFleet,
   type TestDaemon,
   waitUntil,
-} from "./testing/keeper_fleet.js";
+} from "./testing/claim_store_fleet.js";
 import { makeSampleContent, readMark } from "./testing/sample_content.js";
 
 function apply(daemon: TestDaemon, deadlineMs = 1000) {
@@ -46,9 +46,9 @@
 }
 
 describe("startConfigurationKeeper", () => {
-  let fleet: KeeperFleet;
+  let fleet: ClaimStoreFleet;
   beforeEach(() => {
-    fleet = new KeeperFleet();
+    fleet = new ClaimStoreFleet();
   });
   afterEach(async () => {
     await fleet.close();
@@ -131,7 +131,7 @@
     const watcher = await fleet.start("vm-a1");
     await apply(watcher);
     watcher.connection.isCut = true;
-    const elsewhere = new KeeperFleet();
+    const elsewhere = new ClaimStoreFleet();
     Object.assign(elsewhere, { store: fleet.store });
     const other = await elsewhere.start("vm-b1", "catania");
     try {
--- a/packages/daemon/src/configuration/testing/keeper_fleet.ts
+++ b/packages/daemon/src/configuration/testing/claim_store_fleet.ts
@@ -29,7 +29,7 @@
 }
 
 /** Closes all it started with `close`. */
-export class KeeperFleet {
+export class ClaimStoreFleet {
   readonly store = new MemoryObjectStore();
   readonly peers = new MemoryPeers();
   readonly daemons: TestDaemon[] = [];
--- a/packages/daemon/src/daemon_parts.ts
+++ b/packages/daemon/src/daemon_parts.ts
@@ -12,8 +12,8 @@
   type RunningStageCaller,
 } from "./backend_servers/create_stage_caller.js";
 import { RequestsInFlight } from "./callers/requests_in_flight.js";
-import type { ClaimKeeper } from "./claims/claim_keeper.js";
-import { createClaimKeeper } from "./claims/create_claim_keeper.js";
+import type { ClaimStore } from "./claims/claim_store.js";
+import { createClaimStore } from "./claims/create_claim_store.js";
 import { MONOTONIC_CLOCK } from "./clock.js";
 import {
   type RunningConfigurationKeeper,
@@ -51,7 +51,7 @@
   readonly configuration: RunningConfigurationKeeper;
   readonly vmList: VmListPoller;
   readonly permits: RunningPermitSource;
-  readonly claims: ClaimKeeper;
+  readonly claims: ClaimStore;
   readonly stageCaller: RunningStageCaller;
   readonly latencies: LatencyRecords;
   readonly inFlight: RequestsInFlight;
@@ -95,7 +95,7 @@
     listedVms: () => listing,
   });
   network.setHeartbeatContent(permits.heartbeatContent);
-  const claims = createClaimKeeper({ ...common, store: platform, network });
+  const claims = createClaimStore({ ...common, store: platform, network });
   return {
     settings,
     logger,
--- a/packages/daemon/src/operators/operator_routes_test.ts
+++ b/packages/daemon/src/operators/operator_routes_test.ts
@@ -6,9 +6,9 @@
 import restana from "restana";
 import { request } from "undici";
 import {
-  KeeperFleet,
+  ClaimStoreFleet,
   type TestDaemon,
-} from "../configuration/testing/keeper_fleet.js";
+} from "../configuration/testing/claim_store_fleet.js";
 import { makeSampleContent } from "../configuration/testing/sample_content.js";
 import { createLogger } from "../observability/logger.js";
 import { settingsSchema } from "../settings/settings.js";
@@ -27,13 +27,13 @@
 }
 
 describe("addOperatorRoutes", () => {
-  let fleet: KeeperFleet;
+  let fleet: ClaimStoreFleet;
   let daemon: TestDaemon;
   let service: restana.Service<restana.Protocol.HTTP>;
   let url: string;
 
   beforeEach(async () => {
-    fleet = new KeeperFleet();
+    fleet = new ClaimStoreFleet();
     daemon = await fleet.start("vm-a1");
     service = restana();
     addOperatorRoutes(service, {
--- a/packages/daemon/src/peers/frame_codec.ts
+++ b/packages/daemon/src/peers/frame_codec.ts
@@ -40,7 +40,7 @@
   "deadlineInMs",
   "likelyDurationMs",
   "excluded",
-  "warmth",
+  "warmUpState",
   "outcome",
   "durationMs",
   "firstTokenMs",
--- a/packages/daemon/src/peers/measure_peers.ts
+++ b/packages/daemon/src/peers/measure_peers.ts
@@ -18,7 +18,7 @@
 import { isPeerMessage } from "./message_check.js";
 import {
   countOf,
-  makeAsk,
+  makePermitRequest,
   startTestVm,
   stateOf,
   type TestVm,
@@ -38,7 +38,10 @@
   sequence: 1_000_000,
   generation: 1000,
   leaving: false,
-  ownedPools: [makeAsk("a").ask.pool, makeAsk("a").ask.pool],
+  ownedPools: [
+    makePermitRequest("a").permitRequest.pool,
+    makePermitRequest("a").permitRequest.pool,
+  ],
 };
 
 const REPLY: PeerMessage = {
@@ -78,14 +81,14 @@
   });
   await until(() => stateOf(a, "vm-b") === "live", "linked");
   let received = 0;
-  b.network.messages.on("permitAsk", () => {
+  b.network.messages.on("permitRequest", () => {
     received++;
   });
-  const ask = makeAsk("attempt-0123456789");
+  const permitRequest = makePermitRequest("attempt-0123456789");
   const startedAt = process.cpuUsage();
   for (let sent = 0; sent < MESSAGES; sent += batchSize) {
     for (let index = 0; index < batchSize; index++) {
-      a.network.send(b.vmId, ask);
+      a.network.send(b.vmId, permitRequest);
     }
     await nextTurn();
   }
@@ -149,6 +152,6 @@
 measureCodec("heartbeat", HEARTBEAT);
 measureCodec("heartbeatReply", REPLY);
 measureCodec("heartbeatWithoutPools", { ...HEARTBEAT, ownedPools: [] });
-measureCodec("permitAsk", makeAsk("attempt-0123456789"));
+measureCodec("permitRequest", makePermitRequest("attempt-0123456789"));
 for (const batchSize of BATCH_SIZES) await measureSend(batchSize);
 for (const vmCount of FLEET_SIZES) await measureIdle(vmCount);
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -26,17 +26,17 @@
 
 const isPool = shape({ service: isName, dataCentre: isName });
 
-const isWarmth = oneOf("cold", "warm");
+const isWarmUpState = oneOf("cold", "warm");
 
 const isPermit = shape({
   permitId: isName,
   attemptId: isName,
   pool: isPool,
   backendServerId: isName,
-  warmth: isWarmth,
+  warmUpState: isWarmUpState,
 });
 
-const isPermitAsk = shape({
+const isPermitRequest = shape({
   pool: isPool,
   requestId: isName,
   attemptId: isName,
@@ -138,7 +138,7 @@
     generation: isWholeNumber,
     supportedPools: listOf(isPool),
   }),
-  permitAsk: shape({ ask: isPermitAsk }),
+  permitRequest: shape({ permitRequest: isPermitRequest }),
   permitDecision: shape({ attemptId: isName, decision: isPermitDecision }),
   permitCancel: shape({ pool: isPool, attemptId: isName }),
   permitRelease: shape({ pool: isPool, release: isPermitRelease }),
@@ -149,7 +149,7 @@
     permits: listOf(shape({ permit: isPermit, remainingMs: isFiniteNumber })),
     observations: listOf(shape({
       backendServerId: isName,
-      warmth: isWarmth,
+      warmUpState: isWarmUpState,
       ageMs: isFiniteNumber,
     })),
   }),
--- a/packages/daemon/src/peers/on_demand_links_test.ts
+++ b/packages/daemon/src/peers/on_demand_links_test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { MAX_FULLY_LINKED_VMS } from "./link_choice.js";
 import {
-  makeAsk,
+  makePermitRequest,
   startTestVm,
   stateOf,
   type TestVm,
@@ -47,8 +47,8 @@
   it("gets the first messages once the connection is made", async () => {
     const { near, far } = await startFarApart();
     const received: string[] = [];
-    far.network.messages.on("permitAsk", ({ message }) => {
-      received.push(message.ask.attemptId);
+    far.network.messages.on("permitRequest", ({ message }) => {
+      received.push(message.permitRequest.attemptId);
     });
     let links = 0;
     near.network.life.on("connected", () => {
@@ -59,7 +59,7 @@
     expect(stateOf(near, "far")).toEqual("live");
     const sent = ["one", "two", "three"];
     for (const id of sent) {
-      expect(near.network.send(far.vmId, makeAsk(id))).toEqual(true);
+      expect(near.network.send(far.vmId, makePermitRequest(id))).toEqual(true);
     }
     await until(() => received.length >= sent.length, "all received");
     expect(received).toEqual(sent);
@@ -69,8 +69,10 @@
   it("is gone once it refuses, and takes nothing then", async () => {
     const { near, far } = await startFarApart();
     await far.network.close();
-    near.network.send(far.vmId, makeAsk("lost"));
+    near.network.send(far.vmId, makePermitRequest("lost"));
     await until(() => stateOf(near, "far") === "gone", "far is gone");
-    expect(near.network.send(far.vmId, makeAsk("refused"))).toEqual(false);
+    expect(near.network.send(far.vmId, makePermitRequest("refused"))).toEqual(
+      false,
+    );
   });
 });
--- a/packages/daemon/src/peers/start_peer_network_test.ts
+++ b/packages/daemon/src/peers/start_peer_network_test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   countOf,
-  makeAsk,
+  makePermitRequest,
   startTestVm,
   stateOf,
   type TestVm,
@@ -40,8 +40,8 @@
 
 function receivedBy(vm: TestVm): string[] {
   const attempts: string[] = [];
-  vm.network.messages.on("permitAsk", ({ message }) => {
-    attempts.push(message.ask.attemptId);
+  vm.network.messages.on("permitRequest", ({ message }) => {
+    attempts.push(message.permitRequest.attemptId);
   });
   return attempts;
 }
@@ -77,7 +77,9 @@
     if (second === undefined || third === undefined) throw new Error();
     const received = receivedBy(third);
     const sent = Array.from({ length: 500 }, (_, index) => `attempt-${index}`);
-    for (const id of sent) second.network.send(third.vmId, makeAsk(id));
+    for (const id of sent) {
+      second.network.send(third.vmId, makePermitRequest(id));
+    }
     await until(() => received.length >= sent.length, "all are received");
     expect(received).toEqual(sent);
   });
@@ -93,7 +95,7 @@
       async () => await countOf(a, "drops_total", "wrongSharedKey") > 0,
       "the wrong key is counted",
     );
-    expect(b.network.send(a.vmId, makeAsk("attempt"))).toEqual(false);
+    expect(b.network.send(a.vmId, makePermitRequest("attempt"))).toEqual(false);
     expect(stateOf(b, "vm-a")).toEqual("silent");
     expect(stateOf(a, "vm-b")).toEqual(undefined);
   });
@@ -130,14 +132,20 @@
     relay.cut();
     await until(() => disconnects === 1, "the cut is seen");
     const received = receivedBy(b);
-    await until(() => a.network.send(b.vmId, makeAsk("after cut")), "sent");
+    await until(
+      () => a.network.send(b.vmId, makePermitRequest("after cut")),
+      "sent",
+    );
     await until(() => received.length > 0, "received after the cut");
     relay.inject(Buffer.from("ffffffff00", "hex"));
     await until(() => disconnects === 2, "the garbage is seen");
     const badFrames = await countOf(a, "drops_total", "badFrame") +
       await countOf(b, "drops_total", "badFrame");
     expect(badFrames).toBeGreaterThan(0);
-    await until(() => a.network.send(b.vmId, makeAsk("again")), "sent again");
+    await until(
+      () => a.network.send(b.vmId, makePermitRequest("again")),
+      "sent again",
+    );
     await until(() => received.includes("again"), "received after garbage");
   });
 
@@ -195,7 +203,7 @@
     );
     expect(lives).toEqual(["-life-1", "life-2"]);
     const received = receivedBy(renewed);
-    a.network.send(renewed.vmId, makeAsk("to the new life"));
+    a.network.send(renewed.vmId, makePermitRequest("to the new life"));
     await until(() => received.length === 1, "the new life receives");
   });
 
--- a/packages/daemon/src/peers/testing/peer_fleet.ts
+++ b/packages/daemon/src/peers/testing/peer_fleet.ts
@@ -12,7 +12,7 @@
 } from "@sassafrasstage/protocol/ids";
 import type {
   PeerMessage,
-  PermitAskMessage,
+  PermitRequestMessage,
 } from "@sassafrasstage/protocol/peer_messages";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Clock, MONOTONIC_CLOCK } from "../../clock.js";
@@ -152,10 +152,10 @@
 }
 
 /** A message to send, told apart by its attempt id. */
-export function makeAsk(attemptId: string): PermitAskMessage {
+export function makePermitRequest(attemptId: string): PermitRequestMessage {
   const message = {
-    type: "permitAsk",
-    ask: {
+    type: "permitRequest",
+    permitRequest: {
       pool: {
         service: toId("generator"),
         dataCentre: toId<DataCentreName>("palermo"),
--- a/packages/daemon/src/pipelines/acquire_permit.ts
+++ b/packages/daemon/src/pipelines/acquire_permit.ts
@@ -6,8 +6,8 @@
 
 import type { AttemptId, BackendServerId } from "@sassafrasstage/protocol/ids";
 import type {
-  PermitAsk,
   PermitDecision,
+  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 import { indexOf } from "../configuration/configuration_index.js";
 import type { PipelineEnvironment } from "./pipeline_environment.js";
@@ -54,10 +54,10 @@
     retryAfterMs: NO_SERVER_RETRY_MS,
   });
   for (const pool of pools) {
-    const ask = makeAsk(environment, attempt);
-    if (ask.latestStartInMs <= 0) return refuseForDeadline(run);
+    const permitRequest = makePermitRequest(environment, attempt);
+    if (permitRequest.latestStartInMs <= 0) return refuseForDeadline(run);
     const decision = await environment.permits.acquire(
-      { ...ask, pool },
+      { ...permitRequest, pool },
       signal,
     );
     const result = toAcquireResult(environment, run, decision);
@@ -68,10 +68,10 @@
   return refusal;
 }
 
-function makeAsk(
+function makePermitRequest(
   environment: PipelineEnvironment,
   attempt: AttemptRequest,
-): Omit<PermitAsk, "pool"> {
+): Omit<PermitRequest, "pool"> {
   const { request, stage } = attempt.run;
   const nowMs = environment.clock.nowMs();
   const plan = planStage({
--- a/packages/daemon/src/pipelines/pipeline_environment.ts
+++ b/packages/daemon/src/pipelines/pipeline_environment.ts
@@ -5,7 +5,7 @@
  */
 
 import type { StageCaller } from "../backend_servers/stage_call.js";
-import type { ClaimKeeper } from "../claims/claim_keeper.js";
+import type { ClaimStore } from "../claims/claim_store.js";
 import type { Clock } from "../clock.js";
 import type { LatencyRecords } from "../observability/latency_records.js";
 import type { Logger } from "../observability/logger.js";
@@ -17,7 +17,7 @@
 export interface PipelineEnvironment {
   readonly permits: PermitSource;
   readonly stageCaller: StageCaller;
-  readonly claims: ClaimKeeper;
+  readonly claims: ClaimStore;
   readonly estimates: StageEstimates;
   readonly retryBudget: RetryBudget;
   readonly clock: Clock;
--- a/packages/daemon/src/pipelines/run_call.ts
+++ b/packages/daemon/src/pipelines/run_call.ts
@@ -77,7 +77,7 @@
   }, remainingMs + LATE_CALL_MS);
   timer.unref();
   const isCancelable = run.service.kind === "modelEngine" &&
-    run.stage.idempotent && request.granted.permit.warmth === "warm";
+    run.stage.idempotent && request.granted.permit.warmUpState === "warm";
   const signal = isCancelable
     ? AbortSignal.any([late.signal, run.lifetime.wantedSignal])
     : late.signal;
--- a/packages/daemon/src/pipelines/run_claimed.ts
+++ b/packages/daemon/src/pipelines/run_claimed.ts
@@ -7,7 +7,7 @@
 import type { ClaimOutcome } from "@sassafrasstage/protocol/claims";
 import { type AttemptId, toId } from "@sassafrasstage/protocol/ids";
 import { randomUUID } from "node:crypto";
-import type { ClaimDecision, HeldClaim } from "../claims/claim_keeper.js";
+import type { ClaimDecision, HeldClaim } from "../claims/claim_store.js";
 import type { PipelineEnvironment } from "./pipeline_environment.js";
 import {
   isNonIdempotent,
--- a/packages/daemon/src/pipelines/run_pipeline_test.ts
+++ b/packages/daemon/src/pipelines/run_pipeline_test.ts
@@ -53,7 +53,7 @@
   environment(): PipelineEnvironment {
     return {
       permits: {
-        acquire: (ask) => Promise.resolve(this.#grant(ask)),
+        acquire: (permitRequest) => Promise.resolve(this.#grant(permitRequest)),
         release: (_permit, release) => {
           this.releases.push(release);
         },
@@ -88,12 +88,14 @@
   }
 
   #grant(
-    ask: Parameters<PipelineEnvironment["permits"]["acquire"]>[0],
+    permitRequest: Parameters<PipelineEnvironment["permits"]["acquire"]>[0],
   ): PermitDecision {
-    const prefix = ask.pool.service === "generator" ? "engine" : "registry";
+    const prefix = permitRequest.pool.service === "generator"
+      ? "engine"
+      : "registry";
     const backendServerId = ["1", "2"]
       .map((number) => toId<BackendServerId>(`${prefix}-${number}`))
-      .find((id) => !ask.excluded.includes(id));
+      .find((id) => !permitRequest.excluded.includes(id));
     if (backendServerId === undefined) {
       return {
         kind: "refused",
@@ -105,11 +107,11 @@
     return {
       kind: "granted",
       permit: {
-        permitId: toId<PermitId>(ask.attemptId),
-        attemptId: ask.attemptId,
-        pool: ask.pool,
+        permitId: toId<PermitId>(permitRequest.attemptId),
+        attemptId: permitRequest.attemptId,
+        pool: permitRequest.pool,
         backendServerId,
-        warmth: "warm",
+        warmUpState: "warm",
       },
     };
   }
--- a/packages/daemon/src/pools/account_queue.ts
+++ b/packages/daemon/src/pools/account_queue.ts
@@ -1,20 +1,20 @@
 /**
- * The waiting asks of one client account in one pool.
+ * The waiting permit requests of one client account in one pool.
  *
  * @module
  */
 
 import type { Urgency } from "@sassafrasstage/protocol/rules";
 import { IndexedHeap } from "./indexed_heap.js";
-import type { WaitingAsk } from "./waiting_ask.js";
+import type { WaitingRequest } from "./waiting_request.js";
 
-/** An account's asks by urgency, each by slack. */
+/** An account's permit requests by urgency, each by slack. */
 export class AccountQueue {
   readonly share: number;
   /** Server time used, divided by the share. */
   usedMs = 0;
-  readonly #counter = new IndexedHeap<WaitingAsk>(compareSlack);
-  readonly #deferrable = new IndexedHeap<WaitingAsk>(compareSlack);
+  readonly #counter = new IndexedHeap<WaitingRequest>(compareSlack);
+  readonly #deferrable = new IndexedHeap<WaitingRequest>(compareSlack);
 
   constructor(share: number) {
     this.share = share;
@@ -24,19 +24,19 @@
     return this.#counter.size + this.#deferrable.size;
   }
 
-  add(waiting: WaitingAsk): void {
-    this.#heapOf(waiting.ask.urgency).add(waiting);
+  add(waiting: WaitingRequest): void {
+    this.#heapOf(waiting.permitRequest.urgency).add(waiting);
   }
 
-  remove(waiting: WaitingAsk): boolean {
-    return this.#heapOf(waiting.ask.urgency).remove(waiting);
+  remove(waiting: WaitingRequest): boolean {
+    return this.#heapOf(waiting.permitRequest.urgency).remove(waiting);
   }
 
-  firstOf(urgency: Urgency): WaitingAsk | undefined {
+  firstOf(urgency: Urgency): WaitingRequest | undefined {
     return this.#heapOf(urgency).first();
   }
 
-  #heapOf(urgency: Urgency): IndexedHeap<WaitingAsk> {
+  #heapOf(urgency: Urgency): IndexedHeap<WaitingRequest> {
     switch (urgency) {
       case "counter":
         return this.#counter;
@@ -51,12 +51,12 @@
  *
  * @example
  * ```ts
- * new IndexedHeap<WaitingAsk>(compareSlack);
+ * new IndexedHeap<WaitingRequest>(compareSlack);
  * ```
  */
 export function compareSlack(
-  first: WaitingAsk | undefined,
-  second: WaitingAsk | undefined,
+  first: WaitingRequest | undefined,
+  second: WaitingRequest | undefined,
 ): number {
   if (first === undefined || second === undefined) {
     return Number(first === undefined) - Number(second === undefined);
--- a/packages/daemon/src/pools/baseline_permit_source.ts
+++ b/packages/daemon/src/pools/baseline_permit_source.ts
@@ -15,9 +15,9 @@
 } from "@sassafrasstage/protocol/ids";
 import type {
   Permit,
-  PermitAsk,
   PermitDecision,
   PermitRelease,
+  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 import type { PoolStatus } from "@sassafrasstage/protocol/status";
 import type { HeartbeatContent } from "../peers/heartbeat_content.js";
@@ -30,8 +30,8 @@
 
 const RETRY_AFTER_MS = 250;
 
-interface WaitingAsk {
-  readonly ask: PermitAsk;
+interface WaitingRequest {
+  readonly permitRequest: PermitRequest;
   readonly deadlineAtMs: number;
   readonly settle: (decision: PermitDecision) => void;
 }
@@ -50,7 +50,7 @@
   readonly #options: PermitSourceOptions;
   readonly #layouts: LayoutCache;
   readonly #inFlight = new Map<BackendServerId, number>();
-  readonly #queues = new Map<ServiceName, WaitingAsk[]>();
+  readonly #queues = new Map<ServiceName, WaitingRequest[]>();
   readonly #endsAtMs = new Map<PermitId, number>();
   readonly #timers = new Set<NodeJS.Timeout>();
   #turn = 0;
@@ -61,8 +61,11 @@
     this.#layouts = new LayoutCache(options);
   }
 
-  acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision> {
-    const queue = this.#queueOf(ask.pool.service);
+  acquire(
+    permitRequest: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<PermitDecision> {
+    const queue = this.#queueOf(permitRequest.pool.service);
     if (signal.aborted) {
       return Promise.resolve(refuse("callerDisconnected", "Canceled"));
     }
@@ -70,9 +73,10 @@
       return Promise.resolve(refuse("queueFull", "The queue is full"));
     }
     return new Promise((resolve) => {
-      const deadlineAtMs = this.#options.clock.nowMs() + ask.deadlineInMs;
-      const waiting: WaitingAsk = {
-        ask,
+      const deadlineAtMs = this.#options.clock.nowMs() +
+        permitRequest.deadlineInMs;
+      const waiting: WaitingRequest = {
+        permitRequest,
         deadlineAtMs,
         settle: (decision) => {
           clearTimeout(timer);
@@ -82,13 +86,13 @@
       };
       const timer = setTimeout(() => {
         this.#give(waiting, refuse("deadlineExceeded", "No slot in time"));
-      }, ask.deadlineInMs);
+      }, permitRequest.deadlineInMs);
       this.#timers.add(timer);
       signal.addEventListener("abort", () => {
         this.#give(waiting, refuse("callerDisconnected", "Canceled"));
       }, { once: true });
       queue.push(waiting);
-      this.#pump(ask.pool.service);
+      this.#pump(permitRequest.pool.service);
     });
   }
 
@@ -141,15 +145,15 @@
     }
   }
 
-  #queueOf(service: ServiceName): WaitingAsk[] {
+  #queueOf(service: ServiceName): WaitingRequest[] {
     const queue = this.#queues.get(service) ?? [];
     this.#queues.set(service, queue);
     return queue;
   }
 
-  /** Takes a waiting ask out of its queue and answers it. */
-  #give(waiting: WaitingAsk, decision: PermitDecision): void {
-    const queue = this.#queueOf(waiting.ask.pool.service);
+  /** Takes a waiting permit request out of its queue and answers it. */
+  #give(waiting: WaitingRequest, decision: PermitDecision): void {
+    const queue = this.#queueOf(waiting.permitRequest.pool.service);
     const index = queue.indexOf(waiting);
     if (index < 0) return;
     queue.splice(index, 1);
@@ -161,20 +165,21 @@
     for (;;) {
       const first = queue[0];
       if (first === undefined) return;
-      const slot = this.#nextSlot(first.ask);
+      const slot = this.#nextSlot(first.permitRequest);
       if (slot === undefined) return;
       this.#give(first, this.#grant(first, slot));
     }
   }
 
-  #nextSlot(ask: PermitAsk): ServerSlot | undefined {
+  #nextSlot(permitRequest: PermitRequest): ServerSlot | undefined {
     const entries =
-      this.#layouts.layout().poolsByService.get(ask.pool.service) ?? [];
+      this.#layouts.layout().poolsByService.get(permitRequest.pool.service) ??
+        [];
     const slots = entries.flatMap((entry) => this.#usableServers(entry));
     for (let step = 0; step < slots.length; step++) {
       const slot = slots[(this.#turn + step) % slots.length];
       if (slot === undefined) continue;
-      if (ask.excluded.includes(slot.backendServerId)) continue;
+      if (permitRequest.excluded.includes(slot.backendServerId)) continue;
       const inFlight = this.#inFlight.get(slot.backendServerId) ?? 0;
       if (inFlight >= slot.entry.service.warmLimit) continue;
       this.#turn += step + 1;
@@ -191,7 +196,7 @@
       .map((server) => ({ entry, backendServerId: server.id }));
   }
 
-  #grant(waiting: WaitingAsk, slot: ServerSlot): PermitDecision {
+  #grant(waiting: WaitingRequest, slot: ServerSlot): PermitDecision {
     this.#permitNumber += 1;
     const { vmId, incarnation } = this.#options.network.self;
     const permitId = toId<PermitId>(
@@ -204,10 +209,10 @@
       kind: "granted",
       permit: {
         permitId,
-        attemptId: waiting.ask.attemptId,
+        attemptId: waiting.permitRequest.attemptId,
         pool: slot.entry.pool,
         backendServerId: id,
-        warmth: "warm",
+        warmUpState: "warm",
       },
     };
   }
@@ -230,7 +235,7 @@
  * @example
  * ```ts
  * const permits = createBaselinePermitSource(options);
- * const decision = await permits.acquire(ask, signal);
+ * const decision = await permits.acquire(permitRequest, signal);
  * ```
  */
 export function createBaselinePermitSource(
--- a/packages/daemon/src/pools/call_observer.ts
+++ b/packages/daemon/src/pools/call_observer.ts
@@ -14,11 +14,11 @@
   latencySample,
 } from "./latency_baseline.js";
 import type { PoolContext } from "./pool_context.js";
-import { signOf, type WarmthLog } from "./warmth_log.js";
+import { signOf, type WarmUpLog } from "./warm_up_log.js";
 
 export interface CallObserverOptions {
   readonly context: PoolContext;
-  readonly warmth: WarmthLog;
+  readonly warmUpState: WarmUpLog;
   readonly coldSigns: ColdSignSender;
   readonly baselines: LatencyBaselines;
 }
@@ -33,7 +33,7 @@
 
   note(held: HeldPermit, release: PermitRelease, nowMs: number): void {
     const { permit } = held;
-    const { context, warmth, baselines } = this.#options;
+    const { context, warmUpState, baselines } = this.#options;
     const sign = signOf({
       permit,
       release,
@@ -42,12 +42,12 @@
     });
     const isCompleted = release.outcome === "completed";
     if (sign !== undefined && isCompleted) {
-      warmth.note(permit.backendServerId, sign);
+      warmUpState.note(permit.backendServerId, sign);
     } else if (sign !== undefined) this.#noteCold(held, nowMs);
     const entry = context.layout().pools.get(poolKey(permit.pool));
     if (entry === undefined || !isCompleted) return;
     const sampleMs = latencySample(entry.service, release);
-    if (sampleMs === undefined || permit.warmth === "cold") return;
+    if (sampleMs === undefined || permit.warmUpState === "cold") return;
     const { name } = entry.service;
     // Whether a slow call means a cold start, the owner can tell better.
     if (gradeLatency(sampleMs, baselines.of(name)) === "coldStart") return;
@@ -60,7 +60,7 @@
     const { service } = held.permit.pool;
     const entry = context.layout().pools.get(poolKey(held.permit.pool));
     if (entry?.service.kind !== "modelEngine") return;
-    if (held.permit.warmth === "cold") return;
+    if (held.permit.warmUpState === "cold") return;
     const grade = gradeLatency(firstTokenMs, baselines.of(service));
     if (grade === "coldStart") this.#noteCold(held, nowMs);
   }
--- a/packages/daemon/src/pools/call_observer_test.ts
+++ b/packages/daemon/src/pools/call_observer_test.ts
@@ -12,14 +12,14 @@
 import { arrangePools, type PoolEntry } from "./pool_layout.js";
 import type { PoolContext } from "./pool_context.js";
 import {
-  makeAsk,
   makeConfiguration,
+  makePermitRequest,
   makeVmId,
 } from "./test_support/test_configuration.js";
-import { WarmthLog } from "./warmth_log.js";
+import { WarmUpLog } from "./warm_up_log.js";
 
 const USUAL_MS = 100;
-const ask = makeAsk();
+const permitRequest = makePermitRequest();
 const server = toId<BackendServerId>("palermo-1");
 
 function makeContext(): PoolContext {
@@ -37,7 +37,7 @@
     layout: () => ({ ...layout, pools }),
     members: ["vm-1", "vm-2"].map((vmId) => ({
       vmId: makeVmId(vmId),
-      dataCentre: ask.pool.dataCentre,
+      dataCentre: permitRequest.pool.dataCentre,
       state: "live",
       isSelf: vmId === "vm-1",
       generation: 1,
@@ -50,12 +50,12 @@
   return {
     permit: {
       permitId: toId<PermitId>("permit-1"),
-      attemptId: ask.attemptId,
-      pool: ask.pool,
+      attemptId: permitRequest.attemptId,
+      pool: permitRequest.pool,
       backendServerId: server,
-      warmth: "warm",
+      warmUpState: "warm",
     },
-    granter: { kind: "fallback" },
+    granter: { kind: "staticQuota" },
     heldFromMs: 0,
     endsAtMs: 10_000,
   };
@@ -65,7 +65,7 @@
   it("tells every member of a slow first token while the call runs", () => {
     const told: string[] = [];
     const context = makeContext();
-    const warmth = new WarmthLog();
+    const warmUpState = new WarmUpLog();
     const link = {
       send: (to: string) => {
         told.push(to);
@@ -74,12 +74,12 @@
     };
     const baselines = new LatencyBaselines();
     for (let index = 0; index < 20; index++) {
-      baselines.note(ask.pool.service, USUAL_MS);
+      baselines.note(permitRequest.pool.service, USUAL_MS);
     }
-    const coldSigns = new ColdSignSender({ context, link, warmth });
+    const coldSigns = new ColdSignSender({ context, link, warmUpState });
     const observer = new CallObserver({
       context,
-      warmth,
+      warmUpState,
       coldSigns,
       baselines,
     });
@@ -87,6 +87,9 @@
     expect(told).toEqual([]);
     observer.noteFirstToken(makeHeld(), 3 * USUAL_MS, 1500);
     expect(told).toEqual(["vm-1", "vm-2"]);
-    expect(warmth.of(server)).toEqual({ warmth: "cold", seenAtMs: 1500 });
+    expect(warmUpState.of(server)).toEqual({
+      warmUpState: "cold",
+      seenAtMs: 1500,
+    });
   });
 });
--- a/packages/daemon/src/pools/candidate_pools.ts
+++ b/packages/daemon/src/pools/candidate_pools.ts
@@ -9,29 +9,29 @@
   poolKey,
   type ServiceName,
 } from "@sassafrasstage/protocol/ids";
-import type { PendingAsks } from "./pending_asks.js";
+import type { PendingRequests } from "./pending_requests.js";
 import type { PoolContext } from "./pool_context.js";
 import { availabilityOf, type PoolEntry } from "./pool_layout.js";
 
 /** A refusing pool is tried after the others for this long at most. */
 const MAX_AVOID_MS = 1000;
 
-/** When an ask has waited so long at home, the others are tried first. */
+/** When a permit request has waited so long at home, the others are tried first. */
 const SPILL_FROM_MS = 20;
 
 export interface CandidatePoolsOptions {
   readonly context: PoolContext;
-  readonly pending: PendingAsks;
+  readonly pending: PendingRequests;
 }
 
 /**
- * The own data centre first; then the others in turn. While asks wait at home,
- * the others come before it too, as spill: their owners take such asks only
+ * The own data centre first; then the others in turn. While permit requests wait at home,
+ * the others come before it too, as spill: their owners take such permit requests only
  * into free slots, so that spill never delays their own work.
  */
 export class CandidatePools {
   readonly #context: PoolContext;
-  readonly #pending: PendingAsks;
+  readonly #pending: PendingRequests;
   readonly #avoidUntilMs = new Map<string, number>();
   #turn = 0;
 
@@ -65,7 +65,7 @@
   }
 
   /**
-   * Whether an ask to this pool is spill: the own data centre offers the
+   * Whether a permit request to this pool is spill: the own data centre offers the
    * service and has not just refused.
    */
   isSpill(pool: PoolId, nowMs: number): boolean {
--- a/packages/daemon/src/pools/cold_sign_sender.ts
+++ b/packages/daemon/src/pools/cold_sign_sender.ts
@@ -9,7 +9,7 @@
 import type { BackendServerId, PoolId } from "@sassafrasstage/protocol/ids";
 import type { PermitLink } from "./permit_link.js";
 import type { PoolContext } from "./pool_context.js";
-import type { WarmthLog } from "./warmth_log.js";
+import type { WarmUpLog } from "./warm_up_log.js";
 
 /** An `outstandingReply` with this number answers no request. */
 const UNASKED = 0;
@@ -17,7 +17,7 @@
 export interface ColdSignOptions {
   readonly context: PoolContext;
   readonly link: PermitLink;
-  readonly warmth: WarmthLog;
+  readonly warmUpState: WarmUpLog;
 }
 
 /** Sends only what the warmth log doesn't know yet. */
@@ -29,9 +29,9 @@
   }
 
   send(pool: PoolId, server: BackendServerId, nowMs: number): void {
-    const { context, link, warmth } = this.#options;
-    const wasCold = warmth.of(server)?.warmth === "cold";
-    warmth.note(server, { warmth: "cold", seenAtMs: nowMs });
+    const { context, link, warmUpState } = this.#options;
+    const wasCold = warmUpState.of(server)?.warmUpState === "cold";
+    warmUpState.note(server, { warmUpState: "cold", seenAtMs: nowMs });
     if (wasCold) return;
     for (const member of context.members) {
       if (member.dataCentre !== pool.dataCentre) continue;
@@ -40,7 +40,7 @@
         pool,
         requestNumber: UNASKED,
         permits: [],
-        observations: warmth.observations([server], nowMs),
+        observations: warmUpState.observations([server], nowMs),
       });
     }
   }
--- a/packages/daemon/src/pools/create_permit_source.ts
+++ b/packages/daemon/src/pools/create_permit_source.ts
@@ -44,7 +44,7 @@
   timer.unref();
   return {
     heartbeatContent: source.heartbeatContent,
-    acquire: (ask, signal) => source.acquire(ask, signal),
+    acquire: (permitRequest, signal) => source.acquire(permitRequest, signal),
     release: (permit, release) => {
       source.release(permit, release);
     },
--- a/packages/daemon/src/pools/excess_wait_order.ts
+++ b/packages/daemon/src/pools/excess_wait_order.ts
@@ -6,9 +6,9 @@
  */
 
 import { IndexedHeap } from "./indexed_heap.js";
-import { likelyWorkMs, type WaitingAsk } from "./waiting_ask.js";
+import { likelyWorkMs, type WaitingRequest } from "./waiting_request.js";
 
-/** Waiting longer than this part of what the ask can bear is in excess. */
+/** Waiting longer than this part of what the permit request can bear is in excess. */
 const EXCESS_PART = 0.5;
 
 /**
@@ -18,31 +18,31 @@
  */
 export class ExcessWaitOrder {
   readonly isFair = false;
-  readonly #inExcess = new IndexedHeap<WaitingAsk>(compareWork);
-  readonly #others = new IndexedHeap<WaitingAsk>(compareWork);
-  readonly #othersByExcess = new IndexedHeap<WaitingAsk>(
+  readonly #inExcess = new IndexedHeap<WaitingRequest>(compareWork);
+  readonly #others = new IndexedHeap<WaitingRequest>(compareWork);
+  readonly #othersByExcess = new IndexedHeap<WaitingRequest>(
     (a, b) => excessAtMs(a) - excessAtMs(b) || a.number - b.number,
   );
 
-  add(waiting: WaitingAsk): void {
+  add(waiting: WaitingRequest): void {
     this.#others.add(waiting);
     this.#othersByExcess.add(waiting);
   }
 
-  remove(waiting: WaitingAsk): void {
+  remove(waiting: WaitingRequest): void {
     this.#inExcess.remove(waiting);
     this.#others.remove(waiting);
     this.#othersByExcess.remove(waiting);
   }
 
-  takeNext(nowMs: number): WaitingAsk | undefined {
+  takeNext(nowMs: number): WaitingRequest | undefined {
     this.#moveExcess(nowMs);
     const next = this.#inExcess.first() ?? this.#others.first();
     if (next !== undefined) this.remove(next);
     return next;
   }
 
-  putBack(waiting: WaitingAsk): void {
+  putBack(waiting: WaitingRequest): void {
     this.add(waiting);
   }
 
@@ -56,12 +56,12 @@
   }
 }
 
-function excessAtMs(waiting: WaitingAsk): number {
+function excessAtMs(waiting: WaitingRequest): number {
   const bearableMs = waiting.latestStartAtMs - waiting.receivedAtMs;
   return waiting.receivedAtMs + bearableMs * EXCESS_PART;
 }
 
-function compareWork(first: WaitingAsk, second: WaitingAsk): number {
+function compareWork(first: WaitingRequest, second: WaitingRequest): number {
   return likelyWorkMs(first) - likelyWorkMs(second) ||
     first.number - second.number;
 }
--- a/packages/daemon/src/pools/granted_permits.ts
+++ b/packages/daemon/src/pools/granted_permits.ts
@@ -15,7 +15,7 @@
   /** Undefined for permits of a former owner. */
   readonly urgency: Urgency | undefined;
   readonly grantedAtMs: number;
-  /** The owner's own time, later than the asker's end of the permit. */
+  /** The owner's own time, later than the permit client's end of the permit. */
   readonly expiresAtMs: number;
   /** No longer to be waited for, whatever became of the call. */
   readonly lostAtMs: number;
--- a/packages/daemon/src/pools/held_permits.ts
+++ b/packages/daemon/src/pools/held_permits.ts
@@ -1,5 +1,5 @@
 /**
- * The permits that this daemon holds as an asker.
+ * The permits that this daemon holds as a permit client.
  *
  * @module
  */
@@ -21,7 +21,7 @@
 export type PermitGranter =
   | { readonly kind: "owner"; readonly vmId: VmId }
   /** This daemon itself, while the owner was silent. */
-  | { readonly kind: "fallback" };
+  | { readonly kind: "staticQuota" };
 
 export interface HeldPermit {
   readonly permit: Permit;
@@ -34,11 +34,11 @@
 /** Entered when granted, taken out when the call is over. */
 export class HeldPermits {
   readonly #byId = new Map<PermitId, HeldPermit>();
-  readonly #fallbacks = new Map<BackendServerId, number>();
+  readonly #staticQuotaGrants = new Map<BackendServerId, number>();
 
   add(held: HeldPermit): void {
     this.#byId.set(held.permit.permitId, held);
-    this.#countFallback(held, 1);
+    this.#countStaticQuotaGrant(held, 1);
   }
 
   find(permitId: PermitId): HeldPermit | undefined {
@@ -49,7 +49,7 @@
     const held = this.#byId.get(permitId);
     if (held === undefined) return undefined;
     this.#byId.delete(permitId);
-    this.#countFallback(held, -1);
+    this.#countStaticQuotaGrant(held, -1);
     return held;
   }
 
@@ -60,8 +60,8 @@
   }
 
   /** Permits in flight at a server that this daemon granted itself. */
-  fallbacksAt(server: BackendServerId): number {
-    return this.#fallbacks.get(server) ?? 0;
+  staticQuotaGrantsAt(server: BackendServerId): number {
+    return this.#staticQuotaGrants.get(server) ?? 0;
   }
 
   outstanding(pool: PoolId, nowMs: number): OutstandingPermit[] {
@@ -74,11 +74,11 @@
       }));
   }
 
-  #countFallback(held: HeldPermit, change: 1 | -1): void {
-    if (held.granter.kind !== "fallback") return;
+  #countStaticQuotaGrant(held: HeldPermit, change: 1 | -1): void {
+    if (held.granter.kind !== "staticQuota") return;
     const id = held.permit.backendServerId;
-    const count = (this.#fallbacks.get(id) ?? 0) + change;
-    if (count > 0) this.#fallbacks.set(id, count);
-    else this.#fallbacks.delete(id);
+    const count = (this.#staticQuotaGrants.get(id) ?? 0) + change;
+    if (count > 0) this.#staticQuotaGrants.set(id, count);
+    else this.#staticQuotaGrants.delete(id);
   }
 }
--- a/packages/daemon/src/pools/indexed_heap.ts
+++ b/packages/daemon/src/pools/indexed_heap.ts
@@ -14,7 +14,7 @@
  * @example
  * ```ts
  * const heap = new IndexedHeap<Ask>((a, b) => a.endsAtMs - b.endsAtMs);
- * heap.add(ask);
+ * heap.add(permitRequest);
  * heap.first()?.endsAtMs;
  * ```
  */
--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -13,15 +13,15 @@
 } from "@sassafrasstage/protocol/ids";
 import type {
   OutstandingPermit,
-  WarmthObservation,
+  WarmUpObservation,
 } from "@sassafrasstage/protocol/peer_messages";
 import type {
-  PermitAsk,
   PermitDecision,
   PermitRelease,
+  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 import type { BackendServerStatus } from "@sassafrasstage/protocol/status";
-import { AskQueue } from "./ask_queue.js";
+import { PermitQueue } from "./permit_queue.js";
 import { isCold } from "./backend_server_state.js";
 import type { GrantRights } from "./grant_rights.js";
 import { type GrantedPermit, GrantedPermits } from "./granted_permits.js";
@@ -36,7 +36,7 @@
 import { createQueueOrder, type QueueOrderName } from "./queue_order.js";
 import { refusal } from "./refusal.js";
 import { ServerTable } from "./server_table.js";
-import type { WaitingAsk } from "./waiting_ask.js";
+import type { WaitingRequest } from "./waiting_request.js";
 
 /** The owner counts a permit this much longer than its holder does. */
 export const PERMIT_MARGIN_MS = 200;
@@ -45,7 +45,7 @@
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_SPILL_RETRY_MS = 200;
 /**
- * An ask is queued only if its wait is likely to end after this part of the
+ * A permit request is queued only if its wait is likely to end after this part of the
  * time that it can bear: what starts at the last moment often ends too late.
  */
 const ADMITTED_PART = 0.75;
@@ -84,19 +84,19 @@
   readonly onEvent: (event: OwnedPoolEvent) => void;
 }
 
-export interface AskArrival {
+export interface RequestArrival {
   readonly from: VmId;
-  readonly ask: PermitAsk;
+  readonly permitRequest: PermitRequest;
   readonly share: number;
 }
 
-/** Every ask that comes in is decided exactly once, unless it is canceled. */
+/** Every permit request that comes in is decided exactly once, unless it is canceled. */
 export class OwnedPool {
   readonly #options: OwnedPoolOptions;
   readonly #servers: ServerTable;
-  readonly #queue: AskQueue;
+  readonly #queue: PermitQueue;
   readonly #permits = new GrantedPermits();
-  #askNumber = 0;
+  #requestNumber = 0;
   #counterPart = 0;
   #counterPartAtMs = 0;
 
@@ -106,7 +106,7 @@
     const order = createQueueOrder(options.queueOrder, {
       maxAgeMs: options.maxQueueAgeMs,
     });
-    this.#queue = new AskQueue(order, options.maxQueueLength);
+    this.#queue = new PermitQueue(order, options.maxQueueLength);
   }
 
   get queueLength(): number {
@@ -128,7 +128,7 @@
     this.#servers.configure(entry, world);
   }
 
-  /** Lets time pass: permits expire, hopeless asks are refused. */
+  /** Lets time pass: permits expire, hopeless permit requests are refused. */
   tick(nowMs: number): void {
     for (const granted of this.#permits.takeExpired(nowMs)) {
       this.#expire(granted, nowMs);
@@ -139,7 +139,7 @@
     this.pump(nowMs);
   }
 
-  submit(arrival: AskArrival, nowMs: number): void {
+  submit(arrival: RequestArrival, nowMs: number): void {
     this.#servers.setRights(this.#options.rightsAt(nowMs), nowMs);
     const waiting = this.#makeWaiting(arrival, nowMs);
     const refused = this.#refuseHopeless(waiting, nowMs);
@@ -171,7 +171,7 @@
     this.pump(nowMs);
   }
 
-  /** The asker will not use the attempt id any more, not even if granted. */
+  /** The permit client will not use the attempt id any more, not even if granted. */
   cancel(attemptId: AttemptId, nowMs: number): void {
     const waiting = this.#queue.find(attemptId);
     if (waiting !== undefined) this.#queue.remove(waiting);
@@ -192,8 +192,8 @@
     this.pump(nowMs);
   }
 
-  /** Drops the asks of a daemon whose connection ended; it asks again. */
-  forgetAsksOf(vmId: VmId): void {
+  /** Drops the permit requests of a daemon whose connection ended; it asks again. */
+  forgetRequestsOf(vmId: VmId): void {
     for (const waiting of [...this.#queue.all()]) {
       if (waiting.from === vmId) this.#queue.remove(waiting);
     }
@@ -230,7 +230,7 @@
   }
 
   adoptObservations(
-    observations: readonly WarmthObservation[],
+    observations: readonly WarmUpObservation[],
     nowMs: number,
   ): void {
     this.#servers.adoptObservations(observations, nowMs);
@@ -244,7 +244,7 @@
     this.#servers.coolDown(server, when);
   }
 
-  /** Hands every waiting ask back to its asker. */
+  /** Hands every waiting permit request back to its permit client. */
   giveUp(): void {
     for (const waiting of [...this.#queue.all()]) {
       this.#queue.remove(waiting);
@@ -252,11 +252,11 @@
     }
   }
 
-  /** Grants as long as there are asks, room and rights. */
+  /** Grants as long as there are permit requests, room and rights. */
   pump(nowMs: number): void {
     this.#servers.setRights(this.#options.rightsAt(nowMs), nowMs);
     this.#refuseExpired(nowMs);
-    const setAside: WaitingAsk[] = [];
+    const setAside: WaitingRequest[] = [];
     while (this.#servers.hasRoom && setAside.length < MAX_SET_ASIDE) {
       const next = this.#queue.takeNext(nowMs);
       if (next === undefined) break;
@@ -267,32 +267,32 @@
     for (const waiting of setAside) this.#queue.putBack(waiting);
   }
 
-  #makeWaiting(arrival: AskArrival, nowMs: number): WaitingAsk {
-    const { ask, from, share } = arrival;
-    this.#askNumber += 1;
+  #makeWaiting(arrival: RequestArrival, nowMs: number): WaitingRequest {
+    const { permitRequest, from, share } = arrival;
+    this.#requestNumber += 1;
     return {
-      ask,
+      permitRequest,
       from,
       share,
-      number: this.#askNumber,
+      number: this.#requestNumber,
       receivedAtMs: nowMs,
-      latestStartAtMs: nowMs + ask.latestStartInMs,
-      deadlineAtMs: nowMs + ask.deadlineInMs,
+      latestStartAtMs: nowMs + permitRequest.latestStartInMs,
+      deadlineAtMs: nowMs + permitRequest.deadlineInMs,
     };
   }
 
   #refuseHopeless(
-    waiting: WaitingAsk,
+    waiting: WaitingRequest,
     nowMs: number,
   ): PermitDecision | undefined {
-    if (!this.#servers.hasServerFor(waiting.ask.excluded)) {
+    if (!this.#servers.hasServerFor(waiting.permitRequest.excluded)) {
       return refusal(
         "noBackendServer",
         "No backend server of the pool is in service",
         this.#options.withheldForMs(nowMs),
       );
     }
-    if (waiting.ask.isSpill === true && !this.#isIdle()) {
+    if (waiting.permitRequest.isSpill === true && !this.#isIdle()) {
       return refusal(
         "noCapacity",
         "No slot is free for work of another data centre",
@@ -309,17 +309,17 @@
     );
   }
 
-  #expectedWaitMs(waiting: WaitingAsk, nowMs: number): number {
+  #expectedWaitMs(waiting: WaitingRequest, nowMs: number): number {
     if (this.#isIdle()) return 0;
     if (this.#servers.slots === 0) {
-      const asksAhead = this.#queue.size;
+      const requestsAhead = this.#queue.size;
       return Math.max(
         this.#options.withheldForMs(nowMs),
-        this.#outageWaitMs({ asksAhead, nowMs }),
+        this.#outageWaitMs({ requestsAhead, nowMs }),
       );
     }
     const { ofClassMs, ofShareMs } = this.#queue.workAhead(waiting);
-    const slotPart = waiting.ask.urgency === "counter"
+    const slotPart = waiting.permitRequest.urgency === "counter"
       ? 1
       : Math.max(LEAST_DEFERRABLE_PART, 1 - this.#counterPart);
     const aheadMs = Math.min(ofClassMs / slotPart, ofShareMs);
@@ -343,7 +343,7 @@
   }
 
   #outageWaitMs(place: {
-    readonly asksAhead: number;
+    readonly requestsAhead: number;
     readonly nowMs: number;
   }): number {
     const outage = this.#servers.outage();
@@ -354,11 +354,11 @@
   #refuseInOutage(nowMs: number): void {
     const outage = this.#servers.outage();
     if (outage === undefined) return;
-    let asksAhead = 0;
+    let requestsAhead = 0;
     for (const waiting of [...this.#queue.all()]) {
-      const waitMs = probeWaitMs(outage, { asksAhead, nowMs });
+      const waitMs = probeWaitMs(outage, { requestsAhead, nowMs });
       if (nowMs + waitMs <= waiting.latestStartAtMs) {
-        asksAhead += 1;
+        requestsAhead += 1;
         continue;
       }
       this.#queue.remove(waiting);
@@ -388,34 +388,38 @@
     }
   }
 
-  #grant(waiting: WaitingAsk, server: PooledServer, nowMs: number): void {
+  #grant(waiting: WaitingRequest, server: PooledServer, nowMs: number): void {
     const permit = {
       permitId: this.#options.nextPermitId(),
-      attemptId: waiting.ask.attemptId,
-      pool: waiting.ask.pool,
+      attemptId: waiting.permitRequest.attemptId,
+      pool: waiting.permitRequest.pool,
       backendServerId: server.id,
-      warmth: isCold(server.health.state) ? "cold" : "warm",
+      warmUpState: isCold(server.health.state) ? "cold" : "warm",
     } as const;
     const expiresAtMs = waiting.deadlineAtMs + PERMIT_MARGIN_MS;
     this.#permits.add({
       permit,
       holder: waiting.from,
-      urgency: waiting.ask.urgency,
+      urgency: waiting.permitRequest.urgency,
       grantedAtMs: nowMs,
       expiresAtMs,
       lostAtMs: expiresAtMs + LATE_CALL_MS,
     });
     this.#servers.countGrant(server.id, nowMs);
     this.#options.onEvent("permitGranted");
-    this.#options.decide(waiting.from, waiting.ask.attemptId, {
+    this.#options.decide(waiting.from, waiting.permitRequest.attemptId, {
       kind: "granted",
       permit,
     });
   }
 
-  #refuse(waiting: WaitingAsk, decision: PermitDecision): void {
+  #refuse(waiting: WaitingRequest, decision: PermitDecision): void {
     this.#options.onEvent("permitRefused");
-    this.#options.decide(waiting.from, waiting.ask.attemptId, decision);
+    this.#options.decide(
+      waiting.from,
+      waiting.permitRequest.attemptId,
+      decision,
+    );
   }
 
   /**
@@ -454,12 +458,12 @@
       this.#options.baselines.of(service.name),
       this.#servers.latencyWithout(id),
     );
-    const isOfWarm = granted.permit.warmth === "warm" &&
+    const isOfWarm = granted.permit.warmUpState === "warm" &&
       release.outcome === "completed" && grade !== "coldStart";
     if (isOfWarm && sampleMs !== undefined) {
       this.#options.baselines.note(service.name, sampleMs);
     }
-    if (granted.permit.warmth === "warm" && sampleMs !== undefined) {
+    if (granted.permit.warmUpState === "warm" && sampleMs !== undefined) {
       this.#servers.noteLatency(id, sampleMs);
     }
     this.#servers.report(
--- a/packages/daemon/src/pools/owned_pool_test.ts
+++ b/packages/daemon/src/pools/owned_pool_test.ts
@@ -16,10 +16,10 @@
 import { OwnedPool } from "./owned_pool.js";
 import { arrangePools, readVmAvailability } from "./pool_layout.js";
 import {
-  makeAsk,
   makeConfiguration,
+  makePermitRequest,
   makeVmId,
-  type TestAsk,
+  type TestPermitRequest,
 } from "./test_support/test_configuration.js";
 
 const ASKER = makeVmId("vm-1");
@@ -41,7 +41,7 @@
       coldLimit: COLD_LIMIT,
       warmAfterCompletions: 3,
     }));
-    const entry = layout.pools.get(poolKey(makeAsk().pool));
+    const entry = layout.pools.get(poolKey(makePermitRequest().pool));
     if (entry === undefined) throw new Error("No pool");
     this.pool = new OwnedPool({
       entry,
@@ -68,10 +68,10 @@
     this.pool.configure(entry, { layout, vms, nowMs: 0 });
   }
 
-  submit(ask: TestAsk, nowMs: number): AttemptId {
-    const made = makeAsk(ask);
+  submit(permitRequest: TestPermitRequest, nowMs: number): AttemptId {
+    const made = makePermitRequest(permitRequest);
     this.asked.add(made.attemptId);
-    this.pool.submit({ from: ASKER, ask: made, share: 1 }, nowMs);
+    this.pool.submit({ from: ASKER, permitRequest: made, share: 1 }, nowMs);
     return made.attemptId;
   }
 
@@ -109,9 +109,16 @@
 ];
 
 describe("OwnedPool", () => {
-  it("answers each ask once, within limits, and loses no permit", () => {
+  it("answers each permit request once, within limits, and loses no permit", () => {
     const step = fc.record({
-      kind: fc.constantFrom("ask", "ask", "release", "cancel", "tick", "lease"),
+      kind: fc.constantFrom(
+        "permitRequest",
+        "permitRequest",
+        "release",
+        "cancel",
+        "tick",
+        "lease",
+      ),
       pick: fc.nat(1000),
       outcome: fc.constantFrom(...OUTCOMES),
       waitMs: fc.nat(200),
@@ -127,8 +134,9 @@
           const all = [...bench.asked];
           const attemptId = all[pick % Math.max(1, all.length)];
           const before = inFlightByServer(bench);
-          if (kind === "ask") bench.submit({ latestStartInMs }, nowMs);
-          else if (kind === "tick") bench.pool.tick(nowMs);
+          if (kind === "permitRequest") {
+            bench.submit({ latestStartInMs }, nowMs);
+          } else if (kind === "tick") bench.pool.tick(nowMs);
           else if (kind === "lease") {
             const mayGrantCold = !bench.rights.mayGrantCold;
             bench.rights = { ...bench.rights, mayGrantCold };
--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -16,9 +16,9 @@
 } from "@sassafrasstage/protocol/ids";
 import type { OutstandingReplyMessage } from "@sassafrasstage/protocol/peer_messages";
 import type {
-  PermitAsk,
   PermitDecision,
   PermitRelease,
+  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 import type { PoolStatus } from "@sassafrasstage/protocol/status";
 import type { Logger } from "../observability/logger.js";
@@ -33,14 +33,14 @@
 import type { PoolContext } from "./pool_context.js";
 import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
 import { refusal } from "./refusal.js";
-import type { WarmthLog } from "./warmth_log.js";
+import type { WarmUpLog } from "./warm_up_log.js";
 
 const DEFAULT_SHARE = 1;
 
 export interface OwnerRoleOptions {
   readonly context: PoolContext;
   readonly link: PermitLink;
-  readonly warmth: WarmthLog;
+  readonly warmUpState: WarmUpLog;
   readonly coldSigns: ColdSignSender;
   readonly baselines: LatencyBaselines;
   readonly metrics: Metrics;
@@ -87,7 +87,7 @@
     this.#configure(layout, nowMs);
     for (const ownership of this.#ownerships.values()) {
       for (const vmId of went) {
-        ownership.pool.forgetAsksOf(vmId);
+        ownership.pool.forgetRequestsOf(vmId);
         ownership.pool.forgetWarmPermitsOf(vmId, nowMs);
       }
       ownership.tick(nowMs);
@@ -95,19 +95,19 @@
     this.#voteForSelf(nowMs);
   }
 
-  ask(from: VmId, ask: PermitAsk, nowMs: number): void {
-    const ownership = this.#ownerships.get(poolKey(ask.pool));
+  permitRequest(from: VmId, permitRequest: PermitRequest, nowMs: number): void {
+    const ownership = this.#ownerships.get(poolKey(permitRequest.pool));
     if (ownership === undefined) {
       this.#decide(
         from,
-        ask.attemptId,
+        permitRequest.attemptId,
         refusal("notReady", "The pool isn't owned here", 0),
       );
       return;
     }
     const shares = this.#options.context.layout().shares;
-    const share = shares.get(ask.clientAccountId) ?? DEFAULT_SHARE;
-    ownership.pool.submit({ from, ask, share }, nowMs);
+    const share = shares.get(permitRequest.clientAccountId) ?? DEFAULT_SHARE;
+    ownership.pool.submit({ from, permitRequest, share }, nowMs);
   }
 
   cancel(pool: PoolId, attemptId: AttemptId, nowMs: number): void {
@@ -126,16 +126,21 @@
     const ownership = this.#ownerships.get(poolKey(reply.pool));
     for (const observation of reply.observations) {
       const seenAtMs = nowMs - observation.ageMs;
-      const { backendServerId, warmth } = observation;
-      this.#options.warmth.note(backendServerId, { warmth, seenAtMs });
-      if (warmth !== "cold") continue;
+      const { backendServerId, warmUpState } = observation;
+      this.#options.warmUpState.note(backendServerId, {
+        warmUpState,
+        seenAtMs,
+      });
+      if (warmUpState !== "cold") continue;
       ownership?.pool.coolDown(backendServerId, { seenAtMs, nowMs });
     }
     ownership?.noteOutstanding(from, reply, nowMs);
   }
 
-  forgetAsksOf(vmId: VmId): void {
-    for (const { pool } of this.#ownerships.values()) pool.forgetAsksOf(vmId);
+  forgetRequestsOf(vmId: VmId): void {
+    for (const { pool } of this.#ownerships.values()) {
+      pool.forgetRequestsOf(vmId);
+    }
   }
 
   giveUpAll(nowMs: number): void {
@@ -242,7 +247,7 @@
       context,
       link: this.#options.link,
       gone: this.#gone,
-      warmth: this.#options.warmth,
+      warmUpState: this.#options.warmUpState,
       longestPermitMs: () => this.#longestPermitMs(entry),
       startedAtMs: nowMs,
       pool: {
--- a/packages/daemon/src/pools/ownership.ts
+++ b/packages/daemon/src/pools/ownership.ts
@@ -16,7 +16,7 @@
 import { Takeover } from "./takeover.js";
 import type { PermitLink } from "./permit_link.js";
 import type { VmId } from "@sassafrasstage/protocol/ids";
-import type { WarmthLog } from "./warmth_log.js";
+import type { WarmUpLog } from "./warm_up_log.js";
 
 const ASK_AGAIN_MS = 100;
 
@@ -25,7 +25,7 @@
   readonly context: PoolContext;
   readonly link: PermitLink;
   readonly gone: GoneMembers;
-  readonly warmth: WarmthLog;
+  readonly warmUpState: WarmUpLog;
   readonly longestPermitMs: () => number;
   readonly startedAtMs: number;
   readonly pool: Omit<OwnedPoolOptions, "entry" | "rightsAt" | "withheldForMs">;
@@ -97,7 +97,7 @@
     this.pool.tick(nowMs);
   }
 
-  /** Ends the ownership; the waiting asks go back to their askers. */
+  /** Ends the ownership; the waiting permit requests go back to their permit clients. */
   giveUp(nowMs: number): void {
     this.#lease.giveUp(nowMs);
     this.#leaseUntilMs = -Infinity;
@@ -185,12 +185,12 @@
   }
 
   #adoptWhenKnown(nowMs: number): void {
-    const { context, warmth } = this.#options;
+    const { context, warmUpState } = this.#options;
     if (!this.#takeover.isWarmKnown(context.members, nowMs)) return;
     const isFirst = !this.#isAdopted;
     this.#isAdopted = true;
     if (!isFirst) return;
     const ids = this.#entry.servers.map((server) => server.id);
-    this.pool.adoptObservations(warmth.observations(ids, nowMs), nowMs);
+    this.pool.adoptObservations(warmUpState.observations(ids, nowMs), nowMs);
   }
 }
--- a/packages/daemon/src/pools/pending_ask.ts
+++ b/packages/daemon/src/pools/pending_request.ts
@@ -6,12 +6,12 @@
 
 import type { AttemptId, VmId } from "@sassafrasstage/protocol/ids";
 import type {
-  PermitAsk,
   PermitDecision,
+  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 
-/** Where the ask stands. */
-export type AskProgress =
+/** Where the permit request stands. */
+export type RequestProgress =
   /** To be sent when `sendAtMs` is reached. */
   | { readonly kind: "unsent"; readonly sendAtMs: number }
   | {
@@ -22,37 +22,40 @@
     readonly sentAtMs: number;
   };
 
-export interface PendingAsk {
-  readonly ask: PermitAsk;
+export interface PendingRequest {
+  readonly permitRequest: PermitRequest;
   readonly askedAtMs: number;
   readonly latestStartAtMs: number;
   readonly deadlineAtMs: number;
   readonly settle: (decision: PermitDecision) => void;
-  progress: AskProgress;
-  /** The pool's owner, and since when this ask has been for it. */
+  progress: RequestProgress;
+  /** The pool's owner, and since when this permit request has been for it. */
   owner: VmId | undefined;
   ownerSinceMs: number;
 }
 
-export interface NewAsk {
-  readonly ask: PermitAsk;
+export interface NewPermitRequest {
+  readonly permitRequest: PermitRequest;
   readonly settle: (decision: PermitDecision) => void;
 }
 
 /**
- * Starts the times of an ask: they count from its first sending.
+ * Starts the times of a permit request: they count from its first sending.
  *
  * @example
  * ```ts
- * const pending = startAsk({ ask, settle }, nowMs);
+ * const pending = startRequest({ permitRequest, settle }, nowMs);
  * ```
  */
-export function startAsk(newAsk: NewAsk, nowMs: number): PendingAsk {
+export function startRequest(
+  newPermitRequest: NewPermitRequest,
+  nowMs: number,
+): PendingRequest {
   return {
-    ...newAsk,
+    ...newPermitRequest,
     askedAtMs: nowMs,
-    latestStartAtMs: nowMs + newAsk.ask.latestStartInMs,
-    deadlineAtMs: nowMs + newAsk.ask.deadlineInMs,
+    latestStartAtMs: nowMs + newPermitRequest.permitRequest.latestStartInMs,
+    deadlineAtMs: nowMs + newPermitRequest.permitRequest.deadlineInMs,
     progress: { kind: "unsent", sendAtMs: nowMs },
     owner: undefined,
     ownerSinceMs: nowMs,
@@ -60,19 +63,19 @@
 }
 
 /**
- * The ask as it goes out now, under the id of this sending.
+ * The permit request as it goes out now, under the id of this sending.
  *
  * @example
  * ```ts
- * link.send(owner, { type: "permitAsk", ask: askToSend(pending, { id, nowMs }) });
+ * link.send(owner, { type: "permitRequest", permitRequest: requestToSend(pending, { id, nowMs }) });
  * ```
  */
-export function askToSend(
-  pending: PendingAsk,
+export function requestToSend(
+  pending: PendingRequest,
   sending: { readonly id: AttemptId; readonly nowMs: number },
-): PermitAsk {
+): PermitRequest {
   return {
-    ...pending.ask,
+    ...pending.permitRequest,
     attemptId: sending.id,
     latestStartInMs: pending.latestStartAtMs - sending.nowMs,
     deadlineInMs: pending.deadlineAtMs - sending.nowMs,
--- /dev/null
+++ b/packages/daemon/src/pools/pending_requests.ts
@@ -0,0 +1,46 @@
+/**
+ * All attempts that wait at the asking daemon, by pool.
+ *
+ * @module
+ */
+
+import { type PoolId, poolKey } from "@sassafrasstage/protocol/ids";
+import type { PendingRequest } from "./pending_request.js";
+
+/** In each pool the longest waiting permit request comes first. */
+export class PendingRequests {
+  readonly #byPool = new Map<string, Set<PendingRequest>>();
+
+  add(pending: PendingRequest): void {
+    const key = poolKey(pending.permitRequest.pool);
+    const permitRequests = this.#byPool.get(key) ?? new Set();
+    permitRequests.add(pending);
+    this.#byPool.set(key, permitRequests);
+  }
+
+  remove(pending: PendingRequest): void {
+    this.#byPool.get(poolKey(pending.permitRequest.pool))?.delete(pending);
+  }
+
+  has(pending: PendingRequest): boolean {
+    return this.#byPool.get(poolKey(pending.permitRequest.pool))?.has(
+      pending,
+    ) ?? false;
+  }
+
+  all(): PendingRequest[] {
+    return [...this.#byPool.values()].flatMap((
+      permitRequests,
+    ) => [...permitRequests]);
+  }
+
+  ofPool(pool: PoolId): PendingRequest[] {
+    return [...this.#byPool.get(poolKey(pool)) ?? []];
+  }
+
+  /** How long the first permit request of the pool has been waiting; 0 without one. */
+  longestWaitMs(key: string, nowMs: number): number {
+    const [first] = this.#byPool.get(key) ?? [];
+    return first === undefined ? 0 : nowMs - first.askedAtMs;
+  }
+}
--- a/packages/daemon/src/pools/asker_role.ts
+++ b/packages/daemon/src/pools/permit_client.ts
@@ -1,5 +1,5 @@
 /**
- * This daemon as an asker: it brings asks to the pools' owners, wherever these
+ * This daemon as a permit client: it brings permit requests to the pools' owners, wherever these
  * are, and keeps the permits it was granted.
  *
  * @module
@@ -21,33 +21,33 @@
 import type { CandidatePools } from "./candidate_pools.js";
 import type { ColdSignSender } from "./cold_sign_sender.js";
 import { CallObserver } from "./call_observer.js";
-import type { FallbackGrants } from "./fallback_grants.js";
+import type { StaticQuotaGrants } from "./static_quota_grants.js";
 import type { HeldPermit, HeldPermits, PermitGranter } from "./held_permits.js";
 import type { LatencyBaselines } from "./latency_baseline.js";
 import { OwnerOutbox } from "./owner_outbox.js";
 import {
-  askToSend,
-  type NewAsk,
-  type PendingAsk,
-  startAsk,
-} from "./pending_ask.js";
-import type { PendingAsks } from "./pending_asks.js";
+  type NewPermitRequest,
+  type PendingRequest,
+  requestToSend,
+  startRequest,
+} from "./pending_request.js";
+import type { PendingRequests } from "./pending_requests.js";
 import type { PermitLink } from "./permit_link.js";
 import type { PoolContext } from "./pool_context.js";
 import { refusal } from "./refusal.js";
-import type { WarmthLog } from "./warmth_log.js";
+import type { WarmUpLog } from "./warm_up_log.js";
 
 /** After an owner said that the pool isn't its own, or can't be reached. */
 const ASK_AGAIN_MS = 25;
 
-export interface AskerRoleOptions {
+export interface PermitClientOptions {
   readonly context: PoolContext;
   readonly link: PermitLink;
   readonly held: HeldPermits;
-  readonly fallback: FallbackGrants;
+  readonly staticQuota: StaticQuotaGrants;
   readonly candidates: CandidatePools;
-  readonly pending: PendingAsks;
-  readonly warmth: WarmthLog;
+  readonly pending: PendingRequests;
+  readonly warmUpState: WarmUpLog;
   readonly coldSigns: ColdSignSender;
   readonly baselines: LatencyBaselines;
   readonly metrics: Metrics;
@@ -60,26 +60,34 @@
 }
 
 /** Driven by messages and ticks; every call takes the present time. */
-export class AskerRole {
-  readonly #options: AskerRoleOptions;
+export class PermitClient {
+  readonly #options: PermitClientOptions;
   readonly #outbox: OwnerOutbox;
   readonly #observer: CallObserver;
-  readonly #pending: PendingAsks;
-  readonly #bySending = new Map<AttemptId, PendingAsk>();
+  readonly #pending: PendingRequests;
+  readonly #bySending = new Map<AttemptId, PendingRequest>();
   #sendingNumber = 0;
 
-  constructor(options: AskerRoleOptions) {
+  constructor(options: PermitClientOptions) {
     this.#options = options;
     this.#pending = options.pending;
     this.#outbox = new OwnerOutbox(options.link);
     this.#observer = new CallObserver(options);
   }
 
-  /** The returned function cancels the ask. */
-  ask(newAsk: NewAsk, nowMs: number): (nowMs: number) => void {
-    const isSpill = this.#options.candidates.isSpill(newAsk.ask.pool, nowMs);
-    const ask = isSpill ? { ...newAsk.ask, isSpill } : newAsk.ask;
-    const pending = startAsk({ ...newAsk, ask }, nowMs);
+  /** The returned function cancels the permit request. */
+  permitRequest(
+    newPermitRequest: NewPermitRequest,
+    nowMs: number,
+  ): (nowMs: number) => void {
+    const isSpill = this.#options.candidates.isSpill(
+      newPermitRequest.permitRequest.pool,
+      nowMs,
+    );
+    const permitRequest = isSpill
+      ? { ...newPermitRequest.permitRequest, isSpill }
+      : newPermitRequest.permitRequest;
+    const pending = startRequest({ ...newPermitRequest, permitRequest }, nowMs);
     this.#pending.add(pending);
     this.#advance(pending, nowMs);
     return (canceledAtMs) => {
@@ -142,7 +150,7 @@
       pending.progress = { kind: "unsent", sendAtMs: nowMs + ASK_AGAIN_MS };
       return;
     }
-    const { pool } = pending.ask;
+    const { pool } = pending.permitRequest;
     this.#options.candidates.noteRefusal(pool, decision.retryAfterMs, nowMs);
     this.#settle(pending, decision);
   }
@@ -156,7 +164,7 @@
     request: { readonly pool: PoolId; readonly requestNumber: number },
     nowMs: number,
   ): void {
-    const { context, held, link, warmth } = this.#options;
+    const { context, held, link, warmUpState } = this.#options;
     const key = poolKey(request.pool);
     const moved = this.#pending.ofPool(request.pool).filter((pending) =>
       pending.progress.kind === "sent" && pending.progress.owner !== from
@@ -168,7 +176,7 @@
       pool: request.pool,
       requestNumber: request.requestNumber,
       permits: held.outstanding(request.pool, nowMs),
-      observations: warmth.observations(servers.map((s) => s.id), nowMs),
+      observations: warmUpState.observations(servers.map((s) => s.id), nowMs),
     });
     for (const pending of moved) this.#advance(pending, nowMs);
   }
@@ -197,47 +205,49 @@
     }
   }
 
-  #advance(pending: PendingAsk, nowMs: number): void {
+  #advance(pending: PendingRequest, nowMs: number): void {
     if (!this.#pending.has(pending)) return;
     if (nowMs >= pending.latestStartAtMs) {
       this.#refuse(pending, "deadlineWouldBeMissed", nowMs);
       return;
     }
     const { context } = this.#options;
-    const owner = context.ownerOf(pending.ask.pool);
+    const owner = context.ownerOf(pending.permitRequest.pool);
     const { progress } = pending;
     if (pending.owner !== owner) {
       pending.owner = owner;
       pending.ownerSinceMs = nowMs;
     }
     if (progress.kind === "sent" && progress.owner !== owner) {
-      this.#options.metrics.countEvent("askMoved");
+      this.#options.metrics.countEvent("permitRequestMoved");
       this.#withdraw(pending, nowMs);
     }
     this.#sendWhenDue(pending, owner, nowMs);
-    this.#useFallback(pending, nowMs);
+    this.#useStaticQuota(pending, nowMs);
   }
 
   #sendWhenDue(
-    pending: PendingAsk,
+    pending: PendingRequest,
     owner: VmId | undefined,
     nowMs: number,
   ): void {
-    const { progress, ask } = pending;
+    const { progress, permitRequest } = pending;
     if (progress.kind !== "unsent" || nowMs < progress.sendAtMs) return;
     if (owner !== undefined && this.#send(pending, owner, nowMs)) return;
     // A foreign owner that can't be reached is no use; the own one comes back.
-    if (ask.pool.dataCentre !== this.#options.context.self.dataCentre) {
+    if (
+      permitRequest.pool.dataCentre !== this.#options.context.self.dataCentre
+    ) {
       this.#refuse(pending, "noCapacity", nowMs);
       return;
     }
     pending.progress = { kind: "unsent", sendAtMs: nowMs + ASK_AGAIN_MS };
   }
 
-  #send(pending: PendingAsk, owner: VmId, nowMs: number): boolean {
+  #send(pending: PendingRequest, owner: VmId, nowMs: number): boolean {
     this.#sendingNumber += 1;
     const id = toId<AttemptId>(
-      `${pending.ask.attemptId}~${this.#sendingNumber}`,
+      `${pending.permitRequest.attemptId}~${this.#sendingNumber}`,
     );
     const before = pending.progress;
     this.#bySending.set(id, pending);
@@ -247,25 +257,31 @@
       sendingId: id,
       sentAtMs: nowMs,
     };
-    const ask = askToSend(pending, { id, nowMs });
-    if (this.#options.link.send(owner, { type: "permitAsk", ask })) return true;
+    const permitRequest = requestToSend(pending, { id, nowMs });
+    if (
+      this.#options.link.send(owner, { type: "permitRequest", permitRequest })
+    ) return true;
     this.#bySending.delete(id);
     pending.progress = before;
     return false;
   }
 
-  #useFallback(pending: PendingAsk, nowMs: number): void {
+  #useStaticQuota(pending: PendingRequest, nowMs: number): void {
     if (!this.#pending.has(pending)) return;
-    const { fallback, metrics } = this.#options;
-    if (!fallback.isOwnerSilent(pending, nowMs)) return;
-    const permit = fallback.grant(pending.ask, nowMs);
+    const { staticQuota, metrics } = this.#options;
+    if (!staticQuota.isOwnerSilent(pending, nowMs)) return;
+    const permit = staticQuota.grant(pending.permitRequest, nowMs);
     if (permit === undefined) return;
     metrics.countRetry(permit.pool.service, "ownerSilent");
     this.#withdraw(pending, nowMs);
-    this.#takeGrant(pending, { permit, granter: { kind: "fallback" }, nowMs });
+    this.#takeGrant(pending, {
+      permit,
+      granter: { kind: "staticQuota" },
+      nowMs,
+    });
   }
 
-  #takeGrant(pending: PendingAsk, grant: ReceivedGrant): void {
+  #takeGrant(pending: PendingRequest, grant: ReceivedGrant): void {
     const { permit, granter, nowMs } = grant;
     this.#options.candidates.noteGrant(permit.pool);
     this.#options.held.add({
@@ -274,7 +290,7 @@
       heldFromMs: nowMs,
       endsAtMs: pending.deadlineAtMs,
     });
-    const { attemptId } = pending.ask;
+    const { attemptId } = pending.permitRequest;
     this.#settle(pending, {
       kind: "granted",
       permit: { ...permit, attemptId },
@@ -300,21 +316,21 @@
   }
 
   /** Takes a sending back; its decision, if one comes, is not taken. */
-  #withdraw(pending: PendingAsk, nowMs: number): void {
-    const { progress, ask } = pending;
+  #withdraw(pending: PendingRequest, nowMs: number): void {
+    const { progress, permitRequest } = pending;
     pending.progress = { kind: "unsent", sendAtMs: nowMs };
     if (progress.kind !== "sent") return;
     this.#bySending.delete(progress.sendingId);
     const message = {
       type: "permitCancel",
-      pool: ask.pool,
+      pool: permitRequest.pool,
       attemptId: progress.sendingId,
     } as const;
     this.#outbox.send(progress.owner, message, nowMs);
   }
 
   #refuse(
-    pending: PendingAsk,
+    pending: PendingRequest,
     reason:
       | "callerDisconnected"
       | "deadlineWouldBeMissed"
@@ -328,7 +344,7 @@
     this.#settle(pending, refusal(reason, REFUSALS[reason], retryAfterMs));
   }
 
-  #settle(pending: PendingAsk, decision: PermitDecision): void {
+  #settle(pending: PendingRequest, decision: PermitDecision): void {
     this.#pending.remove(pending);
     pending.settle(decision);
   }
@@ -344,7 +360,7 @@
 }
 
 const REFUSALS = {
-  callerDisconnected: "The ask was canceled",
+  callerDisconnected: "The permit request was canceled",
   deadlineWouldBeMissed: "No permit came before the latest useful start",
   noCapacity: "No owner of the pool can be reached",
   shuttingDown: "The daemon stops",
--- a/packages/daemon/src/pools/permit_link.ts
+++ b/packages/daemon/src/pools/permit_link.ts
@@ -1,5 +1,5 @@
 /**
- * How owner and asker reach each other, on this daemon or another.
+ * How owner and permit client reach each other, on this daemon or another.
  *
  * @module
  */
--- a/packages/daemon/src/pools/ask_queue.ts
+++ b/packages/daemon/src/pools/permit_queue.ts
@@ -7,7 +7,7 @@
 import type { AttemptId, ClientAccountId } from "@sassafrasstage/protocol/ids";
 import { IndexedHeap } from "./indexed_heap.js";
 import type { QueueOrder } from "./queue_order.js";
-import { likelyWorkMs, type WaitingAsk } from "./waiting_ask.js";
+import { likelyWorkMs, type WaitingRequest } from "./waiting_request.js";
 
 /** What one client account has waiting. */
 interface AccountBacklog {
@@ -15,17 +15,17 @@
   readonly share: number;
   workMs: number;
   /** Least worth keeping first. */
-  readonly asks: IndexedHeap<WaitingAsk>;
+  readonly permitRequests: IndexedHeap<WaitingRequest>;
 }
 
 export type QueueAdmission =
   | { readonly kind: "admitted" }
   /** Another one had to go to make room. */
-  | { readonly kind: "admittedInsteadOf"; readonly shed: WaitingAsk }
+  | { readonly kind: "admittedInsteadOf"; readonly shed: WaitingRequest }
   /** The queue is full, and this account holds the most of it. */
   | { readonly kind: "shareExceeded" };
 
-/** Two upper bounds of the work before an ask: the smaller one holds. */
+/** Two upper bounds of the work before a permit request: the smaller one holds. */
 export interface WorkAhead {
   /** What waits in its urgency class and those before it. */
   readonly ofClassMs: number;
@@ -33,17 +33,17 @@
   readonly ofShareMs: number;
 }
 
-/** All waiting asks of a pool. Each call costs O(log n). */
-export class AskQueue {
+/** All waiting permit requests of a pool. Each call costs O(log n). */
+export class PermitQueue {
   readonly #order: QueueOrder;
   readonly #maxLength: number;
-  readonly #byAttempt = new Map<AttemptId, WaitingAsk>();
-  readonly #expiry = new IndexedHeap<WaitingAsk>(
+  readonly #byAttempt = new Map<AttemptId, WaitingRequest>();
+  readonly #expiry = new IndexedHeap<WaitingRequest>(
     (a, b) => a.latestStartAtMs - b.latestStartAtMs || a.number - b.number,
   );
   readonly #backlogs = new Map<ClientAccountId, AccountBacklog>();
   readonly #heaviest = new IndexedHeap<AccountBacklog>(
-    (a, b) => b.asks.size / b.share - a.asks.size / a.share,
+    (a, b) => b.permitRequests.size / b.share - a.permitRequests.size / a.share,
   );
   #counterWorkMs = 0;
   #workMs = 0;
@@ -63,15 +63,15 @@
     return this.#workMs;
   }
 
-  find(attemptId: AttemptId): WaitingAsk | undefined {
+  find(attemptId: AttemptId): WaitingRequest | undefined {
     return this.#byAttempt.get(attemptId);
   }
 
-  all(): Iterable<WaitingAsk> {
+  all(): Iterable<WaitingRequest> {
     return this.#byAttempt.values();
   }
 
-  add(waiting: WaitingAsk): QueueAdmission {
+  add(waiting: WaitingRequest): QueueAdmission {
     const shed = this.size < this.#maxLength
       ? undefined
       : this.#chooseShed(waiting);
@@ -83,26 +83,26 @@
     return { kind: "admittedInsteadOf", shed };
   }
 
-  remove(waiting: WaitingAsk): void {
-    if (!this.#byAttempt.has(waiting.ask.attemptId)) return;
+  remove(waiting: WaitingRequest): void {
+    if (!this.#byAttempt.has(waiting.permitRequest.attemptId)) return;
     this.#order.remove(waiting);
     this.#leave(waiting);
   }
 
-  takeNext(nowMs: number): WaitingAsk | undefined {
+  takeNext(nowMs: number): WaitingRequest | undefined {
     const next = this.#order.takeNext(nowMs);
     if (next !== undefined) this.#leave(next);
     return next;
   }
 
-  putBack(waiting: WaitingAsk): void {
+  putBack(waiting: WaitingRequest): void {
     this.#order.putBack(waiting);
     this.#enter(waiting);
   }
 
-  /** Takes out all asks that can no longer start in time. */
-  takeExpired(nowMs: number): WaitingAsk[] {
-    const expired: WaitingAsk[] = [];
+  /** Takes out all permit requests that can no longer start in time. */
+  takeExpired(nowMs: number): WaitingRequest[] {
+    const expired: WaitingRequest[] = [];
     for (;;) {
       const first = this.#expiry.first();
       if (first === undefined || first.latestStartAtMs > nowMs) return expired;
@@ -111,12 +111,12 @@
     }
   }
 
-  /** The work to be served until the given ask starts, itself included. */
-  workAhead(waiting: WaitingAsk): WorkAhead {
-    const ofClassMs = waiting.ask.urgency === "counter"
+  /** The work to be served until the given permit request starts, itself included. */
+  workAhead(waiting: WaitingRequest): WorkAhead {
+    const ofClassMs = waiting.permitRequest.urgency === "counter"
       ? this.#counterWorkMs
       : this.#workMs;
-    const backlog = this.#backlogs.get(waiting.ask.clientAccountId);
+    const backlog = this.#backlogs.get(waiting.permitRequest.clientAccountId);
     const share = backlog === undefined
       ? this.#activeShare + waiting.share
       : this.#activeShare;
@@ -127,14 +127,17 @@
     };
   }
 
-  /** The newcomer itself, or the least worthy ask of the heaviest account. */
-  #chooseShed(newcomer: WaitingAsk): WaitingAsk {
+  /** The newcomer itself, or the least worthy permit request of the heaviest account. */
+  #chooseShed(newcomer: WaitingRequest): WaitingRequest {
     const heaviest = this.#heaviest.first();
-    const worst = heaviest?.asks.first();
+    const worst = heaviest?.permitRequests.first();
     if (heaviest === undefined || worst === undefined) return newcomer;
-    const own = this.#backlogs.get(newcomer.ask.clientAccountId);
-    const ownWeight = ((own?.asks.size ?? 0) + 1) / newcomer.share;
-    if (own !== heaviest && ownWeight <= heaviest.asks.size / heaviest.share) {
+    const own = this.#backlogs.get(newcomer.permitRequest.clientAccountId);
+    const ownWeight = ((own?.permitRequests.size ?? 0) + 1) / newcomer.share;
+    if (
+      own !== heaviest &&
+      ownWeight <= heaviest.permitRequests.size / heaviest.share
+    ) {
       return worst;
     }
     return own === heaviest && compareWorth(newcomer, worst) > 0
@@ -142,8 +145,8 @@
       : newcomer;
   }
 
-  #enter(waiting: WaitingAsk): void {
-    const { clientAccountId, attemptId, urgency } = waiting.ask;
+  #enter(waiting: WaitingRequest): void {
+    const { clientAccountId, attemptId, urgency } = waiting.permitRequest;
     const workMs = likelyWorkMs(waiting);
     this.#byAttempt.set(attemptId, waiting);
     this.#expiry.add(waiting);
@@ -152,24 +155,24 @@
     const backlog = this.#backlogs.get(clientAccountId) ??
       this.#openBacklog(waiting);
     backlog.workMs += workMs;
-    backlog.asks.add(waiting);
+    backlog.permitRequests.add(waiting);
     this.#heaviest.add(backlog);
   }
 
-  #openBacklog(waiting: WaitingAsk): AccountBacklog {
+  #openBacklog(waiting: WaitingRequest): AccountBacklog {
     const backlog: AccountBacklog = {
-      id: waiting.ask.clientAccountId,
+      id: waiting.permitRequest.clientAccountId,
       share: waiting.share,
       workMs: 0,
-      asks: new IndexedHeap(compareWorth),
+      permitRequests: new IndexedHeap(compareWorth),
     };
     this.#backlogs.set(backlog.id, backlog);
     this.#activeShare += backlog.share;
     return backlog;
   }
 
-  #leave(waiting: WaitingAsk): void {
-    const { clientAccountId, attemptId, urgency } = waiting.ask;
+  #leave(waiting: WaitingRequest): void {
+    const { clientAccountId, attemptId, urgency } = waiting.permitRequest;
     const workMs = likelyWorkMs(waiting);
     this.#byAttempt.delete(attemptId);
     this.#expiry.remove(waiting);
@@ -178,8 +181,8 @@
     const backlog = this.#backlogs.get(clientAccountId);
     if (backlog === undefined) return;
     backlog.workMs -= workMs;
-    backlog.asks.remove(waiting);
-    if (backlog.asks.size > 0) {
+    backlog.permitRequests.remove(waiting);
+    if (backlog.permitRequests.size > 0) {
       this.#heaviest.add(backlog);
       return;
     }
@@ -190,8 +193,8 @@
 }
 
 /** Deferrable before counter, then the latest arrival. */
-function compareWorth(first: WaitingAsk, second: WaitingAsk): number {
-  const firstIsCounter = Number(first.ask.urgency === "counter");
-  const secondIsCounter = Number(second.ask.urgency === "counter");
+function compareWorth(first: WaitingRequest, second: WaitingRequest): number {
+  const firstIsCounter = Number(first.permitRequest.urgency === "counter");
+  const secondIsCounter = Number(second.permitRequest.urgency === "counter");
   return firstIsCounter - secondIsCounter || second.number - first.number;
 }
--- a/packages/daemon/src/pools/permit_source.ts
+++ b/packages/daemon/src/pools/permit_source.ts
@@ -7,9 +7,9 @@
 import type { PoolId, ServiceName } from "@sassafrasstage/protocol/ids";
 import type {
   Permit,
-  PermitAsk,
   PermitDecision,
   PermitRelease,
+  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 
 export interface PermitSource {
@@ -18,13 +18,16 @@
    * rejects: an owner that is silent, or an aborted signal, is a refusal.
    * When `signal` aborts, a permit that still arrives is given back.
    */
-  acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision>;
+  acquire(
+    permitRequest: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<PermitDecision>;
   /** Tells of the first token of a call while it still runs. */
   noteFirstToken(permit: Permit, firstTokenMs: number): void;
   /** Gives a permit back. Must be called once for each granted permit. */
   release(permit: Permit, release: PermitRelease): void;
   /**
-   * True until the permit's deadline by the asker's own clock. To be checked
+   * True until the permit's deadline by the permit client's own clock. To be checked
    * right before a call is sent: a process that was paused may hold a permit
    * that its owner no longer counts.
    */
--- a/packages/daemon/src/pools/pool_context.ts
+++ b/packages/daemon/src/pools/pool_context.ts
@@ -25,7 +25,7 @@
   readonly settings: Settings;
 }
 
-/** Read by owner and asker alike. */
+/** Read by owner and permit client alike. */
 export class PoolContext {
   readonly settings: Settings;
   readonly self: PeerIdentity;
--- a/packages/daemon/src/pools/pool_outage.ts
+++ b/packages/daemon/src/pools/pool_outage.ts
@@ -40,7 +40,7 @@
 }
 
 /**
- * How long an ask waits to be a probe, with so many asks before it.
+ * How long a permit request waits to be a probe, with so many permit requests before it.
  *
  * @example
  * ```ts
@@ -49,8 +49,8 @@
  */
 export function probeWaitMs(
   outage: PoolOutage,
-  place: { readonly asksAhead: number; readonly nowMs: number },
+  place: { readonly requestsAhead: number; readonly nowMs: number },
 ): number {
   const firstInMs = Math.max(0, outage.firstProbeAtMs - place.nowMs);
-  return firstInMs + place.asksAhead * outage.probeIntervalMs;
+  return firstInMs + place.requestsAhead * outage.probeIntervalMs;
 }
--- a/packages/daemon/src/pools/pool_outage_test.ts
+++ b/packages/daemon/src/pools/pool_outage_test.ts
@@ -28,10 +28,10 @@
     expect(findOutage([])).toEqual(undefined);
   });
 
-  it("lets the asks wait for one probe each", () => {
+  it("lets the permit requests wait for one probe each", () => {
     const outage = findOutage([downServer("a", 700), downServer("b", 900)]);
     if (outage === undefined) throw new Error("Expected an outage");
-    expect(probeWaitMs(outage, { asksAhead: 0, nowMs: 200 })).toEqual(500);
-    expect(probeWaitMs(outage, { asksAhead: 3, nowMs: 800 })).toEqual(750);
+    expect(probeWaitMs(outage, { requestsAhead: 0, nowMs: 200 })).toEqual(500);
+    expect(probeWaitMs(outage, { requestsAhead: 3, nowMs: 800 })).toEqual(750);
   });
 });
--- a/packages/daemon/src/pools/queue_order.ts
+++ b/packages/daemon/src/pools/queue_order.ts
@@ -1,5 +1,5 @@
 /**
- * The order in which a pool's waiting asks get their permits.
+ * The order in which a pool's waiting permit requests get their permits.
  *
  * @module
  */
@@ -8,21 +8,21 @@
 import { ExcessWaitOrder } from "./excess_wait_order.js";
 import { type Comparison, IndexedHeap } from "./indexed_heap.js";
 import { SlackOrder } from "./slack_order.js";
-import type { WaitingAsk } from "./waiting_ask.js";
+import type { WaitingRequest } from "./waiting_request.js";
 
 export type QueueOrderName = Settings["policy"]["queue_order"];
 
-/** Each call costs O(log n) in the number of waiting asks. */
+/** Each call costs O(log n) in the number of waiting permit requests. */
 export interface QueueOrder {
   /** Whether an account within its share waits for its own backlog only. */
   readonly isFair: boolean;
-  add(waiting: WaitingAsk): void;
-  /** Takes an ask out unserved. */
-  remove(waiting: WaitingAsk): void;
-  /** Takes the next ask to serve, and counts it as served. */
-  takeNext(nowMs: number): WaitingAsk | undefined;
-  /** Puts back an ask that `takeNext` gave and nobody could serve. */
-  putBack(waiting: WaitingAsk): void;
+  add(waiting: WaitingRequest): void;
+  /** Takes a permit request out unserved. */
+  remove(waiting: WaitingRequest): void;
+  /** Takes the next permit request to serve, and counts it as served. */
+  takeNext(nowMs: number): WaitingRequest | undefined;
+  /** Puts back a permit request that `takeNext` gave and nobody could serve. */
+  putBack(waiting: WaitingRequest): void;
 }
 
 export interface QueueOrderOptions {
@@ -54,37 +54,40 @@
   }
 }
 
-function compareArrival(first: WaitingAsk, second: WaitingAsk): number {
+function compareArrival(first: WaitingRequest, second: WaitingRequest): number {
   return first.number - second.number;
 }
 
-function compareDeadline(first: WaitingAsk, second: WaitingAsk): number {
+function compareDeadline(
+  first: WaitingRequest,
+  second: WaitingRequest,
+): number {
   return first.deadlineAtMs - second.deadlineAtMs ||
     first.number - second.number;
 }
 
-/** An order that never changes while an ask waits. */
+/** An order that never changes while a permit request waits. */
 class FixedOrder implements QueueOrder {
   readonly isFair = false;
-  readonly #heap: IndexedHeap<WaitingAsk>;
+  readonly #heap: IndexedHeap<WaitingRequest>;
 
-  constructor(compare: Comparison<WaitingAsk>) {
+  constructor(compare: Comparison<WaitingRequest>) {
     this.#heap = new IndexedHeap(compare);
   }
 
-  add(waiting: WaitingAsk): void {
+  add(waiting: WaitingRequest): void {
     this.#heap.add(waiting);
   }
 
-  remove(waiting: WaitingAsk): void {
+  remove(waiting: WaitingRequest): void {
     this.#heap.remove(waiting);
   }
 
-  takeNext(): WaitingAsk | undefined {
+  takeNext(): WaitingRequest | undefined {
     return this.#heap.takeFirst();
   }
 
-  putBack(waiting: WaitingAsk): void {
+  putBack(waiting: WaitingRequest): void {
     this.#heap.add(waiting);
   }
 }
--- a/packages/daemon/src/pools/queue_order_test.ts
+++ b/packages/daemon/src/pools/queue_order_test.ts
@@ -1,35 +1,38 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { AskQueue } from "./ask_queue.js";
+import { PermitQueue } from "./permit_queue.js";
 import {
   createQueueOrder,
   type QueueOrder,
   type QueueOrderName,
 } from "./queue_order.js";
 import {
-  makeAsk,
+  makePermitRequest,
   makeVmId,
-  type TestAsk,
+  type TestPermitRequest,
 } from "./test_support/test_configuration.js";
-import type { WaitingAsk } from "./waiting_ask.js";
+import type { WaitingRequest } from "./waiting_request.js";
 
 const ORDERS: QueueOrderName[] = ["arrival", "deadline", "slack", "excessWait"];
 const SHARES = { small: 1, large: 1, heavy: 3 } as const;
 
 let number = 0;
 
-function wait(ask: TestAsk = {}, receivedAtMs = 0): WaitingAsk {
+function wait(
+  permitRequest: TestPermitRequest = {},
+  receivedAtMs = 0,
+): WaitingRequest {
   number += 1;
-  const made = makeAsk(ask);
+  const made = makePermitRequest(permitRequest);
   return {
-    ask: made,
+    permitRequest: made,
     from: makeVmId("vm-1"),
     receivedAtMs,
     latestStartAtMs: receivedAtMs + made.latestStartInMs,
     deadlineAtMs: receivedAtMs + made.deadlineInMs,
     number,
-    share: SHARES[ask.account ?? "small"],
+    share: SHARES[permitRequest.account ?? "small"],
   };
 }
 
@@ -37,8 +40,8 @@
   return createQueueOrder(name, { maxAgeMs: 30_000 });
 }
 
-function takeAll(order: QueueOrder, nowMs = 0): WaitingAsk[] {
-  const taken: WaitingAsk[] = [];
+function takeAll(order: QueueOrder, nowMs = 0): WaitingRequest[] {
+  const taken: WaitingRequest[] = [];
   for (;;) {
     const next = order.takeNext(nowMs);
     if (next === undefined) return taken;
@@ -46,14 +49,19 @@
   }
 }
 
-function countOf(asks: readonly WaitingAsk[], account: string): number {
-  return asks.filter((w) => w.ask.clientAccountId === account).length;
+function countOf(
+  permitRequests: readonly WaitingRequest[],
+  account: string,
+): number {
+  return permitRequests.filter((w) =>
+    w.permitRequest.clientAccountId === account
+  ).length;
 }
 
 describe("createQueueOrder", () => {
   for (const name of ORDERS) {
-    it(`loses and doubles no ask in the order "${name}"`, () => {
-      const ask = fc.record({
+    it(`loses and doubles no permit request in the order "${name}"`, () => {
+      const permitRequest = fc.record({
         account: fc.constantFrom<"small" | "large">("small", "large"),
         urgency: fc.constantFrom<"counter" | "deferrable">(
           "counter",
@@ -64,10 +72,10 @@
       });
       fc.assert(
         fc.property(
-          fc.array(fc.tuple(ask, fc.nat(3)), { maxLength: 60 }),
+          fc.array(fc.tuple(permitRequest, fc.nat(3)), { maxLength: 60 }),
           (steps) => {
             const order = makeOrder(name);
-            const inside = new Set<WaitingAsk>();
+            const inside = new Set<WaitingRequest>();
             for (const [index, [made, kind]] of steps.entries()) {
               const [first] = inside;
               if (kind === 0 && first !== undefined) {
@@ -136,14 +144,18 @@
     }
     for (let index = 0; index < 100; index++) order.add(wait());
     const early = takeAll(order, 0).slice(0, 100);
-    expect(early.every((w) => w.ask.urgency === "counter")).toEqual(true);
+    expect(early.every((w) => w.permitRequest.urgency === "counter")).toEqual(
+      true,
+    );
     const aged = makeOrder("slack");
     for (let index = 0; index < 10; index++) {
       aged.add(wait({ urgency: "deferrable" }));
     }
     for (let index = 0; index < 100; index++) aged.add(wait());
     const late = takeAll(aged, 1000).slice(0, 40);
-    const deferrable = late.filter((w) => w.ask.urgency === "deferrable");
+    const deferrable = late.filter((w) =>
+      w.permitRequest.urgency === "deferrable"
+    );
     expect(deferrable.length).toEqual(10);
   });
 });
@@ -162,9 +174,9 @@
   });
 });
 
-describe("AskQueue", () => {
+describe("PermitQueue", () => {
   it("sheds the account that holds the most when it is full", () => {
-    const queue = new AskQueue(makeOrder("slack"), 10);
+    const queue = new PermitQueue(makeOrder("slack"), 10);
     for (let index = 0; index < 10; index++) {
       queue.add(wait({ account: "large" }));
     }
@@ -175,7 +187,7 @@
   });
 
   it("counts less work ahead for an account within its share", () => {
-    const queue = new AskQueue(makeOrder("slack"), 1000);
+    const queue = new PermitQueue(makeOrder("slack"), 1000);
     for (let index = 0; index < 100; index++) {
       queue.add(wait({ account: "large", likelyDurationMs: 100 }));
     }
@@ -192,7 +204,7 @@
   });
 
   it("takes out what can no longer start in time", () => {
-    const queue = new AskQueue(makeOrder("slack"), 10);
+    const queue = new PermitQueue(makeOrder("slack"), 10);
     const early = wait({ latestStartInMs: 100 });
     queue.add(wait({ latestStartInMs: 500 }));
     queue.add(early);
--- a/packages/daemon/src/pools/server_selector.ts
+++ b/packages/daemon/src/pools/server_selector.ts
@@ -1,5 +1,5 @@
 /**
- * Chooses the backend server for the next ask.
+ * Chooses the backend server for the next permit request.
  *
  * @module
  */
@@ -9,11 +9,11 @@
 import { IndexedHeap } from "./indexed_heap.js";
 import type { PooledServer } from "./pooled_server.js";
 import { PrefixMap } from "./prefix_map.js";
-import type { WaitingAsk } from "./waiting_ask.js";
+import type { WaitingRequest } from "./waiting_request.js";
 
 /** How much above the mean load a server that holds the prefix may be. */
 const AFFINITY_LOAD_FACTOR = 1.25;
-/** An ask with this many times its duration to spare may warm a server up. */
+/** A permit request with this many times its duration to spare may warm a server up. */
 const AMPLE_SLACK_DURATIONS = 3;
 
 export interface SelectorOptions {
@@ -51,14 +51,14 @@
     this.#servers.delete(server.id);
   }
 
-  choose(waiting: WaitingAsk, nowMs: number): PooledServer | undefined {
+  choose(waiting: WaitingRequest, nowMs: number): PooledServer | undefined {
     const preferred = this.#preferredByPrefix(waiting);
     if (preferred !== undefined) return preferred;
     const chosen = mayWarmUp(waiting, nowMs)
       ? this.#first(this.#cold, waiting) ?? this.#first(this.#warm, waiting)
       : this.#first(this.#warm, waiting) ?? this.#first(this.#cold, waiting);
-    if (chosen !== undefined && waiting.ask.prefixKey !== undefined) {
-      this.#prefixes?.note(waiting.ask.prefixKey, chosen.id);
+    if (chosen !== undefined && waiting.permitRequest.prefixKey !== undefined) {
+      this.#prefixes?.note(waiting.permitRequest.prefixKey, chosen.id);
     }
     return chosen;
   }
@@ -67,8 +67,8 @@
     this.#inFlight = total;
   }
 
-  #preferredByPrefix(waiting: WaitingAsk): PooledServer | undefined {
-    const { prefixKey, excluded } = waiting.ask;
+  #preferredByPrefix(waiting: WaitingRequest): PooledServer | undefined {
+    const { prefixKey, excluded } = waiting.permitRequest;
     if (prefixKey === undefined) return undefined;
     const id = this.#prefixes?.serverFor(prefixKey);
     const server = id === undefined ? undefined : this.#servers.get(id);
@@ -81,14 +81,14 @@
 
   #first(
     heap: IndexedHeap<PooledServer>,
-    waiting: WaitingAsk,
+    waiting: WaitingRequest,
   ): PooledServer | undefined {
     const passedOver: PooledServer[] = [];
     let found: PooledServer | undefined;
     for (;;) {
       found = heap.first();
       if (found === undefined) break;
-      if (!waiting.ask.excluded.includes(found.id)) break;
+      if (!waiting.permitRequest.excluded.includes(found.id)) break;
       heap.remove(found);
       passedOver.push(found);
     }
@@ -97,11 +97,12 @@
   }
 }
 
-/** Cold servers are slow: only asks that can bear it go there by choice. */
-function mayWarmUp(waiting: WaitingAsk, nowMs: number): boolean {
-  if (waiting.ask.urgency === "deferrable") return true;
+/** Cold servers are slow: only permit requests that can bear it go there by choice. */
+function mayWarmUp(waiting: WaitingRequest, nowMs: number): boolean {
+  if (waiting.permitRequest.urgency === "deferrable") return true;
   const slackMs = waiting.latestStartAtMs - nowMs;
-  return slackMs > AMPLE_SLACK_DURATIONS * waiting.ask.likelyDurationMs &&
+  return slackMs >
+      AMPLE_SLACK_DURATIONS * waiting.permitRequest.likelyDurationMs &&
     waiting.number % AMPLE_SLACK_DURATIONS === 0;
 }
 
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -6,7 +6,7 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
-import type { WarmthObservation } from "@sassafrasstage/protocol/peer_messages";
+import type { WarmUpObservation } from "@sassafrasstage/protocol/peer_messages";
 import type { Service } from "@sassafrasstage/protocol/register";
 import type { BackendServerStatus } from "@sassafrasstage/protocol/status";
 import {
@@ -34,7 +34,7 @@
   type PooledServer,
 } from "./pooled_server.js";
 import { ServerSelector } from "./server_selector.js";
-import type { WaitingAsk } from "./waiting_ask.js";
+import type { WaitingRequest } from "./waiting_request.js";
 
 const LATENCY_SMOOTHING = 0.3;
 
@@ -95,7 +95,7 @@
     return [...this.#servers.values()].map(describeServer);
   }
 
-  choose(waiting: WaitingAsk, nowMs: number): PooledServer | undefined {
+  choose(waiting: WaitingRequest, nowMs: number): PooledServer | undefined {
     return this.#selector.choose(waiting, nowMs);
   }
 
@@ -200,14 +200,14 @@
 
   /** Takes what other daemons saw of servers that this one doesn't know. */
   adoptObservations(
-    observations: readonly WarmthObservation[],
+    observations: readonly WarmUpObservation[],
     nowMs: number,
   ): void {
     const context = { service: this.#service, nowMs };
     for (const observation of observations) {
       const server = this.#servers.get(observation.backendServerId);
       if (server?.health.state.kind !== "unknown") continue;
-      if (observation.warmth === "cold") continue;
+      if (observation.warmUpState === "cold") continue;
       if (observation.ageMs >= this.#service.coldAfterIdleMs) continue;
       const next = observedWarmHealth(server.inFlight, context);
       this.#setHealth(server, next, nowMs);
--- a/packages/daemon/src/pools/shared_permit_source.ts
+++ b/packages/daemon/src/pools/shared_permit_source.ts
@@ -1,5 +1,5 @@
 /**
- * The permit source of the `current` policy: joins the owner's and the asker's
+ * The permit source of the `current` policy: joins the owner's and the permit client's
  * role to messages and timers.
  *
  * @module
@@ -9,20 +9,20 @@
 import type { PeerMessage } from "@sassafrasstage/protocol/peer_messages";
 import type {
   Permit,
-  PermitAsk,
   PermitDecision,
   PermitRelease,
+  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 import type { PoolStatus } from "@sassafrasstage/protocol/status";
 import type { HeartbeatContent } from "../peers/heartbeat_content.js";
-import { AskerRole } from "./asker_role.js";
+import { PermitClient } from "./permit_client.js";
 import { CandidatePools } from "./candidate_pools.js";
 import { ColdSignSender } from "./cold_sign_sender.js";
-import { FallbackGrants } from "./fallback_grants.js";
+import { StaticQuotaGrants } from "./static_quota_grants.js";
 import { HeldPermits } from "./held_permits.js";
 import { LatencyBaselines } from "./latency_baseline.js";
 import { OwnerRole } from "./owner_role.js";
-import { PendingAsks } from "./pending_asks.js";
+import { PendingRequests } from "./pending_requests.js";
 import type { PermitLink } from "./permit_link.js";
 import { PoolContext } from "./pool_context.js";
 import { refusal } from "./refusal.js";
@@ -30,7 +30,7 @@
   PermitSourceOptions,
   RunningPermitSource,
 } from "./running_permit_source.js";
-import { WarmthLog } from "./warmth_log.js";
+import { WarmUpLog } from "./warm_up_log.js";
 
 /** Does nothing by itself: `tick` and the messages drive it. */
 export class SharedPermitSource implements RunningPermitSource {
@@ -38,38 +38,38 @@
   readonly #options: PermitSourceOptions;
   readonly #context: PoolContext;
   readonly #owner: OwnerRole;
-  readonly #asker: AskerRole;
+  readonly #permitClient: PermitClient;
   readonly #held = new HeldPermits();
   readonly #candidates: CandidatePools;
-  readonly #fallback: FallbackGrants;
+  readonly #staticQuota: StaticQuotaGrants;
   readonly #unsubscribe: (() => void)[];
 
   constructor(options: PermitSourceOptions) {
     this.#options = options;
     const context = new PoolContext(options);
-    const warmth = new WarmthLog();
+    const warmUpState = new WarmUpLog();
     const link = this.#makeLink();
     const common = {
       context,
-      warmth,
+      warmUpState,
       link,
-      coldSigns: new ColdSignSender({ context, link, warmth }),
+      coldSigns: new ColdSignSender({ context, link, warmUpState }),
       held: this.#held,
       baselines: new LatencyBaselines(),
       metrics: options.metrics,
     };
     this.#context = context;
-    const pending = new PendingAsks();
+    const pending = new PendingRequests();
     this.#candidates = new CandidatePools({ context, pending });
-    this.#fallback = new FallbackGrants(common);
+    this.#staticQuota = new StaticQuotaGrants(common);
     this.#owner = new OwnerRole({
       ...common,
       logger: options.logger,
       startedAtMs: options.clock.nowMs(),
     });
-    this.#asker = new AskerRole({
+    this.#permitClient = new PermitClient({
       ...common,
-      fallback: this.#fallback,
+      staticQuota: this.#staticQuota,
       candidates: this.#candidates,
       pending,
     });
@@ -78,10 +78,13 @@
     this.tick();
   }
 
-  acquire(ask: PermitAsk, signal: AbortSignal): Promise<PermitDecision> {
+  acquire(
+    permitRequest: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<PermitDecision> {
     if (signal.aborted) {
       return Promise.resolve(
-        refusal("callerDisconnected", "The ask was canceled", 0),
+        refusal("callerDisconnected", "The permit request was canceled", 0),
       );
     }
     return new Promise((resolve) => {
@@ -91,7 +94,10 @@
         settled.abort();
         resolve(decision);
       }
-      const cancel = this.#asker.ask({ ask, settle }, nowMs);
+      const cancel = this.#permitClient.permitRequest(
+        { permitRequest, settle },
+        nowMs,
+      );
       signal.addEventListener("abort", () => {
         cancel(this.#begin());
       }, { signal: settled.signal });
@@ -99,11 +105,11 @@
   }
 
   release(permit: Permit, release: PermitRelease): void {
-    this.#asker.release(permit, release, this.#begin());
+    this.#permitClient.release(permit, release, this.#begin());
   }
 
   noteFirstToken(permit: Permit, firstTokenMs: number): void {
-    this.#asker.noteFirstToken(permit, firstTokenMs, this.#begin());
+    this.#permitClient.noteFirstToken(permit, firstTokenMs, this.#begin());
   }
 
   isSpendable(permit: Permit, nowMs: number): boolean {
@@ -129,7 +135,7 @@
 
   close(): void {
     for (const unsubscribe of this.#unsubscribe) unsubscribe();
-    this.#asker.close(this.#options.clock.nowMs());
+    this.#permitClient.close(this.#options.clock.nowMs());
   }
 
   /** Lets time pass; to be called every few milliseconds. */
@@ -137,7 +143,7 @@
     const nowMs = this.#begin();
     this.#context.refresh(nowMs);
     this.#owner.tick(nowMs);
-    this.#asker.tick(nowMs);
+    this.#permitClient.tick(nowMs);
   }
 
   /** The present time, after the check for a pause. */
@@ -181,7 +187,7 @@
   #subscribe(): (() => void)[] {
     const { messages } = this.#options.network;
     const types = [
-      "permitAsk",
+      "permitRequest",
       "permitDecision",
       "permitCancel",
       "permitRelease",
@@ -201,12 +207,12 @@
     const { life } = this.#options.network;
     return [
       life.on("connected", (peer) => {
-        this.#asker.noteConnected(peer.vmId, this.#begin());
+        this.#permitClient.noteConnected(peer.vmId, this.#begin());
       }),
       life.on("disconnected", (peer) => {
         const nowMs = this.#begin();
-        this.#owner.forgetAsksOf(peer.vmId);
-        this.#asker.noteDisconnected(peer.vmId, nowMs);
+        this.#owner.forgetRequestsOf(peer.vmId);
+        this.#permitClient.noteDisconnected(peer.vmId, nowMs);
       }),
       life.on("membershipChanged", () => {
         this.tick();
@@ -219,13 +225,13 @@
 
   #handle(from: VmId, message: PeerMessage): void {
     const nowMs = this.#begin();
-    this.#fallback.noteHeard(from, nowMs);
+    this.#staticQuota.noteHeard(from, nowMs);
     switch (message.type) {
-      case "permitAsk":
-        this.#owner.ask(from, message.ask, nowMs);
+      case "permitRequest":
+        this.#owner.permitRequest(from, message.permitRequest, nowMs);
         break;
       case "permitDecision":
-        this.#asker.noteDecision(from, message, nowMs);
+        this.#permitClient.noteDecision(from, message, nowMs);
         break;
       case "permitCancel":
         this.#owner.cancel(message.pool, message.attemptId, nowMs);
@@ -234,7 +240,7 @@
         this.#owner.release(message.pool, message.release, nowMs);
         break;
       case "outstandingRequest":
-        this.#asker.noteOutstandingRequest(from, message, nowMs);
+        this.#permitClient.noteOutstandingRequest(from, message, nowMs);
         break;
       case "outstandingReply":
         this.#owner.noteOutstanding(from, message, nowMs);
--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -151,17 +151,17 @@
     await expectAllAnswered(scene);
   });
 
-  it("does not spend a permit that ended while its asker was frozen", async () => {
+  it("does not spend a permit that ended while its permit client was frozen", async () => {
     const scene = await makeColdScene({ servers: { palermo: 1 } });
     const { cluster, load } = scene;
-    const asker = othersThan(ownerOf(cluster), cluster);
-    load.call(asker);
+    const permitClient = othersThan(ownerOf(cluster), cluster);
+    load.call(permitClient);
     while (load.tally.granted === 0) await cluster.advance(5);
-    asker.isFrozen = true;
+    permitClient.isFrozen = true;
     await cluster.advance(5000);
     // The server is granted to others again although nothing was released.
     await load.run(2000, LOAD);
-    asker.isFrozen = false;
+    permitClient.isFrozen = false;
     await load.run(2000, LOAD);
     expect(load.tally.notSpendable >= 1).toEqual(true);
     await expectAllAnswered(scene);
@@ -191,7 +191,10 @@
     cluster.kill(ownerOf(cluster));
     await cluster.advance(500);
     const before = load.tally.completed;
-    await load.run(1000, { everyMs: 20, ask: { latestStartInMs: 200 } });
+    await load.run(1000, {
+      everyMs: 20,
+      permitRequest: { latestStartInMs: 200 },
+    });
     // Two nodes ask every 20 ms for one second.
     expect(load.tally.completed - before >= 90).toEqual(true);
     await expectAllAnswered(scene);
@@ -308,13 +311,13 @@
     const { cluster } = scene;
     const load = new ClusterLoad(cluster, 700);
     const former = ownerOf(cluster);
-    const asker = bystanderOf(former, cluster);
-    load.call(asker);
+    const permitClient = bystanderOf(former, cluster);
+    load.call(permitClient);
     while (load.server("palermo-1").inFlight === 0) await cluster.advance(5);
-    asker.isFrozen = true;
+    permitClient.isFrozen = true;
     cluster.leave(former);
     await load.run(1000, LOAD);
-    asker.isFrozen = false;
+    permitClient.isFrozen = false;
     await load.run(1000, LOAD);
     await expectAllAnswered({ cluster, load });
   });
@@ -324,15 +327,17 @@
     const { cluster } = scene;
     const load = new ClusterLoad(cluster, 300);
     const former = ownerOf(cluster);
-    const asker = bystanderOf(former, cluster);
-    load.call(asker);
-    // The ask has arrived; the grant is under way and held up.
+    const permitClient = bystanderOf(former, cluster);
+    load.call(permitClient);
+    // The permit request has arrived; the grant is under way and held up.
     await cluster.advance(5);
-    cluster.cut(former, asker);
+    cluster.cut(former, permitClient);
     cluster.leave(former);
     let calls = 0;
     for (; calls < 35; calls++) {
-      for (const node of cluster.nodes) if (node !== asker) load.call(node);
+      for (const node of cluster.nodes) {
+        if (node !== permitClient) load.call(node);
+      }
       await cluster.advance(20);
     }
     expect(load.server("palermo-1").startedCalls >= 1).toEqual(true);
--- a/packages/daemon/src/pools/slack_order.ts
+++ b/packages/daemon/src/pools/slack_order.ts
@@ -9,7 +9,7 @@
 import type { ClientAccountId } from "@sassafrasstage/protocol/ids";
 import { AccountQueue, compareSlack } from "./account_queue.js";
 import { IndexedHeap } from "./indexed_heap.js";
-import { likelyWorkMs, type WaitingAsk } from "./waiting_ask.js";
+import { likelyWorkMs, type WaitingRequest } from "./waiting_request.js";
 
 /**
  * How far, in weighted server time, an account may run ahead of its share
@@ -21,7 +21,7 @@
  * waited too long.
  */
 const COUNTER_WORK_PER_AGED = 3;
-/** An ask counts as aged after this part of the wait that it can bear. */
+/** A permit request counts as aged after this part of the wait that it can bear. */
 const AGED_PART = 0.5;
 
 export interface SlackOrderOptions {
@@ -79,7 +79,7 @@
   readonly #accounts = new Map<ClientAccountId, AccountQueue>();
   readonly #counter = new UrgencyClass("counter");
   readonly #deferrable = new UrgencyClass("deferrable");
-  readonly #aging: IndexedHeap<WaitingAsk>;
+  readonly #aging: IndexedHeap<WaitingRequest>;
   #entitledMs = 0;
   #activeShare = 0;
   /** Counter work that has passed aged deferrable work. */
@@ -92,26 +92,28 @@
     );
   }
 
-  add(waiting: WaitingAsk): void {
+  add(waiting: WaitingRequest): void {
     const account = this.#accountOf(waiting);
     if (account.size === 0) {
       account.usedMs = Math.max(account.usedMs, this.#entitledMs);
       this.#activeShare += account.share;
     }
     account.add(waiting);
-    if (waiting.ask.urgency === "deferrable") this.#aging.add(waiting);
+    if (waiting.permitRequest.urgency === "deferrable") {
+      this.#aging.add(waiting);
+    }
     this.#place(account);
   }
 
-  remove(waiting: WaitingAsk): void {
-    const account = this.#accounts.get(waiting.ask.clientAccountId);
+  remove(waiting: WaitingRequest): void {
+    const account = this.#accounts.get(waiting.permitRequest.clientAccountId);
     if (account?.remove(waiting) !== true) return;
     this.#aging.remove(waiting);
     if (account.size === 0) this.#deactivate(account);
     this.#place(account);
   }
 
-  takeNext(nowMs: number): WaitingAsk | undefined {
+  takeNext(nowMs: number): WaitingRequest | undefined {
     const next = this.#choose(nowMs);
     if (next === undefined) return undefined;
     this.#charge(next, 1);
@@ -119,12 +121,12 @@
     return next;
   }
 
-  putBack(waiting: WaitingAsk): void {
+  putBack(waiting: WaitingRequest): void {
     this.add(waiting);
     this.#charge(waiting, -1);
   }
 
-  #choose(nowMs: number): WaitingAsk | undefined {
+  #choose(nowMs: number): WaitingRequest | undefined {
     const counterAccount = this.#counter.next(this.#entitledMs);
     const deferrableAccount = this.#deferrable.next(this.#entitledMs);
     const counter = counterAccount?.firstOf("counter");
@@ -138,10 +140,10 @@
   }
 
   #chooseByAge(
-    counter: WaitingAsk,
-    deferrable: WaitingAsk,
+    counter: WaitingRequest,
+    deferrable: WaitingRequest,
     nowMs: number,
-  ): WaitingAsk {
+  ): WaitingRequest {
     const oldest = this.#aging.first();
     if (oldest === undefined || this.#agedAtMs(oldest) > nowMs) {
       this.#passedWorkMs = 0;
@@ -161,8 +163,8 @@
       account.usedMs > this.#entitledMs + SHARE_ALLOWANCE_MS;
   }
 
-  #charge(waiting: WaitingAsk, sign: 1 | -1): void {
-    const account = this.#accounts.get(waiting.ask.clientAccountId);
+  #charge(waiting: WaitingRequest, sign: 1 | -1): void {
+    const account = this.#accounts.get(waiting.permitRequest.clientAccountId);
     if (account === undefined) return;
     const workMs = sign * likelyWorkMs(waiting);
     account.usedMs += workMs / account.share;
@@ -170,8 +172,8 @@
     this.#place(account);
   }
 
-  #accountOf(waiting: WaitingAsk): AccountQueue {
-    const id = waiting.ask.clientAccountId;
+  #accountOf(waiting: WaitingRequest): AccountQueue {
+    const id = waiting.permitRequest.clientAccountId;
     const known = this.#accounts.get(id);
     if (known !== undefined) return known;
     const account = new AccountQueue(waiting.share);
@@ -184,7 +186,7 @@
     this.#forgetIdle();
   }
 
-  /** Idle accounts without a debt need no memory; O(1) for each ask. */
+  /** Idle accounts without a debt need no memory; O(1) for each permit request. */
   #forgetIdle(): void {
     let looked = 0;
     for (const [id, account] of this.#accounts) {
@@ -204,7 +206,7 @@
     this.#deferrable.place(account, this.#entitledMs);
   }
 
-  #agedAtMs(waiting: WaitingAsk): number {
+  #agedAtMs(waiting: WaitingRequest): number {
     const bearableMs = waiting.latestStartAtMs - waiting.receivedAtMs;
     return waiting.receivedAtMs +
       Math.min(this.#maxAgeMs, bearableMs * AGED_PART);
--- a/packages/daemon/src/pools/fallback_grants.ts
+++ b/packages/daemon/src/pools/static_quota_grants.ts
@@ -1,5 +1,5 @@
 /**
- * What an asker may grant itself while its pool's owner is silent: this VM's
+ * What a permit client may grant itself while its pool's owner is silent: this VM's
  * fixed part of the warm limits, and nothing of the cold ones.
  *
  * @module
@@ -11,31 +11,31 @@
   toId,
   type VmId,
 } from "@sassafrasstage/protocol/ids";
-import type { Permit, PermitAsk } from "@sassafrasstage/protocol/permits";
+import type { Permit, PermitRequest } from "@sassafrasstage/protocol/permits";
 import type { BackendServer } from "@sassafrasstage/protocol/register";
 import { warmShareOf } from "./grant_rights.js";
 import type { HeldPermits } from "./held_permits.js";
-import type { PendingAsk } from "./pending_ask.js";
+import type { PendingRequest } from "./pending_request.js";
 import type { PoolContext } from "./pool_context.js";
 import { availabilityOf, type PoolEntry } from "./pool_layout.js";
-import type { WarmthLog } from "./warmth_log.js";
+import type { WarmUpLog } from "./warm_up_log.js";
 
 /** Heartbeat intervals without a word after which an owner counts as silent. */
 const SILENT_INTERVALS = 2.5;
 
-export interface FallbackOptions {
+export interface StaticQuotaOptions {
   readonly context: PoolContext;
   readonly held: HeldPermits;
-  readonly warmth: WarmthLog;
+  readonly warmUpState: WarmUpLog;
 }
 
 /** Only for pools of the own data centre. */
-export class FallbackGrants {
-  readonly #options: FallbackOptions;
+export class StaticQuotaGrants {
+  readonly #options: StaticQuotaOptions;
   readonly #heardAtMs = new Map<VmId, number>();
   #permitNumber = 0;
 
-  constructor(options: FallbackOptions) {
+  constructor(options: StaticQuotaOptions) {
     this.#options = options;
   }
 
@@ -43,8 +43,8 @@
     this.#heardAtMs.set(from, nowMs);
   }
 
-  /** Whether neither the owner nor this ask has had a word for too long. */
-  isOwnerSilent(pending: PendingAsk, nowMs: number): boolean {
+  /** Whether neither the owner nor this permit request has had a word for too long. */
+  isOwnerSilent(pending: PendingRequest, nowMs: number): boolean {
     const { context } = this.#options;
     const { owner, ownerSinceMs } = pending;
     if (owner === context.self.vmId) return false;
@@ -56,14 +56,16 @@
     return nowMs - sinceMs > SILENT_INTERVALS * intervalMs;
   }
 
-  grant(ask: PermitAsk, nowMs: number): Permit | undefined {
+  grant(permitRequest: PermitRequest, nowMs: number): Permit | undefined {
     const { context } = this.#options;
-    if (ask.pool.dataCentre !== context.self.dataCentre) return undefined;
+    if (permitRequest.pool.dataCentre !== context.self.dataCentre) {
+      return undefined;
+    }
     if (!context.isConfigurationConfirmed(nowMs)) return undefined;
-    const entry = context.layout().pools.get(poolKey(ask.pool));
+    const entry = context.layout().pools.get(poolKey(permitRequest.pool));
     if (entry === undefined) return undefined;
     const server = entry.servers.find((candidate) =>
-      !ask.excluded.includes(candidate.id) &&
+      !permitRequest.excluded.includes(candidate.id) &&
       this.#hasRoom(entry, candidate, nowMs)
     );
     if (server === undefined) return undefined;
@@ -71,29 +73,29 @@
     const { vmId, incarnation } = context.self;
     return {
       permitId: toId<PermitId>(
-        `${vmId}/${incarnation}/fallback-${this.#permitNumber}`,
+        `${vmId}/${incarnation}/staticQuota-${this.#permitNumber}`,
       ),
-      attemptId: ask.attemptId,
-      pool: ask.pool,
+      attemptId: permitRequest.attemptId,
+      pool: permitRequest.pool,
       backendServerId: server.id,
-      warmth: "warm",
+      warmUpState: "warm",
     };
   }
 
   #hasRoom(entry: PoolEntry, server: BackendServer, nowMs: number): boolean {
-    const { context, held, warmth } = this.#options;
+    const { context, held, warmUpState } = this.#options;
     const layout = context.layout();
     if (availabilityOf(server, layout, context.vms()) !== "inService") {
       return false;
     }
-    const sign = warmth.of(server.id);
-    if (sign?.warmth !== "warm") return false;
+    const sign = warmUpState.of(server.id);
+    if (sign?.warmUpState !== "warm") return false;
     if (nowMs - sign.seenAtMs >= entry.service.coldAfterIdleMs) return false;
     const limited = {
       backendServerId: server.id,
       limit: entry.service.warmLimit,
     };
     const share = warmShareOf(limited, context.warmShare());
-    return held.fallbacksAt(server.id) < share;
+    return held.staticQuotaGrantsAt(server.id) < share;
   }
 }
--- a/packages/daemon/src/pools/test_support/cluster_load.ts
+++ b/packages/daemon/src/pools/test_support/cluster_load.ts
@@ -7,7 +7,10 @@
 import type { Permit, PermitDecision } from "@sassafrasstage/protocol/permits";
 import { FakeServer } from "./fake_server.js";
 import type { ClusterNode, InMemoryCluster } from "./in_memory_cluster.js";
-import { makeAsk, type TestAsk } from "./test_configuration.js";
+import {
+  makePermitRequest,
+  type TestPermitRequest,
+} from "./test_configuration.js";
 
 const CALL_MS = 50;
 /** From the grant to the arrival of the call. */
@@ -33,7 +36,7 @@
   };
   readonly #cluster: InMemoryCluster;
   readonly #servers = new Map<string, FakeServer>();
-  /** The asking node of each ask that waits. */
+  /** The asking node of each permit request that waits. */
   readonly #waiting: ClusterNode[] = [];
 
   constructor(cluster: InMemoryCluster, callMs = CALL_MS) {
@@ -65,12 +68,15 @@
     return server;
   }
 
-  /** One call by the node, from the ask to the release. */
-  call(node: ClusterNode, ask: TestAsk = {}): void {
+  /** One call by the node, from the permit request to the release. */
+  call(node: ClusterNode, permitRequest: TestPermitRequest = {}): void {
     if (!node.runs) return;
     this.tally.asked += 1;
     this.#waiting.push(node);
-    void node.permits.acquire(makeAsk(ask), new AbortController().signal)
+    void node.permits.acquire(
+      makePermitRequest(permitRequest),
+      new AbortController().signal,
+    )
       .then((decision) => {
         this.#waiting.splice(this.#waiting.indexOf(node), 1);
         this.#decided(node, decision);
@@ -80,10 +86,15 @@
   /** A call by each running node in every interval. */
   async run(
     durationMs: number,
-    load: { readonly everyMs: number; readonly ask?: TestAsk },
+    load: {
+      readonly everyMs: number;
+      readonly permitRequest?: TestPermitRequest;
+    },
   ): Promise<void> {
     for (let passedMs = 0; passedMs < durationMs; passedMs += load.everyMs) {
-      for (const node of this.#cluster.nodes) this.call(node, load.ask);
+      for (const node of this.#cluster.nodes) {
+        this.call(node, load.permitRequest);
+      }
       await this.#cluster.advance(load.everyMs);
     }
   }
--- a/packages/daemon/src/pools/test_support/measure_queue_orders.ts
+++ b/packages/daemon/src/pools/test_support/measure_queue_orders.ts
@@ -1,6 +1,6 @@
 /**
  * Runs each queue order over the same seeded arrivals at one owned pool, on a
- * clock of its own, and prints what becomes of the asks:
+ * clock of its own, and prints what becomes of the permit requests:
  * `node packages/daemon/dist/pools/test_support/measure_queue_orders.js`.
  *
  * @module
@@ -20,7 +20,11 @@
 import { OwnedPool } from "../owned_pool.js";
 import { arrangePools, readVmAvailability } from "../pool_layout.js";
 import type { QueueOrderName } from "../queue_order.js";
-import { makeAsk, makeConfiguration, makeVmId } from "./test_configuration.js";
+import {
+  makeConfiguration,
+  makePermitRequest,
+  makeVmId,
+} from "./test_configuration.js";
 
 const SEED = 20261203;
 const ORDERS: QueueOrderName[] = ["arrival", "deadline", "excessWait", "slack"];
@@ -164,15 +168,15 @@
     endCallsUntil(arrival.atMs);
     nowMs = arrival.atMs;
     const { kind, account } = arrival;
-    const ask = makeAsk({
+    const permitRequest = makePermitRequest({
       account,
       urgency: kind.urgency,
       likelyDurationMs: 1.25 * kind.workMs,
       latestStartInMs: kind.deadlineMs - 1.25 * kind.workMs,
       deadlineInMs: kind.deadlineMs,
     });
-    waiting.set(ask.attemptId, arrival);
-    pool.submit({ from: makeVmId("vm-1"), ask, share: 1 }, nowMs);
+    waiting.set(permitRequest.attemptId, arrival);
+    pool.submit({ from: makeVmId("vm-1"), permitRequest, share: 1 }, nowMs);
   }
   endCallsUntil(Infinity);
   return measurement;
@@ -188,7 +192,7 @@
     coldLimit: SLOTS_PER_SERVER,
     warmAfterCompletions: 1,
   }));
-  const entry = layout.pools.get(poolKey(makeAsk().pool));
+  const entry = layout.pools.get(poolKey(makePermitRequest().pool));
   if (entry === undefined) throw new Error("No pool");
   let permitNumber = 0;
   const pool = new OwnedPool({
--- a/packages/daemon/src/pools/test_support/test_configuration.ts
+++ b/packages/daemon/src/pools/test_support/test_configuration.ts
@@ -1,5 +1,5 @@
 /**
- * Small configurations and asks for tests of the pools.
+ * Small configurations and permit requests for tests of the pools.
  *
  * @module
  */
@@ -19,7 +19,7 @@
   toId,
   type VmId,
 } from "@sassafrasstage/protocol/ids";
-import type { PermitAsk } from "@sassafrasstage/protocol/permits";
+import type { PermitRequest } from "@sassafrasstage/protocol/permits";
 import { type Settings, settingsSchema } from "../../settings/settings.js";
 
 export interface TestLayout {
@@ -111,7 +111,7 @@
   });
 }
 
-export interface TestAsk {
+export interface TestPermitRequest {
   readonly dataCentre?: string;
   readonly account?: keyof typeof SHARES;
   readonly urgency?: "counter" | "deferrable";
@@ -121,28 +121,30 @@
   readonly excluded?: readonly BackendServerId[];
 }
 
-let askNumber = 0;
+let requestNumber = 0;
 
 /**
- * An ask for the service "generate" with a new attempt id.
+ * A permit request for the service "generate" with a new attempt id.
  *
  * @example
  * ```ts
- * makeAsk({ account: "small", latestStartInMs: 500 });
+ * makePermitRequest({ account: "small", latestStartInMs: 500 });
  * ```
  */
-export function makeAsk(ask: TestAsk = {}): PermitAsk {
-  askNumber += 1;
+export function makePermitRequest(
+  permitRequest: TestPermitRequest = {},
+): PermitRequest {
+  requestNumber += 1;
   return {
-    pool: makePool(ask.dataCentre ?? "palermo"),
-    requestId: toId<RequestId>(`request-${askNumber}`),
-    attemptId: toId<AttemptId>(`attempt-${askNumber}`),
-    clientAccountId: toId<ClientAccountId>(ask.account ?? "small"),
-    urgency: ask.urgency ?? "counter",
-    latestStartInMs: ask.latestStartInMs ?? 1500,
-    deadlineInMs: ask.deadlineInMs ?? 2000,
-    likelyDurationMs: ask.likelyDurationMs ?? 100,
-    excluded: ask.excluded ?? [],
+    pool: makePool(permitRequest.dataCentre ?? "palermo"),
+    requestId: toId<RequestId>(`request-${requestNumber}`),
+    attemptId: toId<AttemptId>(`attempt-${requestNumber}`),
+    clientAccountId: toId<ClientAccountId>(permitRequest.account ?? "small"),
+    urgency: permitRequest.urgency ?? "counter",
+    latestStartInMs: permitRequest.latestStartInMs ?? 1500,
+    deadlineInMs: permitRequest.deadlineInMs ?? 2000,
+    likelyDurationMs: permitRequest.likelyDurationMs ?? 100,
+    excluded: permitRequest.excluded ?? [],
   };
 }
 
--- a/packages/daemon/src/pools/warmth_log.ts
+++ b/packages/daemon/src/pools/warm_up_log.ts
@@ -6,24 +6,24 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
-import type { WarmthObservation } from "@sassafrasstage/protocol/peer_messages";
+import type { WarmUpObservation } from "@sassafrasstage/protocol/peer_messages";
 import type { Permit, PermitRelease } from "@sassafrasstage/protocol/permits";
 
-export interface WarmthSign {
-  readonly warmth: "cold" | "warm";
+export interface WarmUpSign {
+  readonly warmUpState: "cold" | "warm";
   readonly seenAtMs: number;
 }
 
 /** The freshest sign wins. */
-export class WarmthLog {
-  readonly #signs = new Map<BackendServerId, WarmthSign>();
+export class WarmUpLog {
+  readonly #signs = new Map<BackendServerId, WarmUpSign>();
 
-  of(id: BackendServerId): WarmthSign | undefined {
+  of(id: BackendServerId): WarmUpSign | undefined {
     return this.#signs.get(id);
   }
 
   /** Whether the sign is fresher than what was known. */
-  note(id: BackendServerId, sign: WarmthSign): boolean {
+  note(id: BackendServerId, sign: WarmUpSign): boolean {
     const known = this.#signs.get(id);
     if (known !== undefined && known.seenAtMs >= sign.seenAtMs) return false;
     this.#signs.set(id, sign);
@@ -33,14 +33,14 @@
   observations(
     ids: Iterable<BackendServerId>,
     nowMs: number,
-  ): WarmthObservation[] {
-    const found: WarmthObservation[] = [];
+  ): WarmUpObservation[] {
+    const found: WarmUpObservation[] = [];
     for (const id of ids) {
       const sign = this.#signs.get(id);
       if (sign === undefined) continue;
       found.push({
         backendServerId: id,
-        warmth: sign.warmth,
+        warmUpState: sign.warmUpState,
         ageMs: Math.max(0, nowMs - sign.seenAtMs),
       });
     }
@@ -64,14 +64,17 @@
  * const sign = signOf({ permit, release, grantedAtMs, nowMs });
  * ```
  */
-export function signOf(call: EndedCall): WarmthSign | undefined {
+export function signOf(call: EndedCall): WarmUpSign | undefined {
   switch (call.release.outcome) {
     case "completed":
-      return { warmth: call.permit.warmth, seenAtMs: call.grantedAtMs };
+      return {
+        warmUpState: call.permit.warmUpState,
+        seenAtMs: call.grantedAtMs,
+      };
     case "connectFailed":
     case "refusedByServer":
     case "failed":
-      return { warmth: "cold", seenAtMs: call.nowMs };
+      return { warmUpState: "cold", seenAtMs: call.nowMs };
     case "notSent":
     case "timedOut":
     case "canceled":
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -19,9 +19,9 @@
 import type { StoredObject } from "./platform_objects.js";
 import type {
   Permit,
-  PermitAsk,
   PermitDecision,
   PermitRelease,
+  PermitRequest,
 } from "./permits.js";
 
 /** Raised whenever a message changes its form. */
@@ -71,13 +71,13 @@
   readonly type: "heartbeatReply";
   readonly sequence: number;
   readonly generation: number;
-  /** Those of the asked pools for which the replier backs the asker. */
+  /** Those of the asked pools for which the replier backs the permit client. */
   readonly supportedPools: readonly PoolId[];
 }
 
-export interface PermitAskMessage {
-  readonly type: "permitAsk";
-  readonly ask: PermitAsk;
+export interface PermitRequestMessage {
+  readonly type: "permitRequest";
+  readonly permitRequest: PermitRequest;
 }
 
 export interface PermitDecisionMessage {
@@ -86,7 +86,7 @@
   readonly decision: PermitDecision;
 }
 
-/** The asker no longer waits; a permit that crosses this is released. */
+/** The permit client no longer waits; a permit that crosses this is released. */
 export interface PermitCancelMessage {
   readonly type: "permitCancel";
   readonly pool: PoolId;
@@ -99,7 +99,7 @@
   readonly release: PermitRelease;
 }
 
-/** A new owner asks what was granted before it took the pool over. */
+/** A new owner permit requests what was granted before it took the pool over. */
 export interface OutstandingRequestMessage {
   readonly type: "outstandingRequest";
   readonly pool: PoolId;
@@ -112,9 +112,9 @@
 }
 
 /** What the replier last knew of a backend server's warmth. */
-export interface WarmthObservation {
+export interface WarmUpObservation {
   readonly backendServerId: BackendServerId;
-  readonly warmth: "cold" | "warm";
+  readonly warmUpState: "cold" | "warm";
   readonly ageMs: number;
 }
 
@@ -123,7 +123,7 @@
   readonly pool: PoolId;
   readonly requestNumber: number;
   readonly permits: readonly OutstandingPermit[];
-  readonly observations: readonly WarmthObservation[];
+  readonly observations: readonly WarmUpObservation[];
 }
 
 /** The sender has a lower generation than it has heard of. */
@@ -140,7 +140,7 @@
 /** Answers a request in place of the whole, where the changes are known. */
 export interface ConfigurationDeltaMessage {
   readonly type: "configurationDelta";
-  /** One for each generation from the asker's to the newest, in order. */
+  /** One for each generation from the permit client's to the newest, in order. */
   readonly deltas: readonly ConfigurationDelta[];
 }
 
@@ -239,7 +239,7 @@
 export type PeerMessage =
   | HeartbeatMessage
   | HeartbeatReplyMessage
-  | PermitAskMessage
+  | PermitRequestMessage
   | PermitDecisionMessage
   | PermitCancelMessage
   | PermitReleaseMessage
--- a/packages/protocol/src/permits.ts
+++ b/packages/protocol/src/permits.ts
@@ -17,22 +17,22 @@
 import type { Urgency } from "./rules.js";
 
 /** What the owner has to know of one attempt of one stage. */
-export interface PermitAsk {
+export interface PermitRequest {
   readonly pool: PoolId;
   readonly requestId: RequestId;
   readonly attemptId: AttemptId;
   readonly clientAccountId: ClientAccountId;
   readonly urgency: Urgency;
-  /** From the sending of the ask to the latest useful start of the stage. */
+  /** From the sending of the permit request to the latest useful start of the stage. */
   readonly latestStartInMs: number;
-  /** From the sending of the ask to the request's deadline. */
+  /** From the sending of the permit request to the request's deadline. */
   readonly deadlineInMs: number;
   /** How long the stage is likely to take once started. */
   readonly likelyDurationMs: number;
   /** Equal for requests that share a prompt prefix. */
   readonly prefixKey?: string;
   /**
-   * The asker has a pool of its own to turn to: to be refused rather than
+   * The permit client has a pool of its own to turn to: to be refused rather than
    * queued. Set by the permit source.
    */
   readonly isSpill?: boolean;
@@ -47,7 +47,7 @@
   readonly pool: PoolId;
   readonly backendServerId: BackendServerId;
   /** How the owner saw the backend server when it granted. */
-  readonly warmth: "cold" | "warm";
+  readonly warmUpState: "cold" | "warm";
 }
 
 export type PermitDecision =
