--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -8,7 +8,6 @@
 import type {
   AttemptId,
   BackendServerId,
-  PermitId,
   VmId,
 } from "@sassafrasstage/protocol/ids";
 import type {
@@ -18,25 +17,25 @@
 import type {
   PermitDecision,
   PermitRelease,
-  PermitRequest,
 } from "@sassafrasstage/protocol/permits";
 import type { BackendServerStatus } from "@sassafrasstage/protocol/status";
 import { PermitQueue } from "./permit_queue.js";
 import { isCold } from "./backend_server_state.js";
-import type { GrantRights } from "./grant_rights.js";
 import { type GrantedPermit, GrantedPermits } from "./granted_permits.js";
-import {
-  gradeLatency,
-  type LatencyBaselines,
-  latencySample,
-} from "./latency_baseline.js";
+import { CounterShare } from "./counter_share.js";
+import { learnFromRelease } from "./learn_from_release.js";
+import type { OwnedPoolOptions } from "./owned_pool_options.js";
 import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
 import type { PooledServer } from "./pooled_server.js";
 import { probeWaitMs } from "./pool_outage.js";
-import { createQueueOrder, type QueueOrderName } from "./queue_order.js";
+import { createQueueOrder } from "./queue_order.js";
 import { refusal } from "./refusal.js";
 import { ServerTable } from "./server_table.js";
-import type { WaitingRequest } from "./waiting_request.js";
+import {
+  makeWaitingRequest,
+  type RequestArrival,
+  type WaitingRequest,
+} from "./waiting_request.js";
 
 /** The owner counts a permit this much longer than its holder does. */
 export const PERMIT_MARGIN_MS = 200;
@@ -44,52 +43,12 @@
 const MAX_SET_ASIDE = 16;
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_SPILL_RETRY_MS = 200;
-/**
- * A permit request is queued only if its wait is likely to end after this part of the
- * time that it can bear: what starts at the last moment often ends too late.
- */
+/** Part of the bearable time after which a queued request's wait has to end. */
 const ADMITTED_PART = 0.75;
-/** Even under full counter load aged deferrable work gets this much. */
-const LEAST_DEFERRABLE_PART = 0.25;
-const COUNTER_PART_WINDOW_MS = 1000;
 /** How long a call may run on after its request's deadline. */
 const LATE_CALL_MS = 30_000;
 const LATE_CHECK_MS = 500;
 
-export type OwnedPoolEvent =
-  | "permitGranted"
-  | "permitExpired"
-  | "permitRefused"
-  | "unknownPermitReleased";
-
-export interface OwnedPoolOptions {
-  readonly entry: PoolEntry;
-  readonly queueOrder: QueueOrderName;
-  readonly hasPrefixAffinity: boolean;
-  readonly maxQueueLength: number;
-  readonly maxQueueAgeMs: number;
-  /** How long it is likely to take until anything can be granted. */
-  readonly withheldForMs: (nowMs: number) => number;
-  readonly baselines: LatencyBaselines;
-  readonly nextPermitId: () => PermitId;
-  readonly rightsAt: (nowMs: number) => GrantRights;
-  readonly decide: (
-    to: VmId,
-    attemptId: AttemptId,
-    decision: PermitDecision,
-  ) => void;
-  /** Whether the VM's process is known to have ended. */
-  readonly isGone: (vmId: VmId) => boolean;
-  readonly onCooled: (server: BackendServerId, nowMs: number) => void;
-  readonly onEvent: (event: OwnedPoolEvent) => void;
-}
-
-export interface RequestArrival {
-  readonly from: VmId;
-  readonly permitRequest: PermitRequest;
-  readonly share: number;
-}
-
 /** Every permit request that comes in is decided exactly once, unless it is canceled. */
 export class OwnedPool {
   readonly #options: OwnedPoolOptions;
@@ -97,8 +56,7 @@
   readonly #queue: PermitQueue;
   readonly #permits = new GrantedPermits();
   #requestNumber = 0;
-  #counterPart = 0;
-  #counterPartAtMs = 0;
+  readonly #counterShare = new CounterShare();
 
   constructor(options: OwnedPoolOptions) {
     this.#options = options;
@@ -135,13 +93,17 @@
     }
     this.#servers.refresh(nowMs);
     this.#refuseInOutage(nowMs);
-    this.#updateCounterPart(nowMs);
+    this.#updateCounterShare(nowMs);
     this.pump(nowMs);
   }
 
   submit(arrival: RequestArrival, nowMs: number): void {
     this.#servers.setRights(this.#options.rightsAt(nowMs), nowMs);
-    const waiting = this.#makeWaiting(arrival, nowMs);
+    this.#requestNumber += 1;
+    const waiting = makeWaitingRequest(arrival, {
+      number: this.#requestNumber,
+      nowMs,
+    });
     const refused = this.#refuseHopeless(waiting, nowMs);
     if (refused !== undefined) {
       this.#refuse(waiting, refused);
@@ -188,7 +150,11 @@
       return;
     }
     this.#servers.countEnd(granted.permit.backendServerId, nowMs);
-    this.#report(granted, release, nowMs);
+    learnFromRelease(granted, release, {
+      servers: this.#servers,
+      baselines: this.#options.baselines,
+      nowMs,
+    });
     this.pump(nowMs);
   }
 
@@ -267,20 +233,6 @@
     for (const waiting of setAside) this.#queue.putBack(waiting);
   }
 
-  #makeWaiting(arrival: RequestArrival, nowMs: number): WaitingRequest {
-    const { permitRequest, from, share } = arrival;
-    this.#requestNumber += 1;
-    return {
-      permitRequest,
-      from,
-      share,
-      number: this.#requestNumber,
-      receivedAtMs: nowMs,
-      latestStartAtMs: nowMs + permitRequest.latestStartInMs,
-      deadlineAtMs: nowMs + permitRequest.deadlineInMs,
-    };
-  }
-
   #refuseHopeless(
     waiting: WaitingRequest,
     nowMs: number,
@@ -321,7 +273,7 @@
     const { ofClassMs, ofShareMs } = this.#queue.workAhead(waiting);
     const slotPart = waiting.permitRequest.urgency === "counter"
       ? 1
-      : Math.max(LEAST_DEFERRABLE_PART, 1 - this.#counterPart);
+      : this.#counterShare.deferrablePart;
     const aheadMs = Math.min(ofClassMs / slotPart, ofShareMs);
     return aheadMs / (this.#servers.slots * ADMITTED_PART);
   }
@@ -331,15 +283,11 @@
     return this.#queue.size === 0 && this.#servers.hasRoom;
   }
 
-  /** Smooths the part of the slots that counter work takes. */
-  #updateCounterPart(nowMs: number): void {
+  #updateCounterShare(nowMs: number): void {
     const { slots } = this.#servers;
     const { counterCount } = this.#permits;
     const busyPart = slots === 0 ? 0 : Math.min(1, counterCount / slots);
-    const passedMs = nowMs - this.#counterPartAtMs;
-    const weight = Math.min(1, passedMs / COUNTER_PART_WINDOW_MS);
-    this.#counterPart += weight * (busyPart - this.#counterPart);
-    this.#counterPartAtMs = nowMs;
+    this.#counterShare.update(busyPart, nowMs);
   }
 
   #outageWaitMs(place: {
@@ -444,32 +392,4 @@
     this.#permits.take(granted.permit.permitId);
     this.#servers.countEnd(granted.permit.backendServerId, nowMs);
   }
-
-  #report(
-    granted: GrantedPermit,
-    release: PermitRelease,
-    nowMs: number,
-  ): void {
-    const { service } = this.#servers;
-    const sampleMs = latencySample(service, release);
-    const id = granted.permit.backendServerId;
-    const grade = sampleMs === undefined ? "usual" : gradeLatency(
-      sampleMs,
-      this.#options.baselines.of(service.name),
-      this.#servers.latencyWithout(id),
-    );
-    const isOfWarm = granted.permit.warmUpState === "warm" &&
-      release.outcome === "completed" && grade !== "coldStart";
-    if (isOfWarm && sampleMs !== undefined) {
-      this.#options.baselines.note(service.name, sampleMs);
-    }
-    if (granted.permit.warmUpState === "warm" && sampleMs !== undefined) {
-      this.#servers.noteLatency(id, sampleMs);
-    }
-    this.#servers.report(
-      id,
-      { outcome: release.outcome, grade, grantedAtMs: granted.grantedAtMs },
-      nowMs,
-    );
-  }
 }
--- a/packages/daemon/src/pools/ownership.ts
+++ b/packages/daemon/src/pools/ownership.ts
@@ -8,7 +8,8 @@
 import type { OutstandingReplyMessage } from "@sassafrasstage/protocol/peer_messages";
 import { type GrantRights, NO_RIGHTS } from "./grant_rights.js";
 import type { GoneMembers } from "./gone_members.js";
-import { OwnedPool, type OwnedPoolOptions } from "./owned_pool.js";
+import { OwnedPool } from "./owned_pool.js";
+import type { OwnedPoolOptions } from "./owned_pool_options.js";
 import { OwnershipLease } from "./ownership_lease.js";
 import { LEASE_MARGIN_MS } from "./ownership_support.js";
 import type { PoolContext } from "./pool_context.js";
--- a/packages/daemon/src/pools/waiting_request.ts
+++ b/packages/daemon/src/pools/waiting_request.ts
@@ -31,3 +31,33 @@
 export function likelyWorkMs(waiting: WaitingRequest): number {
   return Math.max(1, waiting.permitRequest.likelyDurationMs);
 }
+
+/** A permit request as it came, and its client account's share of the pool. */
+export interface RequestArrival {
+  readonly from: VmId;
+  readonly permitRequest: PermitRequest;
+  readonly share: number;
+}
+
+/**
+ * Turns the times that are left into moments of the owner's clock.
+ *
+ * @example
+ * ```ts
+ * makeWaitingRequest(arrival, { number: 7, nowMs });
+ * ```
+ */
+export function makeWaitingRequest(
+  arrival: RequestArrival,
+  entry: { readonly number: number; readonly nowMs: number },
+): WaitingRequest {
+  const { permitRequest } = arrival;
+  const { number, nowMs } = entry;
+  return {
+    ...arrival,
+    number,
+    receivedAtMs: nowMs,
+    latestStartAtMs: nowMs + permitRequest.latestStartInMs,
+    deadlineAtMs: nowMs + permitRequest.deadlineInMs,
+  };
+}
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -13,14 +13,9 @@
   ServiceName,
   VmId,
 } from "@sassafrasstage/protocol/ids";
-import type { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
-import type {
-  RegisteredServer,
-  ServerRegister,
-} from "../register/server_register.js";
-import type { BatchLimits } from "../routing/routing_configuration.js";
-import type { BatchServer } from "./batch_server.js";
+import { isNoRoom, returnItem, roomOf } from "./batch_entries.js";
 import { BatchServers } from "./batch_servers.js";
+import type { BatchSchedulerOptions } from "./batch_scheduler_options.js";
 import { findHopeless } from "./find_hopeless.js";
 import {
   type BatchEntry,
@@ -32,36 +27,16 @@
   ResultReference,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type { OpenCall } from "./open_call.js";
 import type {
   ItemFailure,
   ItemOutcome,
   StageCall,
   StageCallOutcome,
 } from "./stage_call.js";
-import { type StageItem, StageJob, type StageJobOptions } from "./stage_job.js";
+import { StageJob, type StageJobOptions } from "./stage_job.js";
 import { servicesOf, WorkEstimates } from "./work_estimates.js";
 
-export interface BatchSchedulerOptions {
-  readonly register: ServerRegister;
-  readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
-  /** Bounds how many items are sent a second time. */
-  readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
-  readonly onEnded: (job: StageJob, outcome: StageGraphOutcome) => void;
-  /** Forms the calls; tests compare others with the product's own. */
-  readonly plan?: typeof planBatches;
-  /** These results at one server are needed no longer. */
-  readonly onFree: (
-    server: RegisteredServer,
-    results: readonly ResultReference[],
-  ) => void;
-}
-
-interface OpenCall extends StageCall {
-  readonly batchServer: BatchServer;
-  readonly overdueAtMs: number;
-  isOverdue: boolean;
-}
-
 /** Sends of one item before its job is given up. */
 const MAX_ITEM_SENDS = 4;
 /** A result is taken as dropped this long before its maker would. */
@@ -423,35 +398,12 @@
   }
 
   #free(results: readonly ResultReference[]): void {
-    const byMaker = new Map<BackendServerId, ResultReference[]>();
-    for (const result of results) {
-      const held = this.#held.take(result);
-      if (held === undefined) continue;
-      this.#servers.get(result.maker)?.freeRoom(held.bytes);
-      const ofMaker = byMaker.get(result.maker) ?? [];
-      ofMaker.push(result);
-      byMaker.set(result.maker, ofMaker);
-    }
-    for (const [maker, ofMaker] of byMaker) {
+    for (const [maker, held] of this.#held.takeByMaker(results)) {
+      const bytes = held.reduce((sum, one) => sum + one.bytes, 0);
+      this.#servers.get(maker)?.freeRoom(bytes);
       const server = this.#options.register.get(maker);
-      if (server !== undefined) this.#options.onFree(server, ofMaker);
+      if (server === undefined) continue;
+      this.#options.onFree(server, held.map(({ result }) => result));
     }
   }
 }
-
-function roomOf(entries: readonly BatchEntry[]): number {
-  return entries.reduce(
-    (sum, { job, item }) => sum + job.stage(item.stage).resultBytes,
-    0,
-  );
-}
-
-/** Lets the item be sent again, unless another call has it by now. */
-function returnItem(call: StageCall, item: StageItem): void {
-  if (item.state.kind !== "running" || item.state.callId !== call.id) return;
-  item.state = { kind: "waiting" };
-}
-
-function isNoRoom(outcome: ItemOutcome | undefined): boolean {
-  return outcome?.kind === "failed" && outcome.reason === "noRoom";
-}
--- a/packages/daemon/src/stage_graphs/held_results.ts
+++ b/packages/daemon/src/stage_graphs/held_results.ts
@@ -22,11 +22,20 @@
     this.#results.set(held.result.reference, held);
   }
 
-  /** Takes the result out; undefined when it is held no longer. */
-  take(result: ResultReference): HeldResult | undefined {
-    const held = this.#results.get(result.reference);
-    this.#results.delete(result.reference);
-    return held;
+  /** Takes out those of the results that are still held. */
+  takeByMaker(
+    results: readonly ResultReference[],
+  ): Map<BackendServerId, HeldResult[]> {
+    const byMaker = new Map<BackendServerId, HeldResult[]>();
+    for (const { reference, maker } of results) {
+      const held = this.#results.get(reference);
+      if (held === undefined) continue;
+      this.#results.delete(reference);
+      const ofMaker = byMaker.get(maker) ?? [];
+      ofMaker.push(held);
+      byMaker.set(maker, ofMaker);
+    }
+    return byMaker;
   }
 
   /** Takes out what its makers have dropped by now. */
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -19,10 +19,8 @@
 import type { BatchLimits } from "../../routing/routing_configuration.js";
 import { OWNER } from "../../testing/stage_samples.js";
 import { nominalMs } from "../batch_server.js";
-import {
-  BatchScheduler,
-  type BatchSchedulerOptions,
-} from "../batch_scheduler.js";
+import { BatchScheduler } from "../batch_scheduler.js";
+import type { BatchSchedulerOptions } from "../batch_scheduler_options.js";
 import type { StageCall } from "../stage_call.js";
 
 export interface Arrival {
