--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -358,13 +358,7 @@
   #noteLost(results: readonly ResultReference[]): void {
     if (results.length === 0) return;
     const lost = new Set(results.map((result) => result.reference));
-    for (const job of this.#jobs.values()) {
-      for (const item of job.items.flat()) {
-        if (item.state.kind !== "done") continue;
-        if (!lost.has(item.state.result.reference)) continue;
-        if (job.isResultNeeded(item.stage)) item.state = { kind: "waiting" };
-      }
-    }
+    for (const job of this.#jobs.values()) job.loseResults(lost);
   }
 
   #completeIfDone(job: StageJob): void {
--- a/packages/daemon/src/stage_graphs/stage_job.ts
+++ b/packages/daemon/src/stage_graphs/stage_job.ts
@@ -151,4 +151,13 @@
     return followers.length === 0 ||
       followers.some((follower) => !this.isStageDone(follower));
   }
+
+  /** Results that are still needed have to be made again. */
+  loseResults(lost: ReadonlySet<string>): void {
+    for (const item of this.items.flat()) {
+      if (item.state.kind !== "done") continue;
+      if (!lost.has(item.state.result.reference)) continue;
+      if (this.isResultNeeded(item.stage)) item.state = { kind: "waiting" };
+    }
+  }
 }
