--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -34,9 +34,16 @@
   #isListingDue = true;
   #failures = 0;
   #regainedAtMs = -Infinity;
+  #answeredAtMs: number;
 
   constructor(options: ObjectWatchOptions) {
+    const { clock, metrics, mirror } = options;
     this.#options = options;
+    this.#answeredAtMs = clock.nowMs();
+    metrics.watchValue(
+      `platformSilentMs.${mirror.prefix}`,
+      () => Math.round(clock.nowMs() - this.#answeredAtMs),
+    );
     this.#ended = this.#run();
   }
 
@@ -94,8 +101,9 @@
   }
 
   #noteSuccess(): void {
-    if (this.#failures === 0) return;
     const { clock, logger, mirror } = this.#options;
+    this.#answeredAtMs = clock.nowMs();
+    if (this.#failures === 0) return;
     logger.info("platformRegained", {
       objects: mirror.prefix,
       failures: this.#failures,
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -55,11 +55,15 @@
   readonly #events = this.#counter("events_total", "Other counted events", [
     "event",
   ]);
+  readonly #readers = new Map<string, () => number>();
   readonly #gauges = new Gauge({
     name: `${PREFIX}value`,
     help: "Present values",
     labelNames: ["name"],
     registers: [this.registry],
+    collect: () => {
+      for (const [name, read] of this.#readers) this.setValue(name, read());
+    },
   });
 
   countRefusal(reason: ProblemReason): void {
@@ -94,6 +98,18 @@
     this.#gauges.set({ name }, value);
   }
 
+  /**
+   * Shows a value that is read whenever the metrics are.
+   *
+   * @example
+   * ```ts
+   * metrics.watchValue("requestsInFlight", () => forwarder.inFlight);
+   * ```
+   */
+  watchValue(name: string, read: () => number): void {
+    this.#readers.set(name, read);
+  }
+
   #counter(name: string, help: string, labelNames: string[]): Counter {
     return new Counter({
       name: PREFIX + name,
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -131,6 +131,12 @@
       table: () => this.#deployment.table,
       shutdown: () => this.#shutdown,
     });
+    metrics.watchValue("requestsInFlight", () => this.forwarder.inFlight);
+    metrics.watchValue("stageJobs", () => this.#coordinator.jobCount);
+    metrics.watchValue(
+      "stageItemsWaiting",
+      () => this.#coordinator.waitingItemCount,
+    );
   }
 
   /** Rejects when the peers' address can't be listened on. */
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -27,7 +27,7 @@
   ResultReference,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
-import type { OpenCall } from "./open_call.js";
+import { checkOverdue, noteNotRun, type OpenCall } from "./open_call.js";
 import type {
   ItemFailure,
   ItemOutcome,
@@ -63,6 +63,12 @@
     return this.#jobs.size;
   }
 
+  /** Items that no call holds yet, over all unfinished jobs. */
+  get waitingItemCount(): number {
+    return [...this.#jobs.values()]
+      .reduce((sum, job) => sum + job.waitingItemCount, 0);
+  }
+
   /**
    * Takes a job, or ends it at once when it can't be done in time. For a job
    * that is known by its id, the outcome is told again if there is one.
@@ -126,7 +132,7 @@
         this.#takeItems(call, outcome.items, nowMs);
         break;
       case "notRun":
-        this.#takeNotRun(call, outcome.reason, nowMs);
+        noteNotRun(call, outcome.reason, nowMs);
         this.#returnItems(call);
         break;
       case "unknown":
@@ -137,29 +143,9 @@
     }
   }
 
-  #takeNotRun(
-    call: OpenCall,
-    reason: "full" | "notConnected",
-    nowMs: number,
-  ): void {
-    const { batchServer, entries } = call;
-    switch (reason) {
-      case "full":
-        batchServer.noteReached();
-        batchServer.pause(nowMs);
-        break;
-      case "notConnected":
-        batchServer.noteUnreachable(nowMs);
-        batchServer.suspend(nowMs);
-        // Nothing was sent, so it doesn't count as a send.
-        for (const { item } of entries) item.sendCount -= 1;
-        break;
-    }
-  }
-
   /** Looks for overdue calls, dropped results and hopeless jobs. */
   tick(nowMs: number): void {
-    for (const call of this.#calls.values()) this.#checkOverdue(call, nowMs);
+    for (const call of this.#calls.values()) checkOverdue(call, nowMs);
     for (const held of this.#held.takeLapsed(nowMs + LAPSE_MARGIN_MS)) {
       this.#noteLost([held.result]);
       this.#servers.get(held.result.maker)?.freeRoom(held.bytes);
@@ -347,14 +333,6 @@
     for (const { item } of call.entries) returnItem(call, item);
   }
 
-  #checkOverdue(call: OpenCall, nowMs: number): void {
-    if (call.isOverdue || nowMs < call.overdueAtMs) return;
-    call.isOverdue = true;
-    const durationMs = nowMs - call.startedAtMs;
-    call.batchServer.noteDuration(call.entries.length, durationMs, nowMs);
-    for (const { item } of call.entries) returnItem(call, item);
-  }
-
   #noteLost(results: readonly ResultReference[]): void {
     if (results.length === 0) return;
     const lost = new Set(results.map((result) => result.reference));
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -73,6 +73,11 @@
     });
   }
 
+  /** Items that wait for a place in a call. */
+  get waitingItemCount(): number {
+    return this.#scheduler.waitingItemCount;
+  }
+
   submit(submission: GraphSubmission): void {
     const nowMs = this.#options.clock.nowMs();
     this.#onEnded.set(submission.id, submission.onEnded);
@@ -146,7 +151,6 @@
     const { metrics, logger, clock } = this.#options;
     metrics.countEvent("stageCall");
     metrics.countEvent("stageItem", call.entries.length);
-    metrics.setValue("stageJobs", this.#scheduler.jobCount);
     const callMs = clock.nowMs() - call.startedAtMs;
     this.#options.latencies.record({
       pipeline: "stages",
--- a/packages/daemon/src/stage_graphs/stage_job.ts
+++ b/packages/daemon/src/stage_graphs/stage_job.ts
@@ -152,6 +152,12 @@
       followers.some((follower) => !this.isStageDone(follower));
   }
 
+  /** Items that no call holds yet. */
+  get waitingItemCount(): number {
+    return this.items.flat().filter(({ state }) => state.kind === "waiting")
+      .length;
+  }
+
   /** Results that are still needed have to be made again. */
   loseResults(lost: ReadonlySet<string>): void {
     for (const item of this.items.flat()) {
