--- a/packages/stand-ins/src/backend_servers/backend_server_core.ts
+++ b/packages/stand-ins/src/backend_servers/backend_server_core.ts
@@ -141,7 +141,7 @@
   }
 
   turnCold(): void {
-    this.coldStart.turnCold();
+    this.coldStart.turnCold(Date.now());
     this.onTurnCold();
   }
 
@@ -193,11 +193,12 @@
   /** Must follow each admitted call. */
   finish(call: Call): void {
     this.#calls.delete(call);
-    this.coldStart.leave(call.entry.outcome === "completed");
+    const { outcome, arrivedAtMs } = call.entry;
+    const isCompleted = outcome === "completed";
+    this.coldStart.leave(isCompleted);
     // Nobody was left to see how a canceled call ended.
-    if (call.entry.outcome !== "canceled") {
-      this.coldStart.noteSign("callEnd", Date.now());
-    }
+    if (outcome === "canceled") return;
+    this.coldStart.noteCallEnd({ arrivedAtMs, isCompleted }, Date.now());
   }
 
   /** Works for a time, longer under faults; rejects when interrupted. */
--- a/packages/stand-ins/src/backend_servers/cold_start.ts
+++ b/packages/stand-ins/src/backend_servers/cold_start.ts
@@ -59,6 +59,7 @@
     completionsLeft: number;
     /** It was cold before: nothing became slower, so only a refusal shows. */
     readonly wasCold: boolean;
+    readonly turnedAtMs: number;
     firstSign: ColdSign | undefined;
   };
 
@@ -149,6 +150,20 @@
     this.#temperature.firstSign ??= { kind, atMs: nowMs };
   }
 
+  /**
+   * An admitted call has ended. One that began before the sudden cold and was
+   * completed took its usual time, and shows nothing.
+   */
+  noteCallEnd(
+    call: { readonly arrivedAtMs: number; readonly isCompleted: boolean },
+    nowMs: number,
+  ): void {
+    if (this.#temperature.kind !== "suddenlyCold") return;
+    const isFromBefore = call.arrivedAtMs < this.#temperature.turnedAtMs;
+    if (isFromBefore && call.isCompleted) return;
+    this.noteSign("callEnd", nowMs);
+  }
+
   /** The first sign of the present sudden cold. */
   get firstSign(): ColdSign | undefined {
     return this.#temperature.kind === "suddenlyCold"
@@ -157,9 +172,10 @@
   }
 
   /** Turns cold without warning, or begins an unfinished warm-up anew. */
-  turnCold(): void {
+  turnCold(nowMs: number): void {
     this.#temperature = {
       kind: "suddenlyCold",
+      turnedAtMs: nowMs,
       wasCold: this.isCold,
       completionsLeft: this.#options.warmAfterCompletions,
       firstSign: undefined,
