Leave a stage server alone whose address belongs to another one

Ruled out: full servers (the same entry's new server had nothing to do). Now 421 is an outcome of its own: the server gets nothing for 4 s while others can be reached, and a call that the right server never saw is no send.

--- a/packages/daemon/src/stage_graphs/batch_scheduler_test.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_test.ts
@@ -114,6 +114,25 @@
     expect(stages.calls.length).toEqual(2);
   });
 
+  it("leaves a server alone whose address another one has by now", () => {
+    const stages = makeStages({
+      refusalOf: ({ id }) => id === "e1" ? "otherServer" : undefined,
+      slownessOf: () => 3,
+    });
+    stages.submit(
+      Array.from({ length: 6 }, (_, n) => ({
+        atMs: n * 100,
+        graph: makeGraph({ stages: [makeStage({ itemCount: 4 })] }),
+      })),
+    );
+    stages.runUntil(5000);
+    const refused = stages.reports
+      .filter(({ outcome }) => outcome.kind === "refused");
+    expect(refused).toEqual([]);
+    const misdirected = stages.calls.filter(({ server }) => server.id === "e1");
+    expect(misdirected.length <= 2).toEqual(true);
+  });
+
   it("never starts more calls at a server than it takes, nor results without room", () => {
     const large = makeStage({ itemCount: 4, resultBytes: 2_000_000 });
     const stages = makeStages({ useMs: 300 });
--- a/packages/daemon/src/stage_graphs/open_call.ts
+++ b/packages/daemon/src/stage_graphs/open_call.ts
@@ -6,7 +6,7 @@
 
 import type { BatchServer } from "./batch_server.js";
 import { returnItem } from "./batch_entries.js";
-import type { StageCall } from "./stage_call.js";
+import type { NotRunReason, StageCall } from "./stage_call.js";
 
 export interface OpenCall extends StageCall {
   readonly batchServer: BatchServer;
@@ -26,7 +26,7 @@
 /** Notes at the call's server that it took nothing of it. */
 export function noteNotRun(
   call: OpenCall,
-  reason: "full" | "notConnected",
+  reason: NotRunReason,
   nowMs: number,
 ): void {
   const { batchServer, entries } = call;
@@ -36,9 +36,10 @@
       batchServer.pause(nowMs);
       break;
     case "notConnected":
+    case "otherServer":
       batchServer.noteUnreachable(nowMs);
       batchServer.suspend(nowMs);
-      // Nothing was sent, so it doesn't count as a send.
+      // The server got nothing of it, so it doesn't count as a send.
       for (const { item } of entries) item.sendCount -= 1;
       break;
   }
--- a/packages/daemon/src/stage_graphs/stage_call.ts
+++ b/packages/daemon/src/stage_graphs/stage_call.ts
@@ -23,9 +23,15 @@
 
 export type ItemFailure = "outOfTime" | "inputGone" | "noRoom" | "error";
 
+export type NotRunReason =
+  | "full"
+  | "notConnected"
+  /** Another server has the address by now. */
+  | "otherServer";
+
 export type StageCallOutcome =
   | { readonly kind: "answered"; readonly items: readonly ItemOutcome[] }
   /** The server took nothing of it. */
-  | { readonly kind: "notRun"; readonly reason: "full" | "notConnected" }
+  | { readonly kind: "notRun"; readonly reason: NotRunReason }
   /** What became of it is not known. */
   | { readonly kind: "unknown"; readonly detail: string };
--- a/packages/daemon/src/stage_graphs/stage_load_test.ts
+++ b/packages/daemon/src/stage_graphs/stage_load_test.ts
@@ -192,8 +192,10 @@
     const reports = play(
       USUAL.map((one) => ({ ...one, perSecond: one.perSecond / 3 })),
       {
-        isCutOff: ({ id }, nowMs) =>
-          nowMs >= BURST.fromMs && nowMs < BURST.toMs && !id.endsWith("0"),
+        refusalOf: ({ id }, nowMs) =>
+          nowMs >= BURST.fromMs && nowMs < BURST.toMs && !id.endsWith("0")
+            ? "notConnected"
+            : undefined,
       },
     );
     const inCut = reports.filter((report) =>
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -21,7 +21,7 @@
 import { nominalMs } from "../batch_server.js";
 import { BatchScheduler } from "../batch_scheduler.js";
 import type { BatchSchedulerOptions } from "../batch_scheduler_options.js";
-import type { StageCall } from "../stage_call.js";
+import type { NotRunReason, StageCall } from "../stage_call.js";
 
 export interface Arrival {
   readonly atMs: number;
@@ -42,15 +42,22 @@
   readonly plan?: NonNullable<BatchSchedulerOptions["plan"]>;
   /** How many times longer the server's calls take. */
   readonly slownessOf?: (server: RegisteredServer, nowMs: number) => number;
-  /** Servers that no call reaches at the moment. */
-  readonly isCutOff?: (server: RegisteredServer, nowMs: number) => boolean;
+  /** Why a server takes no call at the moment; undefined if it does. */
+  readonly refusalOf?: (
+    server: RegisteredServer,
+    nowMs: number,
+  ) => NotRunReason | undefined;
   /** Time from the last result until the request has used them. */
   readonly useMs?: number;
 }
 
 const TICK_MS = 40;
-/** A connection that isn't made in this time has failed. */
-const CONNECT_TIMEOUT_MS = 900;
+const REFUSED_AFTER_MS: Readonly<Record<NotRunReason, number>> = {
+  full: 2,
+  /** A connection that isn't made in this time has failed. */
+  notConnected: 900,
+  otherServer: 2,
+};
 
 interface Event {
   readonly atMs: number;
@@ -144,13 +151,10 @@
     this.calls.push(call);
     const limits = this.#options.limits.get(call.service);
     if (limits === undefined) return;
-    if (this.#options.isCutOff?.(call.server, this.nowMs) === true) {
-      this.at(this.nowMs + CONNECT_TIMEOUT_MS, () => {
-        this.scheduler.endCall(
-          call.id,
-          { kind: "notRun", reason: "notConnected" },
-          this.nowMs,
-        );
+    const reason = this.#options.refusalOf?.(call.server, this.nowMs);
+    if (reason !== undefined) {
+      this.at(this.nowMs + REFUSED_AFTER_MS[reason], () => {
+        this.scheduler.endCall(call.id, { kind: "notRun", reason }, this.nowMs);
       });
       return;
     }
