--- /dev/null
+++ b/bench/src/stage_capacity.ts
@@ -0,0 +1,41 @@
+/**
+ * `npm run bench:stages -- FILE`: what share of a load of stage services could
+ * be served at best, phase by phase.
+ *
+ * @module
+ */
+
+import { Command } from "commander";
+import { readFileSync } from "node:fs";
+import { formatTable } from "./report/format_table.js";
+import { findPossible } from "./stage_capacity/find_possible.js";
+import { stageLoadSchema } from "./stage_capacity/stage_load.js";
+
+const program = new Command("bench:stages")
+  .description("The largest share of a load that stage services could serve")
+  .argument("<file>", "a load, as in bench/loads")
+  .parse();
+
+const [file = ""] = program.args;
+const load = stageLoadSchema.parse(JSON.parse(readFileSync(file, "utf8")));
+const rows = load.phases.map((phase) => {
+  const { shares, worthShare, demands } = findPossible(load, phase);
+  return [
+    phase.name,
+    worthShare.toFixed(3),
+    ...load.classes.map(({ name }) => (shares.get(name) ?? 0).toFixed(3)),
+    ...demands.map(({ time, room }) =>
+      `${time.toFixed(2)} / ${room.toFixed(2)}`
+    ),
+  ];
+});
+const table = formatTable([
+  [
+    "phase",
+    "worth",
+    ...load.classes.map(({ name }) => name),
+    ...load.services.map(({ name }) => `${name} time / room`),
+  ],
+  ...rows,
+]);
+process.stdout.write(`${table}\n`);
