Tell of each cold start, also when an older one is known

Each cold start is told now, once in 100 ms for each server (cold_sign_sender_test, both tests failed before).

--- a/packages/daemon/src/pools/cold_sign_sender.ts
+++ b/packages/daemon/src/pools/cold_sign_sender.ts
@@ -1,7 +1,7 @@
 /**
- * Tells the members, this one included, that may own a pool, or use a share of it, that one of its
- * backend servers shows a cold start, so that none of them takes an older sign
- * of warmth for the latest.
+ * Tells the members, this one included, that may own a pool, or use a share of
+ * it, that one of its backend servers shows a cold start, so that none of them
+ * takes an older sign of a warm server for the latest.
  *
  * @module
  */
@@ -20,9 +20,16 @@
   readonly warmUpState: WarmUpLog;
 }
 
-/** Sends only what the warmth log doesn't know yet. */
+/** The calls that fail together at one server show the same cold start. */
+const RESEND_AFTER_MS = 100;
+
+/**
+ * Sends each cold start once. An older sign in this daemon's own log is no
+ * reason to keep silent: others may have seen the server warm since then.
+ */
 export class ColdSignSender {
   readonly #options: ColdSignOptions;
+  readonly #sentAtMs = new Map<BackendServerId, number>();
 
   constructor(options: ColdSignOptions) {
     this.#options = options;
@@ -30,9 +37,10 @@
 
   send(pool: PoolId, server: BackendServerId, nowMs: number): void {
     const { context, link, warmUpState } = this.#options;
-    const wasCold = warmUpState.of(server)?.warmUpState === "cold";
     warmUpState.note(server, { warmUpState: "cold", seenAtMs: nowMs });
-    if (wasCold) return;
+    const sentAtMs = this.#sentAtMs.get(server) ?? -Infinity;
+    if (nowMs < sentAtMs + RESEND_AFTER_MS) return;
+    this.#sentAtMs.set(server, nowMs);
     for (const member of context.members) {
       if (member.dataCentre !== pool.dataCentre) continue;
       link.send(member.vmId, {
