--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,7 +5,7 @@
  */
 
 import { createServer, type Server } from "node:http";
-import { setImmediate, setTimeout as sleep } from "node:timers/promises";
+import { setTimeout as sleep } from "node:timers/promises";
 import { makeProblem } from "@sassafrasstage/protocol/problems";
 import type { DaemonStatus, Readiness } from "@sassafrasstage/protocol/status";
 import restana from "restana";
@@ -17,14 +17,13 @@
   makeEnvironment,
   startParts,
 } from "./daemon_parts.js";
+import { readWaitingRequests } from "./http/read_waiting_requests.js";
 import { sendProblem } from "./http/send_problem.js";
 import { addProbeRoutes } from "./observability/probe_routes.js";
 import { addOperatorRoutes } from "./operators/operator_routes.js";
 import type { Address, Settings } from "./settings/settings.js";
 
 const CLAIM_FLUSH_MS = 10_000;
-/** One to accept a connection, one to read its request, one to spare. */
-const POLLS_BEFORE_CLOSE = 3;
 /** Longer than a balancer keeps an idle connection, so that it closes first. */
 const KEEP_ALIVE_MS = 75_000;
 
@@ -109,9 +108,9 @@
     permits.startLeaving();
     network.announceLeaving();
     await sleep(settings.shutdown.accept_for_ms);
-    await readWaitingRequests();
+    await readWaitingRequests(this.#server);
     this.#server.close();
-    await readWaitingRequests();
+    await readWaitingRequests(this.#server);
     this.#server.closeIdleConnections();
     const isDrained = await Promise.race([
       inFlight.drained().then(() => true),
@@ -175,14 +174,6 @@
   }
 }
 
-/**
- * Lets the event loop poll its sockets. In a process that got no processor for
- * a while, requests wait unread, and their connections would count as idle.
- */
-async function readWaitingRequests(): Promise<void> {
-  for (let poll = 0; poll < POLLS_BEFORE_CLOSE; poll++) await setImmediate();
-}
-
 function listen(server: Server, address: Address): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
