Log late event loops, the load of a stage coordinator, and waits for a connection

New: eventLoopDelayed (and a gauge), stageCoordinatorLoad once a second with the time spent in the scheduler, stageCoordinatorChosen at each change, and serverCallSent, at info if the call waited over 250 ms for a connection. No decision changes.

--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -29,6 +29,9 @@
   /** It may have run, but the response is missing or not authentic. */
   | { readonly kind: "broken"; readonly detail: string };
 
+/** Longer waits for a connection are logged. */
+const REPORTED_CONNECTION_WAIT_MS = 250;
+
 export interface AttemptInput {
   readonly context: ForwardContext;
   readonly candidate: ServerCandidate;
@@ -51,14 +54,13 @@
   };
 }
 
-/**
- * Starts a call and updates the server's health from its outcome.
- *
- * @param listener Notified of each event after the health has been updated
- */
+/** Listener for the events of a call after the health has been updated. */
+export type AttemptListener = Omit<ServerCallListener, "onSend">;
+
+/** Starts a call and updates the server's health from its outcome. */
 export function startCall(
   input: AttemptInput,
-  listener: ServerCallListener,
+  listener: AttemptListener,
 ): RunningServerCall {
   const { environment } = input.context;
   const { health, server } = input.candidate;
@@ -72,6 +74,9 @@
   }
   health.inFlight += 1;
   const call = environment.serverCaller.start(toServerCall(input), {
+    onSend: () => {
+      logSend(input, environment.clock.nowMs() - startedAtMs);
+    },
     onHead: (head) => {
       const nowMs = environment.clock.nowMs();
       if (head.isNotRun) health.recordOverload(nowMs);
@@ -110,6 +115,20 @@
   };
 }
 
+function logSend(input: AttemptInput, waitedMs: number): void {
+  const { environment, request } = input.context;
+  const { clock, logger } = environment;
+  const fields = {
+    request: request.attemptId,
+    server: input.candidate.server.id,
+    waitedMs: Math.round(waitedMs),
+    sinceReceivedMs: Math.round(clock.nowMs() - request.receivedAtMs),
+  };
+  if (waitedMs < REPORTED_CONNECTION_WAIT_MS) {
+    logger.debug("serverCallSent", fields);
+  } else logger.info("serverCallSent", fields);
+}
+
 /** A call whose response is being buffered. */
 export interface RunningAttempt {
   readonly result: Promise<AttemptResult>;
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -46,6 +46,8 @@
   | { readonly kind: "broken"; readonly detail: string };
 
 export interface ServerCallListener {
+  /** A connection is available, and the request is about to be written. */
+  readonly onSend: () => void;
   readonly onHead: (head: ResponseHead) => void;
   readonly onBody: (chunk: Buffer) => void;
   /** The response is complete. */
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -15,6 +15,7 @@
 import { RouteStatistics } from "./forwarding/route_statistics.js";
 import type { ServerCaller } from "./forwarding/server_caller.js";
 import type { Shutdown } from "./forwarding/shutdown_admission.js";
+import { EventLoopMonitor } from "./observability/event_loop_monitor.js";
 import type { LatencyRecords } from "./observability/latency_records.js";
 import type { Logger } from "./observability/logger.js";
 import type { Metrics } from "./observability/metrics.js";
@@ -63,6 +64,7 @@
   readonly #directory: ServerDirectory;
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
+  readonly #eventLoop: EventLoopMonitor;
   /** Set when shutdown starts. */
   #shutdown: Shutdown | undefined;
 
@@ -131,6 +133,8 @@
       table: () => this.#deployment.table,
       shutdown: () => this.#shutdown,
     });
+    this.#eventLoop = new EventLoopMonitor({ clock, metrics, logger });
+    this.#eventLoop.start();
     metrics.registerGauge("requestsInFlight", () => this.forwarder.inFlight);
     metrics.registerGauge("stageJobs", () => this.#coordinator.jobCount);
     metrics.registerGauge(
@@ -193,6 +197,7 @@
   }
 
   async close(): Promise<void> {
+    this.#eventLoop.close();
     this.#graphs.close();
     this.#coordinator.close();
     await this.#deployment.close();
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -71,6 +71,11 @@
     return this.#jobs.size;
   }
 
+  /** Number of calls without an outcome. */
+  get callCount(): number {
+    return this.#calls.size;
+  }
+
   /** Number of items of all unfinished jobs that are not part of a call. */
   get waitingItemCount(): number {
     return [...this.#jobs.values()]
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -50,6 +50,8 @@
 const TICK_MS = 40;
 /** Timeout of a batched call. */
 const CALL_TIMEOUT_MS = 6000;
+/** Interval of the log line about the load of an active coordinator. */
+const LOAD_REPORT_INTERVAL_MS = 1000;
 
 export class StageCoordinator {
   readonly #options: StageCoordinatorOptions;
@@ -57,6 +59,9 @@
   readonly #onEnded = new Map<string, (outcome: StageGraphOutcome) => void>();
   #timer: NodeJS.Timeout | undefined;
   #isPlanScheduled = false;
+  /** Time spent in the scheduler since the last load report. */
+  #schedulingMs = 0;
+  #lastLoadReportAtMs = 0;
 
   constructor(options: StageCoordinatorOptions) {
     this.#options = options;
@@ -81,7 +86,9 @@
   submit(submission: GraphSubmission): void {
     const nowMs = this.#options.clock.nowMs();
     this.#onEnded.set(submission.id, submission.onEnded);
-    this.#scheduler.submit({ ...submission, nowMs });
+    this.#measure(() => {
+      this.#scheduler.submit({ ...submission, nowMs });
+    });
     this.#schedulePlan();
     this.#timer ??= setInterval(() => {
       this.#tick();
@@ -119,8 +126,12 @@
   }
 
   #tick(): void {
-    this.#scheduler.tick(this.#options.clock.nowMs());
+    const nowMs = this.#options.clock.nowMs();
+    this.#measure(() => {
+      this.#scheduler.tick(nowMs);
+    });
     this.#schedulePlan();
+    this.#reportLoad(nowMs);
     if (this.#scheduler.jobCount === 0) this.close();
   }
 
@@ -130,11 +141,37 @@
     this.#isPlanScheduled = true;
     setImmediate(() => {
       this.#isPlanScheduled = false;
-      const calls = this.#scheduler.plan(this.#options.clock.nowMs());
+      const calls = this.#measure(() =>
+        this.#scheduler.plan(this.#options.clock.nowMs())
+      );
       for (const call of calls) void this.#runCall(call);
     });
   }
 
+  #measure<Result>(run: () => Result): Result {
+    const { clock } = this.#options;
+    const startedAtMs = clock.nowMs();
+    const result = run();
+    this.#schedulingMs += clock.nowMs() - startedAtMs;
+    return result;
+  }
+
+  #reportLoad(nowMs: number): void {
+    const intervalMs = nowMs - this.#lastLoadReportAtMs;
+    if (intervalMs < LOAD_REPORT_INTERVAL_MS) return;
+    const { metrics, logger } = this.#options;
+    metrics.countEvent("stageSchedulingMs", this.#schedulingMs);
+    logger.info("stageCoordinatorLoad", {
+      jobs: this.#scheduler.jobCount,
+      itemsWaiting: this.#scheduler.waitingItemCount,
+      callsInFlight: this.#scheduler.callCount,
+      schedulingMs: Math.round(this.#schedulingMs),
+      intervalMs: Math.round(intervalMs),
+    });
+    this.#schedulingMs = 0;
+    this.#lastLoadReportAtMs = nowMs;
+  }
+
   async #runCall(call: StageCall): Promise<void> {
     const { clock, caller } = this.#options;
     const outcome = await caller.runItems({
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -80,6 +80,8 @@
   readonly #graceTimers = new Map<VmId, readonly NodeJS.Timeout[]>();
   readonly #incarnations = new Map<VmId, Incarnation>();
   readonly #timer: NodeJS.Timeout;
+  /** The coordinator chosen last for each group. */
+  readonly #chosenCoordinators = new Map<string, VmId>();
   #lastRequestNumber = 0;
   #lastAnnounceAtMs: number;
 
@@ -241,11 +243,20 @@
 
   #chooseCoordinator(group: string): VmId {
     const { network, clock } = this.#options;
-    return this.#selector.choose(
+    const coordinator = this.#selector.choose(
       group,
       { self: network.self.vmId, liveVms: this.#liveVms() },
       clock.nowMs(),
     );
+    const previous = this.#chosenCoordinators.get(group);
+    if (coordinator !== previous) {
+      this.#chosenCoordinators.set(group, coordinator);
+      this.#options.logger.info("stageCoordinatorChosen", {
+        coordinator,
+        previous,
+      });
+    }
+    return coordinator;
   }
 
   /** VMs that accept new work. */
