Look for a client's disconnect before its request is sent on

Cause: while a VM's event loop is late, a request and the close of its connection wait in the socket together. The loop reads the request in one poll and sends it on; it reads the close in the next. Ruled out: the connection pool (the calls were sent within 250 ms of their receipt) and the link (half of its rate at most).

--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -5,6 +5,7 @@
  */
 
 import { findGraphFault } from "@sassafrasstage/protocol/stage_graph";
+import { pollSockets } from "../http/poll_sockets.js";
 import type { RouteTable } from "../routing/route_table.js";
 import { chooseService } from "../routing/route_table.js";
 import type { ClientAccount, Route } from "../routing/routing_configuration.js";
@@ -194,6 +195,8 @@
   context: ForwardContext,
 ): Promise<ForwardOutcome> {
   try {
+    await pollSockets();
+    if (context.channel.isClosed) return { kind: "clientGone" };
     return context.route.repeatability.kind === "stream"
       ? await forwardStream(context)
       : await forwardBuffered(context);
