Don't send a non-idempotent request that waited for a connection past its client

A VM has few connections to a small service (one, at 110 connections and 68 VMs). A non-idempotent call is not cancelled when its client leaves, as it may be running, and so a call that still waited for a connection was sent whenever one became free. Evidence: with one connection to each server and servers that take 0.8 s, the request of a client that had left was run; it isn't any more. Change: such a call is cancelled if nothing of it was sent. The connection that becomes free is kept.

--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -58,8 +58,10 @@
     return await runAttempts(context, state, promise);
   } finally {
     stop();
-    if (isIdempotent(context)) {
-      for (const attempt of state.running) attempt.cancel();
+    for (const attempt of state.running) {
+      // A server may be working on a non-idempotent request that was sent.
+      if (isIdempotent(context)) attempt.cancel();
+      else attempt.cancelIfNotSent();
     }
   }
 }
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -112,6 +112,10 @@
     cancel: () => {
       if (finish()) call.cancel();
     },
+    cancelIfNotSent: () => {
+      if (isFinished || !call.cancelIfNotSent()) return false;
+      return finish();
+    },
   };
 }
 
@@ -133,6 +137,8 @@
 export interface RunningAttempt {
   readonly result: Promise<AttemptResult>;
   cancel(): void;
+  /** Cancels a call that still waits for a connection. */
+  cancelIfNotSent(): boolean;
 }
 
 /** Calls the server and buffers its complete response. */
@@ -160,6 +166,7 @@
       call.cancel();
       result.resolve({ kind: "broken", detail: "canceled" });
     },
+    cancelIfNotSent: () => call.cancelIfNotSent(),
   };
 }
 
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -58,6 +58,11 @@
 export interface RunningServerCall {
   /** Closes the connection; the listener isn't called again. */
   cancel(): void;
+  /**
+   * Cancels a call that still waits for a connection; the listener isn't called
+   * again. Returns false for a call that may have run.
+   */
+  cancelIfNotSent(): boolean;
 }
 
 export interface ServerCaller {
