Leave the coordination of stages to the largest VMs

Cause: the rendezvous ranking picks a coordinator whatever its size. Change: a VM's entry in the platform's list tells its processor capacity; VMs with less than half of the largest live one's don't coordinate, and hand over if a larger one comes back. Entries without it are read as before. The graph that a VM has submitted stands in a module of its own now.

--- a/packages/daemon/src/peers/membership.ts
+++ b/packages/daemon/src/peers/membership.ts
@@ -95,6 +95,7 @@
       isSelf: false,
       generation: peer.generation,
       newsVersions: peer.newsVersions,
+      processorCores: peer.processorCores,
     };
   }
 
@@ -109,6 +110,7 @@
       isSelf: true,
       generation: this.ownGeneration,
       newsVersions: this.ownNewsVersions,
+      processorCores: registry.selfProcessorCores,
     };
   }
 }
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -49,6 +49,8 @@
    * object; absent or empty before the first report.
    */
   readonly newsVersions?: readonly number[];
+  /** Processor capacity in cores; undefined or absent if it isn't known. */
+  readonly processorCores?: number | undefined;
 }
 
 export interface MembershipView {
--- a/packages/daemon/src/peers/peer_record.ts
+++ b/packages/daemon/src/peers/peer_record.ts
@@ -78,6 +78,8 @@
   isRemoved = false;
   generation = 0;
   newsVersions: readonly number[] = [];
+  /** Processor capacity in the platform's list. */
+  processorCores: number | undefined;
   /** Frames queued until an on-demand connection is made. */
   pendingFrames: Buffer[] = [];
   readonly #retired: Incarnation[] = [];
--- a/packages/daemon/src/peers/peer_registry.ts
+++ b/packages/daemon/src/peers/peer_registry.ts
@@ -28,6 +28,8 @@
   #added: PeerRecord[] = [];
   /** Whether the platform's list shows this VM as leaving. */
   isSelfListedLeaving = false;
+  /** Processor capacity in this VM's entry of the platform's list. */
+  selfProcessorCores: number | undefined;
 
   constructor(options: PeerRegistryOptions) {
     this.#options = options;
@@ -97,6 +99,7 @@
   #applyListedVm(vm: ListedVm): void {
     if (vm.vmId === this.#options.self.vmId) {
       this.isSelfListedLeaving = vm.state === "leaving";
+      this.selfProcessorCores = vm.processorCores;
       return;
     }
     const address = parseAddress(vm.peerAddress);
@@ -108,6 +111,7 @@
         isSeed: false,
       });
     peer.listed = vm.state;
+    peer.processorCores = vm.processorCores;
     if (peer.isSeed || address === undefined) return;
     peer.address = address;
     peer.notifyTask();
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -44,6 +44,8 @@
   readonly batchCaller: BatchCaller;
   /** Read at each use, as the settings may change. */
   readonly limits: () => SharedLimits;
+  /** Processor capacity of this VM, in cores. */
+  readonly processorCores: number;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
   readonly logger: Logger;
@@ -86,6 +88,7 @@
         role: "entry",
         state: "live",
         peerAddress: `${network.address.host}:${network.address.port}`,
+        processorCores: options.processorCores,
       },
       onServerChange: (change) => {
         this.#onServerChange(change);
--- a/packages/daemon/src/stage_graphs/coordinator_selector.ts
+++ b/packages/daemon/src/stage_graphs/coordinator_selector.ts
@@ -29,7 +29,7 @@
 
 export interface CoordinatorCandidates {
   readonly self: VmId;
-  /** VMs that accept new work, including this one if it does. */
+  /** VMs that may coordinate, including this one if it may. */
   readonly liveVms: readonly VmId[];
 }
 
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -19,7 +19,15 @@
   PeerNetwork,
   ReceivedPeerMessage,
 } from "../peers/peer_network.js";
+import { coordinatorCandidates } from "./coordinator_candidates.js";
 import { CoordinatorSelector } from "./coordinator_selector.js";
+import {
+  type GraphOutcome,
+  graphWithTimeLeft,
+  jobId,
+  type PendingGraph,
+  toRunMessage,
+} from "./pending_graph.js";
 import type { StageCoordinator } from "./stage_coordinator.js";
 import type {
   StageGraph,
@@ -34,12 +42,6 @@
   readonly logger: Logger;
 }
 
-/** Final outcome of a graph, whichever VM ran it. */
-export type GraphOutcome = Exclude<
-  StageGraphOutcome,
-  { readonly kind: "moved" }
->;
-
 /** A graph that is running or whose results are in use. */
 export interface RunningGraph {
   readonly outcome: Promise<GraphOutcome>;
@@ -47,17 +49,6 @@
   release(): void;
 }
 
-interface PendingGraph {
-  readonly requestNumber: number;
-  /** Name of the group of services that share a coordinator. */
-  readonly group: string;
-  readonly graph: StageGraph;
-  readonly startedAtMs: number;
-  readonly settle: (outcome: GraphOutcome) => void;
-  coordinator: VmId;
-  isSettled: boolean;
-}
-
 /** Interval at which a coordinator announces itself to the other VMs. */
 const ANNOUNCE_INTERVAL_MS = 300;
 /**
@@ -182,7 +173,10 @@
     }
     this.#incarnations.set(peer.vmId, peer.incarnation);
     for (const pending of this.#unfinishedAt(peer.vmId)) {
-      network.send(peer.vmId, this.#runMessage(pending));
+      network.send(
+        peer.vmId,
+        toRunMessage(pending, this.#options.clock.nowMs()),
+      );
     }
   }
 
@@ -192,31 +186,18 @@
     );
   }
 
-  #runMessage(
-    pending: PendingGraph,
-  ): PeerMessage & { readonly type: "stageGraphRun" } {
-    const { requestNumber, group } = pending;
-    const graph = this.#graphWithTimeLeft(pending);
-    return { type: "stageGraphRun", requestNumber, group, graph };
-  }
-
-  /** The graph with its objective and deadline relative to now. */
-  #graphWithTimeLeft(pending: PendingGraph): StageGraph {
-    const spentMs = this.#options.clock.nowMs() - pending.startedAtMs;
-    return {
-      ...pending.graph,
-      objectiveInMs: pending.graph.objectiveInMs - spentMs,
-      deadlineInMs: pending.graph.deadlineInMs - spentMs,
-    };
-  }
-
   /** @param failedSends Earlier sends that failed as the link was down */
   #submit(pending: PendingGraph, failedSends = 0): void {
     const { network, coordinator } = this.#options;
     pending.coordinator = this.#chooseCoordinator(pending.group);
     const isLocal = pending.coordinator === network.self.vmId;
     if (!isLocal) {
-      if (network.send(pending.coordinator, this.#runMessage(pending))) return;
+      if (
+        network.send(
+          pending.coordinator,
+          toRunMessage(pending, this.#options.clock.nowMs()),
+        )
+      ) return;
       if (failedSends < MAX_SEND_RETRIES) {
         this.#submitLater(pending, failedSends + 1);
         return;
@@ -227,7 +208,7 @@
     coordinator.submit({
       id: jobId(network.self, pending.requestNumber),
       owner: network.self.vmId,
-      graph: this.#graphWithTimeLeft(pending),
+      graph: graphWithTimeLeft(pending, this.#options.clock.nowMs()),
       onEnded: (outcome) => {
         this.#settle(pending, outcome);
       },
@@ -243,10 +224,14 @@
 
   #chooseCoordinator(group: string): VmId {
     const { network, clock } = this.#options;
+    const nowMs = clock.nowMs();
     const coordinator = this.#selector.choose(
       group,
-      { self: network.self.vmId, liveVms: this.#liveVms() },
-      clock.nowMs(),
+      {
+        self: network.self.vmId,
+        liveVms: coordinatorCandidates(network.view(nowMs).members),
+      },
+      nowMs,
     );
     const previous = this.#chosenCoordinators.get(group);
     if (coordinator !== previous) {
@@ -390,8 +375,3 @@
     for (const pending of unfinished) this.#submit(pending);
   }
 }
-
-/** Includes the incarnation, as request numbers restart with the process. */
-function jobId(owner: PeerIdentity, requestNumber: number): string {
-  return `${owner.vmId}/${owner.incarnation}/${requestNumber}`;
-}
--- a/packages/protocol/src/platform_objects.ts
+++ b/packages/protocol/src/platform_objects.ts
@@ -61,6 +61,8 @@
   readonly state: "live" | "leaving";
   /** "host:port" of the daemon's peer listener; entry VMs only. */
   readonly peerAddress?: string;
+  /** Processor capacity in cores; absent if the VM doesn't tell. */
+  readonly processorCores?: number | undefined;
 }
 
 export interface VmListing {
