Free the connection of a non-idempotent call that gets no response

Callers would see: time-outs of every later request that a VM sends to a server which once left a non-idempotent request without a response. Cause: such a call is never cancelled, since the server may be working on it, and there is no time-out on a response. It held its connection for good, often the VM's only one to that server, and counted as in flight when servers are chosen. Evidence: with one connection to each of two servers, both silent once, the next request timed out (504); now it is served. Change: the call is given up one second after the deadline that the server was told, when it has stopped by itself.

--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -26,6 +26,8 @@
 const HEDGE_LATENCY_FACTOR = 3;
 /** Time after which a saturated service is likely to have capacity again. */
 const SERVERS_FULL_RETRY_AFTER_MS = 150;
+/** Time after its deadline in which a server may still close a call itself. */
+const ABANDONED_CALL_GRACE_MS = 1000;
 /** Maximum number of not-run attempts that are followed by another one. */
 const MAX_REFUSALS = 3;
 
@@ -59,13 +61,31 @@
   } finally {
     stop();
     for (const attempt of state.running) {
-      // A server may be working on a non-idempotent request that was sent.
       if (isIdempotent(context)) attempt.cancel();
-      else attempt.cancelIfNotSent();
+      else abandonAttempt(context, attempt);
     }
   }
 }
 
+/**
+ * Gives up a non-idempotent attempt. Once it was sent, its server may be working
+ * on it until the deadline that it was told; after that, the connection is freed.
+ */
+function abandonAttempt(
+  context: ForwardContext,
+  attempt: RunningAttempt,
+): void {
+  if (attempt.cancelIfNotSent()) return;
+  const remainingMs = Math.max(0, context.lifetime.remainingMs());
+  const timer = setTimeout(() => {
+    attempt.cancel();
+  }, remainingMs + ABANDONED_CALL_GRACE_MS);
+  timer.unref();
+  void attempt.result.then(() => {
+    clearTimeout(timer);
+  });
+}
+
 /** An attempt result, the hedge timer, or the end of the lifetime. */
 type RaceEvent =
   | {
