Don't call a request not run whose earlier non-idempotent stage ran

Callers would see: a refusal that says notRun although a stage ran, and a second run of that stage when the key is repeated. Cause: whether a request may have run was one flag, which a call that wasn't sent cleared for the whole request. Evidence: a pipeline of two non-idempotent stages whose second one no server accepts: the refusal said notRun, and the claim was recorded as not run. The new test failed so before this change. Change: the calls that may have run are counted.

--- a/packages/daemon/src/pipelines/request_lifetime.ts
+++ b/packages/daemon/src/pipelines/request_lifetime.ts
@@ -27,7 +27,8 @@
   /** Aborts at the deadline or when the caller disconnects. */
   readonly abortSignal: AbortSignal;
   readonly #timer: NodeJS.Timeout;
-  #mayHaveRun = false;
+  /** Number of non-idempotent calls that may have run. */
+  #possibleRuns = 0;
 
   constructor(options: RequestLifetimeOptions) {
     const deadline = new AbortController();
@@ -43,17 +44,20 @@
 
   /** Whether a non-idempotent call of the request may have run. */
   get mayHaveRun(): boolean {
-    return this.#mayHaveRun;
+    return this.#possibleRuns > 0;
   }
 
   /** Must be called before the first byte of a non-idempotent call is sent. */
   markSent(): void {
-    this.#mayHaveRun = true;
+    this.#possibleRuns += 1;
   }
 
-  /** Must be called when that call is known not to have been sent. */
+  /**
+   * Must be called when that call is known not to have been sent. Earlier calls
+   * of the request still count.
+   */
   markNotSent(): void {
-    this.#mayHaveRun = false;
+    this.#possibleRuns -= 1;
   }
 
   end(): void {
--- a/packages/daemon/src/pipelines/run_pipeline_test.ts
+++ b/packages/daemon/src/pipelines/run_pipeline_test.ts
@@ -6,6 +6,7 @@
   type DataCentreName,
   type PermitId,
   type RequestId,
+  type StageName,
   toId,
 } from "@sassafrasstage/protocol/ids";
 import type {
@@ -203,6 +204,26 @@
     expect(script.outcomes).toEqual([{ kind: "notRun" }]);
   });
 
+  it("doesn't report not run when only a later non-idempotent stage has not run", async () => {
+    const script = new ScriptedEnvironment([
+      resolveWith(COMPLETED),
+      resolveWith(failedCall("connectFailed", false)),
+      resolveWith(failedCall("connectFailed", false)),
+    ]);
+    const request = makeRequest("issue", { idempotencyKey: "key-1" });
+    const stages = request.pipeline.stages.flatMap((stage) => [
+      stage,
+      { ...stage, name: toId<StageName>("confirm") },
+    ]);
+    const result = await run(script, {
+      ...request,
+      pipeline: { ...request.pipeline, stages },
+    });
+    if (result.kind !== "refused") throw new Error("Expected a refusal");
+    expect(result.notRun).toEqual(false);
+    expect(script.outcomes).toEqual([{ kind: "unknown" }]);
+  });
+
   it("refuses at the deadline and still records the late outcome", async () => {
     const script = new ScriptedEnvironment([
       () =>
