Keep committing a claim partition after an unexpected error

Callers would see: every keyed request of a partition time out at a VM that once met an error other than the platform's, and an unhandled rejection. Cause: the error ended the task that processes the partition's queue without resetting its mark, so no later claim was processed. Evidence: a store whose first update throws a TypeError: the claim was never answered before this change; now it is unavailable, and the next one is held. Change: an unexpected error resolves its batch to unavailable like the platform's errors, and is logged.

--- a/packages/daemon/src/claims/create_claim_store_test.ts
+++ b/packages/daemon/src/claims/create_claim_store_test.ts
@@ -324,3 +324,40 @@
     },
   };
 }
+
+describe("a claim store whose commit fails unexpectedly", () => {
+  it("reports the claim as unavailable and commits later ones", async () => {
+    const failingFleet = new ClaimStoreFleet({
+      partitions: 1,
+      wrap: failFirstUpdate,
+    });
+    try {
+      const { claimStore } = await failingFleet.start("vm-a");
+      const kinds: string[] = [];
+      for (const key of ["key-1", "key-2"]) {
+        const request = failingFleet.request(key, { deadlineMs: 1000 });
+        kinds.push((await claimStore.claim(request, NEVER_ABORTED)).kind);
+      }
+      expect(kinds).toEqual(["unavailable", "held"]);
+    } finally {
+      failingFleet.close();
+    }
+  });
+});
+
+/** Fails the first update with an error that isn't the platform's. */
+function failFirstUpdate(store: ObjectStore): ObjectStore {
+  let hasFailed = false;
+  return {
+    read: (key) => store.read(key),
+    list: (prefix) => store.list(prefix),
+    update: (key, value, expected) => {
+      if (hasFailed) return store.update(key, value, expected);
+      hasFailed = true;
+      return Promise.reject(new TypeError("The value can't be encoded"));
+    },
+    remove: (key, version) => store.remove(key, version),
+    watch: (request, signal) => store.watch(request, signal),
+    listVms: () => store.listVms(),
+  };
+}
--- a/packages/daemon/src/claims/partition_committer.ts
+++ b/packages/daemon/src/claims/partition_committer.ts
@@ -7,6 +7,7 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Clock } from "../clock.js";
+import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import { PlatformError } from "../platform/platform_error.js";
 import { applyOperations, type IsAbandoned } from "./apply_operations.js";
@@ -38,6 +39,7 @@
   readonly rateLimiter: BatchRateLimiter;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly logger: Logger;
   readonly isAbandoned: IsAbandoned;
 }
 
@@ -97,17 +99,21 @@
   }
 
   async #commitOrFail(batch: readonly WaitingOperation[]): Promise<void> {
-    const { metrics } = this.#options;
+    const { metrics, logger } = this.#options;
     try {
       await this.#commit(batch);
     } catch (error) {
+      this.#options.store.clearCachedHead();
+      const name = error instanceof Error ? error.name : "unknown";
+      metrics.countEvent(`claimCommitFailed.${name}`);
       if (
         !(error instanceof PlatformError || error instanceof ClaimStoreError)
       ) {
-        throw error;
+        logger.error("claimCommitFailed", {
+          error: String(error),
+          operations: batch.length,
+        });
       }
-      this.#options.store.clearCachedHead();
-      metrics.countEvent(`claimCommitFailed.${error.name}`);
       // Has no effect on operations that are already resolved.
       for (const waiting of batch) waiting.resolve(UNAVAILABLE);
     }
