--- a/packages/daemon/src/claims/claim_committers.ts
+++ b/packages/daemon/src/claims/claim_committers.ts
@@ -8,12 +8,10 @@
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { ObjectStore } from "../platform/object_store.js";
-import { PlatformError } from "../platform/platform_error.js";
 import type { Settings } from "../settings/settings.js";
 import type { IsAbandoned } from "./apply_operations.js";
 import { partitionOf } from "./claim_hash.js";
 import type { LayoutStore } from "./claim_layout.js";
-import { ClaimStoreError } from "./claim_objects.js";
 import {
   type Operation,
   type OperationResult,
@@ -76,13 +74,8 @@
       const partition = partitionOf(operation.hash, partitions);
       return await this.#committerOf(partition, partitions).submit(operation);
     } catch (error) {
-      if (
-        !(error instanceof PlatformError || error instanceof ClaimStoreError)
-      ) {
-        throw error;
-      }
       this.#options.logger.warn("claimLayoutUnavailable", {
-        detail: error.message,
+        detail: error instanceof Error ? error.message : String(error),
       });
       return UNAVAILABLE;
     }
