--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -103,7 +103,7 @@
     }
     this.#refuseInfeasible([job], options.nowMs);
     this.#completeIfDone(job);
-    this.#changedServices.addReadyStages(job);
+    this.#changedServices.addReadyStages([job]);
   }
 
   /** Removes a job whose results are no longer needed or that was canceled. */
@@ -153,9 +153,7 @@
         this.#requeueItems(call);
         break;
     }
-    for (const { job } of call.entries) {
-      this.#changedServices.addReadyStages(job);
-    }
+    this.#changedServices.addReadyStages(call.entries.map(({ job }) => job));
   }
 
   /** Handles overdue calls, expired results and infeasible jobs. */
--- a/packages/daemon/src/stage_graphs/changed_services.ts
+++ b/packages/daemon/src/stage_graphs/changed_services.ts
@@ -14,10 +14,12 @@
     this.#services.add(service);
   }
 
-  /** Adds the services of the stages that have items ready to start. */
-  addReadyStages(job: StageJob): void {
-    for (const position of job.readyStages()) {
-      this.#services.add(job.stage(position).service);
+  /** Adds the services of the jobs' stages that have items ready to start. */
+  addReadyStages(jobs: Iterable<StageJob>): void {
+    for (const job of new Set(jobs)) {
+      for (const position of job.readyStages()) {
+        this.#services.add(job.stage(position).service);
+      }
     }
   }
 
