End a request whose lifetime ends while its disconnect is looked for

A process that exits in these two turns of the event loop would have sent the request and called it failed; it says now that it has not run. The coordinator's first load report covers its own time only.

--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -15,7 +15,7 @@
   ForwardOutcome,
 } from "./forward_context.js";
 import { forwardStream } from "./forward_stream.js";
-import { forwardBuffered } from "./forward_buffered.js";
+import { forwardBuffered, replyAtLifetimeEnd } from "./forward_buffered.js";
 import { graphStagesOf } from "./prepare_inputs.js";
 import { RequestLifetime } from "./request_lifetime.js";
 import { canFinishBeforeExit, type Shutdown } from "./shutdown_admission.js";
@@ -196,7 +196,9 @@
 ): Promise<ForwardOutcome> {
   try {
     await pollSockets();
-    if (context.channel.isClosed) return { kind: "clientGone" };
+    if (context.lifetime.end !== undefined) {
+      return replyAtLifetimeEnd(context, false);
+    }
     return context.route.repeatability.kind === "stream"
       ? await forwardStream(context)
       : await forwardBuffered(context);
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -15,6 +15,9 @@
   ServerCallListener,
 } from "./server_caller.js";
 
+/** Waits for a connection from this duration on are logged at `info`. */
+const REPORTED_CONNECTION_WAIT_MS = 250;
+
 /** A complete response from a backend server. */
 export interface BufferedResponse {
   readonly head: ResponseHead;
@@ -29,9 +32,6 @@
   /** It may have run, but the response is missing or not authentic. */
   | { readonly kind: "broken"; readonly detail: string };
 
-/** Longer waits for a connection are logged. */
-const REPORTED_CONNECTION_WAIT_MS = 250;
-
 export interface AttemptInput {
   readonly context: ForwardContext;
   readonly candidate: ServerCandidate;
--- a/packages/daemon/src/http/poll_sockets.ts
+++ b/packages/daemon/src/http/poll_sockets.ts
@@ -14,7 +14,7 @@
  * @example
  * ```ts
  * await pollSockets();
- * if (channel.isClosed) return;
+ * if (lifetime.end !== undefined) return;
  * ```
  */
 export async function pollSockets(): Promise<void> {
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -90,7 +90,9 @@
       this.#scheduler.submit({ ...submission, nowMs });
     });
     this.#schedulePlan();
-    this.#timer ??= setInterval(() => {
+    if (this.#timer !== undefined) return;
+    this.#lastLoadReportAtMs = nowMs;
+    this.#timer = setInterval(() => {
       this.#tick();
     }, TICK_MS);
   }
