Don't show the value of an unknown settings key

Operators saw: a secret printed by the settings check, and at a start with faulty settings, if its key or section is misspelled. Cause: secrets are redacted by their key, which a misspelled one is not. Change: the value of an unknown key or section isn't shown. The existing case expected the value of an unknown key in the message; it now expects the whole line without it. The new case failed before this change.

--- a/packages/daemon/src/settings/load_settings.ts
+++ b/packages/daemon/src/settings/load_settings.ts
@@ -65,12 +65,7 @@
 
 function toFaults(issue: z.core.$ZodIssue, sections: unknown): SettingsFault[] {
   if (issue.code === "unrecognized_keys") {
-    return issue.keys.map((key) =>
-      toFault([...issue.path, key], {
-        sections,
-        expected: "expected no key of this name",
-      })
-    );
+    return issue.keys.map((key) => toUnknownKeyFault([...issue.path, key]));
   }
   return [
     toFault(issue.path, { sections, expected: lowerFirst(issue.message) }),
@@ -95,6 +90,17 @@
   };
 }
 
+/** Hides the value, which may be a secret under a misspelled key. */
+function toUnknownKeyFault(path: readonly PropertyKey[]): SettingsFault {
+  const [section, key] = path.map(String);
+  return {
+    section: section ?? "",
+    key: key ?? "",
+    actual: "(not shown)",
+    expected: "expected no key of this name",
+  };
+}
+
 function describeValue(
   path: readonly PropertyKey[],
   sections: unknown,
--- a/packages/daemon/src/settings/load_settings_test.ts
+++ b/packages/daemon/src/settings/load_settings_test.ts
@@ -40,11 +40,11 @@
     expect(faultLines(VALID_SETTINGS.replace("http =", "htpp ="))).toLooseEqual(
       [
         `[listen] http: the key is missing`,
-        `[listen] htpp: got "127.0.0.1:8080", expected no key of this name`,
+        `[listen] htpp: got "(not shown)", expected no key of this name`,
       ],
     );
     expect(faultLines(`${VALID_SETTINGS}\n[extra]\na = 1\n`)).toEqual([
-      `[extra]: got "{"a":"1"}", expected no key of this name`,
+      `[extra]: got "(not shown)", expected no key of this name`,
     ]);
   });
 
@@ -67,6 +67,19 @@
     expect(lines.join("").includes("short-one")).toEqual(false);
   });
 
+  it("never includes a secret under a misspelled key or section", () => {
+    for (
+      const [name, misspelled] of [
+        ["shared_key =", "shard_key ="],
+        ["[peers]", "[peer]"],
+      ] as const
+    ) {
+      const lines = faultLines(VALID_SETTINGS.replace(name, misspelled));
+      expect(lines.length > 0).toEqual(true);
+      expect(lines.join("").includes("a-key-of-enough-length")).toEqual(false);
+    }
+  });
+
   it("never throws on arbitrary text", () => {
     fc.assert(
       fc.property(fc.string(), (text) => {
