Don't take a call that is too large for an unreachable platform

Callers would see: claims refused and configuration not watched for 5 s after one object over the platform's size. Cause: a 413 was raised with the statuses of an overloaded platform, before the answer counted as a sign of life. Change: it is raised after that, with the same error. The new case failed before this change.

--- a/packages/daemon/src/platform/create_platform_client.ts
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -30,6 +30,7 @@
   watchResponseSchema,
 } from "./platform_response_schemas.js";
 import {
+  expectAcceptedSize,
   isBrokenConnection,
   parseReply,
   type PlatformCall,
@@ -208,10 +209,9 @@
   async #send(kind: CallKind, call: PlatformCall): Promise<PlatformReply> {
     const { clock, metrics, logger } = this.#options;
     metrics.countEvent(`platformCall.${kind}`);
+    let reply: PlatformReply;
     try {
-      const reply = await sendCall(this.#agent, call);
-      this.#reachability.recordSuccess();
-      return reply;
+      reply = await sendCall(this.#agent, call);
     } catch (error) {
       if (call.signal?.aborted === true) throw error;
       this.#reachability.recordFailure(clock.nowMs());
@@ -219,6 +219,9 @@
       logger.debug("platformCallFailed", { call: kind, error: String(error) });
       throw error;
     }
+    this.#reachability.recordSuccess();
+    expectAcceptedSize(reply);
+    return reply;
   }
 }
 
--- a/packages/daemon/src/platform/create_platform_client_test.ts
+++ b/packages/daemon/src/platform/create_platform_client_test.ts
@@ -125,6 +125,15 @@
     await refused.close();
   });
 
+  it("counts as reachable after a call that the platform finds too large", async () => {
+    respondWith(413);
+    await errorKindOf(client.update("a", 1, absent));
+    expect(client.isReachable(MONOTONIC_CLOCK.nowMs())).toEqual(true);
+    respondWith(503);
+    await errorKindOf(client.update("a", 1, absent));
+    expect(client.isReachable(MONOTONIC_CLOCK.nowMs())).toEqual(false);
+  });
+
   it("retries a read, but not a write, after a broken connection", async () => {
     respond = (response) => response.destroy();
     expect(await errorKindOf(client.read("a"))).toEqual("notDone");
--- a/packages/daemon/src/platform/platform_transport.ts
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -9,8 +9,9 @@
 import type { z } from "zod";
 import { PlatformError, type PlatformErrorKind } from "./platform_error.js";
 
-/** Status codes with which the platform refuses a call without any effect. */
-const NOT_DONE_STATUSES: ReadonlySet<number> = new Set([413, 429, 503]);
+/** Status codes with which an overloaded platform refuses a call. */
+const OVERLOAD_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+const CONTENT_TOO_LARGE = 413;
 /** Error codes of failures before the first byte of the request was sent. */
 const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
@@ -47,15 +48,24 @@
 /**
  * Sends the call and reads the whole reply. Rejects with a `PlatformError` on a
  * timeout or connection failure, and when the platform refuses the call because
- * of overload or the size of the body.
+ * of overload.
  */
 export async function sendCall(
   agent: Agent,
   call: PlatformCall,
 ): Promise<PlatformReply> {
   const reply = await exchangeWithTimeout(agent, call);
-  if (!NOT_DONE_STATUSES.has(reply.status)) return reply;
-  throw new PlatformError(
+  if (!OVERLOAD_STATUSES.has(reply.status)) return reply;
+  throw refusalOf(reply);
+}
+
+/** Throws if the platform refused the call for its size. */
+export function expectAcceptedSize(reply: PlatformReply): void {
+  if (reply.status === CONTENT_TOO_LARGE) throw refusalOf(reply);
+}
+
+function refusalOf(reply: PlatformReply): PlatformError {
+  return new PlatformError(
     "notDone",
     `The platform refused the call with status ${reply.status}`,
   );
