Look for a client's disconnect before each retry, hedge and resumption

Cause: while the event loop is blocked, a client's close waits in the socket, and the timers that become due run before the next poll: a hedge or the resumption of a silent stream was sent although the close had arrived. Evidence: late_event_loop_test disconnects a client and blocks the loop for 500 ms past the hedge or the stall limit: 2 calls were made before this change, 1 after it, in both cases. Change: one more poll before each call that follows a wait.

--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -11,6 +11,7 @@
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
 import { makeDeferred } from "../deferred.js";
+import { pollSockets } from "../http/poll_sockets.js";
 import type { ForwardContext, ForwardOutcome } from "./forward_context.js";
 import {
   type AttemptResult,
@@ -110,16 +111,21 @@
         return replyAtLifetimeEnd(context, state.runs > 0);
       case "hedge":
         mayHedge = false;
-        if (spendRetry(context, state)) startAttempt(context, state);
+        await startRetry(context, state);
         break;
       case "result": {
         state.running.delete(event.attempt);
         const response = handleResult(context, state, event.result);
         if (response !== undefined) return sendResponse(context, response);
-        if (state.running.size === 0) maybeRetry(context, state, event.result);
+        if (
+          state.running.size === 0 && mayRetry(context, state, event.result)
+        ) {
+          await startRetry(context, state);
+        }
       }
     }
   }
+  if (context.lifetime.end === "clientGone") return { kind: "clientGone" };
   if (state.serverError !== undefined) {
     return sendResponse(context, state.serverError);
   }
@@ -189,14 +195,22 @@
   }
 }
 
-function maybeRetry(
+function mayRetry(
   context: ForwardContext,
   state: ForwardState,
   result: AttemptResult,
-): void {
+): boolean {
   const hasNotRun = result.kind === "notRun" || result.kind === "notSent";
-  if (!hasNotRun && !isIdempotent(context)) return;
-  if (state.refusals > MAX_REFUSALS) return;
+  if (!hasNotRun && !isIdempotent(context)) return false;
+  return state.refusals <= MAX_REFUSALS;
+}
+
+async function startRetry(
+  context: ForwardContext,
+  state: ForwardState,
+): Promise<void> {
+  await pollSockets();
+  if (context.lifetime.end !== undefined) return;
   if (spendRetry(context, state)) startAttempt(context, state);
 }
 
--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -9,6 +9,7 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import { pollSockets } from "../http/poll_sockets.js";
 import type { ForwardContext, ForwardOutcome } from "./forward_context.js";
 import {
   replyAtLifetimeEnd,
@@ -70,6 +71,10 @@
   for (;;) {
     const inputsOutcome = await ensureInputs(context, state);
     if (inputsOutcome !== undefined) return inputsOutcome;
+    await pollSockets();
+    if (context.lifetime.end !== undefined) {
+      return finishAtLifetimeEnd(context, state);
+    }
     const result = await runAttempt(context, state);
     const outcome = handleResult(context, state, result);
     if (outcome !== undefined) return outcome;
--- /dev/null
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -0,0 +1,169 @@
+import {
+  type AttemptId,
+  type DataCentreName,
+  type ServiceName,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import { expect } from "earl";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { MONOTONIC_CLOCK } from "../clock.js";
+import { LatencyRecords } from "../observability/latency_records.js";
+import { createLogger } from "../observability/logger.js";
+import { Metrics } from "../observability/metrics.js";
+import { ServerDirectory } from "../placement/server_directory.js";
+import { ServerRegister } from "../register/server_register.js";
+import type { Repeatability } from "../routing/routing_configuration.js";
+import { ENCODER, makeReport } from "../testing/stage_samples.js";
+import type { ForwardContext } from "./forward_context.js";
+import { forwardBuffered } from "./forward_buffered.js";
+import { forwardStream } from "./forward_stream.js";
+import { RequestLifetime } from "./request_lifetime.js";
+import { RouteStatistics } from "./route_statistics.js";
+import type { ServerCall } from "./server_caller.js";
+
+const OBJECTIVE_MS = 100;
+/** Before the hedge of a request with this objective. */
+const HEDGE_BLOCK_AFTER_MS = 30;
+/** Before a stream without a first event is resumed. */
+const STALL_BLOCK_AFTER_MS = 1300;
+const BLOCK_MS = 500;
+const SETTLE_MS = 100;
+
+/**
+ * Disconnects the client, then blocks the event loop after a poll. The timers
+ * that become due meanwhile run before the next poll.
+ */
+function disconnectAndBlock(client: Socket): void {
+  setImmediate(() => {
+    client.destroy();
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCK_MS);
+  });
+}
+
+/** A connection whose server side is the client connection of a request. */
+async function openConnection(): Promise<{ client: Socket; server: Socket }> {
+  const listener = createServer().listen(0, "127.0.0.1");
+  await once(listener, "listening");
+  const accepted = once(listener, "connection") as Promise<[Socket]>;
+  const client = connect((listener.address() as AddressInfo).port, "127.0.0.1");
+  const [server] = await accepted;
+  listener.close();
+  server.resume();
+  return { client, server };
+}
+
+/** A request to servers that never respond, and the calls made for it. */
+function makeContext(
+  repeatability: Repeatability,
+  server: Socket,
+): { readonly context: ForwardContext; readonly calls: ServerCall[] } {
+  const calls: ServerCall[] = [];
+  const clock = MONOTONIC_CLOCK;
+  const register = new ServerRegister(() => undefined);
+  for (const id of ["a", "b"]) register.apply(makeReport(id), 0);
+  const limits = { retries: { windowMs: 10_000, ratio: 1, slack: 10 } };
+  const lifetime = new RequestLifetime({
+    endsAtMs: clock.nowMs() + 5000,
+    clock,
+  });
+  server.once("end", () => {
+    lifetime.endForClientDisconnect();
+  });
+  const context: ForwardContext = {
+    environment: {
+      directory: new ServerDirectory({
+        register,
+        limits: () => ({ ...limits, coldOverage: 1, coldSlack: 0 }),
+        findService: () => undefined,
+        vmCount: () => 1,
+      }),
+      serverCaller: {
+        start: (call) => {
+          calls.push(call);
+          return { cancel: () => undefined, cancelIfNotSent: () => false };
+        },
+      },
+      // Not used by a route without stages.
+      graphs: undefined as never,
+      routeStatistics: new RouteStatistics(),
+      dataCentre: toId<DataCentreName>("east"),
+      clock,
+      metrics: new Metrics(),
+      latencies: new LatencyRecords(),
+      logger: createLogger("error", {}),
+    },
+    request: {
+      attemptId: toId<AttemptId>("attempt-1"),
+      host: "api.example",
+      method: "GET",
+      path: "/lookup/1",
+      headers: [],
+      body: Buffer.alloc(0),
+      key: undefined,
+      deadlineInMs: 5000,
+      prompt: undefined,
+      resumeAfter: undefined,
+      stageItems: undefined,
+      inputKey: undefined,
+      receivedAtMs: clock.nowMs(),
+    },
+    channel: {
+      isClosed: false,
+      onClosed: () => undefined,
+      writeHead: () => undefined,
+      write: () => undefined,
+      end: () => undefined,
+      abort: () => undefined,
+      sendLocalReply: () => undefined,
+    },
+    route: {
+      name: "lookup",
+      host: "api.example",
+      pathPrefix: "/lookup/",
+      repeatability,
+      targets: [{ service: ENCODER, weight: 1 }],
+      maxAttempts: 2,
+      timeoutMs: 5000,
+      objectiveMs: OBJECTIVE_MS,
+      priority: 0,
+      isPublic: true,
+      stages: [],
+    },
+    service: toId<ServiceName>(ENCODER),
+    account: undefined,
+    lifetime,
+    stageGroup: "",
+    configurationVersion: 1,
+  };
+  return { context, calls };
+}
+
+describe("a client that disconnects while the event loop is blocked", () => {
+  it("causes no hedge", async () => {
+    const { client, server } = await openConnection();
+    const { context, calls } = makeContext({ kind: "idempotent" }, server);
+    const outcome = forwardBuffered(context);
+    await sleep(HEDGE_BLOCK_AFTER_MS);
+    disconnectAndBlock(client);
+    expect((await outcome).kind).toEqual("clientGone");
+    await sleep(SETTLE_MS);
+    expect(calls.length).toEqual(1);
+  });
+
+  it("causes no resumption of its stream", async () => {
+    const { client, server } = await openConnection();
+    const { context, calls } = makeContext(
+      { kind: "stream", isResumable: true },
+      server,
+    );
+    const outcome = forwardStream(context);
+    await sleep(STALL_BLOCK_AFTER_MS);
+    disconnectAndBlock(client);
+    expect((await outcome).kind).toEqual("clientGone");
+    await sleep(SETTLE_MS);
+    expect(calls.length).toEqual(1);
+  });
+});
