--- a/tests/src/run_tests.ts
+++ b/tests/src/run_tests.ts
@@ -17,6 +17,7 @@
 const KNOWN_RED_URL = new URL("../../KNOWN-RED.txt", import.meta.url);
 
 const [concurrency, ...files] = process.argv.slice(2);
+if (files.length === 0) throw new RangeError("Expected at least one test file");
 const knownFailures = parseKnownFailures(readKnownFailures());
 const toleratedFailures = new Set<string>();
 const stream = run({
