Keep the jobs of a service whose limits aren't known yet

Callers would see: refusals (noServer) of requests whose coordinator has just restarted and not read the configuration. Cause: the check of a job skipped stages without waiting items, where it had skipped those without known work; a service without limits has no known work, and no capacity either. Evidence: the new test fails without this change and passes on the code before by reading, as the former condition is back.

--- a/packages/daemon/src/stage_graphs/batch_scheduler_test.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_test.ts
@@ -35,6 +35,15 @@
   makeStage({ service: RERANKER, after: [0], itemCount: 3 }),
 ];
 
+describe("a service whose limits are not known yet", () => {
+  it("keeps its jobs until the configuration is read", () => {
+    const stages = new SimulatedStages({ limits: new Map() });
+    stages.submit([{ atMs: 0, graph: makeGraph() }]);
+    stages.runUntil(200);
+    expect(stages.reports).toEqual([]);
+  });
+});
+
 describe("BatchScheduler", () => {
   it("passes all results of the preceding stages of the same request to a stage", () => {
     const stages = makeStages();
--- a/packages/daemon/src/stage_graphs/find_infeasible_jobs.ts
+++ b/packages/daemon/src/stage_graphs/find_infeasible_jobs.ts
@@ -76,14 +76,14 @@
   ranked: RankedJob,
   queues: Map<ServiceName, ServiceQueue>,
 ): Omit<InfeasibleJob, "job"> | undefined {
-  const { nowMs } = input;
+  const { estimates, nowMs } = input;
   const { job, pathMs } = ranked;
   if (nowMs + pathMs > job.deadlineAtMs) {
     return { reason: "outOfTime", retryAfterMs: MIN_RETRY_AFTER_MS };
   }
   let waitMs = 0;
   for (const [position, { service }] of job.graph.stages.entries()) {
-    if (job.waitingCount(position) === 0) continue;
+    if (estimates.remainingStageWorkMs(job, position) === 0) continue;
     const { capacity, queuedMs } = queueOf(input, service, queues);
     if (capacity <= 0) {
       return { reason: "noServer", retryAfterMs: MIN_RETRY_AFTER_MS };
