Log and count the rate limits that backend servers state

The logs couldn't tell whether a VM had been told of a server's limit, nor what it sent there afterwards. Placement is unchanged.

--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -14,6 +14,7 @@
 import { createLogger } from "../observability/logger.js";
 import { Metrics } from "../observability/metrics.js";
 import { ServerDirectory } from "../placement/server_directory.js";
+import { KnownRateLimits } from "../rate_limits/known_rate_limits.js";
 import { ServerRegister } from "../register/server_register.js";
 import type { Repeatability } from "../routing/routing_configuration.js";
 import { ENCODER, makeReport } from "../testing/stage_samples.js";
@@ -88,6 +89,7 @@
       },
       // Not used by a route without stages.
       graphs: undefined as never,
+      rateLimits: new KnownRateLimits(),
       routeStatistics: new RouteStatistics(),
       dataCentre: toId<DataCentreName>("east"),
       clock,
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -76,9 +76,11 @@
   const call = environment.serverCaller.start(toServerCall(input), {
     onSend: () => {
       logSend(input, environment.clock.nowMs() - startedAtMs);
+      countSendUnderRateLimit(input);
     },
     onHead: (head) => {
       const nowMs = environment.clock.nowMs();
+      recordRateLimit(input, head, { callStartedAtMs: startedAtMs, nowMs });
       if (head.isNotRun) health.recordOverload(nowMs);
       else if (!head.isGenuine) health.recordFailure(nowMs);
       else {
@@ -133,6 +135,30 @@
   } else logger.info("serverCallSent", fields);
 }
 
+function countSendUnderRateLimit(input: AttemptInput): void {
+  const { rateLimits, metrics } = input.context.environment;
+  const { server } = input.candidate;
+  if (rateLimits.requestsPerSecond(server.id) === undefined) return;
+  metrics.countEvent("sentToRateLimitedServer");
+}
+
+function recordRateLimit(
+  input: AttemptInput,
+  head: ResponseHead,
+  times: { readonly callStartedAtMs: number; readonly nowMs: number },
+): void {
+  const { rateLimits, logger } = input.context.environment;
+  const { server } = input.candidate;
+  const previous = rateLimits.requestsPerSecond(server.id);
+  if (!rateLimits.applyStatement(server.id, head.rateLimit, times)) return;
+  logger.info("serverRateLimitChanged", {
+    server: server.id,
+    request: input.context.request.attemptId,
+    requestsPerSecond: rateLimits.requestsPerSecond(server.id),
+    previous,
+  });
+}
+
 /** A call whose response is being buffered. */
 export interface RunningAttempt {
   readonly result: Promise<AttemptResult>;
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -6,6 +6,7 @@
  */
 
 import type { ClientAccountId } from "@sassafrasstage/protocol/ids";
+import type { RateLimitStatement } from "../rate_limits/rate_limit_statement.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { HeaderList, RoutedRequest } from "./routed_request.js";
 
@@ -37,6 +38,7 @@
   readonly endsWithConnection: boolean;
   /** The signature is the server's and the response belongs to this request. */
   readonly isGenuine: boolean;
+  readonly rateLimit: RateLimitStatement;
 }
 
 export type ServerCallFailure =
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -26,6 +26,7 @@
   type SharedLimits,
 } from "./placement/server_directory.js";
 import type { ObjectStore } from "./platform/object_store.js";
+import { KnownRateLimits } from "./rate_limits/known_rate_limits.js";
 import type {
   RegisterChange,
   RegisteredServer,
@@ -64,6 +65,7 @@
   readonly #network: RunningPeerNetwork;
   readonly #deployment: Deployment;
   readonly #directory: ServerDirectory;
+  readonly #rateLimits = new KnownRateLimits();
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
   readonly #eventLoop: EventLoopMonitor;
@@ -126,6 +128,7 @@
         directory: this.#directory,
         serverCaller: options.serverCaller,
         graphs: this.#graphs,
+        rateLimits: this.#rateLimits,
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
         clock,
@@ -139,6 +142,7 @@
     this.#eventLoop = new EventLoopMonitor({ clock, metrics, logger });
     this.#eventLoop.start();
     metrics.registerGauge("requestsInFlight", () => this.forwarder.inFlight);
+    metrics.registerGauge("rateLimitedServers", () => this.#rateLimits.size);
     metrics.registerGauge("stageJobs", () => this.#coordinator.jobCount);
     metrics.registerGauge(
       "stageItemsWaiting",
@@ -219,6 +223,7 @@
     });
     if (change.kind !== "ended") return;
     this.#directory.forget(server.id);
+    this.#rateLimits.forget(server.id);
     this.#coordinator.handleServerEnded(server);
     onServerEnded(server);
   }
