Keep the rate limits that servers state over all VMs together

Cause: nothing read the limit. Placement saw such a server like any other, so every VM sent it its usual share.

The limit holds for all VMs together and may lie far below one request a second per VM, so fixed shares either break it (each VM's first request) or starve the server. One VM, chosen by rendezvous hashing among the live ones, owns the token bucket of a server; each request to the server needs a permit from it, 2 ms away. Whoever sees a statement change reports it to the owner, which tells all VMs, in large fleets through two relays per data centre. VMs that don't hear each other select different owners; each owner uses a share of the limit in proportion to the VMs on its side, so all owners together keep it. A denied VM leaves the server alone until the owner's next permit: its requests go to other servers, or are refused at once with the time to come back. Batched stage calls get their permits in advance, since the scheduler doesn't wait; the capacity it plans with includes the limit. Hedges leave such servers alone. The limit ends with a signed response, to a call made while the limit was known, that doesn't state it.

The format of messages between VMs grows, so the protocol version is 3: VMs of both versions don't connect to each other during an upgrade, and each side uses its share.

--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -87,6 +87,10 @@
   });
 }
 
+interface AttemptOptions {
+  readonly isHedge: boolean;
+}
+
 /** An attempt result, the hedge timer, or the end of the lifetime. */
 type RaceEvent =
   | {
@@ -102,7 +106,11 @@
   state: ForwardState,
   ended: Promise<RaceEvent>,
 ): Promise<ForwardOutcome> {
-  if (!startAttempt(context, state)) return refuse(context, state);
+  if (!await startAttempt(context, state, { isHedge: false })) {
+    return context.lifetime.end === undefined
+      ? refuse(context, state)
+      : replyAtLifetimeEnd(context, false);
+  }
   let mayHedge = isIdempotent(context);
   while (state.running.size > 0) {
     const event = await nextEvent(context, state, { ended, mayHedge });
@@ -111,7 +119,7 @@
         return replyAtLifetimeEnd(context, state.runs > 0);
       case "hedge":
         mayHedge = false;
-        await startRetry(context, state);
+        await startRetry(context, state, { isHedge: true });
         break;
       case "result": {
         state.running.delete(event.attempt);
@@ -120,7 +128,7 @@
         if (
           state.running.size === 0 && mayRetry(context, state, event.result)
         ) {
-          await startRetry(context, state);
+          await startRetry(context, state, { isHedge: false });
         }
       }
     }
@@ -208,10 +216,13 @@
 async function startRetry(
   context: ForwardContext,
   state: ForwardState,
+  options: AttemptOptions,
 ): Promise<void> {
   await pollSockets();
   if (context.lifetime.end !== undefined) return;
-  if (spendRetry(context, state)) startAttempt(context, state);
+  if (spendRetry(context, state)) {
+    await startAttempt(context, state, options);
+  }
 }
 
 /**
@@ -228,15 +239,24 @@
   return isAllowed;
 }
 
-function startAttempt(context: ForwardContext, state: ForwardState): boolean {
-  const { directory, dataCentre, clock } = context.environment;
-  const candidate = directory.assign({
+/** Returns false if there is no server for another attempt or no time left. */
+async function startAttempt(
+  context: ForwardContext,
+  state: ForwardState,
+  { isHedge }: AttemptOptions,
+): Promise<boolean> {
+  const { directory, dataCentre } = context.environment;
+  const candidate = await directory.assign({
     service: context.service,
     dataCentre,
     prefixKey: undefined,
     excluded: state.triedServers,
-  }, clock.nowMs());
-  if (candidate === undefined) return false;
+    // A hedge must not wait for a permit while the first attempt may end.
+    includesRateLimited: !isHedge,
+  });
+  if (candidate === undefined || context.lifetime.end !== undefined) {
+    return false;
+  }
   state.triedServers.add(candidate.server.id);
   state.runs += 1;
   state.running.add(runBufferedAttempt({
@@ -269,7 +289,10 @@
     : {
       kind: "refused",
       reason: state.triedServers.size === 0 ? "noServer" : "serversFull",
-      retryAfterMs: SERVERS_FULL_RETRY_AFTER_MS,
+      retryAfterMs: Math.max(
+        SERVERS_FULL_RETRY_AFTER_MS,
+        context.environment.directory.availableInMs(context.service),
+      ),
       detail: "No server could take the request",
     };
   return replyLocally(context, reply);
--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -11,7 +11,7 @@
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { ServerDirectory } from "../placement/server_directory.js";
-import type { KnownRateLimits } from "../rate_limits/known_rate_limits.js";
+import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
 import type { StageGraphClient } from "../stage_graphs/stage_graph_client.js";
 import type { RequestLifetime } from "./request_lifetime.js";
 import type { RouteStatistics } from "./route_statistics.js";
@@ -23,7 +23,7 @@
   readonly directory: ServerDirectory;
   readonly serverCaller: ServerCaller;
   readonly graphs: StageGraphClient;
-  readonly rateLimits: KnownRateLimits;
+  readonly rateLimits: ServerRateLimits;
   readonly routeStatistics: RouteStatistics;
   readonly dataCentre: DataCentreName;
   readonly clock: Clock;
--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -142,17 +142,16 @@
   }
 }
 
-function runAttempt(
+async function runAttempt(
   context: ForwardContext,
   state: StreamState,
-): Promise<StreamResult> | undefined {
+): Promise<StreamResult | undefined> {
   const { environment, request } = context;
-  const { directory, clock } = environment;
-  const candidate = directory.assign(
+  const candidate = await environment.directory.assign(
     placementRequestOf(context, state.inputs?.dataCentre, state.triedServers),
-    clock.nowMs(),
   );
   if (candidate === undefined) return undefined;
+  if (context.lifetime.end !== undefined) return { kind: "ended" };
   state.triedServers.add(candidate.server.id);
   state.runs += 1;
   environment.logger.debug("placed", {
@@ -205,7 +204,10 @@
   return replyLocally(context, {
     kind: "refused",
     reason: state.triedServers.size === 0 ? "noServer" : "serversFull",
-    retryAfterMs: SERVERS_FULL_RETRY_AFTER_MS,
+    retryAfterMs: Math.max(
+      SERVERS_FULL_RETRY_AFTER_MS,
+      context.environment.directory.availableInMs(context.service),
+    ),
     detail: `No server could take the request: ${detail}`,
   });
 }
--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -14,7 +14,7 @@
 import { createLogger } from "../observability/logger.js";
 import { Metrics } from "../observability/metrics.js";
 import { ServerDirectory } from "../placement/server_directory.js";
-import { KnownRateLimits } from "../rate_limits/known_rate_limits.js";
+import { makeRateLimits } from "../rate_limits/testing/make_rate_limits.js";
 import { ServerRegister } from "../register/server_register.js";
 import type { Repeatability } from "../routing/routing_configuration.js";
 import { ENCODER, makeReport } from "../testing/stage_samples.js";
@@ -63,6 +63,7 @@
 ): { readonly context: ForwardContext; readonly calls: ServerCall[] } {
   const calls: ServerCall[] = [];
   const clock = MONOTONIC_CLOCK;
+  const rateLimits = makeRateLimits();
   const register = new ServerRegister(() => undefined);
   for (const id of ["a", "b"]) register.apply(makeReport(id), 0);
   const limits = { retries: { windowMs: 10_000, ratio: 1, slack: 10 } };
@@ -76,6 +77,8 @@
   const context: ForwardContext = {
     environment: {
       directory: new ServerDirectory({
+        clock,
+        rateLimits,
         register,
         limits: () => ({ ...limits, coldOverage: 1, coldSlack: 0 }),
         findService: () => undefined,
@@ -89,7 +92,7 @@
       },
       // Not used by a route without stages.
       graphs: undefined as never,
-      rateLimits: new KnownRateLimits(),
+      rateLimits,
       routeStatistics: new RouteStatistics(),
       dataCentre: toId<DataCentreName>("east"),
       clock,
--- a/packages/daemon/src/forwarding/placement_request.ts
+++ b/packages/daemon/src/forwarding/placement_request.ts
@@ -25,6 +25,7 @@
     dataCentre: inputsDataCentre ?? context.environment.dataCentre,
     prefixKey: prefixKeyOf(context),
     excluded,
+    includesRateLimited: true,
   };
 }
 
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -80,7 +80,10 @@
     },
     onHead: (head) => {
       const nowMs = environment.clock.nowMs();
-      recordRateLimit(input, head, { callStartedAtMs: startedAtMs, nowMs });
+      environment.rateLimits.recordStatement(server.id, head.rateLimit, {
+        startedAtMs,
+        request: input.context.request.attemptId,
+      });
       if (head.isNotRun) health.recordOverload(nowMs);
       else if (!head.isGenuine) health.recordFailure(nowMs);
       else {
@@ -142,23 +145,6 @@
   metrics.countEvent("sentToRateLimitedServer");
 }
 
-function recordRateLimit(
-  input: AttemptInput,
-  head: ResponseHead,
-  times: { readonly callStartedAtMs: number; readonly nowMs: number },
-): void {
-  const { rateLimits, logger } = input.context.environment;
-  const { server } = input.candidate;
-  const previous = rateLimits.requestsPerSecond(server.id);
-  if (!rateLimits.applyStatement(server.id, head.rateLimit, times)) return;
-  logger.info("serverRateLimitChanged", {
-    server: server.id,
-    request: input.context.request.attemptId,
-    requestsPerSecond: rateLimits.requestsPerSecond(server.id),
-    previous,
-  });
-}
-
 /** A call whose response is being buffered. */
 export interface RunningAttempt {
   readonly result: Promise<AttemptResult>;
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -15,6 +15,7 @@
   isBoolean,
   isFiniteNumber,
   isNonNegativeInteger,
+  isNonNegativeNumber,
   isShortString,
   isString,
   oneOf,
@@ -127,6 +128,11 @@
   dataCentre: isShortString,
 });
 
+const isStatedRateLimit = shape({
+  requestsPerSecond: optional(isNonNegativeNumber),
+  ageMs: isNonNegativeNumber,
+});
+
 const MESSAGE_SHAPES: Readonly<Record<PeerMessageType, ShapeCheck>> = {
   heartbeat: shape({
     sequence: isNonNegativeInteger,
@@ -224,6 +230,23 @@
       ),
     })),
   }),
+  rateLimitChange: shape({
+    backendServerId: isShortString,
+    stated: isStatedRateLimit,
+    relay: isBoolean,
+  }),
+  rateRequest: shape({
+    requestNumber: isNonNegativeInteger,
+    backendServerId: isShortString,
+    requestsPerSecond: isNonNegativeNumber,
+    stated: optional(isStatedRateLimit),
+  }),
+  rateDecision: shape({
+    requestNumber: isNonNegativeInteger,
+    isGranted: isBoolean,
+    retryAfterMs: isNonNegativeNumber,
+    stated: optional(isStatedRateLimit),
+  }),
   leaving: shape({ vmId: isShortString }),
 };
 
--- a/packages/daemon/src/peers/message_shape.ts
+++ b/packages/daemon/src/peers/message_shape.ts
@@ -31,6 +31,10 @@
     value >= 0;
 }
 
+export function isNonNegativeNumber(value: unknown): boolean {
+  return typeof value === "number" && Number.isFinite(value) && value >= 0;
+}
+
 /**
  * Accepts one of the given strings.
  *
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -10,6 +10,8 @@
   DataCentreName,
   ServiceName,
 } from "@sassafrasstage/protocol/ids";
+import type { Clock } from "../clock.js";
+import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
 import type { ServerRegister } from "../register/server_register.js";
 import type { RoutedService } from "../routing/routing_configuration.js";
 import { chooseServer, type ServerCandidate } from "./choose_server.js";
@@ -29,10 +31,12 @@
 }
 
 export interface ServerDirectoryOptions {
+  readonly clock: Clock;
   readonly register: ServerRegister;
   readonly limits: () => SharedLimits;
   readonly findService: (name: ServiceName) => RoutedService | undefined;
   readonly vmCount: () => number;
+  readonly rateLimits: ServerRateLimits;
 }
 
 export interface PlacementRequest {
@@ -40,6 +44,8 @@
   readonly dataCentre: DataCentreName;
   readonly prefixKey: string | undefined;
   readonly excluded: ReadonlySet<BackendServerId>;
+  /** Whether the request may go to a server that states a rate limit. */
+  readonly includesRateLimited: boolean;
 }
 
 /**
@@ -59,16 +65,29 @@
     this.#options = options;
   }
 
-  /** Chooses the server for a request and counts it towards the cold limit. */
-  assign(
+  /**
+   * Chooses the server for a request, and counts the request towards the
+   * server's rate limit and cold limit.
+   */
+  async assign(
     request: PlacementRequest,
-    nowMs: number,
-  ): ServerCandidate | undefined {
-    const choice = this.preview(request, nowMs);
-    if (choice !== undefined && nowMs < choice.server.coldUntilMs) {
-      choice.health.recordColdRequest(nowMs);
+  ): Promise<ServerCandidate | undefined> {
+    const { clock, rateLimits, register } = this.#options;
+    const excluded = new Set(request.excluded);
+    for (;;) {
+      const choice = this.preview({ ...request, excluded }, clock.nowMs());
+      if (choice === undefined) return undefined;
+      const { server, health } = choice;
+      const isPermitted = await rateLimits.acquire(server.id);
+      // The server may have started to leave in the meantime.
+      const isUsable = register.isUsable(server);
+      if (isPermitted && isUsable) {
+        const nowMs = clock.nowMs();
+        if (nowMs < server.coldUntilMs) health.recordColdRequest(nowMs);
+        return choice;
+      }
+      excluded.add(server.id);
     }
-    return choice;
   }
 
   /** Returns the server that a request would get now, without counting it. */
@@ -77,7 +96,9 @@
     nowMs: number,
   ): ServerCandidate | undefined {
     const candidates = this.#options.register.usableServers(request.service)
-      .filter((server) => !request.excluded.has(server.id))
+      .filter(({ id }) =>
+        !request.excluded.has(id) && this.#hasRate(id, request, nowMs)
+      )
       .map((server) => ({ server, health: this.healthOf(server.id) }));
     return chooseServer({
       candidates,
@@ -88,6 +109,18 @@
     });
   }
 
+  /**
+   * Time until a server of the service accepts another request; 0 if there is
+   * one without a limit or with capacity left.
+   */
+  availableInMs(service: ServiceName): number {
+    const { clock, rateLimits, register } = this.#options;
+    const nowMs = clock.nowMs();
+    const waitsMs = register.usableServers(service)
+      .map(({ id }) => rateLimits.availableInMs(id, nowMs));
+    return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
+  }
+
   healthOf(id: BackendServerId): ServerHealth {
     let health = this.#health.get(id);
     if (health === undefined) {
@@ -121,6 +154,18 @@
     return Math.max(1, Math.min(MAX_CONNECTIONS_PER_SERVER, share));
   }
 
+  #hasRate(
+    id: BackendServerId,
+    request: PlacementRequest,
+    nowMs: number,
+  ): boolean {
+    const { rateLimits } = this.#options;
+    if (!request.includesRateLimited) {
+      return rateLimits.requestsPerSecond(id) === undefined;
+    }
+    return rateLimits.availableInMs(id, nowMs) === 0;
+  }
+
   #coldQuota(service: ServiceName): number {
     const perSecond = this.#options.findService(service)
       ?.coldRequestsPerSecond ?? 0;
--- a/packages/daemon/src/rate_limits/known_rate_limits.ts
+++ b/packages/daemon/src/rate_limits/known_rate_limits.ts
@@ -6,10 +6,13 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import type { StatedRateLimit } from "@sassafrasstage/protocol/rate_limits";
 import type { RateLimitStatement } from "./rate_limit_statement.js";
 
-/** The latest change of a server's limit that this VM has learned of. */
-export interface KnownRateLimit {
+/** Bounds the memory for servers that peers report. */
+const MAX_SERVERS = 10_000;
+
+interface KnownRateLimit {
   /** Undefined once the server has stopped stating a limit. */
   readonly requestsPerSecond: number | undefined;
   /** On this process's monotonic clock, in milliseconds. */
@@ -24,15 +27,21 @@
     return this.#limits.get(id)?.requestsPerSecond;
   }
 
-  /** The latest change; undefined for a server that never stated a limit. */
-  get(id: BackendServerId): KnownRateLimit | undefined {
-    return this.#limits.get(id);
+  /** The servers whose limit is in force. */
+  limitedServers(): BackendServerId[] {
+    return [...this.#limits]
+      .filter(([, limit]) => limit.requestsPerSecond !== undefined)
+      .map(([id]) => id);
   }
 
-  /** Number of servers whose limit is in force. */
-  get size(): number {
-    return [...this.#limits.values()]
-      .filter((limit) => limit.requestsPerSecond !== undefined).length;
+  /** The latest change, for other VMs; undefined if there was none. */
+  toStated(id: BackendServerId, nowMs: number): StatedRateLimit | undefined {
+    const known = this.#limits.get(id);
+    if (known === undefined) return undefined;
+    return {
+      requestsPerSecond: known.requestsPerSecond,
+      ageMs: Math.max(0, nowMs - known.changedAtMs),
+    };
   }
 
   /**
@@ -49,28 +58,47 @@
     const known = this.#limits.get(id);
     switch (statement.kind) {
       case "limited":
-        return this.#change(id, statement.requestsPerSecond, times.nowMs);
+        return this.#change(id, {
+          requestsPerSecond: statement.requestsPerSecond,
+          changedAtMs: times.nowMs,
+        });
       case "unlimited":
         if (known === undefined || times.callStartedAtMs < known.changedAtMs) {
           return false;
         }
-        return this.#change(id, undefined, times.nowMs);
+        return this.#change(id, {
+          requestsPerSecond: undefined,
+          changedAtMs: times.nowMs,
+        });
       case "unknown":
         return false;
     }
   }
 
+  /** Applies another VM's knowledge if it is newer; returns whether it was. */
+  applyFromPeer(
+    id: BackendServerId,
+    stated: StatedRateLimit,
+    nowMs: number,
+  ): boolean {
+    const changedAtMs = nowMs - stated.ageMs;
+    const known = this.#limits.get(id);
+    if (known !== undefined && known.changedAtMs >= changedAtMs) return false;
+    return this.#change(id, {
+      requestsPerSecond: stated.requestsPerSecond,
+      changedAtMs,
+    });
+  }
+
   forget(id: BackendServerId): void {
     this.#limits.delete(id);
   }
 
-  #change(
-    id: BackendServerId,
-    requestsPerSecond: number | undefined,
-    changedAtMs: number,
-  ): boolean {
-    if (this.requestsPerSecond(id) === requestsPerSecond) return false;
-    this.#limits.set(id, { requestsPerSecond, changedAtMs });
+  #change(id: BackendServerId, limit: KnownRateLimit): boolean {
+    const known = this.#limits.get(id);
+    if (known?.requestsPerSecond === limit.requestsPerSecond) return false;
+    if (known === undefined && this.#limits.size >= MAX_SERVERS) return false;
+    this.#limits.set(id, limit);
     return true;
   }
 }
--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -94,6 +94,16 @@
       this.#servers.get(server.id) === server;
   }
 
+  /**
+   * Whether the server process that an earlier entry describes can receive new
+   * work.
+   */
+  isUsable(earlier: RegisteredServer): boolean {
+    const known = this.#servers.get(earlier.id);
+    return known !== undefined && !isOtherProcess(earlier, known) &&
+      this.canReceiveWork(known);
+  }
+
   /** The servers of a service that can receive new work. */
   usableServers(service: ServiceName): RegisteredServer[] {
     return this.#serversOf(service).filter((server) =>
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -26,7 +26,7 @@
   type SharedLimits,
 } from "./placement/server_directory.js";
 import type { ObjectStore } from "./platform/object_store.js";
-import { KnownRateLimits } from "./rate_limits/known_rate_limits.js";
+import { ServerRateLimits } from "./rate_limits/server_rate_limits.js";
 import type {
   RegisterChange,
   RegisteredServer,
@@ -65,7 +65,7 @@
   readonly #network: RunningPeerNetwork;
   readonly #deployment: Deployment;
   readonly #directory: ServerDirectory;
-  readonly #rateLimits = new KnownRateLimits();
+  readonly #rateLimits: ServerRateLimits;
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
   readonly #eventLoop: EventLoopMonitor;
@@ -100,7 +100,15 @@
       name: Parameters<RouteTable["findService"]>[0],
     ): ReturnType<RouteTable["findService"]> =>
       this.#deployment.table?.findService(name);
+    this.#rateLimits = new ServerRateLimits({
+      network,
+      clock,
+      metrics,
+      logger,
+    });
     this.#directory = new ServerDirectory({
+      clock,
+      rateLimits: this.#rateLimits,
       register: this.#deployment.register,
       limits: options.limits,
       findService,
@@ -109,6 +117,7 @@
     this.#coordinator = new StageCoordinator({
       register: this.#deployment.register,
       caller: options.batchCaller,
+      rateLimits: this.#rateLimits,
       limitsOf: (name) => findService(name)?.batches,
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
       clock,
@@ -142,7 +151,6 @@
     this.#eventLoop = new EventLoopMonitor({ clock, metrics, logger });
     this.#eventLoop.start();
     metrics.registerGauge("requestsInFlight", () => this.forwarder.inFlight);
-    metrics.registerGauge("rateLimitedServers", () => this.#rateLimits.size);
     metrics.registerGauge("stageJobs", () => this.#coordinator.jobCount);
     metrics.registerGauge(
       "stageItemsWaiting",
--- a/packages/daemon/src/stage_graphs/batch_caller.ts
+++ b/packages/daemon/src/stage_graphs/batch_caller.ts
@@ -5,6 +5,7 @@
  */
 
 import type { AttemptId } from "@sassafrasstage/protocol/ids";
+import type { RateLimitStatement } from "../rate_limits/rate_limit_statement.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { StageCallOutcome } from "./stage_call.js";
 
@@ -27,9 +28,15 @@
   readonly timeoutMs: number;
 }
 
+export interface BatchCallResult {
+  readonly outcome: StageCallOutcome;
+  /** What the response states; "unknown" without a response. */
+  readonly rateLimit: RateLimitStatement;
+}
+
 export interface BatchCaller {
   /** Never rejects; failures are reported as an outcome. */
-  runItems(call: BatchCall): Promise<StageCallOutcome>;
+  runItems(call: BatchCall): Promise<BatchCallResult>;
   /** Frees results at the server; if the call is lost, they expire there. */
   freeResults(
     server: RegisteredServer,
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -199,7 +199,11 @@
   #planService(service: ServiceName, nowMs: number): StageCall[] {
     const servers = this.#servers.reachable(service, nowMs);
     const idle = servers.filter((server) => server.canStartCall(nowMs));
-    if (idle.length === 0) return [];
+    const { rateLimits } = this.#options;
+    const available = idle.filter(({ server }) =>
+      rateLimits.reserve(server.id, nowMs)
+    );
+    if (available.length === 0) return [];
     const busy = servers.filter((server) => !idle.includes(server));
     const nextFreeAtMs = busy.length === 0
       ? undefined
@@ -207,7 +211,7 @@
     const { plan = planBatches } = this.#options;
     return plan({
       service,
-      idle,
+      idle: available,
       dataCentres: new Set(
         servers.filter((server) => server.isHealthy(nowMs))
           .map(({ server }) => server.dataCentre),
@@ -244,6 +248,7 @@
       item.state = { kind: "running", callId: id };
       item.sendCount += 1;
     }
+    this.#options.rateLimits.useReservation(call.server.id);
     batch.server.startCall(entries.length, totalResultBytes(entries), nowMs);
     this.#calls.set(id, call);
     return [call];
--- a/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
@@ -4,7 +4,10 @@
  * @module
  */
 
-import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import type {
+  BackendServerId,
+  ServiceName,
+} from "@sassafrasstage/protocol/ids";
 import type {
   ResultReference,
   StageGraphOutcome,
@@ -18,9 +21,22 @@
 import type { planBatches } from "./plan_batches.js";
 import type { StageJob } from "./stage_job.js";
 
+/** Rate limits that hold for the calls of all VMs together. */
+export interface CallRateLimits {
+  requestsPerSecond(id: BackendServerId): number | undefined;
+  /**
+   * Whether the server accepts a call now. If a permit is needed, requests it
+   * so that a later check succeeds.
+   */
+  reserve(id: BackendServerId, nowMs: number): boolean;
+  /** Uses the permit for a call. */
+  useReservation(id: BackendServerId): void;
+}
+
 export interface BatchSchedulerOptions {
   readonly register: ServerRegister;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
+  readonly rateLimits: CallRateLimits;
   /** Limits how many items are sent again. */
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
   readonly onEnded: (job: StageJob, outcome: StageGraphOutcome) => void;
--- a/packages/daemon/src/stage_graphs/batch_servers.ts
+++ b/packages/daemon/src/stage_graphs/batch_servers.ts
@@ -10,9 +10,13 @@
 } from "@sassafrasstage/protocol/ids";
 import type { ServerRegister } from "../register/server_register.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
-import { BatchServer } from "./batch_server.js";
+import type { CallRateLimits } from "./batch_scheduler_options.js";
+import { BatchServer, nominalCallMs } from "./batch_server.js";
+
+const MS_PER_SECOND = 1000;
 
 export interface BatchServersOptions {
+  readonly rateLimits: CallRateLimits;
   readonly register: ServerRegister;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
 }
@@ -67,8 +71,18 @@
   capacityOf(service: ServiceName, nowMs: number): number {
     let capacity = 0;
     for (const server of this.reachable(service, nowMs)) {
-      capacity += server.limits.maxConcurrentCalls / server.slowdown(nowMs);
+      capacity += Math.min(
+        server.limits.maxConcurrentCalls / server.slowdown(nowMs),
+        this.#rateCapacity(server),
+      );
     }
     return capacity;
   }
+
+  /** Concurrent full calls that the server's rate limit amounts to. */
+  #rateCapacity({ server, limits }: BatchServer): number {
+    const rate = this.#options.rateLimits.requestsPerSecond(server.id);
+    if (rate === undefined) return Infinity;
+    return rate * nominalCallMs(limits, limits.maxItems) / MS_PER_SECOND;
+  }
 }
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -15,6 +15,7 @@
   RegisteredServer,
   ServerRegister,
 } from "../register/server_register.js";
+import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
 import { BatchScheduler } from "./batch_scheduler.js";
@@ -31,6 +32,7 @@
   readonly register: ServerRegister;
   readonly caller: BatchCaller;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
+  readonly rateLimits: ServerRateLimits;
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -68,6 +70,7 @@
     this.#scheduler = new BatchScheduler({
       register: options.register,
       limitsOf: options.limitsOf,
+      rateLimits: options.rateLimits,
       retryBudgetOf: options.retryBudgetOf,
       onEnded: (job, outcome) => {
         this.#reportOutcome(job, outcome);
@@ -175,12 +178,16 @@
   }
 
   async #runCall(call: StageCall): Promise<void> {
-    const { clock, caller } = this.#options;
-    const outcome = await caller.runItems({
+    const { clock, caller, rateLimits } = this.#options;
+    const { outcome, rateLimit } = await caller.runItems({
       server: call.server,
       items: call.entries.map((entry) => toBatchItem(entry, call.startedAtMs)),
       timeoutMs: CALL_TIMEOUT_MS,
     });
+    rateLimits.recordStatement(call.server.id, rateLimit, {
+      startedAtMs: call.startedAtMs,
+      request: call.entries[0]?.job.graph.attemptId,
+    });
     this.#recordCall(call, outcome);
     this.#scheduler.endCall(call.id, outcome, clock.nowMs());
     this.#schedulePlan();
--- a/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
@@ -8,6 +8,7 @@
 import { Metrics } from "../observability/metrics.js";
 import { rankByRendezvous } from "../peers/rendezvous.js";
 import { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
+import { makeRateLimits } from "../rate_limits/testing/make_rate_limits.js";
 import { ServerRegister } from "../register/server_register.js";
 import {
   makeGraph,
@@ -45,6 +46,7 @@
       ...common,
       latencies: new LatencyRecords(),
       register,
+      rateLimits: makeRateLimits(this.network),
       limitsOf: () => SAMPLE_LIMITS,
       retryBudgetOf: () => budget,
       caller: {
@@ -53,11 +55,14 @@
           const call = this.callCount;
           await sleep(CALL_MS);
           return {
-            kind: "answered",
-            items: items.map((_, n) => ({
-              kind: "made",
-              reference: `${name}/${call}.${n}`,
-            })),
+            outcome: {
+              kind: "answered",
+              items: items.map((_, n) => ({
+                kind: "made",
+                reference: `${name}/${call}.${n}`,
+              })),
+            },
+            rateLimit: { kind: "unlimited" },
           };
         },
         freeResults: () => Promise.resolve(),
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -89,6 +89,11 @@
     );
     this.scheduler = new BatchScheduler({
       register: this.register,
+      rateLimits: {
+        requestsPerSecond: () => undefined,
+        reserve: () => true,
+        useReservation: () => undefined,
+      },
       limitsOf: (service) => options.limits.get(service),
       retryBudgetOf: () => budget,
       ...(options.plan === undefined ? {} : { plan: options.plan }),
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -15,6 +15,7 @@
   PoolId,
   VmId,
 } from "./ids.js";
+import type { StatedRateLimit } from "./rate_limits.js";
 import type { StageGraph, StageGraphOutcome } from "./stage_graph.js";
 import type { StoredObject } from "./platform_objects.js";
 import type {
@@ -25,7 +26,7 @@
 } from "./permits.js";
 
 /** Incremented whenever the format of a message changes. */
-export const PEER_PROTOCOL_VERSION = 2;
+export const PEER_PROTOCOL_VERSION = 3;
 /** A connection on which a longer frame arrives is closed. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
@@ -247,6 +248,34 @@
   readonly copies: readonly ObjectsCopy[];
 }
 
+/** Tells of a change of the rate limit that a backend server states. */
+export interface RateLimitChangeMessage {
+  readonly type: "rateLimitChange";
+  readonly backendServerId: BackendServerId;
+  readonly stated: StatedRateLimit;
+  /** Requests that the receiver tells the other VMs of its data centre. */
+  readonly relay: boolean;
+}
+
+/** Asks the owner of a server's rate limit for one request to the server. */
+export interface RateRequestMessage {
+  readonly type: "rateRequest";
+  readonly requestNumber: number;
+  readonly backendServerId: BackendServerId;
+  /** The limit as known to the sender. */
+  readonly requestsPerSecond: number;
+  readonly stated?: StatedRateLimit | undefined;
+}
+
+export interface RateDecisionMessage {
+  readonly type: "rateDecision";
+  readonly requestNumber: number;
+  readonly isGranted: boolean;
+  /** Time until the next request may be granted; 0 for a granted one. */
+  readonly retryAfterMs: number;
+  readonly stated?: StatedRateLimit | undefined;
+}
+
 /** Graceful shutdown: the sender takes no new work and gives up its pools. */
 export interface LeavingMessage {
   readonly type: "leaving";
@@ -276,6 +305,9 @@
   | StageCoordinatingMessage
   | ObjectsRequestMessage
   | ObjectsMessage
+  | RateLimitChangeMessage
+  | RateRequestMessage
+  | RateDecisionMessage
   | LeavingMessage;
 
 export type PeerMessageType = PeerMessage["type"];
