Log the software version of servers and of where streams go on

The logs couldn't tell whether a stream went on at another software version, nor which attempt a client took up. The line placed of a resumption holds the server's version, the event after which it goes on and the client's attempt that began the stream. Placement is unchanged.

--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -10,6 +10,7 @@
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
 import { pollSockets } from "../http/poll_sockets.js";
+import type { ServerCandidate } from "../placement/choose_server.js";
 import type { ForwardContext, ForwardOutcome } from "./forward_context.js";
 import {
   replyAtLifetimeEnd,
@@ -146,7 +147,7 @@
   context: ForwardContext,
   state: StreamState,
 ): Promise<StreamResult | undefined> {
-  const { environment, request } = context;
+  const { environment } = context;
   const candidate = await environment.directory.assign(
     placementRequestOf(context, state.inputs?.dataCentre, state.triedServers),
   );
@@ -154,11 +155,7 @@
   if (context.lifetime.end !== undefined) return { kind: "ended" };
   state.triedServers.add(candidate.server.id);
   state.runs += 1;
-  environment.logger.debug("placed", {
-    request: request.attemptId,
-    server: candidate.server.id,
-    inFlight: candidate.health.inFlight,
-  });
+  logPlacement(context, state, candidate);
   return StreamRelay.run({
     attempt: {
       context,
@@ -177,6 +174,30 @@
   });
 }
 
+/** A resumption is logged at `info`, as it may fail because of the version. */
+function logPlacement(
+  context: ForwardContext,
+  state: StreamState,
+  { server, health }: ServerCandidate,
+): void {
+  const { logger } = context.environment;
+  const { attemptId, resumedAttemptId } = context.request;
+  const fields = {
+    request: attemptId,
+    server: server.id,
+    softwareVersion: server.softwareVersion,
+    inFlight: health.inFlight,
+  };
+  if (state.lastEventId === undefined) logger.debug("placed", fields);
+  else {
+    logger.info("placed", {
+      ...fields,
+      resumes: resumedAttemptId,
+      after: state.lastEventId,
+    });
+  }
+}
+
 function isResumable(context: ForwardContext): boolean {
   const { repeatability } = context.route;
   return repeatability.kind === "stream" && repeatability.isResumable;
--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -111,6 +111,7 @@
       deadlineInMs: 5000,
       prompt: undefined,
       resumeAfter: undefined,
+      resumedAttemptId: undefined,
       stageItems: undefined,
       inputKey: undefined,
       receivedAtMs: clock.nowMs(),
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -38,6 +38,8 @@
   readonly prompt: PromptShape | undefined;
   /** Id of the last event that the client has received. */
   readonly resumeAfter: string | undefined;
+  /** The client's attempt that brought the first event of a resumed stream. */
+  readonly resumedAttemptId: AttemptId | undefined;
   /** Number of items for each stage of the route. */
   readonly stageItems: readonly number[] | undefined;
   readonly inputKey: string | undefined;
--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -8,6 +8,7 @@
   BackendServerId,
   DataCentreName,
   ServiceName,
+  SoftwareVersion,
 } from "@sassafrasstage/protocol/ids";
 import type { Address } from "../settings/settings.js";
 
@@ -17,6 +18,8 @@
   readonly service: ServiceName;
   readonly address: Address;
   readonly dataCentre: DataCentreName;
+  /** Versions have no order; output of different versions can't be combined. */
+  readonly softwareVersion: SoftwareVersion;
   /** Number of requests that it processes concurrently. */
   readonly slots: number;
   readonly isDraining: boolean;
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -226,6 +226,7 @@
       server: server.id,
       service: server.service,
       dataCentre: server.dataCentre,
+      softwareVersion: server.softwareVersion,
       draining: server.isDraining,
       coldRemainingMs: server.coldRemainingMs,
     });
--- a/packages/daemon/src/testing/stage_samples.ts
+++ b/packages/daemon/src/testing/stage_samples.ts
@@ -10,6 +10,7 @@
   type BackendServerId,
   type DataCentreName,
   type ServiceName,
+  type SoftwareVersion,
   toId,
   type VmId,
 } from "@sassafrasstage/protocol/ids";
@@ -45,6 +46,7 @@
     service: ENCODER,
     address: { host: "10.0.0.1", port: 8000 },
     dataCentre: EAST,
+    softwareVersion: toId<SoftwareVersion>("v1"),
     slots: 1,
     isDraining: false,
     coldRemainingMs: 0,
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -25,6 +25,8 @@
 export type ServiceName = Branded<"ServiceName">;
 /** A model engine or a plain server that runs stages. */
 export type BackendServerId = Branded<"BackendServerId">;
+/** The version of a backend server's software. */
+export type SoftwareVersion = Branded<"SoftwareVersion">;
 /** A pipeline in the rules. */
 export type PipelineName = Branded<"PipelineName">;
 /** One stage of a pipeline. */
