--- a/packages/daemon/src/rate_limits/server_rate_limits_test.ts
+++ b/packages/daemon/src/rate_limits/server_rate_limits_test.ts
@@ -32,7 +32,7 @@
       requestsPerSecond: LIMIT_PER_SECOND,
     };
     await fleet.run(SETTLE_MS);
-    await test(fleet, fleet.nowMs);
+    await test(fleet, fleet.network.nowMs);
   } finally {
     mock.timers.reset();
   }
@@ -54,11 +54,11 @@
 
     it("is kept while a third of the VMs is partitioned from the others", async () => {
       await withLimitedFleet(vmCount, async (fleet, fromMs) => {
-        for (const vm of fleet.vms) {
+        for (const vm of fleet.network.vms) {
           if (vm.self.dataCentre === "dc-1") vm.partition = 1;
         }
         await fleet.run(PHASE_MS);
-        for (const vm of fleet.vms) vm.partition = 0;
+        for (const vm of fleet.network.vms) vm.partition = 0;
         await fleet.run(PHASE_MS);
         const max = fleet.maxArrivals(SPAN_MS, fromMs);
         expect(max <= ACCEPTED_IN_SPAN + BURST).toEqual(true);
@@ -71,9 +71,9 @@
     it("is kept while the VM that grants requests is paused", async () => {
       await withLimitedFleet(vmCount, async (fleet, fromMs) => {
         const owner = fleet.ownerIndex();
-        fleet.pause(owner);
+        fleet.network.pause(owner);
         await fleet.run(PHASE_MS);
-        fleet.resume(owner);
+        fleet.network.resume(owner);
         await fleet.run(PHASE_MS);
         const max = fleet.maxArrivals(SPAN_MS, fromMs);
         expect(max <= ACCEPTED_IN_SPAN + BURST).toEqual(true);
@@ -98,7 +98,7 @@
       await withLimitedFleet(vmCount, async (fleet) => {
         fleet.statement = { kind: "unlimited" };
         await fleet.run(PHASE_MS);
-        const endedAtMs = fleet.nowMs;
+        const endedAtMs = fleet.network.nowMs;
         await fleet.run(PHASE_MS);
         const received = fleet.arrivalsMs
           .filter((timeMs) => timeMs >= endedAtMs).length;
