Let a stream go on only at the software version that began it

Cause: placement didn't know versions, neither for a resumption within a request nor for a stream that its client takes up.

The first event fixes the version. Within the request, other versions are no candidates; a stalled stream isn't given up for a server that can't continue it. For the client's later attempts, the VM tells two other VMs of each data centre where the stream began (service and version), by rendezvous hashing of the attempt that brought the first event; other data centres through the peer to which a connection is kept. A VM that gets a resumption asks the two of its data centre, then those of the others, 100 ms each at most. If nobody knows, the stream goes on only if a single version has served since before it can have begun; else it is refused at once, as not run. Origins are kept for 60 s. A resumption also keeps its service where a route is split.

Cost at 300 VMs with 1,000 streams a second: 6 messages of about 150 bytes per stream, 20 a second per VM, on connections that exist.

--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -253,6 +253,7 @@
     excluded: state.triedServers,
     // A hedge must not wait for a permit while the first attempt may end.
     includesRateLimited: !isHedge,
+    softwareVersion: undefined,
   });
   if (candidate === undefined || context.lifetime.end !== undefined) {
     return false;
--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -12,6 +12,7 @@
 import type { Metrics } from "../observability/metrics.js";
 import type { ServerDirectory } from "../placement/server_directory.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
+import type { StreamVersions } from "../stream_versions/stream_versions.js";
 import type { StageGraphClient } from "../stage_graphs/stage_graph_client.js";
 import type { RequestLifetime } from "./request_lifetime.js";
 import type { RouteStatistics } from "./route_statistics.js";
@@ -24,6 +25,7 @@
   readonly serverCaller: ServerCaller;
   readonly graphs: StageGraphClient;
   readonly rateLimits: ServerRateLimits;
+  readonly streamVersions: StreamVersions;
   readonly routeStatistics: RouteStatistics;
   readonly dataCentre: DataCentreName;
   readonly clock: Clock;
--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -8,8 +8,14 @@
  * @module
  */
 
-import type { BackendServerId } from "@sassafrasstage/protocol/ids";
+import type {
+  BackendServerId,
+  SoftwareVersion,
+} from "@sassafrasstage/protocol/ids";
+import type { StreamOrigin } from "@sassafrasstage/protocol/stream_origin";
 import { pollSockets } from "../http/poll_sockets.js";
+import type { PlacementRequest } from "../placement/server_directory.js";
+import type { RegisteredServer } from "../register/server_register.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
 import type { ForwardContext, ForwardOutcome } from "./forward_context.js";
 import {
@@ -19,6 +25,7 @@
 } from "./forward_buffered.js";
 import { placementRequestOf } from "./placement_request.js";
 import { type PreparedInputs, prepareInputs } from "./prepare_inputs.js";
+import { resolveResumption } from "./resolve_resumption.js";
 import {
   type StreamProgress,
   StreamRelay,
@@ -32,6 +39,8 @@
 interface StreamState extends StreamProgress {
   readonly triedServers: Set<BackendServerId>;
   readonly relativeSize: number;
+  /** Set once the stream has begun; it goes on only at this version. */
+  softwareVersion: SoftwareVersion | undefined;
   inputs: PreparedInputs | undefined;
   /** Number of calls that may have run. */
   runs: number;
@@ -39,15 +48,41 @@
 }
 
 export async function forwardStream(
-  context: ForwardContext,
+  admitted: ForwardContext,
 ): Promise<ForwardOutcome> {
-  const { environment, request, route, lifetime } = context;
-  const state: StreamState = {
+  const resumption = await resolveResumption(admitted);
+  if (resumption.kind === "refused") {
+    return replyLocally(admitted, resumption.reply);
+  }
+  const origin = resumption.kind === "found" ? resumption.origin : undefined;
+  const context = {
+    ...admitted,
+    service: origin?.service ?? admitted.service,
+  };
+  const { environment, lifetime } = context;
+  const state = makeStreamState(context, origin);
+  environment.directory.retryBudgetOf(context.service)
+    .recordRequest(environment.clock.nowMs());
+  try {
+    return await runAttempts(context, state);
+  } finally {
+    state.inputs?.release();
+    lifetime.close();
+  }
+}
+
+function makeStreamState(
+  context: ForwardContext,
+  origin: StreamOrigin | undefined,
+): StreamState {
+  const { environment, request, route } = context;
+  return {
     triedServers: new Set(),
     relativeSize: environment.routeStatistics.relativeSize(
       route.name,
       request.prompt,
     ),
+    softwareVersion: origin?.softwareVersion,
     inputs: undefined,
     runs: 0,
     refusals: 0,
@@ -55,14 +90,6 @@
     endsWithConnection: false,
     lastEventId: request.resumeAfter,
   };
-  environment.directory.retryBudgetOf(context.service)
-    .recordRequest(environment.clock.nowMs());
-  try {
-    return await runAttempts(context, state);
-  } finally {
-    state.inputs?.release();
-    lifetime.close();
-  }
 }
 
 async function runAttempts(
@@ -70,6 +97,9 @@
   state: StreamState,
 ): Promise<ForwardOutcome> {
   for (;;) {
+    if (!canPlace(context, state)) {
+      return giveUp(context, state, "noServerOfVersion");
+    }
     const inputsOutcome = await ensureInputs(context, state);
     if (inputsOutcome !== undefined) return inputsOutcome;
     await pollSockets();
@@ -82,13 +112,30 @@
   }
 }
 
+/** False if a stream has begun and no server of its version is left. */
+function canPlace(context: ForwardContext, state: StreamState): boolean {
+  return state.softwareVersion === undefined ||
+    context.environment.directory.hasServer(toPlacement(context, state));
+}
+
+function toPlacement(
+  context: ForwardContext,
+  state: StreamState,
+): PlacementRequest {
+  return placementRequestOf(context, {
+    inputsDataCentre: state.inputs?.dataCentre,
+    excluded: state.triedServers,
+    softwareVersion: state.softwareVersion,
+  });
+}
+
 /** Prepares missing inputs; returns the final outcome if that fails. */
 async function ensureInputs(
   context: ForwardContext,
   state: StreamState,
 ): Promise<ForwardOutcome | undefined> {
   if (state.inputs !== undefined) return undefined;
-  const outcome = await prepareInputs(context, state.relativeSize);
+  const outcome = await prepareInputs(context, state);
   switch (outcome.kind) {
     case "prepared":
       state.inputs = outcome.inputs;
@@ -149,7 +196,7 @@
 ): Promise<StreamResult | undefined> {
   const { environment } = context;
   const candidate = await environment.directory.assign(
-    placementRequestOf(context, state.inputs?.dataCentre, state.triedServers),
+    toPlacement(context, state),
   );
   if (candidate === undefined) return undefined;
   if (context.lifetime.end !== undefined) return { kind: "ended" };
@@ -164,9 +211,11 @@
       resumeAfter: state.lastEventId,
     },
     progress: state,
-    canFailOver: isResumable(context) &&
-      state.runs < context.route.maxAttempts,
+    canFailOver: () =>
+      isResumable(context) && state.runs < context.route.maxAttempts &&
+      canPlace(context, state),
     onFirstEvent: (afterMs) => {
+      recordBegin(context, state, candidate.server);
       environment.routeStatistics.recordFirstByte(context.route.name, afterMs);
       state.inputs?.release();
       state.inputs = undefined;
@@ -174,6 +223,20 @@
   });
 }
 
+/** Fixes the version of a new stream, also for the client's later attempts. */
+function recordBegin(
+  context: ForwardContext,
+  state: StreamState,
+  { service, softwareVersion }: RegisteredServer,
+): void {
+  if (state.softwareVersion !== undefined) return;
+  state.softwareVersion = softwareVersion;
+  context.environment.streamVersions.recordBegin(context.request.attemptId, {
+    service,
+    softwareVersion,
+  });
+}
+
 /** A resumption is logged at `info`, as it may fail because of the version. */
 function logPlacement(
   context: ForwardContext,
--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -18,6 +18,8 @@
 import { ServerRegister } from "../register/server_register.js";
 import type { Repeatability } from "../routing/routing_configuration.js";
 import { ENCODER, makeReport } from "../testing/stage_samples.js";
+import { LinkedVm } from "../stage_graphs/testing/linked_vms.js";
+import { StreamVersions } from "../stream_versions/stream_versions.js";
 import type { ForwardContext } from "./forward_context.js";
 import { forwardBuffered } from "./forward_buffered.js";
 import { forwardStream } from "./forward_stream.js";
@@ -93,6 +95,13 @@
       // Not used by a route without stages.
       graphs: undefined as never,
       rateLimits,
+      streamVersions: new StreamVersions({
+        network: new LinkedVm("vm-1"),
+        register,
+        clock,
+        metrics: new Metrics(),
+        logger: createLogger("error", {}),
+      }),
       routeStatistics: new RouteStatistics(),
       dataCentre: toId<DataCentreName>("east"),
       clock,
--- a/packages/daemon/src/forwarding/placement_request.ts
+++ b/packages/daemon/src/forwarding/placement_request.ts
@@ -7,25 +7,32 @@
 import type {
   BackendServerId,
   DataCentreName,
+  SoftwareVersion,
 } from "@sassafrasstage/protocol/ids";
 import type { PlacementRequest } from "../placement/server_directory.js";
 import type { ForwardContext } from "./forward_context.js";
 
-/**
- * @param inputsDataCentre Location of the request's inputs, if it has any
- * @param excluded Servers that were already tried
- */
+export interface PlacementConstraints {
+  /** Location of the request's inputs, if it has any. */
+  readonly inputsDataCentre: DataCentreName | undefined;
+  /** Servers that were already tried. */
+  readonly excluded: ReadonlySet<BackendServerId>;
+  /** Set for a stream that goes on; other versions can't continue it. */
+  readonly softwareVersion: SoftwareVersion | undefined;
+}
+
 export function placementRequestOf(
   context: ForwardContext,
-  inputsDataCentre: DataCentreName | undefined,
-  excluded: ReadonlySet<BackendServerId>,
+  constraints: PlacementConstraints,
 ): PlacementRequest {
+  const { inputsDataCentre, excluded, softwareVersion } = constraints;
   return {
     service: context.service,
     dataCentre: inputsDataCentre ?? context.environment.dataCentre,
     prefixKey: prefixKeyOf(context),
     excluded,
     includesRateLimited: true,
+    softwareVersion,
   };
 }
 
--- a/packages/daemon/src/forwarding/prepare_inputs.ts
+++ b/packages/daemon/src/forwarding/prepare_inputs.ts
@@ -7,6 +7,7 @@
 import type {
   BackendServerId,
   DataCentreName,
+  SoftwareVersion,
 } from "@sassafrasstage/protocol/ids";
 import type { GraphStage } from "@sassafrasstage/protocol/stage_graph";
 import { makeDeferred } from "../deferred.js";
@@ -52,16 +53,22 @@
   }));
 }
 
+export interface PreparationOptions {
+  readonly relativeSize: number;
+  /** Set for a stream that goes on at servers of this version only. */
+  readonly softwareVersion: SoftwareVersion | undefined;
+}
+
 /** Runs the stages; stops early if the request's lifetime ends. */
 export async function prepareInputs(
   context: ForwardContext,
-  relativeSize: number,
+  options: PreparationOptions,
 ): Promise<PreparationResult> {
   const stages = graphStagesOf(context);
   if (stages.every((stage) => stage.itemCount === 0)) {
     return { kind: "prepared", inputs: NO_INPUTS };
   }
-  const running = startGraph(context, stages, relativeSize);
+  const running = startGraph(context, stages, options);
   const lifetimeEnded = makeDeferred<"ended">();
   const stopListening = context.lifetime.onEnd(() => {
     lifetimeEnded.resolve("ended");
@@ -90,13 +97,17 @@
 function startGraph(
   context: ForwardContext,
   stages: readonly GraphStage[],
-  relativeSize: number,
+  { relativeSize, softwareVersion }: PreparationOptions,
 ): RunningGraph {
   const { environment, request, route, lifetime } = context;
   const nowMs = environment.clock.nowMs();
   const elapsedMs = nowMs - request.receivedAtMs;
   const likelyServer = environment.directory.preview(
-    placementRequestOf(context, undefined, NO_TRIED_SERVERS),
+    placementRequestOf(context, {
+      inputsDataCentre: undefined,
+      excluded: NO_TRIED_SERVERS,
+      softwareVersion,
+    }),
     nowMs,
   );
   return environment.graphs.run({
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -55,7 +55,9 @@
   | "overloaded"
   | "outOfTime"
   | "noServer"
-  | "serversFull";
+  | "serversFull"
+  /** Another VM may know where the resumed stream began. */
+  | "unknownStream";
 
 /** Status and headers of a response as sent to the client. */
 export interface ClientResponseHead {
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -46,8 +46,8 @@
 export interface StreamRelayOptions {
   readonly attempt: AttemptInput;
   readonly progress: StreamProgress;
-  /** Whether the stream may resume at another server if this one stalls. */
-  readonly canFailOver: boolean;
+  /** Whether the stream can resume at another server if this one stalls. */
+  readonly canFailOver: () => boolean;
   /** Called on the first event, once the server has consumed the inputs. */
   readonly onFirstEvent: (afterMs: number) => void;
 }
@@ -90,7 +90,6 @@
         this.#handleFailure(failure);
       },
     });
-    if (!options.canFailOver) return;
     this.#stallTimer = setInterval(() => {
       this.#checkStall();
     }, STALL_CHECK_MS);
@@ -187,6 +186,7 @@
       ? EVENT_STALL_MS
       : FIRST_EVENT_STALL_MS;
     if (this.#nowMs() - this.#lastReceivedAtMs < limitMs) return;
+    if (!this.#options.canFailOver()) return;
     this.#call.cancel();
     this.#options.attempt.candidate.health.recordFailure(this.#nowMs());
     this.#result.resolve({ kind: "broken", detail: "silent" });
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -133,6 +133,11 @@
   ageMs: isNonNegativeNumber,
 });
 
+const isStreamOrigin = shape({
+  service: isShortString,
+  softwareVersion: isShortString,
+});
+
 const MESSAGE_SHAPES: Readonly<Record<PeerMessageType, ShapeCheck>> = {
   heartbeat: shape({
     sequence: isNonNegativeInteger,
@@ -247,6 +252,19 @@
     retryAfterMs: isNonNegativeNumber,
     stated: optional(isStatedRateLimit),
   }),
+  streamBegun: shape({
+    attemptId: isShortString,
+    origin: isStreamOrigin,
+    relay: isBoolean,
+  }),
+  streamOriginRequest: shape({
+    requestNumber: isNonNegativeInteger,
+    attemptId: isShortString,
+  }),
+  streamOriginReply: shape({
+    requestNumber: isNonNegativeInteger,
+    origin: optional(isStreamOrigin),
+  }),
   leaving: shape({ vmId: isShortString }),
 };
 
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -9,10 +9,14 @@
   BackendServerId,
   DataCentreName,
   ServiceName,
+  SoftwareVersion,
 } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
-import type { ServerRegister } from "../register/server_register.js";
+import type {
+  RegisteredServer,
+  ServerRegister,
+} from "../register/server_register.js";
 import type { RoutedService } from "../routing/routing_configuration.js";
 import { chooseServer, type ServerCandidate } from "./choose_server.js";
 import { ServerHealth } from "./server_health.js";
@@ -46,6 +50,8 @@
   readonly excluded: ReadonlySet<BackendServerId>;
   /** Whether the request may go to a server that states a rate limit. */
   readonly includesRateLimited: boolean;
+  /** If set, only servers of this version are considered. */
+  readonly softwareVersion: SoftwareVersion | undefined;
 }
 
 /**
@@ -95,10 +101,8 @@
     request: PlacementRequest,
     nowMs: number,
   ): ServerCandidate | undefined {
-    const candidates = this.#options.register.usableServers(request.service)
-      .filter(({ id }) =>
-        !request.excluded.has(id) && this.#hasRate(id, request, nowMs)
-      )
+    const candidates = this.#suitableServers(request)
+      .filter(({ id }) => this.#hasRate(id, request, nowMs))
       .map((server) => ({ server, health: this.healthOf(server.id) }));
     return chooseServer({
       candidates,
@@ -109,6 +113,11 @@
     });
   }
 
+  /** Whether a server could take the request, now or later. */
+  hasServer(request: PlacementRequest): boolean {
+    return this.#suitableServers(request).length > 0;
+  }
+
   /**
    * Time until a server of the service accepts another request; 0 if there is
    * one without a limit or with capacity left.
@@ -154,6 +163,15 @@
     return Math.max(1, Math.min(MAX_CONNECTIONS_PER_SERVER, share));
   }
 
+  #suitableServers(request: PlacementRequest): RegisteredServer[] {
+    const { excluded, service, softwareVersion } = request;
+    return this.#options.register.usableServers(service).filter((server) =>
+      !excluded.has(server.id) &&
+      (softwareVersion === undefined ||
+        server.softwareVersion === softwareVersion)
+    );
+  }
+
   #hasRate(
     id: BackendServerId,
     request: PlacementRequest,
--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -109,11 +109,22 @@
 
   /** The servers of a service that can receive new work. */
   usableServers(service: ServiceName): RegisteredServer[] {
-    return this.#serversOf(service).filter((server) =>
+    return this.serversOf(service).filter((server) =>
       this.canReceiveWork(server)
     );
   }
 
+  /** All servers of a service. */
+  serversOf(service: ServiceName): readonly RegisteredServer[] {
+    let servers = this.#byService.get(service);
+    if (servers === undefined) {
+      servers = [...this.#servers.values()]
+        .filter((server) => server.service === service);
+      this.#byService.set(service, servers);
+    }
+    return servers;
+  }
+
   get size(): number {
     return this.#servers.size;
   }
@@ -124,16 +135,6 @@
     this.#servers.set(server.id, server);
     this.#byService.delete(server.service);
   }
-
-  #serversOf(service: ServiceName): RegisteredServer[] {
-    let servers = this.#byService.get(service);
-    if (servers === undefined) {
-      servers = [...this.#servers.values()]
-        .filter((server) => server.service === service);
-      this.#byService.set(service, servers);
-    }
-    return servers;
-  }
 }
 
 function isOlderProcess(report: ServerReport, known: ServerReport): boolean {
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -36,6 +36,7 @@
 import type { BatchCaller } from "./stage_graphs/batch_caller.js";
 import { StageCoordinator } from "./stage_graphs/stage_coordinator.js";
 import { StageGraphClient } from "./stage_graphs/stage_graph_client.js";
+import { StreamVersions } from "./stream_versions/stream_versions.js";
 
 export interface RoutedDaemonOptions {
   readonly settings: Settings;
@@ -66,6 +67,7 @@
   readonly #deployment: Deployment;
   readonly #directory: ServerDirectory;
   readonly #rateLimits: ServerRateLimits;
+  readonly #streamVersions: StreamVersions;
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
   readonly #eventLoop: EventLoopMonitor;
@@ -106,6 +108,13 @@
       metrics,
       logger,
     });
+    this.#streamVersions = new StreamVersions({
+      network,
+      register: this.#deployment.register,
+      clock,
+      metrics,
+      logger,
+    });
     this.#directory = new ServerDirectory({
       clock,
       rateLimits: this.#rateLimits,
@@ -138,6 +147,7 @@
         serverCaller: options.serverCaller,
         graphs: this.#graphs,
         rateLimits: this.#rateLimits,
+        streamVersions: this.#streamVersions,
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
         clock,
@@ -233,6 +243,7 @@
     if (change.kind !== "ended") return;
     this.#directory.forget(server.id);
     this.#rateLimits.forget(server.id);
+    this.#streamVersions.recordServerEnded(server);
     this.#coordinator.handleServerEnded(server);
     onServerEnded(server);
   }
--- /dev/null
+++ b/packages/daemon/src/stream_versions/stream_versions.ts
@@ -0,0 +1,161 @@
+/**
+ * Finds the software version at which a stream may go on: the one that began
+ * it. Its VM may be gone, so other VMs remember the version too.
+ *
+ * @module
+ */
+
+import type { AttemptId, ServiceName } from "@sassafrasstage/protocol/ids";
+import type { StreamOrigin } from "@sassafrasstage/protocol/stream_origin";
+import type { Clock } from "../clock.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { PeerNetwork } from "../peers/peer_network.js";
+import { rankByRendezvous } from "../peers/rendezvous.js";
+import type {
+  RegisteredServer,
+  ServerRegister,
+} from "../register/server_register.js";
+import { OriginHolders } from "./origin_holders.js";
+import { OriginLookup } from "./origin_lookup.js";
+import { StreamOrigins } from "./stream_origins.js";
+import { VersionHistory } from "./version_history.js";
+
+export interface StreamVersionsOptions {
+  readonly network: PeerNetwork;
+  readonly register: ServerRegister;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+export class StreamVersions {
+  readonly #options: StreamVersionsOptions;
+  readonly #origins = new StreamOrigins();
+  readonly #holders = new OriginHolders();
+  readonly #history: VersionHistory;
+  readonly #lookup: OriginLookup;
+
+  constructor(options: StreamVersionsOptions) {
+    this.#options = options;
+    const { network, clock, metrics } = options;
+    this.#history = new VersionHistory(clock.nowMs());
+    this.#lookup = new OriginLookup(network);
+    network.messages.on("streamBegun", ({ message }) => {
+      const { attemptId, origin, relay } = message;
+      this.#origins.set(attemptId, origin, clock.nowMs());
+      if (relay) this.#tellHolders(attemptId, origin);
+    });
+    network.messages.on("streamOriginRequest", ({ from, message }) => {
+      const { requestNumber, attemptId } = message;
+      const origin = this.#origins.get(attemptId, clock.nowMs());
+      network.send(from.vmId, {
+        type: "streamOriginReply",
+        requestNumber,
+        ...(origin === undefined ? {} : { origin }),
+      });
+    });
+    metrics.registerGauge("streamOrigins", () => this.#origins.size);
+  }
+
+  /** Called with the first event of a stream, before the client gets it. */
+  recordBegin(attemptId: AttemptId, origin: StreamOrigin): void {
+    const { network, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    this.#origins.set(attemptId, origin, nowMs);
+    this.#tellHolders(attemptId, origin);
+    const view = network.view(nowMs);
+    for (const dataCentre of this.#holders.dataCentres(view)) {
+      if (dataCentre === network.self.dataCentre) continue;
+      // In large fleets, this VM keeps a connection to the first of the ranking.
+      const [relay] = rankByRendezvous(
+        network.self.vmId,
+        this.#holders.vmsOf(dataCentre, view),
+      );
+      if (relay === undefined) continue;
+      network.send(relay, {
+        type: "streamBegun",
+        attemptId,
+        origin,
+        relay: true,
+      });
+    }
+  }
+
+  recordServerEnded(server: RegisteredServer): void {
+    this.#history.recordEnded(server, this.#options.clock.nowMs());
+  }
+
+  /**
+   * Finds where the stream began that a client takes up. Undefined if that can't
+   * be known: the stream must not go on then.
+   *
+   * @param attemptId The client's attempt that brought the first event
+   * @param service The service to which the client's request goes now
+   */
+  async find(
+    attemptId: AttemptId | undefined,
+    service: ServiceName,
+  ): Promise<StreamOrigin | undefined> {
+    const { metrics, logger } = this.#options;
+    const found = attemptId === undefined
+      ? undefined
+      : await this.#findOrigin(attemptId);
+    const origin = found ?? this.#inferOrigin(service);
+    const source = found === undefined ? "onlyVersion" : "remembered";
+    const result = origin === undefined ? "unknown" : source;
+    metrics.countEvent(`streamOrigin.${result}`);
+    logger.info("streamOrigin", {
+      resumes: attemptId,
+      result,
+      service: origin?.service,
+      softwareVersion: origin?.softwareVersion,
+    });
+    return origin;
+  }
+
+  async #findOrigin(attemptId: AttemptId): Promise<StreamOrigin | undefined> {
+    const { network, clock } = this.#options;
+    const { dataCentre } = network.self;
+    const nowMs = clock.nowMs();
+    const own = this.#origins.get(attemptId, nowMs);
+    if (own !== undefined) return own;
+    const view = network.view(nowMs);
+    const near = this.#holders.inDataCentre(attemptId, dataCentre, view);
+    const found = await this.#lookup.ask(near, attemptId);
+    if (found !== undefined) return found;
+    const far = this.#holders.dataCentres(view)
+      .filter((candidate) => candidate !== dataCentre)
+      .flatMap((other) => this.#holders.inDataCentre(attemptId, other, view));
+    return this.#lookup.ask(far, attemptId);
+  }
+
+  #inferOrigin(service: ServiceName): StreamOrigin | undefined {
+    const { register, clock } = this.#options;
+    const softwareVersion = this.#history.onlyVersion(
+      service,
+      register.serversOf(service),
+      clock.nowMs(),
+    );
+    return softwareVersion === undefined
+      ? undefined
+      : { service, softwareVersion };
+  }
+
+  /** Tells the VMs of this data centre that remember the stream. */
+  #tellHolders(attemptId: AttemptId, origin: StreamOrigin): void {
+    const { network, clock } = this.#options;
+    const view = network.view(clock.nowMs());
+    const { dataCentre } = network.self;
+    for (
+      const vmId of this.#holders.inDataCentre(attemptId, dataCentre, view)
+    ) {
+      network.send(vmId, {
+        type: "streamBegun",
+        attemptId,
+        origin,
+        relay: false,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/stream_versions/stream_versions_test.ts
@@ -0,0 +1,165 @@
+import {
+  type AttemptId,
+  type SoftwareVersion,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import type { StreamOrigin } from "@sassafrasstage/protocol/stream_origin";
+import { expect } from "earl";
+import { describe, it, mock } from "node:test";
+import { createLogger } from "../observability/logger.js";
+import { Metrics } from "../observability/metrics.js";
+import { SimulatedNetwork } from "../peers/testing/simulated_network.js";
+import { ServerRegister } from "../register/server_register.js";
+import { ENCODER, makeReport } from "../testing/stage_samples.js";
+import { ORIGIN_RETENTION_MS } from "./stream_origins.js";
+import { StreamVersions } from "./stream_versions.js";
+
+const ORIGIN: StreamOrigin = {
+  service: ENCODER,
+  softwareVersion: toId<SoftwareVersion>("v1"),
+};
+const STREAM_COUNT = 40;
+const SETTLE_MS = 50;
+const RESTARTED_VM = 3;
+
+/** VMs in simulated time that remember where streams began. */
+class StreamFleet {
+  readonly network = new SimulatedNetwork(mock.timers);
+  readonly register = new ServerRegister(() => undefined);
+  readonly versions: StreamVersions[] = [];
+
+  constructor(vmCount: number) {
+    for (let n = 0; n < vmCount; n++) this.restart(n);
+  }
+
+  restart(index: number): void {
+    this.versions[index] = new StreamVersions({
+      network: this.network.startVm(index),
+      register: this.register,
+      clock: { nowMs: () => this.network.nowMs },
+      metrics: new Metrics(),
+      logger: createLogger("error", {}),
+    });
+  }
+
+  vm(index: number): StreamVersions {
+    const versions = this.versions[index % this.versions.length];
+    if (versions === undefined) throw new Error(`No VM ${index}`);
+    return versions;
+  }
+
+  async run(durationMs: number): Promise<void> {
+    const endsAtMs = this.network.nowMs + durationMs;
+    while (this.network.nowMs < endsAtMs) await this.network.step();
+  }
+
+  /** Lets the time pass until the origin is found, or known to be unknown. */
+  async find(
+    vm: StreamVersions,
+    id: AttemptId | undefined,
+  ): Promise<StreamOrigin | undefined> {
+    let isDone = false;
+    const found = vm.find(id, ENCODER).finally(() => {
+      isDone = true;
+    });
+    // Only lookups set it, which the linter can't see.
+    // eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
+    while (!isDone) await this.network.step();
+    return found;
+  }
+
+  /** Begins streams at different VMs; returns their ids. */
+  async beginStreams(): Promise<AttemptId[]> {
+    const ids: AttemptId[] = [];
+    for (let n = 0; n < STREAM_COUNT; n++) {
+      const id = toId<AttemptId>(`attempt-${n}`);
+      this.vm(n).recordBegin(id, ORIGIN);
+      ids.push(id);
+    }
+    await this.run(SETTLE_MS);
+    return ids;
+  }
+}
+
+async function withFleet(
+  vmCount: number,
+  test: (fleet: StreamFleet) => Promise<void>,
+): Promise<void> {
+  mock.timers.enable({ apis: ["setTimeout"] });
+  try {
+    await test(new StreamFleet(vmCount));
+  } finally {
+    mock.timers.reset();
+  }
+}
+
+for (const vmCount of [6, 68, 300]) {
+  describe(`the origin of a stream with ${vmCount} VMs`, () => {
+    it("is found by every VM, in all data centres", async () => {
+      await withFleet(vmCount, async (fleet) => {
+        for (const [index, id] of (await fleet.beginStreams()).entries()) {
+          const origin = await fleet.find(fleet.vm(index * 7 + 1), id);
+          expect(origin).toEqual(ORIGIN);
+        }
+      });
+    });
+
+    it("is found after the VM that began the stream was restarted", async () => {
+      await withFleet(vmCount, async (fleet) => {
+        const ids = await fleet.beginStreams();
+        fleet.restart(RESTARTED_VM);
+        for (const [index, id] of ids.entries()) {
+          for (const vm of [fleet.vm(RESTARTED_VM), fleet.vm(index)]) {
+            expect(await fleet.find(vm, id)).toEqual(ORIGIN);
+          }
+        }
+      });
+    });
+
+    it("is not guessed by a VM that is cut off", async () => {
+      await withFleet(vmCount, async (fleet) => {
+        fleet.register.apply(makeReport("a"), 0);
+        const [id] = await fleet.beginStreams();
+        const [, cutOff] = fleet.network.vms;
+        if (cutOff !== undefined) cutOff.partition = 1;
+        fleet.restart(1);
+        const restarted = fleet.network.vms[1];
+        if (restarted !== undefined) restarted.partition = 1;
+        expect(await fleet.find(fleet.vm(1), id)).toEqual(undefined);
+      });
+    });
+  });
+}
+
+describe("the origin of a stream that no VM remembers", () => {
+  const id = toId<AttemptId>("never-seen");
+
+  it("is the only version that served since before the stream began", async () => {
+    await withFleet(1, async (fleet) => {
+      fleet.register.apply(makeReport("a"), 0);
+      expect(await fleet.find(fleet.vm(0), id)).toEqual(undefined);
+      fleet.network.nowMs += ORIGIN_RETENTION_MS;
+      expect(await fleet.find(fleet.vm(0), id)).toEqual(ORIGIN);
+      expect(await fleet.find(fleet.vm(0), undefined)).toEqual(ORIGIN);
+    });
+  });
+
+  it("is unknown while servers of two versions serve or have served", async () => {
+    await withFleet(1, async (fleet) => {
+      const { register } = fleet;
+      register.apply(makeReport("a"), 0);
+      const other = makeReport("b", {
+        softwareVersion: toId<SoftwareVersion>("v2"),
+      });
+      register.apply(other, 0);
+      fleet.network.nowMs += ORIGIN_RETENTION_MS;
+      expect(await fleet.find(fleet.vm(0), id)).toEqual(undefined);
+      const removed = register.get(other.id);
+      if (removed !== undefined) fleet.vm(0).recordServerEnded(removed);
+      register.remove(other.id);
+      expect(await fleet.find(fleet.vm(0), id)).toEqual(undefined);
+      fleet.network.nowMs += ORIGIN_RETENTION_MS;
+      expect(await fleet.find(fleet.vm(0), id)).toEqual(ORIGIN);
+    });
+  });
+});
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -17,6 +17,7 @@
 } from "./ids.js";
 import type { StatedRateLimit } from "./rate_limits.js";
 import type { StageGraph, StageGraphOutcome } from "./stage_graph.js";
+import type { StreamOrigin } from "./stream_origin.js";
 import type { StoredObject } from "./platform_objects.js";
 import type {
   Permit,
@@ -276,6 +277,30 @@
   readonly stated?: StatedRateLimit | undefined;
 }
 
+/** A stream of the sender's client began. */
+export interface StreamBegunMessage {
+  readonly type: "streamBegun";
+  /** The client's attempt that brings the first event. */
+  readonly attemptId: AttemptId;
+  readonly origin: StreamOrigin;
+  /** Requests that the receiver tells other VMs of its data centre. */
+  readonly relay: boolean;
+}
+
+/** Asks where the stream began whose first event an attempt brought. */
+export interface StreamOriginRequestMessage {
+  readonly type: "streamOriginRequest";
+  readonly requestNumber: number;
+  readonly attemptId: AttemptId;
+}
+
+export interface StreamOriginReplyMessage {
+  readonly type: "streamOriginReply";
+  readonly requestNumber: number;
+  /** Absent if the sender doesn't know. */
+  readonly origin?: StreamOrigin | undefined;
+}
+
 /** Graceful shutdown: the sender takes no new work and gives up its pools. */
 export interface LeavingMessage {
   readonly type: "leaving";
@@ -308,6 +333,9 @@
   | RateLimitChangeMessage
   | RateRequestMessage
   | RateDecisionMessage
+  | StreamBegunMessage
+  | StreamOriginRequestMessage
+  | StreamOriginReplyMessage
   | LeavingMessage;
 
 export type PeerMessageType = PeerMessage["type"];
