Let streams go on at the only version that VMs have observed

Their clients had not named the attempt, and a VM that had observed the versions for less than 60 s excluded nothing.

A VM that answers for a stream now also tells which versions it has observed, so a restarted VM knows what its peers know. If the client doesn't name the attempt, a single observed version is enough: such a client can take up any stream, and nothing but the versions tells where it began. An attempt that is named but remembered nowhere still needs an observation since before the stream can have begun, as it is from before the VMs lost their memory.

--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -259,11 +259,16 @@
   }),
   streamOriginRequest: shape({
     requestNumber: isNonNegativeInteger,
-    attemptId: isShortString,
+    attemptId: optional(isShortString),
+    service: isShortString,
   }),
   streamOriginReply: shape({
     requestNumber: isNonNegativeInteger,
     origin: optional(isStreamOrigin),
+    observation: shape({
+      versions: arrayOf(isShortString),
+      isComplete: isBoolean,
+    }),
   }),
   leaving: shape({ vmId: isShortString }),
 };
--- a/packages/daemon/src/stream_versions/origin_holders.ts
+++ b/packages/daemon/src/stream_versions/origin_holders.ts
@@ -8,11 +8,7 @@
  * @module
  */
 
-import type {
-  AttemptId,
-  DataCentreName,
-  VmId,
-} from "@sassafrasstage/protocol/ids";
+import type { DataCentreName, VmId } from "@sassafrasstage/protocol/ids";
 import type { MembershipView } from "../peers/peer_network.js";
 import { rankByRendezvous } from "../peers/rendezvous.js";
 
@@ -23,14 +19,18 @@
   readonly #byDataCentre = new Map<DataCentreName, VmId[]>();
   #lastView: MembershipView | undefined;
 
-  /** The other VMs of a data centre that hold the origin of a stream. */
+  /**
+   * The other VMs of a data centre that hold the origin of a stream.
+   *
+   * @param key The client's attempt that brought the first event
+   */
   inDataCentre(
-    id: AttemptId,
+    key: string,
     dataCentre: DataCentreName,
     view: MembershipView,
   ): VmId[] {
     this.#update(view);
-    return rankByRendezvous(id, this.#byDataCentre.get(dataCentre) ?? [])
+    return rankByRendezvous(key, this.#byDataCentre.get(dataCentre) ?? [])
       .slice(0, HOLDERS_PER_DATA_CENTRE);
   }
 
--- a/packages/daemon/src/stream_versions/origin_lookup.ts
+++ b/packages/daemon/src/stream_versions/origin_lookup.ts
@@ -4,16 +4,37 @@
  * @module
  */
 
-import type { AttemptId, VmId } from "@sassafrasstage/protocol/ids";
-import type { StreamOrigin } from "@sassafrasstage/protocol/stream_origin";
+import type {
+  AttemptId,
+  ServiceName,
+  VmId,
+} from "@sassafrasstage/protocol/ids";
+import type { StreamOriginReplyMessage } from "@sassafrasstage/protocol/peer_messages";
+import type {
+  StreamOrigin,
+  VersionObservation,
+} from "@sassafrasstage/protocol/stream_origin";
 import type { PeerNetwork } from "../peers/peer_network.js";
 
 /** The client waits for the answer, and may try another VM instead. */
 const LOOKUP_TIMEOUT_MS = 100;
 
+export interface OriginQuestion {
+  readonly attemptId: AttemptId | undefined;
+  readonly service: ServiceName;
+}
+
+export interface OriginAnswers {
+  /** The first origin that a VM knew. */
+  readonly origin: StreamOrigin | undefined;
+  /** Of the VMs that answered in time. */
+  readonly observations: readonly VersionObservation[];
+}
+
 interface PendingLookup {
   /** Number of VMs that haven't answered. */
   unanswered: number;
+  readonly observations: VersionObservation[];
   readonly finish: (origin: StreamOrigin | undefined) => void;
 }
 
@@ -25,46 +46,51 @@
   constructor(network: PeerNetwork) {
     this.#network = network;
     network.messages.on("streamOriginReply", ({ message }) => {
-      this.#handleReply(message.requestNumber, message.origin);
+      this.#handleReply(message);
     });
   }
 
-  /** Resolves with the first origin found, or undefined if there is none. */
+  /** Resolves with the first known origin, or when all VMs have answered. */
   ask(
     vmIds: readonly VmId[],
-    attemptId: AttemptId,
-  ): Promise<StreamOrigin | undefined> {
+    question: OriginQuestion,
+  ): Promise<OriginAnswers> {
     this.#lastRequestNumber += 1;
     const requestNumber = this.#lastRequestNumber;
     const asked = vmIds.filter((vmId) =>
       this.#network.send(vmId, {
         type: "streamOriginRequest",
         requestNumber,
-        attemptId,
+        ...question,
       })
     );
-    if (asked.length === 0) return Promise.resolve(undefined);
+    const observations: VersionObservation[] = [];
+    if (asked.length === 0) {
+      return Promise.resolve({ origin: undefined, observations });
+    }
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.#pending.get(requestNumber)?.finish(undefined);
       }, LOOKUP_TIMEOUT_MS);
       this.#pending.set(requestNumber, {
         unanswered: asked.length,
+        observations,
         finish: (origin) => {
           clearTimeout(timer);
           this.#pending.delete(requestNumber);
-          resolve(origin);
+          resolve({ origin, observations });
         },
       });
     });
   }
 
-  #handleReply(requestNumber: number, origin: StreamOrigin | undefined): void {
-    const pending = this.#pending.get(requestNumber);
+  #handleReply(message: StreamOriginReplyMessage): void {
+    const pending = this.#pending.get(message.requestNumber);
     if (pending === undefined) return;
     pending.unanswered -= 1;
-    if (origin !== undefined || pending.unanswered === 0) {
-      pending.finish(origin);
+    pending.observations.push(message.observation);
+    if (message.origin !== undefined || pending.unanswered === 0) {
+      pending.finish(message.origin);
     }
   }
 }
--- a/packages/daemon/src/stream_versions/stream_versions.ts
+++ b/packages/daemon/src/stream_versions/stream_versions.ts
@@ -6,7 +6,10 @@
  */
 
 import type { AttemptId, ServiceName } from "@sassafrasstage/protocol/ids";
-import type { StreamOrigin } from "@sassafrasstage/protocol/stream_origin";
+import type {
+  StreamOrigin,
+  VersionObservation,
+} from "@sassafrasstage/protocol/stream_origin";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -17,9 +20,13 @@
   ServerRegister,
 } from "../register/server_register.js";
 import { OriginHolders } from "./origin_holders.js";
-import { OriginLookup } from "./origin_lookup.js";
+import {
+  type OriginAnswers,
+  OriginLookup,
+  type OriginQuestion,
+} from "./origin_lookup.js";
 import { StreamOrigins } from "./stream_origins.js";
-import { VersionHistory } from "./version_history.js";
+import { findOnlyVersion, VersionHistory } from "./version_history.js";
 
 export interface StreamVersionsOptions {
   readonly network: PeerNetwork;
@@ -39,7 +46,10 @@
   constructor(options: StreamVersionsOptions) {
     this.#options = options;
     const { network, clock, metrics } = options;
-    this.#history = new VersionHistory(clock.nowMs());
+    this.#history = new VersionHistory(
+      options.register,
+      clock.nowMs(),
+    );
     this.#lookup = new OriginLookup(network);
     network.messages.on("streamBegun", ({ message }) => {
       const { attemptId, origin, relay } = message;
@@ -47,12 +57,16 @@
       if (relay) this.#tellHolders(attemptId, origin);
     });
     network.messages.on("streamOriginRequest", ({ from, message }) => {
-      const { requestNumber, attemptId } = message;
-      const origin = this.#origins.get(attemptId, clock.nowMs());
+      const { requestNumber, attemptId, service } = message;
+      const nowMs = clock.nowMs();
+      const origin = attemptId === undefined
+        ? undefined
+        : this.#origins.get(attemptId, nowMs);
       network.send(from.vmId, {
         type: "streamOriginReply",
         requestNumber,
         ...(origin === undefined ? {} : { origin }),
+        observation: this.#history.observe(service, nowMs),
       });
     });
     metrics.registerGauge("streamOrigins", () => this.#origins.size);
@@ -98,45 +112,61 @@
     service: ServiceName,
   ): Promise<StreamOrigin | undefined> {
     const { metrics, logger } = this.#options;
-    const found = attemptId === undefined
-      ? undefined
-      : await this.#findOrigin(attemptId);
-    const origin = found ?? this.#inferOrigin(service);
-    const source = found === undefined ? "onlyVersion" : "remembered";
+    const answers = await this.#findOrigin({ attemptId, service });
+    const origin = answers.origin ??
+      this.#inferOrigin({ attemptId, service }, answers.observations);
+    const source = answers.origin === undefined ? "onlyVersion" : "remembered";
     const result = origin === undefined ? "unknown" : source;
     metrics.countEvent(`streamOrigin.${result}`);
     logger.info("streamOrigin", {
       resumes: attemptId,
       result,
+      answers: answers.observations.length,
       service: origin?.service,
       softwareVersion: origin?.softwareVersion,
     });
     return origin;
   }
 
-  async #findOrigin(attemptId: AttemptId): Promise<StreamOrigin | undefined> {
+  async #findOrigin(question: OriginQuestion): Promise<OriginAnswers> {
     const { network, clock } = this.#options;
-    const { dataCentre } = network.self;
+    const { attemptId, service } = question;
     const nowMs = clock.nowMs();
-    const own = this.#origins.get(attemptId, nowMs);
-    if (own !== undefined) return own;
+    const own = attemptId === undefined
+      ? undefined
+      : this.#origins.get(attemptId, nowMs);
+    if (own !== undefined) return { origin: own, observations: [] };
     const view = network.view(nowMs);
-    const near = this.#holders.inDataCentre(attemptId, dataCentre, view);
-    const found = await this.#lookup.ask(near, attemptId);
-    if (found !== undefined) return found;
-    const far = this.#holders.dataCentres(view)
+    const { dataCentre } = network.self;
+    const key = attemptId ?? service;
+    const near = await this.#lookup.ask(
+      this.#holders.inDataCentre(key, dataCentre, view),
+      question,
+    );
+    if (near.origin !== undefined) return near;
+    const others = this.#holders.dataCentres(view)
       .filter((candidate) => candidate !== dataCentre)
-      .flatMap((other) => this.#holders.inDataCentre(attemptId, other, view));
-    return this.#lookup.ask(far, attemptId);
+      .flatMap((other) => this.#holders.inDataCentre(key, other, view));
+    const far = await this.#lookup.ask(others, question);
+    return {
+      origin: far.origin,
+      observations: [...near.observations, ...far.observations],
+    };
   }
 
-  #inferOrigin(service: ServiceName): StreamOrigin | undefined {
-    const { register, clock } = this.#options;
-    const softwareVersion = this.#history.onlyVersion(
-      service,
-      register.serversOf(service),
-      clock.nowMs(),
-    );
+  /**
+   * A client that doesn't name the attempt can take up any stream, so nothing
+   * but the versions can tell where it began. One that names an attempt that no
+   * VM remembers takes up a stream from before the VMs lost their memory.
+   */
+  #inferOrigin(
+    { attemptId, service }: OriginQuestion,
+    observations: readonly VersionObservation[],
+  ): StreamOrigin | undefined {
+    const own = this.#history.observe(service, this.#options.clock.nowMs());
+    const softwareVersion = findOnlyVersion([own, ...observations], {
+      needsComplete: attemptId !== undefined,
+    });
     return softwareVersion === undefined
       ? undefined
       : { service, softwareVersion };
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -13,11 +13,12 @@
   DataCentreName,
   Incarnation,
   PoolId,
+  ServiceName,
   VmId,
 } from "./ids.js";
 import type { StatedRateLimit } from "./rate_limits.js";
 import type { StageGraph, StageGraphOutcome } from "./stage_graph.js";
-import type { StreamOrigin } from "./stream_origin.js";
+import type { StreamOrigin, VersionObservation } from "./stream_origin.js";
 import type { StoredObject } from "./platform_objects.js";
 import type {
   Permit,
@@ -291,7 +292,10 @@
 export interface StreamOriginRequestMessage {
   readonly type: "streamOriginRequest";
   readonly requestNumber: number;
-  readonly attemptId: AttemptId;
+  /** Absent if the client didn't name the attempt. */
+  readonly attemptId?: AttemptId | undefined;
+  /** The service whose versions the receiver reports. */
+  readonly service: ServiceName;
 }
 
 export interface StreamOriginReplyMessage {
@@ -299,6 +303,7 @@
   readonly requestNumber: number;
   /** Absent if the sender doesn't know. */
   readonly origin?: StreamOrigin | undefined;
+  readonly observation: VersionObservation;
 }
 
 /** Graceful shutdown: the sender takes no new work and gives up its pools. */
