Bound what a response without end can take

Heads were bounded by the HTTP library; bodies, single events, informational responses and what a client leaves unread were not, but for the request's time limit. Frames between VMs had their bound.

--- a/packages/daemon/src/backend_servers/create_stage_caller.ts
+++ b/packages/daemon/src/backend_servers/create_stage_caller.ts
@@ -23,6 +23,9 @@
   close(): Promise<void>;
 }
 
+/** Exceeds the largest output of a stage. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
 /**
  * Creates a caller that selects the adapter by the kind of service.
  *
@@ -42,6 +45,7 @@
     // Disabled because the signal of each call enforces its deadline.
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: MAX_RESPONSE_BYTES,
     pipelining: 1,
   });
   const plainServiceCaller = new PlainServiceCaller(dispatcher);
--- a/packages/daemon/src/forwarding/event_splitter.ts
+++ b/packages/daemon/src/forwarding/event_splitter.ts
@@ -27,8 +27,9 @@
 export class EventSplitter {
   #partialEvent: Buffer = NO_BYTES;
 
-  get hasPartialEvent(): boolean {
-    return this.#partialEvent.length > 0;
+  /** Size of the buffered event. */
+  get partialEventBytes(): number {
+    return this.#partialEvent.length;
   }
 
   /** Returns and clears the buffered bytes once the stream has ended normally. */
--- a/packages/daemon/src/forwarding/event_splitter_test.ts
+++ b/packages/daemon/src/forwarding/event_splitter_test.ts
@@ -34,6 +34,6 @@
     const complete = splitter.push(Buffer.from("id: 7\ndata: a\n\nid: 8\nda"));
     expect(complete.bytes.toString()).toEqual("id: 7\ndata: a\n\n");
     expect(complete.lastId).toEqual("7");
-    expect(splitter.hasPartialEvent).toEqual(true);
+    expect(splitter.partialEventBytes > 0).toEqual(true);
   });
 });
--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -127,6 +127,7 @@
     },
     channel: {
       isClosed: false,
+      backlogBytes: 0,
       onClosed: () => undefined,
       writeHead: () => undefined,
       write: () => undefined,
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -87,6 +87,8 @@
 /** The client connection of a request. */
 export interface ClientChannel {
   readonly isClosed: boolean;
+  /** Bytes written that the client hasn't read, as far as known here. */
+  readonly backlogBytes: number;
   onClosed(listener: () => void): void;
   writeHead(head: ClientResponseHead): void;
   write(chunk: Buffer): void;
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -18,6 +18,9 @@
 /** Waits for a connection from this duration on are logged at `info`. */
 const REPORTED_CONNECTION_WAIT_MS = 250;
 
+/** Size of a response body that is buffered. */
+export const MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024;
+
 /** A complete response from a backend server. */
 export interface BufferedResponse {
   readonly head: ResponseHead;
@@ -57,11 +60,19 @@
 /** Listener for the events of a call after the health has been updated. */
 export type AttemptListener = Omit<ServerCallListener, "onSend">;
 
+export interface StartedCall extends RunningServerCall {
+  /**
+   * Ends a call whose response exceeds a limit, and counts this as a failure of
+   * the server; the listener's `onFailure` is called.
+   */
+  endOversized(detail: string): void;
+}
+
 /** Starts a call and updates the server's health from its outcome. */
 export function startCall(
   input: AttemptInput,
   listener: AttemptListener,
-): RunningServerCall {
+): StartedCall {
   const { environment } = input.context;
   const { health, server } = input.candidate;
   const startedAtMs = environment.clock.nowMs();
@@ -72,6 +83,20 @@
     health.inFlight -= 1;
     return true;
   }
+  function fail(failure: ServerCallFailure): void {
+    const nowMs = environment.clock.nowMs();
+    if (!finish()) return;
+    if (failure.kind === "notSent") health.recordUnreachable(nowMs);
+    else health.recordFailure(nowMs);
+    environment.logger.info("serverCallFailed", {
+      request: input.context.request.attemptId,
+      server: server.id,
+      failure: failure.kind,
+      detail: failure.detail,
+      afterMs: Math.round(nowMs - startedAtMs),
+    });
+    listener.onFailure(failure);
+  }
   health.inFlight += 1;
   const call = environment.serverCaller.start(toServerCall(input), {
     onSend: () => {
@@ -98,22 +123,15 @@
     onEnd: () => {
       if (finish()) listener.onEnd();
     },
-    onFailure: (failure) => {
-      const nowMs = environment.clock.nowMs();
-      if (!finish()) return;
-      if (failure.kind === "notSent") health.recordUnreachable(nowMs);
-      else health.recordFailure(nowMs);
-      environment.logger.info("serverCallFailed", {
-        request: input.context.request.attemptId,
-        server: server.id,
-        failure: failure.kind,
-        detail: failure.detail,
-        afterMs: Math.round(nowMs - startedAtMs),
-      });
-      listener.onFailure(failure);
-    },
+    onFailure: fail,
   });
   return {
+    endOversized: (detail) => {
+      if (isFinished) return;
+      environment.metrics.countEvent("oversizedResponse");
+      call.cancel();
+      fail({ kind: "broken", detail });
+    },
     cancel: () => {
       if (finish()) call.cancel();
     },
@@ -157,13 +175,16 @@
 export function runBufferedAttempt(input: AttemptInput): RunningAttempt {
   const result = makeDeferred<AttemptResult>();
   const chunks: Buffer[] = [];
+  let bufferedBytes = 0;
   let head: ResponseHead | undefined;
   const call = startCall(input, {
     onHead: (newHead) => {
       head = newHead;
     },
     onBody: (chunk) => {
-      chunks.push(chunk);
+      bufferedBytes += chunk.length;
+      if (bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) chunks.push(chunk);
+      else call.endOversized("bodyTooLarge");
     },
     onEnd: () => {
       result.resolve(classifyResponse(head, chunks));
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -10,13 +10,11 @@
 import {
   type AttemptInput,
   classifyFailure,
+  MAX_BUFFERED_RESPONSE_BYTES,
   startCall,
+  type StartedCall,
 } from "./run_attempt.js";
-import type {
-  ResponseHead,
-  RunningServerCall,
-  ServerCallFailure,
-} from "./server_caller.js";
+import type { ResponseHead, ServerCallFailure } from "./server_caller.js";
 
 /** Result of one call to a backend server. */
 export type StreamResult =
@@ -57,6 +55,9 @@
 /** Time without data between events after which a stream fails over. */
 const EVENT_STALL_MS = 1000;
 const STALL_CHECK_MS = 250;
+const MAX_EVENT_BYTES = 256 * 1024;
+/** What a client that doesn't read may leave unread of a stream. */
+const MAX_CLIENT_BACKLOG_BYTES = 2 * 1024 * 1024;
 
 /** Handles one call to a backend server. */
 export class StreamRelay {
@@ -66,7 +67,8 @@
   readonly #result: Deferred<StreamResult> = makeDeferred();
   readonly #startedAtMs: number;
   readonly #stallTimer: NodeJS.Timeout | undefined;
-  readonly #call: RunningServerCall;
+  readonly #call: StartedCall;
+  #bufferedBytes = 0;
   #head: ResponseHead | undefined;
   #lastReceivedAtMs: number;
   #hasForwardedEvents = false;
@@ -114,12 +116,39 @@
   #handleBody(chunk: Buffer): void {
     this.#lastReceivedAtMs = this.#nowMs();
     if (!this.#isStream()) {
-      this.#nonStreamBody.push(chunk);
+      this.#bufferBody(chunk);
       return;
     }
     const { bytes, lastId } = this.#splitter.push(chunk);
     this.#forwardEvents(bytes);
     if (lastId !== undefined) this.#options.progress.lastEventId = lastId;
+    if (this.#splitter.partialEventBytes > MAX_EVENT_BYTES) {
+      this.#call.endOversized("eventTooLarge");
+    }
+    this.#checkBacklog();
+  }
+
+  /** Buffers a response that isn't a stream. */
+  #bufferBody(chunk: Buffer): void {
+    this.#bufferedBytes += chunk.length;
+    if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
+      this.#nonStreamBody.push(chunk);
+    } else this.#call.endOversized("bodyTooLarge");
+  }
+
+  /** Ends a stream that its client reads too slowly. */
+  #checkBacklog(): void {
+    const { context } = this.#options.attempt;
+    const { backlogBytes } = context.channel;
+    if (backlogBytes <= MAX_CLIENT_BACKLOG_BYTES) return;
+    const { logger, metrics } = context.environment;
+    metrics.countEvent("clientTooSlow");
+    logger.info("clientTooSlow", {
+      request: context.request.attemptId,
+      backlogBytes,
+    });
+    context.channel.abort();
+    context.lifetime.endForClientDisconnect();
   }
 
   #forwardEvents(bytes: Buffer): void {
@@ -168,7 +197,7 @@
   #mayBeCutOff(head: ResponseHead): boolean {
     if (!head.endsWithConnection) return false;
     const { progress } = this.#options;
-    return this.#splitter.hasPartialEvent ||
+    return this.#splitter.partialEventBytes > 0 ||
       (progress.isHeadSent && !progress.endsWithConnection);
   }
 
--- a/packages/daemon/src/platform/create_platform_client.ts
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -75,6 +75,9 @@
   return new HttpPlatformClient(options);
 }
 
+/** Exceeds a list of objects of the largest size. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
 class HttpPlatformClient implements PlatformClient {
   readonly #options: PlatformClientOptions;
   readonly #agent: Agent;
@@ -90,6 +93,7 @@
       ...(vm.source_address === undefined
         ? {}
         : { localAddress: vm.source_address }),
+      maxResponseSize: MAX_RESPONSE_BYTES,
     });
     this.#baseUrl = platform.url.replace(/\/+$/, "");
     this.#limiter = new CallLimiter({
