--- a/packages/daemon/src/forwarding/resolve_resumption.ts
+++ b/packages/daemon/src/forwarding/resolve_resumption.ts
@@ -22,10 +22,11 @@
 ): Promise<Resumption> {
   const { request, route, service, environment } = context;
   if (request.resumeAfter === undefined) return { kind: "none" };
-  const origin = await environment.streamVersions.find(
-    request.resumedAttemptId,
+  const origin = await environment.streamVersions.find({
+    request: request.attemptId,
+    resumedAttemptId: request.resumedAttemptId,
     service,
-  );
+  });
   if (origin === undefined) {
     return {
       kind: "refused",
--- a/packages/daemon/src/stream_versions/stream_versions.ts
+++ b/packages/daemon/src/stream_versions/stream_versions.ts
@@ -36,6 +36,16 @@
   readonly logger: Logger;
 }
 
+/** A request with which a client takes a stream up. */
+export interface StreamResumption {
+  /** The client's new attempt. */
+  readonly request: AttemptId;
+  /** The attempt that brought the first event, if the client names it. */
+  readonly resumedAttemptId: AttemptId | undefined;
+  /** The service to which the request goes unless the stream began elsewhere. */
+  readonly service: ServiceName;
+}
+
 export class StreamVersions {
   readonly #options: StreamVersionsOptions;
   readonly #origins = new StreamOrigins();
@@ -103,23 +113,20 @@
   /**
    * Finds where the stream began that a client takes up. Undefined if that can't
    * be known: the stream must not go on then.
-   *
-   * @param attemptId The client's attempt that brought the first event
-   * @param service The service to which the client's request goes now
    */
-  async find(
-    attemptId: AttemptId | undefined,
-    service: ServiceName,
-  ): Promise<StreamOrigin | undefined> {
+  async find(resumption: StreamResumption): Promise<StreamOrigin | undefined> {
     const { metrics, logger } = this.#options;
-    const answers = await this.#findOrigin({ attemptId, service });
+    const { request, resumedAttemptId, service } = resumption;
+    const question = { attemptId: resumedAttemptId, service };
+    const answers = await this.#findOrigin(question);
     const origin = answers.origin ??
-      this.#inferOrigin({ attemptId, service }, answers.observations);
+      this.#inferOrigin(question, answers.observations);
     const source = answers.origin === undefined ? "onlyVersion" : "remembered";
     const result = origin === undefined ? "unknown" : source;
     metrics.countEvent(`streamOrigin.${result}`);
     logger.info("streamOrigin", {
-      resumes: attemptId,
+      request,
+      resumes: resumedAttemptId,
       result,
       answers: answers.observations.length,
       service: origin?.service,
--- a/packages/daemon/src/stream_versions/stream_versions_test.ts
+++ b/packages/daemon/src/stream_versions/stream_versions_test.ts
@@ -60,7 +60,11 @@
     id: AttemptId | undefined,
   ): Promise<StreamOrigin | undefined> {
     let isDone = false;
-    const found = vm.find(id, ENCODER).finally(() => {
+    const found = vm.find({
+      request: toId<AttemptId>("resumption"),
+      resumedAttemptId: id,
+      service: ENCODER,
+    }).finally(() => {
       isDone = true;
     });
     // Only lookups set it, which the linter can't see.
