Tell other VMs of begun streams in heartbeats

Cause, as far as trials show: a VM told up to two VMs of each data centre of each stream, in 6 to 8 messages, and a message costs about 0.2 ms of processor time at both ends together.

Heartbeats carry the streams now, which are sent anyway: to all VMs of a small fleet, to those of the data centre in a large one, with a batch for each heartbeat interval to one VM of each other data centre, which passes it on. All VMs of a data centre remember the same, so the choice of two holders per stream is gone. What is asked when a VM doesn't know a stream is as before. Streams of the last 300 ms before a kill are lost to the others; a refused resumption may come back after that time instead of 20 ms.

Tests: the same cases; they wait for heartbeats instead of single messages. Two copies of the grouping of VMs by data centre are one function now.

--- a/packages/daemon/src/forwarding/resolve_resumption.ts
+++ b/packages/daemon/src/forwarding/resolve_resumption.ts
@@ -14,8 +14,8 @@
   | { readonly kind: "found"; readonly origin: StreamOrigin }
   | { readonly kind: "refused"; readonly reply: LocalReply };
 
-/** Short, as another VM may know the stream. */
-const UNKNOWN_STREAM_RETRY_AFTER_MS = 20;
+/** By then the VMs have told each other of the streams that began. */
+const UNKNOWN_STREAM_RETRY_AFTER_MS = 300;
 
 export async function resolveResumption(
   context: ForwardContext,
--- a/packages/daemon/src/peers/heartbeat_content.ts
+++ b/packages/daemon/src/peers/heartbeat_content.ts
@@ -1,10 +1,17 @@
 /**
- * The data about pools that heartbeats carry.
+ * What heartbeats carry for other parts of the daemon.
  *
  * @module
  */
 
 import type { PoolId, VmId } from "@sassafrasstage/protocol/ids";
+import type { BegunStreams } from "@sassafrasstage/protocol/stream_origin";
+
+/**
+ * Returns the streams that began since the last call. They are sent to the peers
+ * to which a connection is always kept.
+ */
+export type TakeBegunStreams = (nowMs: number) => readonly BegunStreams[];
 
 /** Supplies and receives the pool fields of heartbeats and their replies. */
 export interface HeartbeatContent {
--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -9,8 +9,12 @@
   HeartbeatMessage,
   HeartbeatReplyMessage,
 } from "@sassafrasstage/protocol/peer_messages";
+import type { BegunStreams } from "@sassafrasstage/protocol/stream_origin";
 import { encodeFrame } from "./frame_codec.js";
-import type { HeartbeatContent } from "./heartbeat_content.js";
+import type {
+  HeartbeatContent,
+  TakeBegunStreams,
+} from "./heartbeat_content.js";
 import { REDUCED_HEARTBEAT_INTERVALS, silenceLimitMs } from "./member_state.js";
 import type { Membership } from "./membership.js";
 import { PeerError } from "./peer_error.js";
@@ -51,6 +55,7 @@
   readonly #options: HeartbeatsOptions;
   readonly #sentTimesMs = new Map<number, number>();
   content: HeartbeatContent = EMPTY_CONTENT;
+  takeBegunStreams: TakeBegunStreams = () => [];
   sequence = 0;
   #wantsReply = false;
 
@@ -69,16 +74,23 @@
     this.#wantsReply = registry.all().some((peer) =>
       peer.link !== undefined && peer.replyRequiredAfterSequence !== undefined
     );
-    const frameWithPools = encodeFrame(
-      this.#makeHeartbeat(this.content.ownedPools(nowMs)),
-    );
-    const frameWithoutPools = encodeFrame(this.#makeHeartbeat([]));
+    const begunStreams = this.takeBegunStreams(nowMs);
+    const sameDataCentreFrame = encodeFrame({
+      ...this.#makeHeartbeat(begunStreams),
+      ownedPools: this.content.ownedPools(nowMs),
+    });
+    const standingFrame = encodeFrame(this.#makeHeartbeat(begunStreams));
+    const reducedFrame = begunStreams.length === 0
+      ? standingFrame
+      : encodeFrame(this.#makeHeartbeat([]));
     for (const peer of registry.all()) {
       if (peer.link === undefined || !this.#isDue(peer)) continue;
-      const isSameDataCentre = peer.dataCentre === self.dataCentre;
+      const otherFrame = peer.linkPolicy === "standing"
+        ? standingFrame
+        : reducedFrame;
       this.#options.links.sendFrame(
         peer.link,
-        isSameDataCentre ? frameWithPools : frameWithoutPools,
+        peer.dataCentre === self.dataCentre ? sameDataCentreFrame : otherFrame,
       );
     }
   }
@@ -125,17 +137,18 @@
     this.content.onReply(from, sentAtMs, reply.supportedPools);
   }
 
-  #makeHeartbeat(ownedPools: HeartbeatMessage["ownedPools"]): HeartbeatMessage {
+  #makeHeartbeat(begunStreams: readonly BegunStreams[]): HeartbeatMessage {
     const { membership } = this.#options;
     return {
       type: "heartbeat",
       sequence: this.sequence,
       generation: membership.ownGeneration,
       leaving: membership.isLeaving,
-      ownedPools,
+      ownedPools: [],
       ...(this.#wantsReply && { wantsReply: true }),
       ...(membership.ownNewsVersions.length > 0 &&
         { newsVersions: membership.ownNewsVersions }),
+      ...(begunStreams.length > 0 && { begunStreams }),
     };
   }
 
--- a/packages/daemon/src/peers/link_policy.ts
+++ b/packages/daemon/src/peers/link_policy.ts
@@ -11,6 +11,11 @@
 
 /** Largest fleet in which every VM keeps a connection to every other VM. */
 export const MAX_FULL_MESH_VMS = 16;
+/** Whether every VM of the fleet, this one included, has a kept connection. */
+export function isFullMesh(vmCount: number): boolean {
+  return vmCount <= MAX_FULL_MESH_VMS;
+}
+
 /**
  * Number of connections that each VM keeps to every other data centre in larger
  * fleets.
@@ -52,7 +57,7 @@
   self: PeerIdentity,
   peers: readonly PeerRecord[],
 ): Map<PeerRecord, LinkPolicy> {
-  if (peers.length + 1 <= MAX_FULL_MESH_VMS) {
+  if (isFullMesh(peers.length + 1)) {
     return new Map(peers.map((peer) => [peer, "standing"]));
   }
   const gossipVmIds = chooseGossipPeers(self, peers);
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -138,6 +138,11 @@
   softwareVersion: isShortString,
 });
 
+const isBegunStreams = shape({
+  origin: isStreamOrigin,
+  attemptIds: arrayOf(isShortString),
+});
+
 const MESSAGE_SHAPES: Readonly<Record<PeerMessageType, ShapeCheck>> = {
   heartbeat: shape({
     sequence: isNonNegativeInteger,
@@ -146,6 +151,7 @@
     ownedPools: arrayOf(isPool),
     wantsReply: optional(isBoolean),
     newsVersions: optional(arrayOf(isNonNegativeInteger)),
+    begunStreams: optional(arrayOf(isBegunStreams)),
   }),
   heartbeatReply: shape({
     sequence: isNonNegativeInteger,
@@ -252,11 +258,7 @@
     retryAfterMs: isNonNegativeNumber,
     stated: optional(isStatedRateLimit),
   }),
-  streamBegun: shape({
-    attemptId: isShortString,
-    origin: isStreamOrigin,
-    relay: isBoolean,
-  }),
+  streamsBegun: shape({ begunStreams: arrayOf(isBegunStreams) }),
   streamOriginRequest: shape({
     requestNumber: isNonNegativeInteger,
     attemptId: optional(isShortString),
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -15,7 +15,10 @@
 import type { Address } from "../settings/settings.js";
 import { PeerAcceptor } from "./peer_acceptor.js";
 import type { HandshakeOptions } from "./handshake.js";
-import type { HeartbeatContent } from "./heartbeat_content.js";
+import type {
+  HeartbeatContent,
+  TakeBegunStreams,
+} from "./heartbeat_content.js";
 import { Heartbeats } from "./heartbeats.js";
 import { Membership } from "./membership.js";
 import { MessageHandler } from "./message_handler.js";
@@ -145,6 +148,10 @@
     this.#membership.invalidate();
   }
 
+  setBegunStreams(take: TakeBegunStreams): void {
+    this.#heartbeats.takeBegunStreams = take;
+  }
+
   setHeartbeatContent(content: HeartbeatContent): void {
     this.#heartbeats.content = content;
   }
--- a/packages/daemon/src/peers/running_peer_network.ts
+++ b/packages/daemon/src/peers/running_peer_network.ts
@@ -10,7 +10,10 @@
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { Address, Settings } from "../settings/settings.js";
-import type { HeartbeatContent } from "./heartbeat_content.js";
+import type {
+  HeartbeatContent,
+  TakeBegunStreams,
+} from "./heartbeat_content.js";
 import type { PeerNetwork } from "./peer_network.js";
 
 export interface PeerNetworkOptions {
@@ -30,6 +33,7 @@
   setGeneration(generation: number): void;
   /** Sets the object versions that each heartbeat reports to peers. */
   setNewsVersions(versions: readonly number[]): void;
+  setBegunStreams(take: TakeBegunStreams): void;
   setHeartbeatContent(content: HeartbeatContent): void;
   /** Tells all connected peers that this daemon is shutting down. */
   announceLeaving(): void;
--- a/packages/daemon/src/peers/testing/simulated_network.ts
+++ b/packages/daemon/src/peers/testing/simulated_network.ts
@@ -12,11 +12,15 @@
   type VmId,
 } from "@sassafrasstage/protocol/ids";
 import type {
+  HeartbeatMessage,
   PeerMessage,
   PeerMessageType,
 } from "@sassafrasstage/protocol/peer_messages";
+import type { BegunStreams } from "@sassafrasstage/protocol/stream_origin";
 import Emittery from "emittery";
 import type { MockTimers } from "node:test";
+import type { TakeBegunStreams } from "../heartbeat_content.js";
+import { isFullMesh } from "../link_policy.js";
 import type {
   Member,
   MembershipView,
@@ -30,7 +34,7 @@
 /** Length of a step of the simulated time. */
 export const STEP_MS = 5;
 const LINK_DELAY_MS = 5;
-const HEARTBEAT_INTERVAL_MS = 200;
+export const HEARTBEAT_INTERVAL_MS = 200;
 /** Interval at which a VM checks which of the others are silent. */
 const VIEW_INTERVAL_MS = 100;
 /** Time without a message after which a VM counts as silent. */
@@ -47,6 +51,7 @@
   /** Messages that arrived during the pause. */
   readonly pausedMessages: (() => void)[] = [];
   readonly heardAtMs = new Map<VmId, number>();
+  takeBegunStreams: TakeBegunStreams = () => [];
   readonly #network: SimulatedNetwork;
   #view: MembershipView = { members: [] };
   #viewedAtMs = Number.NEGATIVE_INFINITY;
@@ -65,6 +70,10 @@
     return this.#network.deliver(this, to, message);
   }
 
+  setBegunStreams(take: TakeBegunStreams): void {
+    this.takeBegunStreams = take;
+  }
+
   receive(from: PeerIdentity, message: PeerMessage): void {
     // The compiler can't infer that the message matches its type.
     const event = { from, message } as PeerMessageEvents[PeerMessageType];
@@ -168,12 +177,35 @@
   #exchangeHeartbeats(): void {
     for (const from of this.vms) {
       if (from.isPaused) continue;
+      const begunStreams = from.takeBegunStreams(this.nowMs);
       for (const to of this.vms) {
         if (to.isPaused || !areConnected(from, to)) continue;
         to.heardAtMs.set(from.self.vmId, this.nowMs);
+        if (to === from || begunStreams.length === 0) continue;
+        if (this.#hasStandingLink(from, to)) {
+          from.send(to.self.vmId, makeHeartbeat(begunStreams));
+        }
       }
     }
   }
+
+  #hasStandingLink(a: SimulatedVm, b: SimulatedVm): boolean {
+    return isFullMesh(this.vms.length) ||
+      a.self.dataCentre === b.self.dataCentre;
+  }
+}
+
+function makeHeartbeat(
+  begunStreams: readonly BegunStreams[],
+): HeartbeatMessage {
+  return {
+    type: "heartbeat",
+    sequence: 0,
+    generation: 0,
+    leaving: false,
+    ownedPools: [],
+    begunStreams,
+  };
 }
 
 function areConnected(a: SimulatedVm, b: SimulatedVm): boolean {
--- a/packages/daemon/src/rate_limits/rate_limit_sharing.ts
+++ b/packages/daemon/src/rate_limits/rate_limit_sharing.ts
@@ -14,8 +14,12 @@
   VmId,
 } from "@sassafrasstage/protocol/ids";
 import type { StatedRateLimit } from "@sassafrasstage/protocol/rate_limits";
-import { MAX_FULL_MESH_VMS } from "../peers/link_policy.js";
+import { isFullMesh } from "../peers/link_policy.js";
 import type { Member, PeerNetwork } from "../peers/peer_network.js";
+import {
+  findReachableMembers,
+  groupByDataCentre,
+} from "../peers/reachable_members.js";
 import { rankByRendezvous } from "../peers/rendezvous.js";
 
 /** More than one, so that a change arrives although one of them has failed. */
@@ -40,16 +44,16 @@
     options: { readonly except: VmId | undefined; readonly nowMs: number },
   ): void {
     const others = this.#reachableMembers(options.nowMs);
-    const isFullMesh = others.length < MAX_FULL_MESH_VMS;
+    const hasFullMesh = isFullMesh(others.length + 1);
     const { dataCentre } = this.#network.self;
     const direct = others.filter((member) =>
-      isFullMesh || member.dataCentre === dataCentre
+      hasFullMesh || member.dataCentre === dataCentre
     );
     for (const { vmId } of direct) {
       if (vmId === options.except) continue;
       this.#send(vmId, id, { stated, relay: false });
     }
-    if (isFullMesh) return;
+    if (hasFullMesh) return;
     for (const vmId of chooseRelays(id, others, dataCentre)) {
       this.#send(vmId, id, { stated, relay: true });
     }
@@ -69,9 +73,7 @@
   }
 
   #reachableMembers(nowMs: number): Member[] {
-    return this.#network.view(nowMs).members.filter((member) =>
-      !member.isSelf && (member.state === "live" || member.state === "leaving")
-    );
+    return findReachableMembers(this.#network.view(nowMs));
   }
 
   #send(
@@ -92,14 +94,10 @@
   members: readonly Member[],
   ownDataCentre: DataCentreName,
 ): VmId[] {
-  const byDataCentre = new Map<DataCentreName, VmId[]>();
-  for (const { vmId, dataCentre } of members) {
-    if (dataCentre === ownDataCentre) continue;
-    const vmIds = byDataCentre.get(dataCentre) ?? [];
-    vmIds.push(vmId);
-    byDataCentre.set(dataCentre, vmIds);
-  }
-  return [...byDataCentre.values()].flatMap((vmIds) =>
+  const otherDataCentres = members.filter((member) =>
+    member.dataCentre !== ownDataCentre
+  );
+  return [...groupByDataCentre(otherDataCentres).values()].flatMap((vmIds) =>
     rankByRendezvous(id, vmIds).slice(0, RELAYS_PER_DATA_CENTRE)
   );
 }
--- a/packages/daemon/src/stage_graphs/testing/linked_vms.ts
+++ b/packages/daemon/src/stage_graphs/testing/linked_vms.ts
@@ -67,6 +67,10 @@
     };
   }
 
+  setBegunStreams(): void {
+    // The streams of the other VM don't matter to its tests.
+  }
+
   setNewsVersions(versions: readonly number[]): void {
     this.newsVersions = versions;
   }
--- a/packages/daemon/src/stream_versions/stream_versions.ts
+++ b/packages/daemon/src/stream_versions/stream_versions.ts
@@ -5,21 +5,32 @@
  * @module
  */
 
-import type { AttemptId, ServiceName } from "@sassafrasstage/protocol/ids";
 import type {
+  AttemptId,
+  ServiceName,
+  VmId,
+} from "@sassafrasstage/protocol/ids";
+import type {
+  BegunStreams,
   StreamOrigin,
   VersionObservation,
 } from "@sassafrasstage/protocol/stream_origin";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
+import type { TakeBegunStreams } from "../peers/heartbeat_content.js";
+import { isFullMesh } from "../peers/link_policy.js";
 import type { PeerNetwork } from "../peers/peer_network.js";
+import {
+  findReachableMembers,
+  groupByDataCentre,
+} from "../peers/reachable_members.js";
 import { rankByRendezvous } from "../peers/rendezvous.js";
 import type {
   RegisteredServer,
   ServerRegister,
 } from "../register/server_register.js";
-import { OriginHolders } from "./origin_holders.js";
+import { BegunStreamsBuffer } from "./begun_streams_buffer.js";
 import {
   type OriginAnswers,
   OriginLookup,
@@ -29,13 +40,18 @@
 import { findOnlyVersion, VersionHistory } from "./version_history.js";
 
 export interface StreamVersionsOptions {
-  readonly network: PeerNetwork;
+  readonly network: PeerNetwork & {
+    setBegunStreams(take: TakeBegunStreams): void;
+  };
   readonly register: ServerRegister;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
 
+/** More than one, as one of them may just have been restarted. */
+const ASKED_PER_DATA_CENTRE = 2;
+
 /** A request with which a client takes a stream up. */
 export interface StreamResumption {
   /** The client's new attempt. */
@@ -49,7 +65,9 @@
 export class StreamVersions {
   readonly #options: StreamVersionsOptions;
   readonly #origins = new StreamOrigins();
-  readonly #holders = new OriginHolders();
+  readonly #begunHere = new BegunStreamsBuffer();
+  /** Began in other data centres of a large fleet. */
+  readonly #begunElsewhere = new BegunStreamsBuffer();
   readonly #history: VersionHistory;
   readonly #lookup: OriginLookup;
 
@@ -61,10 +79,15 @@
       clock.nowMs(),
     );
     this.#lookup = new OriginLookup(network);
-    network.messages.on("streamBegun", ({ message }) => {
-      const { attemptId, origin, relay } = message;
-      this.#origins.set(attemptId, origin, clock.nowMs());
-      if (relay) this.#tellHolders(attemptId, origin);
+    network.setBegunStreams((nowMs) => this.#takeBegunStreams(nowMs));
+    network.messages.on("heartbeat", ({ message }) => {
+      this.#remember(message.begunStreams ?? []);
+    });
+    network.messages.on("streamsBegun", ({ message }) => {
+      this.#remember(message.begunStreams);
+      for (const { origin, attemptIds } of message.begunStreams) {
+        this.#begunElsewhere.add(origin, attemptIds);
+      }
     });
     network.messages.on("streamOriginRequest", ({ from, message }) => {
       const { requestNumber, attemptId, service } = message;
@@ -84,26 +107,8 @@
 
   /** Called with the first event of a stream, before the client gets it. */
   recordBegin(attemptId: AttemptId, origin: StreamOrigin): void {
-    const { network, clock } = this.#options;
-    const nowMs = clock.nowMs();
-    this.#origins.set(attemptId, origin, nowMs);
-    this.#tellHolders(attemptId, origin);
-    const view = network.view(nowMs);
-    for (const dataCentre of this.#holders.dataCentres(view)) {
-      if (dataCentre === network.self.dataCentre) continue;
-      // In large fleets, this VM keeps a connection to the first of the ranking.
-      const [relay] = rankByRendezvous(
-        network.self.vmId,
-        this.#holders.vmsOf(dataCentre, view),
-      );
-      if (relay === undefined) continue;
-      network.send(relay, {
-        type: "streamBegun",
-        attemptId,
-        origin,
-        relay: true,
-      });
-    }
+    this.#origins.set(attemptId, origin, this.#options.clock.nowMs());
+    this.#begunHere.add(origin, [attemptId]);
   }
 
   recordServerEnded(server: RegisteredServer): void {
@@ -136,31 +141,40 @@
   }
 
   async #findOrigin(question: OriginQuestion): Promise<OriginAnswers> {
-    const { network, clock } = this.#options;
     const { attemptId, service } = question;
-    const nowMs = clock.nowMs();
+    const nowMs = this.#options.clock.nowMs();
     const own = attemptId === undefined
       ? undefined
       : this.#origins.get(attemptId, nowMs);
     if (own !== undefined) return { origin: own, observations: [] };
-    const view = network.view(nowMs);
-    const { dataCentre } = network.self;
-    const key = attemptId ?? service;
-    const near = await this.#lookup.ask(
-      this.#holders.inDataCentre(key, dataCentre, view),
-      question,
-    );
-    if (near.origin !== undefined) return near;
-    const others = this.#holders.dataCentres(view)
-      .filter((candidate) => candidate !== dataCentre)
-      .flatMap((other) => this.#holders.inDataCentre(key, other, view));
-    const far = await this.#lookup.ask(others, question);
+    const { near, far } = this.#chooseVmsToAsk(attemptId ?? service, nowMs);
+    const nearAnswers = await this.#lookup.ask(near, question);
+    if (nearAnswers.origin !== undefined) return nearAnswers;
+    const farAnswers = await this.#lookup.ask(far, question);
     return {
-      origin: far.origin,
-      observations: [...near.observations, ...far.observations],
+      origin: farAnswers.origin,
+      observations: [...nearAnswers.observations, ...farAnswers.observations],
     };
   }
 
+  /** A few VMs of each data centre, as all VMs of one remember the same. */
+  #chooseVmsToAsk(
+    key: string,
+    nowMs: number,
+  ): { readonly near: VmId[]; readonly far: VmId[] } {
+    const { network } = this.#options;
+    const near: VmId[] = [];
+    const far: VmId[] = [];
+    const members = findReachableMembers(network.view(nowMs));
+    for (const [dataCentre, vmIds] of groupByDataCentre(members)) {
+      const asked = rankByRendezvous(key, vmIds)
+        .slice(0, ASKED_PER_DATA_CENTRE);
+      if (dataCentre === network.self.dataCentre) near.push(...asked);
+      else far.push(...asked);
+    }
+    return { near, far };
+  }
+
   /**
    * A client that doesn't name the attempt can take up any stream, so nothing
    * but the versions can tell where it began. One that names an attempt that no
@@ -179,20 +193,34 @@
       : { service, softwareVersion };
   }
 
-  /** Tells the VMs of this data centre that remember the stream. */
-  #tellHolders(attemptId: AttemptId, origin: StreamOrigin): void {
-    const { network, clock } = this.#options;
-    const view = network.view(clock.nowMs());
-    const { dataCentre } = network.self;
-    for (
-      const vmId of this.#holders.inDataCentre(attemptId, dataCentre, view)
-    ) {
-      network.send(vmId, {
-        type: "streamBegun",
-        attemptId,
-        origin,
-        relay: false,
-      });
+  #remember(begunStreams: readonly BegunStreams[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const { origin, attemptIds } of begunStreams) {
+      for (const id of attemptIds) this.#origins.set(id, origin, nowMs);
+    }
+  }
+
+  /** The streams of which the next heartbeat tells the other VMs. */
+  #takeBegunStreams(nowMs: number): BegunStreams[] {
+    const begunHere = this.#begunHere.take();
+    if (begunHere.length > 0) this.#tellOtherDataCentres(begunHere, nowMs);
+    return [...begunHere, ...this.#begunElsewhere.take()];
+  }
+
+  /** In a large fleet, heartbeats don't tell the VMs of other data centres. */
+  #tellOtherDataCentres(
+    begunStreams: readonly BegunStreams[],
+    nowMs: number,
+  ): void {
+    const { network } = this.#options;
+    const members = findReachableMembers(network.view(nowMs));
+    if (isFullMesh(members.length + 1)) return;
+    for (const [dataCentre, vmIds] of groupByDataCentre(members)) {
+      if (dataCentre === network.self.dataCentre) continue;
+      // This VM keeps a connection to the first of the ranking.
+      const [relay] = rankByRendezvous(network.self.vmId, vmIds);
+      if (relay === undefined) continue;
+      network.send(relay, { type: "streamsBegun", begunStreams });
     }
   }
 }
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -18,7 +18,11 @@
 } from "./ids.js";
 import type { StatedRateLimit } from "./rate_limits.js";
 import type { StageGraph, StageGraphOutcome } from "./stage_graph.js";
-import type { StreamOrigin, VersionObservation } from "./stream_origin.js";
+import type {
+  BegunStreams,
+  StreamOrigin,
+  VersionObservation,
+} from "./stream_origin.js";
 import type { StoredObject } from "./platform_objects.js";
 import type {
   Permit,
@@ -28,7 +32,7 @@
 } from "./permits.js";
 
 /** Incremented whenever the format of a message changes. */
-export const PEER_PROTOCOL_VERSION = 3;
+export const PEER_PROTOCOL_VERSION = 4;
 /** A connection on which a longer frame arrives is closed. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
@@ -73,6 +77,11 @@
    * shared object. All daemons list the kinds in the same order.
    */
   readonly newsVersions?: readonly number[];
+  /**
+   * Streams that began since the last heartbeat. Sent only to peers that get
+   * every heartbeat.
+   */
+  readonly begunStreams?: readonly BegunStreams[];
 }
 
 /** Reply to a heartbeat that lists pools or requests a reply. */
@@ -278,14 +287,10 @@
   readonly stated?: StatedRateLimit | undefined;
 }
 
-/** A stream of the sender's client began. */
-export interface StreamBegunMessage {
-  readonly type: "streamBegun";
-  /** The client's attempt that brings the first event. */
-  readonly attemptId: AttemptId;
-  readonly origin: StreamOrigin;
-  /** Requests that the receiver tells other VMs of its data centre. */
-  readonly relay: boolean;
+/** Streams that began at the sender, for all VMs of the receiver's data centre. */
+export interface StreamsBegunMessage {
+  readonly type: "streamsBegun";
+  readonly begunStreams: readonly BegunStreams[];
 }
 
 /** Asks where the stream began whose first event an attempt brought. */
@@ -338,7 +343,7 @@
   | RateLimitChangeMessage
   | RateRequestMessage
   | RateDecisionMessage
-  | StreamBegunMessage
+  | StreamsBegunMessage
   | StreamOriginRequestMessage
   | StreamOriginReplyMessage
   | LeavingMessage;
--- a/packages/protocol/src/stream_origin.ts
+++ b/packages/protocol/src/stream_origin.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ServiceName, SoftwareVersion } from "./ids.js";
+import type { AttemptId, ServiceName, SoftwareVersion } from "./ids.js";
 
 export interface StreamOrigin {
   readonly service: ServiceName;
@@ -12,6 +12,13 @@
   readonly softwareVersion: SoftwareVersion;
 }
 
+/** Streams that began at the same place. */
+export interface BegunStreams {
+  readonly origin: StreamOrigin;
+  /** The clients' attempts that brought the first events. */
+  readonly attemptIds: readonly AttemptId[];
+}
+
 /** What a VM has observed of the software versions of a service. */
 export interface VersionObservation {
   /** The versions of the servers registered now or recently. */
