--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -86,11 +86,23 @@
       const outcome = await forwardAdmitted(context);
       this.#lifetimes.delete(context.lifetime);
       this.#recordOutcome(request, outcome, context);
+    } catch (error) {
+      this.#logError(request, error);
+      throw error;
     } finally {
       this.#inFlight -= 1;
     }
   }
 
+  #logError(request: RoutedRequest, error: unknown): void {
+    const { metrics, logger } = this.#options.environment;
+    metrics.countEvent("forwardingFailed");
+    logger.error("forwardingFailed", {
+      request: request.attemptId,
+      error: String(error),
+    });
+  }
+
   #admit(request: RoutedRequest, channel: ClientChannel): Admission {
     const table = this.#options.table();
     if (table === undefined) {
--- a/packages/daemon/src/observability/logger.ts
+++ b/packages/daemon/src/observability/logger.ts
@@ -41,6 +41,11 @@
   });
 }
 
+/** Writes what was logged in this turn of the event loop, before an exit. */
+export function flushLogs(): void {
+  stdoutSink?.flush();
+}
+
 /**
  * Creates a logger that adds the given fields to every line.
  *
