Answer each request after an unexpected error while it is forwarded

An error while a request was forwarded left its client without an answer until it left, kept the request's lifetime, and logged no request id. An AnswerGuard, one per request, now knows what was sent to the client and whether a call was started. It answers at once: 503 if no call was started, 502 otherwise; a response that has begun is broken off.

Not covered: an error thrown by a timer or a socket event outside the promise of forward(), which still ends the process.

--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -9,6 +9,7 @@
 import type { RouteTable } from "../routing/route_table.js";
 import { chooseService } from "../routing/route_table.js";
 import type { ClientAccount, Route } from "../routing/routing_configuration.js";
+import { AnswerGuard } from "./answer_guard.js";
 import type {
   ForwardContext,
   ForwardEnvironment,
@@ -62,48 +63,54 @@
     for (const lifetime of this.#lifetimes) lifetime.endForProcessExit();
   }
 
-  /** Resolves once the request has its final response. */
+  /** Resolves once the request has its final response; never rejects. */
   async forward(
     request: RoutedRequest,
     channel: ClientChannel,
   ): Promise<void> {
+    const { environment } = this.#options;
+    const guard = new AnswerGuard(request, { channel, environment });
+    let context: ForwardContext | undefined;
     this.#inFlight += 1;
     try {
-      const admission = this.#admit(request, channel);
+      const admission = this.#admit(request, guard);
       if (admission.kind === "refused") {
-        channel.sendLocalReply(admission.reply);
-        this.#recordOutcome(request, {
-          kind: "own",
-          answer: admission.reply.kind === "refused"
-            ? admission.reply.reason
-            : admission.reply.kind,
-          detail: "",
-        });
+        this.#refuse(request, guard, admission.reply);
         return;
       }
-      const { context } = admission;
+      context = admission.context;
       this.#lifetimes.add(context.lifetime);
-      const outcome = await forwardAdmitted(context);
-      this.#lifetimes.delete(context.lifetime);
+      guard.enter("forwarding");
+      const outcome = guard.settle(await forwardAdmitted(context));
+      guard.enter("recording");
       this.#recordOutcome(request, outcome, context);
     } catch (error) {
-      this.#logError(request, error);
-      throw error;
+      const outcome = guard.settleAfterError(error);
+      this.#logOutcome(request, outcome, context);
     } finally {
       this.#inFlight -= 1;
+      if (context !== undefined) this.#lifetimes.delete(context.lifetime);
     }
   }
 
-  #logError(request: RoutedRequest, error: unknown): void {
-    const { metrics, logger } = this.#options.environment;
-    metrics.countEvent("forwardingFailed");
-    logger.error("forwardingFailed", {
-      request: request.attemptId,
-      error: String(error),
+  #refuse(
+    request: RoutedRequest,
+    guard: AnswerGuard,
+    reply: LocalReply,
+  ): void {
+    guard.channel.sendLocalReply(reply);
+    guard.enter("recording");
+    this.#recordOutcome(request, {
+      kind: "own",
+      answer: reply.kind === "refused" ? reply.reason : reply.kind,
+      detail: "",
     });
   }
 
-  #admit(request: RoutedRequest, channel: ClientChannel): Admission {
+  #admit(
+    request: RoutedRequest,
+    { channel, environment }: AnswerGuard,
+  ): Admission {
     const table = this.#options.table();
     if (table === undefined) {
       return refuse("notReady", "No configuration is in force yet");
@@ -121,7 +128,6 @@
     }
     const service = chooseService(route, Math.random());
     if (service === undefined) return refuse("noServer", "No service");
-    const { environment } = this.#options;
     const lifetime = new RequestLifetime({
       endsAtMs: request.receivedAtMs + limitMs,
       clock: environment.clock,
@@ -165,8 +171,7 @@
     context?: ForwardContext,
   ): void {
     const { environment } = this.#options;
-    const { metrics, logger, clock } = environment;
-    const durationMs = clock.nowMs() - request.receivedAtMs;
+    const durationMs = environment.clock.nowMs() - request.receivedAtMs;
     if (context !== undefined && outcome.kind === "answered") {
       environment.routeStatistics.recordDuration(
         context.route.name,
@@ -180,6 +185,16 @@
         tokens: context.request.prompt?.inputTokens ?? 0,
       });
     }
+    this.#logOutcome(request, outcome, context);
+  }
+
+  #logOutcome(
+    request: RoutedRequest,
+    outcome: ForwardOutcome,
+    context: ForwardContext | undefined,
+  ): void {
+    const { metrics, logger, clock } = this.#options.environment;
+    const durationMs = clock.nowMs() - request.receivedAtMs;
     metrics.countEvent(
       `request.${outcome.kind}${
         outcome.kind === "own" ? `.${outcome.answer}` : ""
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -57,7 +57,9 @@
   | "noServer"
   | "serversFull"
   /** Another VM may know where the resumed stream began. */
-  | "unknownStream";
+  | "unknownStream"
+  /** An unexpected error occurred before the request was sent. */
+  | "internalError";
 
 /** Status and headers of a response as sent to the client. */
 export interface ClientResponseHead {
