Leave no request unanswered at the end of a graceful stop

Once no request was in flight, the process stopped listening and exited 100 ms later. A request read in between was admitted, passed on and cut; a body still arriving was cut, too.

Now the VM refuses all requests from the check that found none in flight on, in the same turn of the event loop. The listener reads what has arrived, stops listening, and the process exits once every request that was read has its response and two polls of the sockets found no other.

--- a/packages/daemon/src/forwarding/shutdown_admission.ts
+++ b/packages/daemon/src/forwarding/shutdown_admission.ts
@@ -14,7 +14,7 @@
 /** Start and end of a shutdown, in monotonic clock time. */
 export interface Shutdown {
   readonly startedAtMs: number;
-  /** When the process will exit. */
+  /** When the process stops serving requests. */
   readonly endsAtMs: number;
 }
 
--- a/packages/daemon/src/http/read_pending_requests.ts
+++ b/packages/daemon/src/http/read_pending_requests.ts
@@ -17,14 +17,17 @@
  * process was not scheduled for a while, connections are still waiting to be
  * accepted and requests to be read, and these would be closed as idle.
  */
-export async function readPendingRequests(server: Server): Promise<void> {
+export async function readPendingRequests(
+  server: Server,
+  maxReadMs = MAX_READ_MS,
+): Promise<void> {
   let arrivals = 0;
   function countArrival(): void {
     arrivals += 1;
   }
   server.on("connection", countArrival);
   server.on("request", countArrival);
-  const endsAtMs = performance.now() + MAX_READ_MS;
+  const endsAtMs = performance.now() + Math.min(maxReadMs, MAX_READ_MS);
   let idlePolls = 0;
   while (idlePolls < IDLE_POLLS && performance.now() < endsAtMs) {
     const arrivalsBefore = arrivals;
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -200,7 +200,7 @@
 
   /**
    * Ends readiness and waits for all requests and stage jobs to complete. Ends
-   * the remaining requests after `graceMs`.
+   * the remaining requests after `graceMs`. Refuses all requests from then on.
    */
   async drain(graceMs: number): Promise<void> {
     const startedAtMs = MONOTONIC_CLOCK.nowMs();
@@ -215,6 +215,8 @@
       if (this.forwarder.inFlight + this.#coordinator.jobCount === 0) break;
       await sleep(DRAIN_POLL_INTERVAL_MS);
     }
+    // In the same turn as the last check, so that no request is admitted after it.
+    this.#shutdown = { startedAtMs, endsAtMs: MONOTONIC_CLOCK.nowMs() };
     this.forwarder.endAllRequests();
     this.#options.logger.info("shutdownFinished", {
       inFlight: this.forwarder.inFlight,
