Log each silence of a stream's server

The line about a resumption after a silence named neither the server nor how long it was silent, whether its other calls were silent too, nor how late the event loop was, so a server's silence couldn't be told from a delay of the VM itself. streamSilent, and the counter of that name, now say this; it is also written where the stream can't go on elsewhere.

--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -71,16 +71,19 @@
   #bufferedBytes = 0;
   #head: ResponseHead | undefined;
   #lastReceivedAtMs: number;
+  #checkDueAtMs: number;
   #hasForwardedEvents = false;
+  #isSilent = false;
 
   private constructor(options: StreamRelayOptions) {
     this.#options = options;
     this.#startedAtMs = this.#nowMs();
     this.#lastReceivedAtMs = this.#startedAtMs;
+    this.#checkDueAtMs = this.#startedAtMs + STALL_CHECK_MS;
     this.#call = startCall(options.attempt, {
       onHead: (head) => {
         this.#head = head;
-        this.#lastReceivedAtMs = this.#nowMs();
+        this.#recordReceived();
       },
       onBody: (chunk) => {
         this.#handleBody(chunk);
@@ -110,11 +113,23 @@
     } finally {
       stopListening();
       clearInterval(relay.#stallTimer);
+      relay.#setSilent(false);
     }
   }
 
-  #handleBody(chunk: Buffer): void {
+  #recordReceived(): void {
     this.#lastReceivedAtMs = this.#nowMs();
+    this.#setSilent(false);
+  }
+
+  #setSilent(isSilent: boolean): void {
+    if (this.#isSilent === isSilent) return;
+    this.#isSilent = isSilent;
+    this.#options.attempt.candidate.health.silentCalls += isSilent ? 1 : -1;
+  }
+
+  #handleBody(chunk: Buffer): void {
+    this.#recordReceived();
     if (!this.#isStream()) {
       this.#bufferBody(chunk);
       return;
@@ -214,13 +229,34 @@
     const limitMs = this.#hasForwardedEvents
       ? EVENT_STALL_MS
       : FIRST_EVENT_STALL_MS;
-    if (this.#nowMs() - this.#lastReceivedAtMs < limitMs) return;
+    const nowMs = this.#nowMs();
+    const checkDelayMs = nowMs - this.#checkDueAtMs;
+    this.#checkDueAtMs = nowMs + STALL_CHECK_MS;
+    if (nowMs - this.#lastReceivedAtMs < limitMs) return;
+    if (!this.#isSilent) this.#reportSilence(checkDelayMs);
+    this.#setSilent(true);
     if (!this.#options.canFailOver()) return;
     this.#call.cancel();
     this.#options.attempt.candidate.health.recordFailure(this.#nowMs());
     this.#result.resolve({ kind: "broken", detail: "silent" });
   }
 
+  /** @param checkDelayMs How late the check was, as the event loop was */
+  #reportSilence(checkDelayMs: number): void {
+    const { context, candidate } = this.#options.attempt;
+    const { logger, metrics } = context.environment;
+    metrics.countEvent("streamSilent");
+    logger.info("streamSilent", {
+      request: context.request.attemptId,
+      server: candidate.server.id,
+      silentMs: Math.round(this.#nowMs() - this.#lastReceivedAtMs),
+      hasEvents: this.#hasForwardedEvents,
+      checkDelayMs: Math.round(checkDelayMs),
+      otherCalls: candidate.health.inFlight - 1,
+      otherSilentCalls: candidate.health.silentCalls,
+    });
+  }
+
   #isStream(): boolean {
     const head = this.#head;
     return head?.status === 200 && head.isGenuine && !head.isNotRun;
--- a/packages/daemon/src/placement/server_health.ts
+++ b/packages/daemon/src/placement/server_health.ts
@@ -17,6 +17,8 @@
 /** Mutable record of one server; each VM keeps its own. */
 export class ServerHealth {
   inFlight = 0;
+  /** Calls in flight that have been without data for an unusually long time. */
+  silentCalls = 0;
   #latencyMs: number | undefined;
   #failureScore = 0;
   #failureScoredAtMs = 0;
