--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -25,7 +25,11 @@
 import { forwardStream } from "./forward_stream.js";
 import { RequestLifetime } from "./request_lifetime.js";
 import { RouteStatistics } from "./route_statistics.js";
-import type { ServerCall } from "./server_caller.js";
+import type {
+  ResponseHead,
+  ServerCall,
+  ServerCallListener,
+} from "./server_caller.js";
 
 const OBJECTIVE_MS = 100;
 /** Before the hedge of a request with this objective. */
@@ -34,6 +38,21 @@
 const STALL_BLOCK_AFTER_MS = 1300;
 const BLOCK_MS = 500;
 const SETTLE_MS = 100;
+/** Longer than the silence after which a stream is resumed. */
+const DATA_BLOCK_MS = 2000;
+const STREAM_HEAD: ResponseHead = {
+  status: 200,
+  headers: [],
+  isNotRun: false,
+  isInputGone: false,
+  endsWithConnection: false,
+  isGenuine: true,
+  rateLimit: { kind: "unknown" },
+};
+
+function block(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
 
 /**
  * Disconnects the client, then blocks the event loop after a poll. The timers
@@ -42,7 +61,7 @@
 function disconnectAndBlock(client: Socket): void {
   setImmediate(() => {
     client.destroy();
-    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCK_MS);
+    block(BLOCK_MS);
   });
 }
 
@@ -62,8 +81,13 @@
 function makeContext(
   repeatability: Repeatability,
   server: Socket,
-): { readonly context: ForwardContext; readonly calls: ServerCall[] } {
+): {
+  readonly context: ForwardContext;
+  readonly calls: ServerCall[];
+  readonly listeners: ServerCallListener[];
+} {
   const calls: ServerCall[] = [];
+  const listeners: ServerCallListener[] = [];
   const clock = MONOTONIC_CLOCK;
   const rateLimits = makeRateLimits();
   const register = new ServerRegister(() => undefined);
@@ -87,8 +111,9 @@
         vmCount: () => 1,
       }),
       serverCaller: {
-        start: (call) => {
+        start: (call, listener) => {
           calls.push(call);
+          listeners.push(listener);
           return { cancel: () => undefined, cancelIfNotSent: () => false };
         },
       },
@@ -154,7 +179,7 @@
     stageGroup: "",
     configurationVersion: 1,
   };
-  return { context, calls };
+  return { context, calls, listeners };
 }
 
 describe("a client that disconnects while the event loop is blocked", () => {
@@ -183,3 +208,27 @@
     expect(calls.length).toEqual(1);
   });
 });
+
+describe("a stream whose data arrives while the event loop is blocked", () => {
+  it("isn't taken for silent", async () => {
+    const { client: backend, server: connection } = await openConnection();
+    const { context, calls, listeners } = makeContext(
+      { kind: "stream", isResumable: true },
+      connection,
+    );
+    const outcome = forwardStream(context);
+    await sleep(SETTLE_MS);
+    const [listener] = listeners;
+    listener?.onHead(STREAM_HEAD);
+    connection.on("data", (chunk) => listener?.onBody(chunk));
+    setImmediate(() => {
+      backend.write("id: 1\ndata: 1\n\n");
+      block(DATA_BLOCK_MS);
+    });
+    await sleep(DATA_BLOCK_MS + SETTLE_MS);
+    context.lifetime.endForClientDisconnect();
+    await outcome;
+    backend.destroy();
+    expect(calls.length).toEqual(1);
+  });
+});
