Don't take a delay of the event loop for a server's silence

Streams of sound servers were canceled, and failures of these servers counted, after the VM's own event loop had been blocked, for instance while it read a large configuration.

Timers that become due while the event loop is blocked run before the sockets are polled, so the check for silence ran before the data that had arrived was read. late_event_loop_test, which blocks the loop for 2 s with an event in the socket, saw 2 calls instead of 1. The check now polls the sockets and then looks again.

--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -6,6 +6,7 @@
 
 import type { Deferred } from "../deferred.js";
 import { makeDeferred } from "../deferred.js";
+import { pollSockets } from "../http/poll_sockets.js";
 import { EventSplitter } from "./event_splitter.js";
 import {
   type AttemptInput,
@@ -74,6 +75,7 @@
   #checkDueAtMs: number;
   #hasForwardedEvents = false;
   #isSilent = false;
+  #isStopped = false;
 
   private constructor(options: StreamRelayOptions) {
     this.#options = options;
@@ -96,7 +98,7 @@
       },
     });
     this.#stallTimer = setInterval(() => {
-      this.#checkStall();
+      void this.#checkStall();
     }, STALL_CHECK_MS);
   }
 
@@ -113,6 +115,7 @@
     } finally {
       stopListening();
       clearInterval(relay.#stallTimer);
+      relay.#isStopped = true;
       relay.#setSilent(false);
     }
   }
@@ -225,14 +228,16 @@
     );
   }
 
-  #checkStall(): void {
-    const limitMs = this.#hasForwardedEvents
-      ? EVENT_STALL_MS
-      : FIRST_EVENT_STALL_MS;
-    const nowMs = this.#nowMs();
-    const checkDelayMs = nowMs - this.#checkDueAtMs;
-    this.#checkDueAtMs = nowMs + STALL_CHECK_MS;
-    if (nowMs - this.#lastReceivedAtMs < limitMs) return;
+  /**
+   * Polls the sockets first: after a delay of the event loop, this runs before
+   * data is read that has already arrived.
+   */
+  async #checkStall(): Promise<void> {
+    const checkDelayMs = this.#nowMs() - this.#checkDueAtMs;
+    this.#checkDueAtMs = this.#nowMs() + STALL_CHECK_MS;
+    if (!this.#isStalled()) return;
+    await pollSockets();
+    if (this.#isStopped || !this.#isStalled()) return;
     if (!this.#isSilent) this.#reportSilence(checkDelayMs);
     this.#setSilent(true);
     if (!this.#options.canFailOver()) return;
@@ -241,6 +246,13 @@
     this.#result.resolve({ kind: "broken", detail: "silent" });
   }
 
+  #isStalled(): boolean {
+    const limitMs = this.#hasForwardedEvents
+      ? EVENT_STALL_MS
+      : FIRST_EVENT_STALL_MS;
+    return this.#nowMs() - this.#lastReceivedAtMs >= limitMs;
+  }
+
   /** @param checkDelayMs How late the check was, as the event loop was */
   #reportSilence(checkDelayMs: number): void {
     const { context, candidate } = this.#options.attempt;
