Keep a silent stream's call until a replacement delivers

Clients' streams were cut, or answered with 502 or 504, when a sound server fell silent for a second or so. The relay canceled a call that had been silent for 1 s (1.5 s before the first event) and counted a failure of its server; only then did it look for retry budget, attempts, a server and its acceptance, and if one of them was missing the stream ended, though the server went on.

A silence no longer ends a call. After 1.5 s without data the stream may also be sent to another server, after the last forwarded event, if it is resumable, attempts and retry budget are left and a server can take it (replacement_policy). The silent call stays open. Whichever first delivers an event goes on and the others are canceled in the same turn of the event loop; a replacement that refuses, can't be reached or breaks is dropped, and if the silent call ends, the replacement goes on alone. A replacement counts as a run. Its stages are run while the silent call is open and abandoned once it goes on.

A silence isn't a failure of the server any more: new requests avoid the server until data of any of its calls arrives, for 3 s at most. A failure is counted once a replacement delivered first.

StreamRelay is split into the relay over all calls, one call (stream_call), its log (stream_call_log), the state of the request (stream_state), the decision and the placement of replacements.

--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -2,51 +2,41 @@
  * Forwards a request whose response is a stream of numbered events.
  *
  * Each event is forwarded as soon as it is complete. If the route is resumable, a
- * stream that breaks or stalls is resumed at another backend server after the
- * last forwarded event.
+ * stream that breaks is resumed at another backend server after the last
+ * forwarded event; one that is silent is also sent to another server.
  *
  * @module
  */
 
-import type {
-  BackendServerId,
-  SoftwareVersion,
-} from "@sassafrasstage/protocol/ids";
-import type { StreamOrigin } from "@sassafrasstage/protocol/stream_origin";
 import { pollSockets } from "../http/poll_sockets.js";
-import type { PlacementRequest } from "../placement/server_directory.js";
-import type { RegisteredServer } from "../register/server_register.js";
-import type { ServerCandidate } from "../placement/choose_server.js";
 import type { ForwardContext, ForwardOutcome } from "./forward_context.js";
 import {
   replyAtLifetimeEnd,
   replyLocally,
   sendResponse,
 } from "./forward_buffered.js";
-import { placementRequestOf } from "./placement_request.js";
-import { type PreparedInputs, prepareInputs } from "./prepare_inputs.js";
+import { prepareInputs } from "./prepare_inputs.js";
+import { ReplacementPlacer } from "./replacement_placer.js";
+import { MAX_REFUSALS } from "./replacement_policy.js";
 import { resolveResumption } from "./resolve_resumption.js";
+import type { StreamCall } from "./stream_call.js";
+import { StreamRelay, type StreamResult } from "./stream_relay.js";
 import {
-  type StreamProgress,
-  StreamRelay,
-  type StreamResult,
-} from "./stream_relay.js";
+  beginRun,
+  canPlace,
+  isResumable,
+  makeStreamState,
+  recordBegin,
+  recordDropped,
+  recordRefusal,
+  releaseInputs,
+  spendRetry,
+  type StreamState,
+  toPlacement,
+} from "./stream_state.js";
 
-/** Maximum number of not-run attempts that are followed by another one. */
-const MAX_REFUSALS = 3;
 const SERVERS_FULL_RETRY_AFTER_MS = 250;
 
-interface StreamState extends StreamProgress {
-  readonly triedServers: Set<BackendServerId>;
-  readonly relativeSize: number;
-  /** Set once the stream has begun; it goes on only at this version. */
-  softwareVersion: SoftwareVersion | undefined;
-  inputs: PreparedInputs | undefined;
-  /** Number of calls that may have run. */
-  runs: number;
-  refusals: number;
-}
-
 export async function forwardStream(
   admitted: ForwardContext,
 ): Promise<ForwardOutcome> {
@@ -66,32 +56,11 @@
   try {
     return await runAttempts(context, state);
   } finally {
-    state.inputs?.release();
+    releaseInputs(state);
     lifetime.close();
   }
 }
 
-function makeStreamState(
-  context: ForwardContext,
-  origin: StreamOrigin | undefined,
-): StreamState {
-  const { environment, request, route } = context;
-  return {
-    triedServers: new Set(),
-    relativeSize: environment.routeStatistics.relativeSize(
-      route.name,
-      request.prompt,
-    ),
-    softwareVersion: origin?.softwareVersion,
-    inputs: undefined,
-    runs: 0,
-    refusals: 0,
-    isHeadSent: false,
-    endsWithConnection: false,
-    lastEventId: request.resumeAfter,
-  };
-}
-
 async function runAttempts(
   context: ForwardContext,
   state: StreamState,
@@ -112,23 +81,6 @@
   }
 }
 
-/** False if a stream has begun and no server of its version is left. */
-function canPlace(context: ForwardContext, state: StreamState): boolean {
-  return state.softwareVersion === undefined ||
-    context.environment.directory.hasServer(toPlacement(context, state));
-}
-
-function toPlacement(
-  context: ForwardContext,
-  state: StreamState,
-): PlacementRequest {
-  return placementRequestOf(context, {
-    inputsDataCentre: state.inputs?.dataCentre,
-    excluded: state.triedServers,
-    softwareVersion: state.softwareVersion,
-  });
-}
-
 /** Prepares missing inputs; returns the final outcome if that fails. */
 async function ensureInputs(
   context: ForwardContext,
@@ -163,12 +115,8 @@
       return finishAtLifetimeEnd(context, state);
     case "notRun":
     case "notSent":
-      state.runs -= 1;
-      state.refusals += 1;
-      if (result.kind === "notRun" && result.isInputGone) {
-        state.inputs?.release();
-        state.inputs = undefined;
-      }
+      recordRefusal(state);
+      if (result.kind === "notRun" && result.isInputGone) releaseInputs(state);
       if (state.refusals > MAX_REFUSALS || !spendRetry(context)) {
         return giveUp(context, state, result.kind);
       }
@@ -200,78 +148,30 @@
   );
   if (candidate === undefined) return undefined;
   if (context.lifetime.end !== undefined) return { kind: "ended" };
-  state.triedServers.add(candidate.server.id);
-  state.runs += 1;
-  logPlacement(context, state, candidate);
   return StreamRelay.run({
-    attempt: {
-      context,
-      candidate,
-      inputs: state.inputs?.references,
-      resumeAfter: state.lastEventId,
-    },
+    context,
     progress: state,
-    canFailOver: () =>
-      isResumable(context) && state.runs < context.route.maxAttempts &&
-      canPlace(context, state),
-    onFirstEvent: (afterMs) => {
-      recordBegin(context, state, candidate.server);
-      environment.routeStatistics.recordFirstByte(context.route.name, afterMs);
-      state.inputs?.release();
-      state.inputs = undefined;
+    replacements: new ReplacementPlacer(context, state),
+    onEvents: (call) => {
+      if (!call.hasEvents) recordFirstEvent(context, state, call);
+      // The call has consumed its inputs, and no other one is open.
+      releaseInputs(state);
     },
-  });
-}
-
-/** Fixes the version of a new stream, also for the client's later attempts. */
-function recordBegin(
-  context: ForwardContext,
-  state: StreamState,
-  { service, softwareVersion }: RegisteredServer,
-): void {
-  if (state.softwareVersion !== undefined) return;
-  state.softwareVersion = softwareVersion;
-  context.environment.streamVersions.recordBegin(context.request.attemptId, {
-    service,
-    softwareVersion,
-  });
+    onDropped: (cause) => {
+      recordDropped(state, cause);
+    },
+  }, beginRun(context, state, candidate));
 }
 
-/** A resumption is logged at `info`, as it may fail because of the version. */
-function logPlacement(
+function recordFirstEvent(
   context: ForwardContext,
   state: StreamState,
-  { server, health }: ServerCandidate,
+  call: StreamCall,
 ): void {
-  const { logger } = context.environment;
-  const { attemptId, resumedAttemptId } = context.request;
-  const fields = {
-    request: attemptId,
-    server: server.id,
-    softwareVersion: server.softwareVersion,
-    inFlight: health.inFlight,
-  };
-  if (state.lastEventId === undefined) logger.debug("placed", fields);
-  else {
-    logger.info("placed", {
-      ...fields,
-      resumes: resumedAttemptId,
-      after: state.lastEventId,
-    });
-  }
-}
-
-function isResumable(context: ForwardContext): boolean {
-  const { repeatability } = context.route;
-  return repeatability.kind === "stream" && repeatability.isResumable;
-}
-
-function spendRetry(context: ForwardContext): boolean {
-  const { directory, clock, metrics } = context.environment;
-  const isAllowed = directory.retryBudgetOf(context.service)
-    .tryRetry(clock.nowMs());
-  if (!isAllowed) metrics.countEvent("retryBudgetSpent");
-  return isAllowed;
+  const { clock, routeStatistics } = context.environment;
+  const afterMs = clock.nowMs() - call.startedAtMs;
+  routeStatistics.recordFirstByte(context.route.name, afterMs);
+  recordBegin(context, state, call.candidate.server);
 }
 
 /** Ends a request that can't be retried. */
--- a/packages/daemon/src/forwarding/prepare_inputs.ts
+++ b/packages/daemon/src/forwarding/prepare_inputs.ts
@@ -57,6 +57,8 @@
   readonly relativeSize: number;
   /** Set for a stream that goes on at servers of this version only. */
   readonly softwareVersion: SoftwareVersion | undefined;
+  /** Aborted once the inputs aren't needed any more. */
+  readonly signal?: AbortSignal;
 }
 
 /** Runs the stages; stops early if the request's lifetime ends. */
@@ -69,11 +71,13 @@
     return { kind: "prepared", inputs: NO_INPUTS };
   }
   const running = startGraph(context, stages, options);
-  const lifetimeEnded = makeDeferred<"ended">();
-  const stopListening = context.lifetime.onEnd(() => {
-    lifetimeEnded.resolve("ended");
-  });
-  const outcome = await Promise.race([running.outcome, lifetimeEnded.promise]);
+  const stopped = makeDeferred<"ended">();
+  function stop(): void {
+    stopped.resolve("ended");
+  }
+  const stopListening = context.lifetime.onEnd(stop);
+  options.signal?.addEventListener("abort", stop, { once: true });
+  const outcome = await Promise.race([running.outcome, stopped.promise]);
   stopListening();
   if (outcome === "ended") {
     running.release();
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -1,5 +1,9 @@
 /**
- * Relays the event stream of one backend server to the client.
+ * Relays the event stream of one request from its calls to the client.
+ *
+ * A stream usually has one call. While that one is silent, another server may be
+ * called as a replacement; the call that first delivers an event goes on, and
+ * the others are canceled.
  *
  * @module
  */
@@ -7,31 +11,28 @@
 import type { Deferred } from "../deferred.js";
 import { makeDeferred } from "../deferred.js";
 import { pollSockets } from "../http/poll_sockets.js";
-import { EventSplitter } from "./event_splitter.js";
+import type { CompleteEvents } from "./event_splitter.js";
+import type { ForwardContext } from "./forward_context.js";
+import {
+  type ReplacementDecision,
+  SILENCE_LIMIT_MS,
+} from "./replacement_policy.js";
+import type { AttemptInput } from "./run_attempt.js";
+import type { ResponseHead } from "./server_caller.js";
 import {
-  type AttemptInput,
-  classifyFailure,
-  MAX_BUFFERED_RESPONSE_BYTES,
-  startCall,
-  type StartedCall,
-} from "./run_attempt.js";
-import type { ResponseHead, ServerCallFailure } from "./server_caller.js";
+  type DropCause,
+  StreamCall,
+  type StreamCallResult,
+} from "./stream_call.js";
+import { StreamCallLog } from "./stream_call_log.js";
 
-/** Result of one call to a backend server. */
+/** Result of all calls that were open together. */
 export type StreamResult =
   /** The complete stream was sent to the client. */
   | { readonly kind: "complete" }
-  /** A complete response that is not a stream. */
-  | {
-    readonly kind: "answered";
-    readonly head: ResponseHead;
-    readonly body: Buffer;
-  }
-  | { readonly kind: "notRun"; readonly isInputGone: boolean }
-  | { readonly kind: "notSent"; readonly detail: string }
-  | { readonly kind: "broken"; readonly detail: string }
-  /** The request's lifetime ended before the call did. */
-  | { readonly kind: "ended" };
+  /** The request's lifetime ended before the calls did. */
+  | { readonly kind: "ended" }
+  | Exclude<StreamCallResult, { readonly kind: "streamed" }>;
 
 /** What the client has received, over all calls for the request. */
 export interface StreamProgress {
@@ -42,121 +43,142 @@
   lastEventId: string | undefined;
 }
 
+/** Places the replacements of silent calls. */
+export interface ReplacementSource {
+  decide(lastReceivedAtMs: number, nowMs: number): ReplacementDecision;
+  /** Calls `start` unless the signal is aborted or no server can be had. */
+  place(
+    signal: AbortSignal,
+    start: (attempt: AttemptInput) => void,
+  ): Promise<void>;
+}
+
 export interface StreamRelayOptions {
-  readonly attempt: AttemptInput;
+  readonly context: ForwardContext;
   readonly progress: StreamProgress;
-  /** Whether the stream can resume at another server if this one stalls. */
-  readonly canFailOver: () => boolean;
-  /** Called on the first event, once the server has consumed the inputs. */
-  readonly onFirstEvent: (afterMs: number) => void;
+  readonly replacements: ReplacementSource;
+  /** Called before events of a call are forwarded. */
+  readonly onEvents: (call: StreamCall) => void;
+  readonly onDropped: (cause: DropCause) => void;
 }
 
-/** Time without data before the first event after which a stream fails over. */
-const FIRST_EVENT_STALL_MS = 1500;
-/** Time without data between events after which a stream fails over. */
-const EVENT_STALL_MS = 1000;
-const STALL_CHECK_MS = 250;
-const MAX_EVENT_BYTES = 256 * 1024;
+/** Interval of the check while a call is silent. */
+const SILENCE_RECHECK_MS = 250;
 /** What a client that doesn't read may leave unread of a stream. */
 const MAX_CLIENT_BACKLOG_BYTES = 2 * 1024 * 1024;
 
-/** Handles one call to a backend server. */
 export class StreamRelay {
   readonly #options: StreamRelayOptions;
-  readonly #splitter = new EventSplitter();
-  readonly #nonStreamBody: Buffer[] = [];
+  readonly #log: StreamCallLog;
   readonly #result: Deferred<StreamResult> = makeDeferred();
-  readonly #startedAtMs: number;
-  readonly #stallTimer: NodeJS.Timeout | undefined;
-  readonly #call: StartedCall;
-  #bufferedBytes = 0;
-  #head: ResponseHead | undefined;
-  #lastReceivedAtMs: number;
-  #checkDueAtMs: number;
-  #hasForwardedEvents = false;
-  #isSilent = false;
-  #isStopped = false;
+  /** The open calls in the order in which they were started. */
+  readonly #calls = new Set<StreamCall>();
+  #placement: AbortController | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #checkDueAtMs = 0;
 
   private constructor(options: StreamRelayOptions) {
     this.#options = options;
-    this.#startedAtMs = this.#nowMs();
-    this.#lastReceivedAtMs = this.#startedAtMs;
-    this.#checkDueAtMs = this.#startedAtMs + STALL_CHECK_MS;
-    this.#call = startCall(options.attempt, {
-      onHead: (head) => {
-        this.#head = head;
-        this.#recordReceived();
-      },
-      onBody: (chunk) => {
-        this.#handleBody(chunk);
-      },
-      onEnd: () => {
-        this.#result.resolve(this.#finishResponse());
-      },
-      onFailure: (failure) => {
-        this.#handleFailure(failure);
-      },
-    });
-    this.#stallTimer = setInterval(() => {
-      void this.#checkStall();
-    }, STALL_CHECK_MS);
+    this.#log = new StreamCallLog(options.context);
   }
 
-  /** Relays until the call or the request's lifetime ends. */
-  static async run(options: StreamRelayOptions): Promise<StreamResult> {
+  /** Relays until the stream, its last call or the request's lifetime ends. */
+  static async run(
+    options: StreamRelayOptions,
+    attempt: AttemptInput,
+  ): Promise<StreamResult> {
     const relay = new StreamRelay(options);
-    const { lifetime } = options.attempt.context;
-    const stopListening = lifetime.onEnd(() => {
-      relay.#call.cancel();
-      relay.#result.resolve({ kind: "ended" });
+    relay.#start(attempt);
+    relay.#scheduleCheck();
+    const stopListening = options.context.lifetime.onEnd(() => {
+      relay.#finish({ kind: "ended" });
     });
-    try {
-      return await relay.#result.promise;
-    } finally {
-      stopListening();
-      clearInterval(relay.#stallTimer);
-      relay.#isStopped = true;
-      relay.#setSilent(false);
-    }
+    const result = await relay.#result.promise;
+    stopListening();
+    return result;
   }
 
-  #recordReceived(): void {
-    this.#lastReceivedAtMs = this.#nowMs();
-    this.#setSilent(false);
+  #start(attempt: AttemptInput): void {
+    const call = new StreamCall(attempt, {
+      onEvents: (sender, head, events) => {
+        this.#handleEvents(sender, head, events);
+      },
+      onResult: (sender, result) => {
+        this.#handleResult(sender, result);
+      },
+    });
+    if (!call.isEnded) this.#calls.add(call);
   }
 
-  #setSilent(isSilent: boolean): void {
-    if (this.#isSilent === isSilent) return;
-    this.#isSilent = isSilent;
-    this.#options.attempt.candidate.health.silentCalls += isSilent ? 1 : -1;
+  /** Ends all calls. */
+  #finish(result: StreamResult): void {
+    clearTimeout(this.#timer);
+    this.#placement?.abort();
+    for (const call of this.#calls) call.cancel();
+    this.#calls.clear();
+    this.#result.resolve(result);
   }
 
-  #handleBody(chunk: Buffer): void {
-    this.#recordReceived();
-    if (!this.#isStream()) {
-      this.#bufferBody(chunk);
-      return;
-    }
-    const { bytes, lastId } = this.#splitter.push(chunk);
-    this.#forwardEvents(bytes);
+  #handleEvents(
+    call: StreamCall,
+    head: ResponseHead,
+    { bytes, lastId }: CompleteEvents,
+  ): void {
+    this.#dropOthers(call);
+    this.#forward(call, head, bytes);
     if (lastId !== undefined) this.#options.progress.lastEventId = lastId;
-    if (this.#splitter.partialEventBytes > MAX_EVENT_BYTES) {
-      this.#call.endOversized("eventTooLarge");
-    }
     this.#checkBacklog();
   }
 
-  /** Buffers a response that isn't a stream. */
-  #bufferBody(chunk: Buffer): void {
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
-      this.#nonStreamBody.push(chunk);
-    } else this.#call.endOversized("bodyTooLarge");
+  /** Cancels the other calls, as the given one goes on with the stream. */
+  #dropOthers(call: StreamCall): void {
+    this.#placement?.abort();
+    if (this.#calls.size <= 1) return;
+    this.#log.recordGoingOn(call, this.#isReplacement(call));
+    const nowMs = this.#nowMs();
+    let isEarlier = true;
+    for (const other of this.#calls) {
+      if (other === call) {
+        isEarlier = false;
+        continue;
+      }
+      // A server that was replaced has failed; one that was too late has not.
+      if (isEarlier) other.candidate.health.recordFailure(nowMs);
+      other.cancel();
+      this.#drop(other, { kind: "superseded" });
+    }
+  }
+
+  #drop(call: StreamCall, cause: DropCause): void {
+    this.#log.recordDropped(call, cause, this.#isReplacement(call));
+    this.#calls.delete(call);
+    this.#options.onDropped(cause);
+  }
+
+  #isReplacement(call: StreamCall): boolean {
+    const [first] = this.#calls;
+    return call !== first;
+  }
+
+  #forward(call: StreamCall, head: ResponseHead, bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    this.#options.onEvents(call);
+    this.#sendHead(head);
+    this.#options.context.channel.write(bytes);
+  }
+
+  /** Sends the head of the first server that streams; later heads are ignored. */
+  #sendHead(head: ResponseHead): void {
+    const { progress, context } = this.#options;
+    if (progress.isHeadSent) return;
+    progress.isHeadSent = true;
+    progress.endsWithConnection = head.endsWithConnection;
+    context.channel.writeHead(head);
   }
 
   /** Ends a stream that its client reads too slowly. */
   #checkBacklog(): void {
-    const { context } = this.#options.attempt;
+    const { context } = this.#options;
     const { backlogBytes } = context.channel;
     if (backlogBytes <= MAX_CLIENT_BACKLOG_BYTES) return;
     const { logger, metrics } = context.environment;
@@ -169,112 +191,117 @@
     context.lifetime.endForClientDisconnect();
   }
 
-  #forwardEvents(bytes: Buffer): void {
-    if (bytes.length === 0) return;
-    if (!this.#hasForwardedEvents) {
-      this.#hasForwardedEvents = true;
-      this.#options.onFirstEvent(this.#nowMs() - this.#startedAtMs);
+  #handleResult(call: StreamCall, result: StreamCallResult): void {
+    const final = this.#toFinalResult(result);
+    if (result.kind === "streamed" && final.kind === "complete") {
+      this.#dropOthers(call);
+      this.#forward(call, result.head, result.rest);
+      this.#sendHead(result.head);
+      this.#options.context.channel.end();
+    } else if (this.#hasOthers(call) && final.kind !== "complete") {
+      this.#drop(call, final);
+      return;
     }
-    this.#sendHead();
-    this.#options.attempt.context.channel.write(bytes);
-  }
-
-  /** Sends the head of the first server that streams; later heads are ignored. */
-  #sendHead(): void {
-    const { progress, attempt } = this.#options;
-    if (progress.isHeadSent || this.#head === undefined) return;
-    progress.isHeadSent = true;
-    progress.endsWithConnection = this.#head.endsWithConnection;
-    attempt.context.channel.writeHead(this.#head);
+    this.#calls.delete(call);
+    this.#finish(final);
   }
 
-  #finishResponse(): StreamResult {
-    const head = this.#head;
-    if (head === undefined) return { kind: "broken", detail: "noHead" };
-    if (head.isNotRun) {
-      return { kind: "notRun", isInputGone: head.isInputGone };
-    }
-    if (!head.isGenuine) return { kind: "broken", detail: "notGenuine" };
-    if (this.#isStream()) {
-      if (this.#mayBeCutOff(head)) return { kind: "broken", detail: "cutOff" };
-      this.#forwardEvents(this.#splitter.takePartialEvent());
-      this.#sendHead();
-      this.#options.attempt.context.channel.end();
-      return { kind: "complete" };
+  #toFinalResult(
+    result: StreamCallResult,
+  ): Exclude<StreamResult, { readonly kind: "ended" }> {
+    switch (result.kind) {
+      case "streamed":
+        return this.#mayBeCutOff(result)
+          ? { kind: "broken", detail: "cutOff" }
+          : { kind: "complete" };
+      case "answered":
+        return this.#options.progress.isHeadSent
+          ? { kind: "broken", detail: `status${result.head.status}` }
+          : result;
+      default:
+        return result;
     }
-    if (this.#options.progress.isHeadSent) {
-      return { kind: "broken", detail: `status${head.status}` };
-    }
-    return { kind: "answered", head, body: Buffer.concat(this.#nonStreamBody) };
   }
 
   /**
    * Whether the stream may be truncated without the client being able to detect
    * it. This requires a server that marks the end by closing the connection.
    */
-  #mayBeCutOff(head: ResponseHead): boolean {
+  #mayBeCutOff(
+    { head, rest }: Extract<StreamCallResult, { kind: "streamed" }>,
+  ): boolean {
     if (!head.endsWithConnection) return false;
     const { progress } = this.#options;
-    return this.#splitter.partialEventBytes > 0 ||
+    return rest.length > 0 ||
       (progress.isHeadSent && !progress.endsWithConnection);
   }
 
-  #handleFailure(failure: ServerCallFailure): void {
-    const result = classifyFailure(this.#head, failure);
-    this.#result.resolve(
-      result.kind === "answered"
-        ? { kind: "broken", detail: failure.detail }
-        : result,
-    );
+  /** Schedules the check for the moment at which all calls may be silent. */
+  #scheduleCheck(): void {
+    if (this.#calls.size === 0) return;
+    const nowMs = this.#nowMs();
+    const untilLimitMs = this.#lastReceivedAtMs() + SILENCE_LIMIT_MS - nowMs;
+    const delayMs = untilLimitMs > 0 ? untilLimitMs : SILENCE_RECHECK_MS;
+    this.#checkDueAtMs = nowMs + delayMs;
+    this.#timer = setTimeout(() => {
+      void this.#checkSilence();
+    }, delayMs);
   }
 
-  /**
-   * Polls the sockets first: after a delay of the event loop, this runs before
-   * data is read that has already arrived.
-   */
-  async #checkStall(): Promise<void> {
+  async #checkSilence(): Promise<void> {
     const checkDelayMs = this.#nowMs() - this.#checkDueAtMs;
-    this.#checkDueAtMs = this.#nowMs() + STALL_CHECK_MS;
-    if (!this.#isStalled()) return;
-    await pollSockets();
-    if (this.#isStopped || !this.#isStalled()) return;
-    if (!this.#isSilent) this.#reportSilence(checkDelayMs);
-    this.#setSilent(true);
-    if (!this.#options.canFailOver()) return;
-    this.#call.cancel();
-    this.#options.attempt.candidate.health.recordFailure(this.#nowMs());
-    this.#result.resolve({ kind: "broken", detail: "silent" });
+    // After a delay of the event loop, this runs before data is read that has
+    // already arrived.
+    if (this.#isSilent()) await pollSockets();
+    if (this.#isSilent()) this.#handleSilence(checkDelayMs);
+    this.#scheduleCheck();
   }
 
-  #isStalled(): boolean {
-    const limitMs = this.#hasForwardedEvents
-      ? EVENT_STALL_MS
-      : FIRST_EVENT_STALL_MS;
-    return this.#nowMs() - this.#lastReceivedAtMs >= limitMs;
+  #handleSilence(checkDelayMs: number): void {
+    const nowMs = this.#nowMs();
+    const decision = this.#placement === undefined
+      ? this.#options.replacements.decide(this.#lastReceivedAtMs(), nowMs)
+      : "placing";
+    for (const call of this.#calls) {
+      if (nowMs - call.lastReceivedAtMs < SILENCE_LIMIT_MS) continue;
+      if (!call.recordSilence(nowMs)) continue;
+      this.#log.recordSilent(call, { nowMs, checkDelayMs, decision });
+    }
+    if (decision === "start") void this.#placeReplacement();
   }
 
-  /** @param checkDelayMs How late the check was, as the event loop was */
-  #reportSilence(checkDelayMs: number): void {
-    const { context, candidate } = this.#options.attempt;
-    const { logger, metrics } = context.environment;
-    metrics.countEvent("streamSilent");
-    logger.info("streamSilent", {
-      request: context.request.attemptId,
-      server: candidate.server.id,
-      silentMs: Math.round(this.#nowMs() - this.#lastReceivedAtMs),
-      hasEvents: this.#hasForwardedEvents,
-      checkDelayMs: Math.round(checkDelayMs),
-      otherCalls: candidate.health.inFlight - 1,
-      otherSilentCalls: candidate.health.silentCalls,
-    });
+  async #placeReplacement(): Promise<void> {
+    const placement = new AbortController();
+    this.#placement = placement;
+    try {
+      await this.#options.replacements.place(placement.signal, (attempt) => {
+        this.#log.recordReplacement(attempt);
+        this.#start(attempt);
+      });
+    } catch (error) {
+      this.#log.recordPlacementError(error);
+    } finally {
+      this.#placement = undefined;
+    }
+  }
+
+  #isSilent(): boolean {
+    return this.#calls.size > 0 &&
+      this.#nowMs() - this.#lastReceivedAtMs() >= SILENCE_LIMIT_MS;
+  }
+
+  /** When any of the open calls last received data. */
+  #lastReceivedAtMs(): number {
+    return Math.max(
+      ...[...this.#calls].map((call) => call.lastReceivedAtMs),
+    );
   }
 
-  #isStream(): boolean {
-    const head = this.#head;
-    return head?.status === 200 && head.isGenuine && !head.isNotRun;
+  #hasOthers(call: StreamCall): boolean {
+    return this.#calls.size > (this.#calls.has(call) ? 1 : 0);
   }
 
   #nowMs(): number {
-    return this.#options.attempt.context.environment.clock.nowMs();
+    return this.#options.context.environment.clock.nowMs();
   }
 }
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -16,6 +16,7 @@
   | "failed"
   | "timedOut"
   | "streamBroken"
+  | "streamSilent"
   | "foreignResult"
   | "ownerSilent"
   | "hedge";
--- a/packages/daemon/src/placement/choose_server.ts
+++ b/packages/daemon/src/placement/choose_server.ts
@@ -41,6 +41,8 @@
 const FAILURE_COST = 4;
 /** Cost of a server in another data centre, in requests in flight. */
 const REMOTE_DATA_CENTRE_COST = 1.5;
+/** Cost of a suspended or silent server, in requests in flight. */
+const AVOIDANCE_COST = 100;
 /** Servers with at least this failure score are used only as a last resort. */
 const UNHEALTHY_FAILURE_SCORE = 1.2;
 
@@ -77,7 +79,7 @@
   input: ServerChoiceInput,
   { health }: ServerCandidate,
 ): boolean {
-  return !health.isSuspended(input.nowMs) &&
+  return !health.isSuspended(input.nowMs) && !health.isSilent(input.nowMs) &&
     health.failureScore(input.nowMs) < UNHEALTHY_FAILURE_SCORE;
 }
 
@@ -104,10 +106,11 @@
     ? 0
     : REMOTE_DATA_CENTRE_COST;
   const failureCost = health.failureScore(input.nowMs) * FAILURE_COST;
-  const suspensionCost = health.isSuspended(input.nowMs) ? 100 : 0;
+  const isAvoided = health.isSuspended(input.nowMs) ||
+    health.isSilent(input.nowMs);
   const isCold = input.nowMs < server.coldUntilMs;
-  return health.inFlight + distanceCost + failureCost + suspensionCost +
-    (isCold ? FAILURE_COST : 0);
+  return health.inFlight + distanceCost + failureCost +
+    (isAvoided ? AVOIDANCE_COST : 0) + (isCold ? FAILURE_COST : 0);
 }
 
 /**
--- a/packages/daemon/src/placement/choose_server_test.ts
+++ b/packages/daemon/src/placement/choose_server_test.ts
@@ -53,6 +53,15 @@
     expect(choose([failing, healthy], { nowMs: 20_000 })).toEqual(failing);
   });
 
+  it("avoids a silent server until it is heard of again", () => {
+    const silent = makeCandidate("silent");
+    const other = makeCandidate("other", { dataCentre: WEST });
+    silent.health.recordSilence(0, 900);
+    expect(choose([silent, other])).toEqual(other);
+    silent.health.recordReceived(950);
+    expect(choose([silent, other])).toEqual(silent);
+  });
+
   it("uses a suspended server if there is no other", () => {
     const only = makeCandidate("only");
     only.health.recordUnreachable(990);
--- a/packages/daemon/src/placement/server_health.ts
+++ b/packages/daemon/src/placement/server_health.ts
@@ -12,6 +12,8 @@
 const MAX_SUSPENSION_MS = 3000;
 /** Time until a server that reported no free capacity is tried again. */
 const OVERLOAD_SUSPENSION_MS = 60;
+/** Time after which a server without data is no longer taken for silent. */
+const SILENCE_TTL_MS = 3000;
 const COLD_WINDOW_MS = 1000;
 
 /** Mutable record of one server; each VM keeps its own. */
@@ -23,6 +25,8 @@
   #failureScore = 0;
   #failureScoredAtMs = 0;
   #suspendedUntilMs = 0;
+  #silentUntilMs = 0;
+  #lastReceivedAtMs = -Infinity;
   #consecutiveConnectFailures = 0;
   #coldRequestTimes: number[] = [];
 
@@ -41,7 +45,25 @@
     return nowMs < this.#suspendedUntilMs;
   }
 
+  /** Whether the server has lately left this VM's calls without data. */
+  isSilent(nowMs: number): boolean {
+    return nowMs < this.#silentUntilMs;
+  }
+
+  /** Data of any call was received. */
+  recordReceived(nowMs: number): void {
+    this.#lastReceivedAtMs = nowMs;
+    this.#silentUntilMs = 0;
+  }
+
+  /** A call has had no data since `sinceMs`; the server may serve others. */
+  recordSilence(sinceMs: number, nowMs: number): void {
+    if (this.#lastReceivedAtMs > sinceMs) return;
+    this.#silentUntilMs = nowMs + SILENCE_TTL_MS;
+  }
+
   recordResponse(latencyMs: number): void {
+    this.#silentUntilMs = 0;
     this.#consecutiveConnectFailures = 0;
     const previousMs = this.#latencyMs ?? latencyMs;
     this.#latencyMs = previousMs + (latencyMs - previousMs) * LATENCY_SMOOTHING;
--- a/packages/daemon/src/placement/sliding_retry_budget.ts
+++ b/packages/daemon/src/placement/sliding_retry_budget.ts
@@ -47,13 +47,18 @@
     this.#requestTimes.push(nowMs);
   }
 
-  /** Uses one retry of the budget; returns false if it is exhausted. */
-  tryRetry(nowMs: number): boolean {
+  /** Whether a retry is left. */
+  hasRetry(nowMs: number): boolean {
     this.#dropExpired(nowMs);
     const { ratio, slack } = this.#limits();
     const allowed = LIMIT_SAFETY_FACTOR *
       (ratio * this.#requestTimes.length + slack * this.#slackShare());
-    if (this.#retryTimes.length + 1 > allowed) return false;
+    return this.#retryTimes.length + 1 <= allowed;
+  }
+
+  /** Uses one retry of the budget; returns false if it is exhausted. */
+  tryRetry(nowMs: number): boolean {
+    if (!this.hasRetry(nowMs)) return false;
     this.#retryTimes.push(nowMs);
     return true;
   }
