Treat a stream that ends inside an event as broken off

A stream whose server ended it inside an event, by its length or its last chunk, was handed on with the partial event and ended as complete. Only where the server's connection marked the end was it resumed, and then no failure of the server was counted.

It now counts as broken whatever its framing: it is resumed after the last whole event, or the client's response is left incomplete. The failure is counted and logged as serverCallFailed with detail cutOff.

Unchanged, and tested: a client's response keeps the framing of its first server; a replacement that ends with its connection doesn't end a response in chunks as complete, as the client couldn't tell whether it was cut off.

--- a/packages/daemon/src/forwarding/event_splitter.ts
+++ b/packages/daemon/src/forwarding/event_splitter.ts
@@ -32,13 +32,6 @@
     return this.#partialEvent.length;
   }
 
-  /** Returns and clears the buffered bytes once the stream has ended normally. */
-  takePartialEvent(): Buffer {
-    const partialEvent = this.#partialEvent;
-    this.#partialEvent = NO_BYTES;
-    return partialEvent;
-  }
-
   push(chunk: Buffer): CompleteEvents {
     const bytes = this.#partialEvent.length === 0
       ? chunk
--- a/packages/daemon/src/forwarding/stream_call.ts
+++ b/packages/daemon/src/forwarding/stream_call.ts
@@ -17,12 +17,8 @@
 
 /** How a call ended by itself. */
 export type StreamCallResult =
-  | {
-    readonly kind: "streamed";
-    readonly head: ResponseHead;
-    /** What follows the last complete event. */
-    readonly rest: Buffer;
-  }
+  /** The stream ended after a complete event. */
+  | { readonly kind: "streamed"; readonly head: ResponseHead }
   /** A complete response that is not a stream. */
   | {
     readonly kind: "answered";
@@ -166,8 +162,26 @@
         body: Buffer.concat(this.#nonStreamBody),
       };
     }
-    const rest = this.#splitter.takePartialEvent();
-    return { kind: "streamed", head, rest };
+    if (this.#splitter.partialEventBytes === 0) {
+      return { kind: "streamed", head };
+    }
+    this.#recordCutOff();
+    return { kind: "broken", detail: "cutOff" };
+  }
+
+  /** Unlike other broken responses, this one ended without an error. */
+  #recordCutOff(): void {
+    const { environment, request } = this.#attempt.context;
+    const { server, health } = this.candidate;
+    health.recordFailure(this.#nowMs());
+    environment.metrics.countEvent("streamCutOff");
+    environment.logger.info("serverCallFailed", {
+      request: request.attemptId,
+      server: server.id,
+      failure: "broken",
+      detail: "cutOff",
+      afterMs: Math.round(this.#nowMs() - this.startedAtMs),
+    });
   }
 
   #classifyFailure(failure: ServerCallFailure): StreamCallResult {
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -161,7 +161,6 @@
   }
 
   #forward(call: StreamCall, head: ResponseHead, bytes: Buffer): void {
-    if (bytes.length === 0) return;
     this.#options.onEvents(call);
     this.#sendHead(head);
     this.#options.context.channel.write(bytes);
@@ -195,7 +194,6 @@
     const final = this.#toFinalResult(result);
     if (result.kind === "streamed" && final.kind === "complete") {
       this.#dropOthers(call);
-      this.#forward(call, result.head, result.rest);
       this.#sendHead(result.head);
       this.#options.context.channel.end();
     } else if (this.#hasOthers(call) && final.kind !== "complete") {
@@ -211,7 +209,7 @@
   ): Exclude<StreamResult, { readonly kind: "ended" }> {
     switch (result.kind) {
       case "streamed":
-        return this.#mayBeCutOff(result)
+        return this.#mayBeCutOff(result.head)
           ? { kind: "broken", detail: "cutOff" }
           : { kind: "complete" };
       case "answered":
@@ -224,16 +222,14 @@
   }
 
   /**
-   * Whether the stream may be truncated without the client being able to detect
-   * it. This requires a server that marks the end by closing the connection.
+   * Whether the stream may be truncated after an event without the client being
+   * able to detect it. This requires a server that marks the end by closing the
+   * connection, and a client that expects another mark.
    */
-  #mayBeCutOff(
-    { head, rest }: Extract<StreamCallResult, { kind: "streamed" }>,
-  ): boolean {
-    if (!head.endsWithConnection) return false;
+  #mayBeCutOff(head: ResponseHead): boolean {
     const { progress } = this.#options;
-    return rest.length > 0 ||
-      (progress.isHeadSent && !progress.endsWithConnection);
+    return head.endsWithConnection && progress.isHeadSent &&
+      !progress.endsWithConnection;
   }
 
   /** Schedules the check for the moment at which all calls may be silent. */
