--- a/packages/daemon/src/peers/heartbeat_content.ts
+++ b/packages/daemon/src/peers/heartbeat_content.ts
@@ -5,6 +5,7 @@
  */
 
 import type { PoolId, VmId } from "@sassafrasstage/protocol/ids";
+import type { PoisonPartNews } from "@sassafrasstage/protocol/poison_parts";
 import type { BegunStreams } from "@sassafrasstage/protocol/stream_origin";
 
 /**
@@ -13,6 +14,12 @@
  */
 export type TakeBegunStreams = (nowMs: number) => readonly BegunStreams[];
 
+/**
+ * Returns the news of prompt parts since the last call, if there are any. They
+ * are sent to the same peers as begun streams.
+ */
+export type TakePoisonPartNews = (nowMs: number) => PoisonPartNews | undefined;
+
 /** Supplies and receives the pool fields of heartbeats and their replies. */
 export interface HeartbeatContent {
   /**
--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -9,11 +9,13 @@
   HeartbeatMessage,
   HeartbeatReplyMessage,
 } from "@sassafrasstage/protocol/peer_messages";
+import type { PoisonPartNews } from "@sassafrasstage/protocol/poison_parts";
 import type { BegunStreams } from "@sassafrasstage/protocol/stream_origin";
 import { encodeFrame } from "./frame_codec.js";
 import type {
   HeartbeatContent,
   TakeBegunStreams,
+  TakePoisonPartNews,
 } from "./heartbeat_content.js";
 import { REDUCED_HEARTBEAT_INTERVALS, silenceLimitMs } from "./member_state.js";
 import type { Membership } from "./membership.js";
@@ -41,6 +43,14 @@
   readonly message: HeartbeatMessage;
 }
 
+/** What is new since the last heartbeat. */
+interface HeartbeatNews {
+  readonly begunStreams: readonly BegunStreams[];
+  readonly poisonParts: PoisonPartNews | undefined;
+}
+
+const NO_NEWS: HeartbeatNews = { begunStreams: [], poisonParts: undefined };
+
 const EMPTY_CONTENT: HeartbeatContent = {
   ownedPools: () => [],
   supportFor: () => [],
@@ -56,6 +66,7 @@
   readonly #sentTimesMs = new Map<number, number>();
   content: HeartbeatContent = EMPTY_CONTENT;
   takeBegunStreams: TakeBegunStreams = () => [];
+  takePoisonPartNews: TakePoisonPartNews = () => undefined;
   sequence = 0;
   #wantsReply = false;
 
@@ -74,15 +85,18 @@
     this.#wantsReply = registry.all().some((peer) =>
       peer.link !== undefined && peer.replyRequiredAfterSequence !== undefined
     );
-    const begunStreams = this.takeBegunStreams(nowMs);
+    const news = {
+      begunStreams: this.takeBegunStreams(nowMs),
+      poisonParts: this.takePoisonPartNews(nowMs),
+    };
     const sameDataCentreFrame = encodeFrame({
-      ...this.#makeHeartbeat(begunStreams),
+      ...this.#makeHeartbeat(news),
       ownedPools: this.content.ownedPools(nowMs),
     });
-    const standingFrame = encodeFrame(this.#makeHeartbeat(begunStreams));
-    const reducedFrame = begunStreams.length === 0
+    const standingFrame = encodeFrame(this.#makeHeartbeat(news));
+    const reducedFrame = isEmpty(news)
       ? standingFrame
-      : encodeFrame(this.#makeHeartbeat([]));
+      : encodeFrame(this.#makeHeartbeat(NO_NEWS));
     for (const peer of registry.all()) {
       if (peer.link === undefined || !this.#isDue(peer)) continue;
       const otherFrame = peer.linkPolicy === "standing"
@@ -137,8 +151,9 @@
     this.content.onReply(from, sentAtMs, reply.supportedPools);
   }
 
-  #makeHeartbeat(begunStreams: readonly BegunStreams[]): HeartbeatMessage {
+  #makeHeartbeat(news: HeartbeatNews): HeartbeatMessage {
     const { membership } = this.#options;
+    const { begunStreams, poisonParts } = news;
     return {
       type: "heartbeat",
       sequence: this.sequence,
@@ -149,6 +164,7 @@
       ...(membership.ownNewsVersions.length > 0 &&
         { newsVersions: membership.ownNewsVersions }),
       ...(begunStreams.length > 0 && { begunStreams }),
+      ...(poisonParts !== undefined && { poisonParts }),
     };
   }
 
@@ -167,6 +183,10 @@
   }
 }
 
+function isEmpty(news: HeartbeatNews): boolean {
+  return news.begunStreams.length === 0 && news.poisonParts === undefined;
+}
+
 function isIdle(peer: PeerRecord, link: PeerLink, nowMs: number): boolean {
   return peer.linkPolicy === "onDemand" &&
     nowMs - link.lastUsedAtMs > IDLE_LINK_MS;
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -143,6 +143,18 @@
   attemptIds: arrayOf(isShortString),
 });
 
+const isPoisonPartNews = shape({
+  crashes: arrayOf(shape({
+    server: isShortString,
+    startedAt: optional(isFiniteNumber),
+    ageMs: isNonNegativeNumber,
+    parts: arrayOf(isShortString),
+  })),
+  successes: arrayOf(
+    shape({ part: isShortString, ageMs: isNonNegativeNumber }),
+  ),
+});
+
 const MESSAGE_SHAPES: Readonly<Record<PeerMessageType, ShapeCheck>> = {
   heartbeat: shape({
     sequence: isNonNegativeInteger,
@@ -152,6 +164,7 @@
     wantsReply: optional(isBoolean),
     newsVersions: optional(arrayOf(isNonNegativeInteger)),
     begunStreams: optional(arrayOf(isBegunStreams)),
+    poisonParts: optional(isPoisonPartNews),
   }),
   heartbeatReply: shape({
     sequence: isNonNegativeInteger,
@@ -259,6 +272,7 @@
     stated: optional(isStatedRateLimit),
   }),
   streamsBegun: shape({ begunStreams: arrayOf(isBegunStreams) }),
+  poisonParts: shape({ news: isPoisonPartNews, relay: isBoolean }),
   streamOriginRequest: shape({
     requestNumber: isNonNegativeInteger,
     attemptId: optional(isShortString),
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -18,6 +18,7 @@
 import type {
   HeartbeatContent,
   TakeBegunStreams,
+  TakePoisonPartNews,
 } from "./heartbeat_content.js";
 import { Heartbeats } from "./heartbeats.js";
 import { Membership } from "./membership.js";
@@ -152,6 +153,10 @@
     this.#heartbeats.takeBegunStreams = take;
   }
 
+  setPoisonPartNews(take: TakePoisonPartNews): void {
+    this.#heartbeats.takePoisonPartNews = take;
+  }
+
   setHeartbeatContent(content: HeartbeatContent): void {
     this.#heartbeats.content = content;
   }
--- a/packages/daemon/src/peers/running_peer_network.ts
+++ b/packages/daemon/src/peers/running_peer_network.ts
@@ -13,6 +13,7 @@
 import type {
   HeartbeatContent,
   TakeBegunStreams,
+  TakePoisonPartNews,
 } from "./heartbeat_content.js";
 import type { PeerNetwork } from "./peer_network.js";
 
@@ -34,6 +35,7 @@
   /** Sets the object versions that each heartbeat reports to peers. */
   setNewsVersions(versions: readonly number[]): void;
   setBegunStreams(take: TakeBegunStreams): void;
+  setPoisonPartNews(take: TakePoisonPartNews): void;
   setHeartbeatContent(content: HeartbeatContent): void;
   /** Tells all connected peers that this daemon is shutting down. */
   announceLeaving(): void;
--- a/packages/daemon/src/peers/testing/simulated_network.ts
+++ b/packages/daemon/src/peers/testing/simulated_network.ts
@@ -16,10 +16,14 @@
   PeerMessage,
   PeerMessageType,
 } from "@sassafrasstage/protocol/peer_messages";
+import type { PoisonPartNews } from "@sassafrasstage/protocol/poison_parts";
 import type { BegunStreams } from "@sassafrasstage/protocol/stream_origin";
 import Emittery from "emittery";
 import type { MockTimers } from "node:test";
-import type { TakeBegunStreams } from "../heartbeat_content.js";
+import type {
+  TakeBegunStreams,
+  TakePoisonPartNews,
+} from "../heartbeat_content.js";
 import { isFullMesh } from "../link_policy.js";
 import type {
   Member,
@@ -52,6 +56,7 @@
   readonly pausedMessages: (() => void)[] = [];
   readonly heardAtMs = new Map<VmId, number>();
   takeBegunStreams: TakeBegunStreams = () => [];
+  takePoisonPartNews: TakePoisonPartNews = () => undefined;
   readonly #network: SimulatedNetwork;
   #view: MembershipView = { members: [] };
   #viewedAtMs = Number.NEGATIVE_INFINITY;
@@ -74,6 +79,10 @@
     this.takeBegunStreams = take;
   }
 
+  setPoisonPartNews(take: TakePoisonPartNews): void {
+    this.takePoisonPartNews = take;
+  }
+
   receive(from: PeerIdentity, message: PeerMessage): void {
     // The compiler can't infer that the message matches its type.
     const event = { from, message } as PeerMessageEvents[PeerMessageType];
@@ -178,12 +187,14 @@
     for (const from of this.vms) {
       if (from.isPaused) continue;
       const begunStreams = from.takeBegunStreams(this.nowMs);
+      const poisonParts = from.takePoisonPartNews(this.nowMs);
+      const hasNews = begunStreams.length > 0 || poisonParts !== undefined;
       for (const to of this.vms) {
         if (to.isPaused || !areConnected(from, to)) continue;
         to.heardAtMs.set(from.self.vmId, this.nowMs);
-        if (to === from || begunStreams.length === 0) continue;
+        if (to === from || !hasNews) continue;
         if (this.#hasStandingLink(from, to)) {
-          from.send(to.self.vmId, makeHeartbeat(begunStreams));
+          from.send(to.self.vmId, makeHeartbeat(begunStreams, poisonParts));
         }
       }
     }
@@ -197,6 +208,7 @@
 
 function makeHeartbeat(
   begunStreams: readonly BegunStreams[],
+  poisonParts: PoisonPartNews | undefined,
 ): HeartbeatMessage {
   return {
     type: "heartbeat",
@@ -205,6 +217,7 @@
     leaving: false,
     ownedPools: [],
     begunStreams,
+    ...(poisonParts !== undefined && { poisonParts }),
   };
 }
 
--- a/packages/daemon/src/stage_graphs/testing/linked_vms.ts
+++ b/packages/daemon/src/stage_graphs/testing/linked_vms.ts
@@ -71,6 +71,10 @@
     // The streams of the other VM don't matter to its tests.
   }
 
+  setPoisonPartNews(): void {
+    // Nor do its prompt parts.
+  }
+
   setNewsVersions(versions: readonly number[]): void {
     this.newsVersions = versions;
   }
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -39,6 +39,8 @@
 export type AttemptId = Branded<"AttemptId">;
 /** A permit for one call in flight at one backend server. */
 export type PermitId = Branded<"PermitId">;
+/** A part of prompts that requests can have in common. */
+export type PromptPartId = Branded<"PromptPartId">;
 /** A change of the configuration by an operator. */
 export type ChangeId = Branded<"ChangeId">;
 
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -16,6 +16,7 @@
   ServiceName,
   VmId,
 } from "./ids.js";
+import type { PoisonPartNews } from "./poison_parts.js";
 import type { StatedRateLimit } from "./rate_limits.js";
 import type { StageGraph, StageGraphOutcome } from "./stage_graph.js";
 import type {
@@ -32,7 +33,7 @@
 } from "./permits.js";
 
 /** Incremented whenever the format of a message changes. */
-export const PEER_PROTOCOL_VERSION = 4;
+export const PEER_PROTOCOL_VERSION = 5;
 /** A connection on which a longer frame arrives is closed. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
@@ -82,6 +83,8 @@
    * every heartbeat.
    */
   readonly begunStreams?: readonly BegunStreams[];
+  /** News since the last heartbeat, sent to the same peers. */
+  readonly poisonParts?: PoisonPartNews;
 }
 
 /** Reply to a heartbeat that lists pools or requests a reply. */
@@ -293,6 +296,14 @@
   readonly begunStreams: readonly BegunStreams[];
 }
 
+/** Crashes and successes that are known to the sender. */
+export interface PoisonPartsMessage {
+  readonly type: "poisonParts";
+  readonly news: PoisonPartNews;
+  /** Whether the receiver tells the other VMs of its data centre. */
+  readonly relay: boolean;
+}
+
 /** Asks where the stream began whose first event an attempt brought. */
 export interface StreamOriginRequestMessage {
   readonly type: "streamOriginRequest";
@@ -344,6 +355,7 @@
   | RateRequestMessage
   | RateDecisionMessage
   | StreamsBegunMessage
+  | PoisonPartsMessage
   | StreamOriginRequestMessage
   | StreamOriginReplyMessage
   | LeavingMessage;
