Log the prompt parts and the server's end with failed calls

It now has `parts` (all but the last, at most 16 of 32 characters), `firstEvent` and `remainingConnections`; the counter `callEndedWithServer` counts calls after which no connection to the server was left.

Connections that fail otherwise (time-outs, invalid responses) say nothing about the server: `notChecked`.

Known limit: where a VM has one connection to a server, its end can't be told from the server's; the judging of the parts has to bear that.

--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -7,6 +7,7 @@
 import { makeDeferred } from "../deferred.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
 import type { ForwardContext } from "./forward_context.js";
+import { formatPromptParts } from "./format_prompt_parts.js";
 import type {
   ResponseHead,
   RunningServerCall,
@@ -66,6 +67,8 @@
    * the server; the listener's `onFailure` is called.
    */
   endOversized(detail: string): void;
+  /** Called for each event of a stream once it is complete. */
+  recordEvent(): void;
 }
 
 /** Starts a call and updates the server's health from its outcome. */
@@ -77,6 +80,7 @@
   const { health, server } = input.candidate;
   const startedAtMs = environment.clock.nowMs();
   let isFinished = false;
+  let hasFirstEvent = false;
   function finish(): boolean {
     if (isFinished) return false;
     isFinished = true;
@@ -88,12 +92,21 @@
     if (!finish()) return;
     if (failure.kind === "notSent") health.recordUnreachable(nowMs);
     else health.recordFailure(nowMs);
+    const remainingConnections = failure.kind === "broken"
+      ? failure.remainingConnections
+      : "notChecked";
+    if (remainingConnections === "none") {
+      environment.metrics.countEvent("callEndedWithServer");
+    }
     environment.logger.info("serverCallFailed", {
       request: input.context.request.attemptId,
       server: server.id,
       failure: failure.kind,
       detail: failure.detail,
       afterMs: Math.round(nowMs - startedAtMs),
+      parts: formatPromptParts(input.context.request.prompt),
+      firstEvent: hasFirstEvent,
+      remainingConnections,
     });
     listener.onFailure(failure);
   }
@@ -130,7 +143,10 @@
       if (isFinished) return;
       environment.metrics.countEvent("oversizedResponse");
       call.cancel();
-      fail({ kind: "broken", detail });
+      fail({ kind: "broken", detail, remainingConnections: "notChecked" });
+    },
+    recordEvent: () => {
+      hasFirstEvent = true;
     },
     cancel: () => {
       if (finish()) call.cancel();
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -45,7 +45,18 @@
   /** No part of the request has left this VM. */
   | { readonly kind: "notSent"; readonly detail: string }
   /** The request may have run. */
-  | { readonly kind: "broken"; readonly detail: string };
+  | {
+    readonly kind: "broken";
+    readonly detail: string;
+    readonly remainingConnections: RemainingConnections;
+  };
+
+/**
+ * Whether this VM still has open connections to a server that closed or reset
+ * the connection of a call. Without any, the server process may have ended.
+ * `notChecked` for a call that failed in another way.
+ */
+export type RemainingConnections = "none" | "some" | "notChecked";
 
 export interface ServerCallListener {
   /** A connection is available, and the request is about to be written. */
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -153,6 +153,7 @@
 
   #forwardEvents(bytes: Buffer): void {
     if (bytes.length === 0) return;
+    this.#call.recordEvent();
     if (!this.#hasForwardedEvents) {
       this.#hasForwardedEvents = true;
       this.#options.onFirstEvent(this.#nowMs() - this.#startedAtMs);
