Keep blocked prompt parts as objects of the platform

VMs without connections to others, and restarted ones, have to learn which parts of prompts crash servers. StoredPartBlocks keeps one object for each part (kind `sassafrasstage-part-blocks`), with a mirror, a watch that waits 15 s as that of the entry VMs, and copies from peers while the store is away.

One object for each part rather than one for all: two VMs that block two parts at once don't conflict, and a call carries one part only.

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -26,6 +26,7 @@
 import type { DeploymentObjectFormat } from "./deployment_object_format.js";
 import { ObjectMirror } from "./object_mirror.js";
 import { ObjectSharing } from "./share_objects.js";
+import { StoredPartBlocks } from "./stored_part_blocks.js";
 import { ObjectWatch } from "./watch_objects.js";
 
 export interface DeploymentOptions {
@@ -46,8 +47,11 @@
  * this time.
  */
 const WATCH_WAIT_MS = 4000;
-/** Longer, as entry VMs change rarely and peers also discover each other. */
-const ENTRY_VMS_WAIT_MS = 15_000;
+/**
+ * Longer, as entry VMs and blocked parts change rarely and peers also learn of
+ * them from each other.
+ */
+const RARE_CHANGES_WAIT_MS = 15_000;
 /**
  * Reports that expired while the platform was unavailable are renewed within
  * this time of its recovery.
@@ -57,6 +61,7 @@
 
 export class Deployment {
   readonly register: ServerRegister;
+  readonly partBlocks: StoredPartBlocks;
   readonly #options: DeploymentOptions;
   readonly #entryVms: ObjectMirror;
   readonly #dataCentresOut: ObjectMirror;
@@ -102,6 +107,7 @@
         this.#updateListedVms();
       },
     });
+    this.partBlocks = new StoredPartBlocks(options);
     this.#serversWatch = this.#startWatch(servers, WATCH_WAIT_MS, () => {
       this.#hasListedServers = true;
     });
@@ -109,13 +115,21 @@
       this.#serversWatch,
       this.#startWatch(configuration, WATCH_WAIT_MS),
       this.#startWatch(this.#dataCentresOut, WATCH_WAIT_MS),
-      this.#startWatch(this.#entryVms, ENTRY_VMS_WAIT_MS, () => {
+      this.#startWatch(this.#entryVms, RARE_CHANGES_WAIT_MS, () => {
         void this.#join();
       }),
+      this.#startWatch(this.partBlocks.mirror, RARE_CHANGES_WAIT_MS),
     ];
     this.#sharing = new ObjectSharing({
       ...options,
-      mirrors: [configuration, servers, this.#dataCentresOut, this.#entryVms],
+      // All VMs list the kinds in this order.
+      mirrors: [
+        configuration,
+        servers,
+        this.#dataCentresOut,
+        this.#entryVms,
+        this.partBlocks.mirror,
+      ],
     });
   }
 
@@ -141,6 +155,7 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#sharing.close();
+    this.partBlocks.close();
     for (const timer of this.#pendingRemovals.values()) clearTimeout(timer);
     await Promise.all(this.#watches.map((watch) => watch.close()));
   }
--- a/packages/daemon/src/deployment/deployment_object_format.ts
+++ b/packages/daemon/src/deployment/deployment_object_format.ts
@@ -8,11 +8,13 @@
 import type {
   BackendServerId,
   DataCentreName,
+  PromptPartId,
 } from "@sassafrasstage/protocol/ids";
 import type {
   ListedVm,
   StoredObject,
 } from "@sassafrasstage/protocol/platform_objects";
+import type { PartBlock } from "../poison_parts/part_blocks.js";
 import type { RoutingConfiguration } from "../routing/routing_configuration.js";
 import type { ServerReport } from "../register/server_register.js";
 
@@ -26,6 +28,7 @@
   readonly serversPrefix: string;
   readonly dataCentresOutPrefix: string;
   readonly entryVmsPrefix: string;
+  readonly partBlocksPrefix: string;
   readConfiguration(object: StoredObject): ReadResult<RoutingConfiguration>;
   serverId(object: StoredObject): BackendServerId;
   readServer(object: StoredObject): ReadResult<ServerReport>;
@@ -36,4 +39,8 @@
   entryVmObject(
     vm: ListedVm,
   ): { readonly key: string; readonly value: unknown };
+  readPartBlock(object: StoredObject): ReadResult<PartBlock>;
+  /** The key of the object that blocks the part. */
+  partBlockKey(part: PromptPartId): string;
+  partBlockValue(block: PartBlock): unknown;
 }
