Find the prompt parts that crash servers and refuse requests with them

Nothing remembered under which parts servers had ended.

VMs now tell each other in heartbeats which parts were in flight when a server process ended, and of which of these parts servers ran requests. A part is blocked after 3 crashes without a success, or after 5 spaced ones if it was sound before; crashes that a blocked part explains don't count against others. Blocks go through a store that also reaches VMs that are cut off.

Probes come after 10 s, 30 s and then 10 minutes, as doubling from 10 s would crash more than the three servers that callers allow after the fifth crash.

--- a/packages/daemon/src/poison_parts/call_observation.ts
+++ b/packages/daemon/src/poison_parts/call_observation.ts
@@ -4,6 +4,17 @@
  * @module
  */
 
+import type { AttemptId, PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { RegisteredServer } from "../register/server_register.js";
+
+/** A call that is about to be sent to a server. */
+export interface ObservedCall {
+  readonly request: AttemptId;
+  readonly server: RegisteredServer;
+  /** See `suspectableParts`. */
+  readonly parts: readonly PromptPartId[];
+}
+
 /**
  * Takes what is seen of one call. One of the last three methods ends it; further
  * calls of any method have no effect.
@@ -18,3 +29,11 @@
   /** The call ended in a way that says nothing about its parts. */
   end(): void;
 }
+
+/** Of calls without parts that can be judged. */
+export const NO_OBSERVATION: CallObservation = {
+  recordEvent: () => undefined,
+  recordComplete: () => undefined,
+  recordCrash: () => undefined,
+  end: () => undefined,
+};
--- /dev/null
+++ b/packages/daemon/src/poison_parts/part_evidence.ts
@@ -0,0 +1,63 @@
+/**
+ * The crashes and successes of prompt parts that this VM knows.
+ *
+ * @module
+ */
+
+import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { CrashReport } from "@sassafrasstage/protocol/poison_parts";
+import { type Crash, CRASH_RETENTION_MS, CrashLedger } from "./crash_ledger.js";
+import type { PartEvidence } from "./judge_parts.js";
+import { PartSuccesses } from "./part_successes.js";
+
+/** A crash with the parts that weren't known to be accused of it. */
+export interface Accusation {
+  readonly crash: Crash;
+  readonly newParts: readonly PromptPartId[];
+}
+
+export class KnownEvidence {
+  readonly ledger = new CrashLedger();
+  readonly successes = new PartSuccesses();
+  /** When a block of the part ended without a success that is known here. */
+  readonly #clearedAtMs = new Map<PromptPartId, number>();
+
+  /** Returns undefined if nothing about the crash is new. */
+  addCrash(report: CrashReport, nowMs: number): Accusation | undefined {
+    const newParts = this.ledger.merge(report, nowMs);
+    const crash = this.ledger.get(report);
+    if (crash === undefined || newParts.length === 0) return undefined;
+    return { crash, newParts };
+  }
+
+  /** Crashes up to now no longer count against the part. */
+  clear(part: PromptPartId, nowMs: number): void {
+    this.#clearedAtMs.set(part, nowMs);
+  }
+
+  dropExpired(nowMs: number): void {
+    this.ledger.dropExpired(nowMs);
+    this.successes.dropExpired(this.ledger.lastAccusedMs(), nowMs);
+    for (const [part, clearedAtMs] of this.#clearedAtMs) {
+      if (nowMs - clearedAtMs < CRASH_RETENTION_MS) continue;
+      this.#clearedAtMs.delete(part);
+    }
+  }
+
+  /** @param blocked Parts that explain crashes already */
+  toEvidence(blocked: ReadonlySet<PromptPartId>): PartEvidence {
+    return {
+      crashes: this.ledger.all(),
+      lastSuccessMs: (part) => this.successes.lastMs(part),
+      countsFromMs: (part) => this.#countsFromMs(part),
+      blocked,
+    };
+  }
+
+  #countsFromMs(part: PromptPartId): number {
+    return Math.max(
+      this.successes.lastMs(part) ?? Number.NEGATIVE_INFINITY,
+      this.#clearedAtMs.get(part) ?? Number.NEGATIVE_INFINITY,
+    );
+  }
+}
--- a/packages/daemon/src/poison_parts/poison_parts.ts
+++ b/packages/daemon/src/poison_parts/poison_parts.ts
@@ -10,9 +10,25 @@
 import type { Metrics } from "../observability/metrics.js";
 import type { TakePoisonPartNews } from "../peers/heartbeat_content.js";
 import type { PeerNetwork } from "../peers/peer_network.js";
-import type { RegisteredServer } from "../register/server_register.js";
-import type { CallObservation } from "./call_observation.js";
-import type { PartBlocks } from "./part_blocks.js";
+import { compareText } from "../peers/rendezvous.js";
+import { BlockedPart } from "./blocked_part.js";
+import {
+  type CallObservation,
+  NO_OBSERVATION,
+  type ObservedCall,
+} from "./call_observation.js";
+import { judgeParts, type Verdict } from "./judge_parts.js";
+import { type ObservedCrash, OpenCalls } from "./open_calls.js";
+import type { PartBlock, PartBlocks } from "./part_blocks.js";
+import {
+  type ClearReason,
+  type EvidenceSource,
+  PartDecisionLog,
+} from "./part_decision_log.js";
+import { type Accusation, KnownEvidence } from "./part_evidence.js";
+import { PartNewsOutbox } from "./part_news_outbox.js";
+import { PartNewsSharing, type ReceivedPartNews } from "./part_news_sharing.js";
+import { SharedBlocks } from "./shared_blocks.js";
 
 export interface PoisonPartsOptions {
   readonly network: PeerNetwork & {
@@ -35,42 +51,331 @@
     readonly retryAfterMs: number;
   };
 
-/** A call that is about to be sent to a server. */
-export interface ObservedCall {
-  readonly request: AttemptId;
-  readonly server: RegisteredServer;
-  /** See `suspectableParts`. */
-  readonly parts: readonly PromptPartId[];
-}
+/** A VM that has just started knows no successes yet. */
+const MIN_OBSERVATION_MS = 5000;
+/**
+ * Time for other VMs to tell of successes of a part after its first crash: a
+ * heartbeat each way, and twice that through other data centres.
+ */
+const SETTLE_MS = 500;
+/** Of one report; those without a recent success come first. */
+const MAX_REPORTED_PARTS = 64;
+const ADMITTED: Admission = { kind: "admitted" };
 
 export class PoisonParts {
-  constructor(_options: PoisonPartsOptions) {
-    // Filled in by the next commit.
+  readonly #clock: Clock;
+  readonly #log: PartDecisionLog;
+  readonly #startedAtMs: number;
+  readonly #evidence = new KnownEvidence();
+  readonly #blocked = new Map<PromptPartId, BlockedPart>();
+  /**
+   * Parts to be blocked unless other VMs tell of successes by this time. Until
+   * then this VM alone refuses them; it has none of their usual requests.
+   */
+  readonly #heldUntilMs = new Map<PromptPartId, number>();
+  readonly #openCalls: OpenCalls;
+  readonly #outbox: PartNewsOutbox;
+  readonly #sharedBlocks: SharedBlocks;
+  /** When the evidence has to be judged; infinite if nothing is new. */
+  #judgeAtMs = Number.POSITIVE_INFINITY;
+
+  constructor(options: PoisonPartsOptions) {
+    const { network, blocks, clock, metrics } = options;
+    this.#clock = clock;
+    this.#log = new PartDecisionLog(options);
+    this.#startedAtMs = clock.nowMs();
+    const { ledger, successes } = this.#evidence;
+    this.#outbox = new PartNewsOutbox(ledger, successes);
+    this.#sharedBlocks = new SharedBlocks(network, blocks);
+    this.#openCalls = new OpenCalls({
+      clock,
+      onProven: (call, soundAtMs) => {
+        this.#recordProven(call, soundAtMs);
+      },
+      onCrash: (crash) => {
+        this.#recordCrash(crash);
+      },
+      onEnded: ({ request, parts }) => {
+        for (const part of parts) this.#blocked.get(part)?.recordEnded(request);
+      },
+    });
+    new PartNewsSharing({
+      network,
+      outbox: this.#outbox,
+      clock,
+      onHeartbeat: (nowMs) => {
+        this.#update(nowMs);
+      },
+      onNews: (received) => {
+        this.#handleNews(received);
+      },
+    }).start();
+    blocks.onChanged((listed) => {
+      this.#handleListing(listed);
+    });
+    metrics.registerGauge("blockedPromptParts", () => this.#blocked.size);
+    metrics.registerGauge(
+      "accusedPromptParts",
+      () => ledger.lastAccusedMs().size,
+    );
   }
 
   /**
    * Decides whether a request may be sent to a server; called right before each
    * call. Refusals are logged and counted.
    */
-  admit(_request: AttemptId, _parts: readonly PromptPartId[]): Admission {
-    return { kind: "admitted" };
+  admit(request: AttemptId, parts: readonly PromptPartId[]): Admission {
+    if (parts.length === 0) return ADMITTED;
+    const nowMs = this.#clock.nowMs();
+    this.#judgeIfDue(nowMs);
+    const blocked = this.#findBlocked(parts);
+    const [first] = blocked;
+    if (first === undefined) {
+      return this.#admitUnlessHeld(request, parts, nowMs);
+    }
+    const isProbe = blocked.every((block) => block.canProbe(request, nowMs)) &&
+      this.#sharedBlocks.isOwner(first.part, nowMs);
+    return isProbe
+      ? this.#admitProbe(request, blocked, nowMs)
+      : this.#refuse(request, blocked, nowMs);
   }
 
-  /** Begins to observe a call; exactly one method must end the observation. */
-  observe(_call: ObservedCall): CallObservation {
-    return {
-      recordEvent: () => undefined,
-      recordComplete: () => undefined,
-      recordCrash: () => undefined,
-      end: () => undefined,
-    };
+  /** Begins to observe a call that is about to be sent. */
+  observe(call: ObservedCall): CallObservation {
+    if (call.parts.length === 0) return NO_OBSERVATION;
+    for (const part of call.parts) {
+      this.#blocked.get(part)?.recordSent(call.request);
+    }
+    return this.#openCalls.add(call);
   }
 
   /**
    * Whether a request may be sent to another server after one has crashed under
    * it: all its parts must have been found sound recently.
    */
-  mayRetry(_parts: readonly PromptPartId[]): boolean {
+  mayRetry(parts: readonly PromptPartId[]): boolean {
+    const nowMs = this.#clock.nowMs();
+    return parts.every((part) => this.#evidence.successes.isValid(part, nowMs));
+  }
+
+  /** Ordered, so that all VMs choose the same owner for the request's probe. */
+  #findBlocked(parts: readonly PromptPartId[]): BlockedPart[] {
+    if (this.#blocked.size === 0) return [];
+    return parts.flatMap((part) => this.#blocked.get(part) ?? [])
+      .sort((a, b) => compareText(a.part, b.part));
+  }
+
+  #admitUnlessHeld(
+    request: AttemptId,
+    parts: readonly PromptPartId[],
+    nowMs: number,
+  ): Admission {
+    for (const part of parts) {
+      const heldUntilMs = this.#heldUntilMs.get(part);
+      if (heldUntilMs === undefined) continue;
+      const retryAfterMs = Math.ceil(heldUntilMs - nowMs);
+      this.#log.refused(request, { part, retryAfterMs });
+      return { kind: "refused", part, retryAfterMs };
+    }
+    return ADMITTED;
+  }
+
+  #admitProbe(
+    request: AttemptId,
+    blocked: readonly BlockedPart[],
+    nowMs: number,
+  ): Admission {
+    const parts = blocked.map((block) => block.part);
+    const [part] = parts;
+    if (part === undefined) return ADMITTED;
+    for (const block of blocked) block.admitProbe(request, nowMs);
+    this.#log.probed(request, parts);
+    return { kind: "probe", part };
+  }
+
+  #refuse(
+    request: AttemptId,
+    blocked: readonly BlockedPart[],
+    nowMs: number,
+  ): Admission {
+    for (const block of blocked) block.recordRefusal(nowMs);
+    const [longest] = blocked.toSorted((a, b) =>
+      b.retryAfterMs(nowMs) - a.retryAfterMs(nowMs)
+    );
+    if (longest === undefined) return ADMITTED;
+    const refusal = {
+      part: longest.part,
+      retryAfterMs: Math.ceil(longest.retryAfterMs(nowMs)),
+    };
+    this.#log.refused(request, refusal);
+    return { kind: "refused", ...refusal };
+  }
+
+  #recordProven({ parts }: ObservedCall, soundAtMs: number): void {
+    for (const part of parts) {
+      const success = { atMs: soundAtMs, isOwn: true };
+      if (!this.#evidence.successes.record(part, success)) continue;
+      this.#heldUntilMs.delete(part);
+      if (this.#clearIfSound(part, soundAtMs)) {
+        this.#outbox.announceSuccess(part);
+        this.#sharedBlocks.end(part, { withdraw: true });
+      }
+    }
+  }
+
+  #recordCrash(observed: ObservedCrash): void {
+    const nowMs = this.#clock.nowMs();
+    const { call, unprovenCalls } = observed;
+    const { id, startedAt } = call.server;
+    const report = {
+      server: id,
+      startedAt,
+      ageMs: 0,
+      parts: this.#chooseReported(unprovenCalls, nowMs),
+    };
+    this.#log.crashed(observed, report);
+    const accusation = this.#evidence.addCrash(report, nowMs);
+    if (accusation === undefined) return;
+    this.#accuse(accusation, { kind: "own" }, nowMs);
+    const { newParts } = accusation;
+    this.#outbox.addCrash({ ...report, parts: newParts }, "here");
+  }
+
+  #chooseReported(
+    calls: readonly ObservedCall[],
+    nowMs: number,
+  ): PromptPartId[] {
+    const { successes } = this.#evidence;
+    const parts = [...new Set(calls.flatMap((call) => call.parts))];
+    if (parts.length <= MAX_REPORTED_PARTS) return parts;
+    const sound = parts.filter((part) => successes.isValid(part, nowMs));
+    const unknown = parts.filter((part) => !successes.isValid(part, nowMs));
+    return [...unknown, ...sound].slice(0, MAX_REPORTED_PARTS);
+  }
+
+  #handleNews({ from, news, relay }: ReceivedPartNews): void {
+    const nowMs = this.#clock.nowMs();
+    for (const report of news.crashes) {
+      const accusation = this.#evidence.addCrash(report, nowMs);
+      if (accusation === undefined) continue;
+      this.#accuse(accusation, { kind: "peer", peer: from }, nowMs);
+      if (!relay) continue;
+      const { newParts } = accusation;
+      this.#outbox.addCrash({ ...report, parts: newParts }, "elsewhere");
+    }
+    for (const { part, ageMs } of news.successes) {
+      const atMs = nowMs - ageMs;
+      if (!relay) this.#outbox.recordTold(part, atMs);
+      if (!this.#evidence.successes.record(part, { atMs, isOwn: false })) {
+        continue;
+      }
+      this.#heldUntilMs.delete(part);
+      if (!this.#clearIfSound(part, atMs)) continue;
+      this.#sharedBlocks.end(part, { withdraw: false });
+      if (relay) this.#outbox.announceSuccess(part);
+    }
+    this.#judgeIfDue(nowMs);
+  }
+
+  #accuse(
+    accusation: Accusation,
+    source: EvidenceSource,
+    nowMs: number,
+  ): void {
+    const { crash, newParts } = accusation;
+    for (const part of newParts) {
+      this.#blocked.get(part)?.recordCrash(crash.atMs);
+    }
+    this.#judgeAtMs = nowMs;
+    this.#log.accused(accusation, source, nowMs);
+  }
+
+  #handleListing(listed: readonly PartBlock[]): void {
+    const nowMs = this.#clock.nowMs();
+    const changes = this.#sharedBlocks.update(listed);
+    for (const block of changes.listed) {
+      const known = this.#blocked.get(block.part);
+      if (known === undefined) this.#block(block, undefined, nowMs);
+      else known.merge(block);
+    }
+    for (const part of changes.withdrawn) {
+      if (!this.#blocked.has(part)) continue;
+      this.#evidence.clear(part, nowMs);
+      this.#unblock(part, "withdrawn");
+    }
+  }
+
+  /** What is due with each heartbeat. */
+  #update(nowMs: number): void {
+    this.#evidence.dropExpired(nowMs);
+    this.#judgeIfDue(nowMs);
+    for (const block of [...this.#blocked.values()]) {
+      if (block.isUnused(nowMs)) this.#endUnused(block, nowMs);
+      else this.#sharedBlocks.publishIfDue(block, nowMs);
+    }
+  }
+
+  #endUnused({ part }: BlockedPart, nowMs: number): void {
+    this.#evidence.clear(part, nowMs);
+    this.#unblock(part, "unused");
+    const withdraw = this.#sharedBlocks.isOwner(part, nowMs);
+    this.#sharedBlocks.end(part, { withdraw });
+  }
+
+  #judgeIfDue(nowMs: number): void {
+    if (nowMs < this.#judgeAtMs) return;
+    const observedSinceMs = this.#startedAtMs + MIN_OBSERVATION_MS;
+    if (nowMs < observedSinceMs) {
+      this.#judgeAtMs = observedSinceMs;
+      return;
+    }
+    this.#judgeAtMs = Number.POSITIVE_INFINITY;
+    this.#heldUntilMs.clear();
+    const blocked = new Set(this.#blocked.keys());
+    for (const verdict of judgeParts(this.#evidence.toEvidence(blocked))) {
+      this.#applyVerdict(verdict, nowMs);
+    }
+  }
+
+  #applyVerdict(verdict: Verdict, nowMs: number): void {
+    const { part, crashes } = verdict;
+    const knownAtMs = Math.min(...crashes.map((crash) => crash.knownAtMs));
+    const settlesAtMs = knownAtMs + SETTLE_MS;
+    if (nowMs < settlesAtMs) {
+      this.#heldUntilMs.set(part, settlesAtMs);
+      this.#judgeAtMs = Math.min(this.#judgeAtMs, settlesAtMs);
+      return;
+    }
+    const lastCrashAtMs = crashes.at(-1)?.atMs ?? nowMs;
+    const block = {
+      part,
+      crashes: crashes.length,
+      failedProbes: 0,
+      lastCrashAgeMs: Math.max(0, nowMs - lastCrashAtMs),
+    };
+    this.#block(block, verdict, nowMs);
+  }
+
+  /** @param verdict Undefined if another VM has decided */
+  #block(block: PartBlock, verdict: Verdict | undefined, nowMs: number): void {
+    const blocked = new BlockedPart(block, nowMs);
+    this.#blocked.set(block.part, blocked);
+    this.#log.blocked(block, verdict, nowMs);
+    this.#sharedBlocks.publishIfDue(blocked, nowMs);
+  }
+
+  /** Returns whether the success has ended a block. */
+  #clearIfSound(part: PromptPartId, soundAtMs: number): boolean {
+    const block = this.#blocked.get(part);
+    if (block === undefined || soundAtMs <= block.lastCrashAtMs) return false;
+    this.#unblock(part, "success");
     return true;
   }
+
+  #unblock(part: PromptPartId, reason: ClearReason): void {
+    this.#blocked.delete(part);
+    // Crashes that the part explained may count against others now.
+    this.#judgeAtMs = this.#clock.nowMs();
+    this.#log.cleared(part, reason);
+  }
 }
