Refuse requests with a part that crashes engines, at all VMs

Cause: nothing remembered under which requests engines crash. Each new request with the part was sent as any other, and the VM's own retries carried it to the next engine. Ruled out: the retries alone (crashes go on after the retry budget is spent) and overload of cold engines (here none is cold, and each gets a few requests).

Why it works: forwarding tells PoisonParts of each call with shared parts: its events, its complete response, or the crash of its server, that is a connection ended by the server, no other one left, and the register lists the process as not leaving. A streaming request is judged before its stages run and right before each call. A refusal is 503 `poisonPart`, not run, with Retry-After, if nothing was sent, and 502 otherwise. After a crash a request is repeated only if all its parts are known to be sound. PoisonParts and the objects of the platform carry the block to the other VMs.

--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -10,6 +10,7 @@
 import type { LatencyRecords } from "../observability/latency_records.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
+import type { PoisonParts } from "../poison_parts/poison_parts.js";
 import type { ServerDirectory } from "../placement/server_directory.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
 import type { StreamVersions } from "../stream_versions/stream_versions.js";
@@ -26,6 +27,7 @@
   readonly graphs: StageGraphClient;
   readonly rateLimits: ServerRateLimits;
   readonly streamVersions: StreamVersions;
+  readonly poisonParts: PoisonParts;
   readonly routeStatistics: RouteStatistics;
   readonly dataCentre: DataCentreName;
   readonly clock: Clock;
--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -25,13 +25,20 @@
 } from "./forward_buffered.js";
 import { placementRequestOf } from "./placement_request.js";
 import { type PreparedInputs, prepareInputs } from "./prepare_inputs.js";
+import { mayRetryAfterCrash, refusePoisonPart } from "./refuse_poison_part.js";
 import { resolveResumption } from "./resolve_resumption.js";
+import type { LocalReply } from "./routed_request.js";
 import {
   type StreamProgress,
   StreamRelay,
   type StreamResult,
 } from "./stream_relay.js";
 
+/** Result of a call, or the reply to a request that must not be sent. */
+type AttemptOutcome =
+  | StreamResult
+  | { readonly kind: "refused"; readonly reply: LocalReply };
+
 /** Maximum number of not-run attempts that are followed by another one. */
 const MAX_REFUSALS = 3;
 const SERVERS_FULL_RETRY_AFTER_MS = 250;
@@ -45,6 +52,8 @@
   /** Number of calls that may have run. */
   runs: number;
   refusals: number;
+  /** A server has crashed during a call of this request. */
+  hasCrashedServer: boolean;
 }
 
 export async function forwardStream(
@@ -86,6 +95,7 @@
     inputs: undefined,
     runs: 0,
     refusals: 0,
+    hasCrashedServer: false,
     isHeadSent: false,
     endsWithConnection: false,
     lastEventId: request.resumeAfter,
@@ -97,6 +107,8 @@
   state: StreamState,
 ): Promise<ForwardOutcome> {
   for (;;) {
+    const refusal = refusePoisonPart(context);
+    if (refusal !== undefined) return refuse(context, state, refusal);
     if (!canPlace(context, state)) {
       return giveUp(context, state, "noServerOfVersion");
     }
@@ -151,7 +163,7 @@
 function handleResult(
   context: ForwardContext,
   state: StreamState,
-  result: StreamResult | undefined,
+  result: AttemptOutcome | undefined,
 ): ForwardOutcome | undefined {
   if (result === undefined) return giveUp(context, state, "noServer");
   switch (result.kind) {
@@ -159,6 +171,8 @@
       return { kind: "answered", status: 200 };
     case "answered":
       return sendResponse(context, result);
+    case "refused":
+      return refuse(context, state, result.reply);
     case "ended":
       return finishAtLifetimeEnd(context, state);
     case "notRun":
@@ -179,6 +193,9 @@
       ) {
         return giveUp(context, state, result.detail);
       }
+      if (state.hasCrashedServer && !mayRetryAfterCrash(context)) {
+        return giveUp(context, state, "serverCrashed");
+      }
       if (!spendRetry(context)) return giveUp(context, state, "retryBudget");
       context.environment.metrics.countRetry(context.service, "streamBroken");
       context.environment.logger.info("streamResumed", {
@@ -193,13 +210,15 @@
 async function runAttempt(
   context: ForwardContext,
   state: StreamState,
-): Promise<StreamResult | undefined> {
+): Promise<AttemptOutcome | undefined> {
   const { environment } = context;
   const candidate = await environment.directory.assign(
     toPlacement(context, state),
   );
   if (candidate === undefined) return undefined;
   if (context.lifetime.end !== undefined) return { kind: "ended" };
+  const refusal = refusePoisonPart(context);
+  if (refusal !== undefined) return { kind: "refused", reply: refusal };
   state.triedServers.add(candidate.server.id);
   state.runs += 1;
   logPlacement(context, state, candidate);
@@ -209,6 +228,9 @@
       candidate,
       inputs: state.inputs?.references,
       resumeAfter: state.lastEventId,
+      onServerCrash: () => {
+        state.hasCrashedServer = true;
+      },
     },
     progress: state,
     canFailOver: () =>
@@ -274,6 +296,17 @@
   return isAllowed;
 }
 
+/** Ends a request that must not be sent to a server, or not to another one. */
+function refuse(
+  context: ForwardContext,
+  state: StreamState,
+  reply: LocalReply,
+): ForwardOutcome {
+  return state.runs === 0 && !state.isHeadSent
+    ? replyLocally(context, reply)
+    : giveUp(context, state, "poisonPart");
+}
+
 /** Ends a request that can't be retried. */
 function giveUp(
   context: ForwardContext,
--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -13,6 +13,7 @@
 import { LatencyRecords } from "../observability/latency_records.js";
 import { createLogger } from "../observability/logger.js";
 import { Metrics } from "../observability/metrics.js";
+import { PoisonParts } from "../poison_parts/poison_parts.js";
 import { ServerDirectory } from "../placement/server_directory.js";
 import { makeRateLimits } from "../rate_limits/testing/make_rate_limits.js";
 import { ServerRegister } from "../register/server_register.js";
@@ -102,6 +103,17 @@
         metrics: new Metrics(),
         logger: createLogger("error", {}),
       }),
+      poisonParts: new PoisonParts({
+        network: new LinkedVm("vm-1"),
+        blocks: {
+          publish: () => undefined,
+          withdraw: () => undefined,
+          onChanged: () => undefined,
+        },
+        clock,
+        metrics: new Metrics(),
+        logger: createLogger("error", {}),
+      }),
       routeStatistics: new RouteStatistics(),
       dataCentre: toId<DataCentreName>("east"),
       clock,
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -57,7 +57,9 @@
   | "noServer"
   | "serversFull"
   /** Another VM may know where the resumed stream began. */
-  | "unknownStream";
+  | "unknownStream"
+  /** A part of the prompt has crashed several servers. */
+  | "poisonPart";
 
 /** Status and headers of a response as sent to the client. */
 export interface ClientResponseHead {
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -6,6 +6,7 @@
 
 import { makeDeferred } from "../deferred.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
+import { observeCall } from "./observe_call.js";
 import type { ForwardContext } from "./forward_context.js";
 import { formatPromptParts } from "./format_prompt_parts.js";
 import type {
@@ -41,6 +42,8 @@
   readonly candidate: ServerCandidate;
   readonly inputs: readonly string[] | undefined;
   readonly resumeAfter: string | undefined;
+  /** Called before the listener's `onFailure` if the server has crashed. */
+  readonly onServerCrash?: () => void;
 }
 
 /** Converts the attempt into a call for the backend server adapter. */
@@ -81,6 +84,7 @@
   const startedAtMs = environment.clock.nowMs();
   let isFinished = false;
   let hasFirstEvent = false;
+  const observation = observeCall(input);
   function finish(): boolean {
     if (isFinished) return false;
     isFinished = true;
@@ -98,6 +102,7 @@
     if (remainingConnections === "none") {
       environment.metrics.countEvent("callEndedWithServer");
     }
+    if (observation.recordFailure(failure)) input.onServerCrash?.();
     environment.logger.info("serverCallFailed", {
       request: input.context.request.attemptId,
       server: server.id,
@@ -113,10 +118,12 @@
   health.inFlight += 1;
   const call = environment.serverCaller.start(toServerCall(input), {
     onSend: () => {
+      observation.recordSend();
       logSend(input, environment.clock.nowMs() - startedAtMs);
       countSendUnderRateLimit(input);
     },
     onHead: (head) => {
+      observation.recordHead(head);
       const nowMs = environment.clock.nowMs();
       environment.rateLimits.recordStatement(server.id, head.rateLimit, {
         startedAtMs,
@@ -134,7 +141,9 @@
       listener.onBody(chunk);
     },
     onEnd: () => {
-      if (finish()) listener.onEnd();
+      if (!finish()) return;
+      observation.recordEnd();
+      listener.onEnd();
     },
     onFailure: fail,
   });
@@ -147,12 +156,16 @@
     },
     recordEvent: () => {
       hasFirstEvent = true;
+      observation.recordEvent();
     },
     cancel: () => {
-      if (finish()) call.cancel();
+      if (!finish()) return;
+      observation.recordCancel();
+      call.cancel();
     },
     cancelIfNotSent: () => {
       if (isFinished || !call.cancelIfNotSent()) return false;
+      observation.recordCancel();
       return finish();
     },
   };
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -130,6 +130,11 @@
     return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
   }
 
+  /** See `ServerRegister.isStaying`. */
+  isStaying(server: RegisteredServer): boolean {
+    return this.#options.register.isStaying(server);
+  }
+
   healthOf(id: BackendServerId): ServerHealth {
     let health = this.#health.get(id);
     if (health === undefined) {
--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -107,6 +107,16 @@
       this.canReceiveWork(known);
   }
 
+  /**
+   * Whether the server process that an earlier entry describes is registered and
+   * hasn't announced that it leaves, so that its end is unexpected.
+   */
+  isStaying(earlier: RegisteredServer): boolean {
+    const known = this.#servers.get(earlier.id);
+    return known !== undefined && !isOtherProcess(earlier, known) &&
+      !known.isDraining;
+  }
+
   /** The servers of a service that can receive new work. */
   usableServers(service: ServiceName): RegisteredServer[] {
     return this.serversOf(service).filter((server) =>
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -26,6 +26,7 @@
   type SharedLimits,
 } from "./placement/server_directory.js";
 import type { ObjectStore } from "./platform/object_store.js";
+import { PoisonParts } from "./poison_parts/poison_parts.js";
 import { ServerRateLimits } from "./rate_limits/server_rate_limits.js";
 import type {
   RegisterChange,
@@ -115,6 +116,13 @@
       metrics,
       logger,
     });
+    const poisonParts = new PoisonParts({
+      network,
+      blocks: this.#deployment.partBlocks,
+      clock,
+      metrics,
+      logger,
+    });
     this.#directory = new ServerDirectory({
       clock,
       rateLimits: this.#rateLimits,
@@ -148,6 +156,7 @@
         graphs: this.#graphs,
         rateLimits: this.#rateLimits,
         streamVersions: this.#streamVersions,
+        poisonParts,
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
         clock,
