Count a server's crash although its end was reported before

A VM whose connections all break (a cut, a reset of its channels) may take that for the end of the servers' processes. A process counted once, at the time of the first report, so that its real crash later counted at that earlier time, together with those of all other servers: as one. The part that crashes servers would have been found only under their replacements.

Accusations now have times of their own: within 2 s of each other they belong to one crash, otherwise the later one counts.

A VM also takes over when the last probe failed from a block that another VM has published again.

--- a/packages/daemon/src/poison_parts/blocked_part.ts
+++ b/packages/daemon/src/poison_parts/blocked_part.ts
@@ -67,9 +67,12 @@
   }
 
   /** Takes over what another VM knows of the same block. */
-  merge(block: PartBlock): void {
+  merge(block: PartBlock, nowMs: number): void {
     this.#crashes = Math.max(this.#crashes, block.crashes);
-    this.#failedProbes = Math.max(this.#failedProbes, block.failedProbes);
+    if (block.failedProbes <= this.#failedProbes) return;
+    this.#failedProbes = block.failedProbes;
+    const lastCrashAtMs = nowMs - block.lastCrashAgeMs;
+    this.#lastCrashAtMs = Math.max(this.#lastCrashAtMs, lastCrashAtMs);
   }
 
   recordCrash(atMs: number): void {
--- a/packages/daemon/src/poison_parts/crash_ledger.ts
+++ b/packages/daemon/src/poison_parts/crash_ledger.ts
@@ -15,16 +15,22 @@
 export const CRASH_RETENTION_MS = 600_000;
 const MAX_CRASHES = 256;
 const MAX_PARTS_PER_CRASH = 256;
+/** VMs learn of a crash within this time of each other. */
+const SAME_CRASH_MS = 2000;
 
-export interface Crash {
-  readonly server: BackendServerId;
-  readonly startedAt: number | undefined;
-  /** The earliest time that a VM reported. */
+export interface Accusation {
+  /** The earliest time that a VM reported, of those close to each other. */
   readonly atMs: number;
   /** When this VM learned of it. */
   readonly knownAtMs: number;
-  /** Parts of calls that any VM had in flight. */
-  readonly parts: ReadonlySet<PromptPartId>;
+}
+
+/** The end of a server process. */
+export interface Crash {
+  readonly server: BackendServerId;
+  readonly startedAt: number | undefined;
+  /** The parts of calls that any VM had in flight. */
+  readonly accusations: ReadonlyMap<PromptPartId, Accusation>;
 }
 
 /**
@@ -65,23 +71,29 @@
     return this.#lastAccusedMs;
   }
 
-  /** Returns the parts that the known reports of the crash didn't name. */
+  /** Returns the parts that the known reports of the crash didn't accuse. */
   merge(report: CrashReport, nowMs: number): PromptPartId[] {
     const atMs = nowMs - report.ageMs;
     if (report.ageMs >= CRASH_RETENTION_MS) return [];
-    const known = this.get(report);
-    const newParts = report.parts.filter((part) =>
-      known?.parts.has(part) !== true
-    );
-    if (newParts.length === 0 && (known === undefined || known.atMs <= atMs)) {
-      return [];
+    const known = this.get(report)?.accusations;
+    const accusations = new Map(known);
+    const newParts: PromptPartId[] = [];
+    for (const part of report.parts) {
+      const accusation = known?.get(part);
+      if (accusation === undefined || isLater(atMs, accusation)) {
+        newParts.push(part);
+        accusations.set(part, { atMs, knownAtMs: nowMs });
+      } else if (isSameTime(atMs, accusation)) {
+        const earliestMs = Math.min(atMs, accusation.atMs);
+        accusations.set(part, { ...accusation, atMs: earliestMs });
+      }
     }
-    this.#crashes.set(processKey(report.server, report.startedAt), {
-      server: report.server,
-      startedAt: report.startedAt,
-      atMs: Math.min(atMs, known?.atMs ?? atMs),
-      knownAtMs: known?.knownAtMs ?? nowMs,
-      parts: limitParts([...known?.parts ?? [], ...newParts]),
+    if (accusations.size === 0) return [];
+    const { server, startedAt } = report;
+    this.#crashes.set(processKey(server, startedAt), {
+      server,
+      startedAt,
+      accusations: limitParts(accusations),
     });
     this.#lastAccusedMs = undefined;
     if (this.#crashes.size > MAX_CRASHES) this.#dropOldest();
@@ -90,7 +102,7 @@
 
   dropExpired(nowMs: number): void {
     for (const [key, crash] of this.#crashes) {
-      if (nowMs - crash.atMs < CRASH_RETENTION_MS) continue;
+      if (nowMs - lastAccusationMs(crash) < CRASH_RETENTION_MS) continue;
       this.#crashes.delete(key);
       this.#lastAccusedMs = undefined;
     }
@@ -98,23 +110,45 @@
 
   #dropOldest(): void {
     const [oldest] = [...this.#crashes]
-      .sort(([, a], [, b]) => a.atMs - b.atMs);
+      .sort(([, a], [, b]) => lastAccusationMs(a) - lastAccusationMs(b));
     if (oldest !== undefined) this.#crashes.delete(oldest[0]);
   }
 }
 
+/** Whether two accusations of a process can be due to the same crash. */
+export function isSameTime(atMs: number, other: Accusation): boolean {
+  return Math.abs(atMs - other.atMs) <= SAME_CRASH_MS;
+}
+
+/**
+ * A process ends only once, but a VM whose connections all break may take it for
+ * the end of the process; the process can crash later.
+ */
+function isLater(atMs: number, known: Accusation): boolean {
+  return atMs > known.atMs && !isSameTime(atMs, known);
+}
+
+function lastAccusationMs({ accusations }: Crash): number {
+  return Math.max(...[...accusations.values()].map(({ atMs }) => atMs));
+}
+
 /** Chooses the same parts on every VM, in whatever order they were reported. */
-function limitParts(parts: readonly PromptPartId[]): Set<PromptPartId> {
-  if (parts.length <= MAX_PARTS_PER_CRASH) return new Set(parts);
-  return new Set([...parts].sort(compareText).slice(0, MAX_PARTS_PER_CRASH));
+function limitParts(
+  accusations: ReadonlyMap<PromptPartId, Accusation>,
+): ReadonlyMap<PromptPartId, Accusation> {
+  if (accusations.size <= MAX_PARTS_PER_CRASH) return accusations;
+  const kept = [...accusations]
+    .sort(([a], [b]) => compareText(a, b))
+    .slice(0, MAX_PARTS_PER_CRASH);
+  return new Map(kept);
 }
 
 function findLastAccused(
   crashes: Iterable<Crash>,
 ): Map<PromptPartId, number> {
   const lastAccusedMs = new Map<PromptPartId, number>();
-  for (const { atMs, parts } of crashes) {
-    for (const part of parts) {
+  for (const { accusations } of crashes) {
+    for (const [part, { atMs }] of accusations) {
       lastAccusedMs.set(part, Math.max(atMs, lastAccusedMs.get(part) ?? atMs));
     }
   }
--- a/packages/daemon/src/poison_parts/part_decision_log.ts
+++ b/packages/daemon/src/poison_parts/part_decision_log.ts
@@ -8,11 +8,10 @@
 import type { CrashReport } from "@sassafrasstage/protocol/poison_parts";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
-import type { Crash } from "./crash_ledger.js";
-import type { Verdict } from "./judge_parts.js";
+import type { CountedCrash, Verdict } from "./judge_parts.js";
 import type { ObservedCrash } from "./open_calls.js";
 import type { PartBlock } from "./part_blocks.js";
-import type { Accusation } from "./part_evidence.js";
+import type { NewCrashReport } from "./part_evidence.js";
 
 /** Why a block ended. */
 export type ClearReason =
@@ -56,18 +55,18 @@
   }
 
   accused(
-    { crash, newParts }: Accusation,
+    { report, atMs }: NewCrashReport,
     source: EvidenceSource,
     nowMs: number,
   ): void {
     this.#metrics.countEvent(`promptPartsAccused.${source.kind}`);
     this.#logger.info("promptPartsAccused", {
-      server: crash.server,
-      startedAt: crash.startedAt,
-      ageMs: Math.round(nowMs - crash.atMs),
+      server: report.server,
+      startedAt: report.startedAt,
+      ageMs: Math.round(nowMs - atMs),
       source: source.kind,
       peer: source.kind === "peer" ? source.peer : undefined,
-      parts: newParts.join(),
+      parts: report.parts.join(),
     });
   }
 
@@ -114,7 +113,10 @@
   }
 }
 
-function describeCrashes(crashes: readonly Crash[], nowMs: number): string {
+function describeCrashes(
+  crashes: readonly CountedCrash[],
+  nowMs: number,
+): string {
   return crashes
     .map(({ server, atMs }) => `${server}:${Math.round(nowMs - atMs)}ms`)
     .join();
--- a/packages/daemon/src/poison_parts/part_evidence.ts
+++ b/packages/daemon/src/poison_parts/part_evidence.ts
@@ -6,14 +6,14 @@
 
 import type { PromptPartId } from "@sassafrasstage/protocol/ids";
 import type { CrashReport } from "@sassafrasstage/protocol/poison_parts";
-import { type Crash, CRASH_RETENTION_MS, CrashLedger } from "./crash_ledger.js";
+import { CRASH_RETENTION_MS, CrashLedger } from "./crash_ledger.js";
 import type { PartEvidence } from "./judge_parts.js";
 import { PartSuccesses } from "./part_successes.js";
 
-/** A crash with the parts that weren't known to be accused of it. */
-export interface Accusation {
-  readonly crash: Crash;
-  readonly newParts: readonly PromptPartId[];
+/** A report of a crash, without what was known before. */
+export interface NewCrashReport {
+  readonly report: CrashReport;
+  readonly atMs: number;
 }
 
 export class KnownEvidence {
@@ -23,11 +23,10 @@
   readonly #clearedAtMs = new Map<PromptPartId, number>();
 
   /** Returns undefined if nothing about the crash is new. */
-  addCrash(report: CrashReport, nowMs: number): Accusation | undefined {
-    const newParts = this.ledger.merge(report, nowMs);
-    const crash = this.ledger.get(report);
-    if (crash === undefined || newParts.length === 0) return undefined;
-    return { crash, newParts };
+  addCrash(report: CrashReport, nowMs: number): NewCrashReport | undefined {
+    const parts = this.ledger.merge(report, nowMs);
+    if (parts.length === 0) return undefined;
+    return { report: { ...report, parts }, atMs: nowMs - report.ageMs };
   }
 
   /** Crashes up to now no longer count against the part. */
--- a/packages/daemon/src/poison_parts/part_news_outbox.ts
+++ b/packages/daemon/src/poison_parts/part_news_outbox.ts
@@ -10,7 +10,8 @@
   PartSuccess,
   PoisonPartNews,
 } from "@sassafrasstage/protocol/poison_parts";
-import { type Crash, type CrashLedger, processKey } from "./crash_ledger.js";
+import type { Crash, CrashLedger } from "./crash_ledger.js";
+import type { NewCrashReport } from "./part_evidence.js";
 import { type PartSuccesses, SUCCESS_VALIDITY_MS } from "./part_successes.js";
 
 export interface TakenNews {
@@ -23,8 +24,8 @@
 export class PartNewsOutbox {
   readonly #ledger: CrashLedger;
   readonly #successes: PartSuccesses;
-  readonly #crashesHere = new Map<string, CrashReport>();
-  readonly #crashesElsewhere = new Map<string, CrashReport>();
+  #crashesHere: NewCrashReport[] = [];
+  #crashesElsewhere: NewCrashReport[] = [];
   /** Parts whose successes are told although no crash accuses them. */
   readonly #announced = new Set<PromptPartId>();
   /** The newest success of each accused part that VMs have told each other. */
@@ -35,13 +36,9 @@
     this.#successes = successes;
   }
 
-  /** @param report With the age that it has now */
-  addCrash(report: CrashReport, origin: "here" | "elsewhere"): void {
-    const key = processKey(report.server, report.startedAt);
-    const crashes = origin === "here"
-      ? this.#crashesHere
-      : this.#crashesElsewhere;
-    crashes.set(key, report);
+  addCrash(crash: NewCrashReport, origin: "here" | "elsewhere"): void {
+    if (origin === "here") this.#crashesHere.push(crash);
+    else this.#crashesElsewhere.push(crash);
   }
 
   announceSuccess(part: PromptPartId): void {
@@ -56,8 +53,10 @@
 
   /** Returns and clears the collected news. */
   take(nowMs: number): TakenNews {
-    const crashesHere = this.#takeCrashes(this.#crashesHere, nowMs);
-    const crashesElsewhere = this.#takeCrashes(this.#crashesElsewhere, nowMs);
+    const crashesHere = toReports(this.#crashesHere, nowMs);
+    const crashesElsewhere = toReports(this.#crashesElsewhere, nowMs);
+    this.#crashesHere = [];
+    this.#crashesElsewhere = [];
     const parts = this.#takeUntoldParts();
     return {
       all: {
@@ -78,25 +77,13 @@
   describeAll(nowMs: number): PoisonPartNews {
     const accused = [...this.#ledger.lastAccusedMs().keys()];
     return {
-      crashes: this.#ledger.all().map((crash) => toReport(crash, nowMs)),
+      crashes: this.#ledger.all().flatMap((crash) =>
+        describeCrash(crash, nowMs)
+      ),
       successes: this.#toSuccesses(accused, nowMs),
     };
   }
 
-  #takeCrashes(
-    crashes: Map<string, CrashReport>,
-    nowMs: number,
-  ): CrashReport[] {
-    const reports = [...crashes.values()].map((report) => {
-      const crash = this.#ledger.get(report);
-      return crash === undefined
-        ? report
-        : { ...report, ageMs: Math.max(0, nowMs - crash.atMs) };
-    });
-    crashes.clear();
-    return reports;
-  }
-
   #takeUntoldParts(): PromptPartId[] {
     const accused = this.#ledger.lastAccusedMs();
     const untold = [...accused]
@@ -133,11 +120,29 @@
   }
 }
 
-function toReport(crash: Crash, nowMs: number): CrashReport {
-  return {
-    server: crash.server,
-    startedAt: crash.startedAt,
-    ageMs: Math.max(0, nowMs - crash.atMs),
-    parts: [...crash.parts],
-  };
+function toReports(
+  crashes: readonly NewCrashReport[],
+  nowMs: number,
+): CrashReport[] {
+  return crashes.map(({ report, atMs }) => ({
+    ...report,
+    ageMs: Math.max(0, nowMs - atMs),
+  }));
+}
+
+/** Returns one report for each time at which parts were accused. */
+function describeCrash(crash: Crash, nowMs: number): CrashReport[] {
+  const { server, startedAt, accusations } = crash;
+  const partsByTime = new Map<number, PromptPartId[]>();
+  for (const [part, { atMs }] of accusations) {
+    const parts = partsByTime.get(atMs);
+    if (parts === undefined) partsByTime.set(atMs, [part]);
+    else parts.push(part);
+  }
+  return [...partsByTime].map(([atMs, parts]) => ({
+    server,
+    startedAt,
+    ageMs: Math.max(0, nowMs - atMs),
+    parts,
+  }));
 }
--- a/packages/daemon/src/poison_parts/poison_parts.ts
+++ b/packages/daemon/src/poison_parts/poison_parts.ts
@@ -25,7 +25,7 @@
   type EvidenceSource,
   PartDecisionLog,
 } from "./part_decision_log.js";
-import { type Accusation, KnownEvidence } from "./part_evidence.js";
+import { KnownEvidence, type NewCrashReport } from "./part_evidence.js";
 import { PartNewsOutbox } from "./part_news_outbox.js";
 import { PartNewsSharing, type ReceivedPartNews } from "./part_news_sharing.js";
 import { SharedBlocks } from "./shared_blocks.js";
@@ -234,11 +234,10 @@
       parts: this.#chooseReported(unprovenCalls, nowMs),
     };
     this.#log.crashed(observed, report);
-    const accusation = this.#evidence.addCrash(report, nowMs);
-    if (accusation === undefined) return;
-    this.#accuse(accusation, { kind: "own" }, nowMs);
-    const { newParts } = accusation;
-    this.#outbox.addCrash({ ...report, parts: newParts }, "here");
+    const crash = this.#evidence.addCrash(report, nowMs);
+    if (crash === undefined) return;
+    this.#accuse(crash, { kind: "own" }, nowMs);
+    this.#outbox.addCrash(crash, "here");
   }
 
   #chooseReported(
@@ -256,12 +255,10 @@
   #handleNews({ from, news, relay }: ReceivedPartNews): void {
     const nowMs = this.#clock.nowMs();
     for (const report of news.crashes) {
-      const accusation = this.#evidence.addCrash(report, nowMs);
-      if (accusation === undefined) continue;
-      this.#accuse(accusation, { kind: "peer", peer: from }, nowMs);
-      if (!relay) continue;
-      const { newParts } = accusation;
-      this.#outbox.addCrash({ ...report, parts: newParts }, "elsewhere");
+      const crash = this.#evidence.addCrash(report, nowMs);
+      if (crash === undefined) continue;
+      this.#accuse(crash, { kind: "peer", peer: from }, nowMs);
+      if (relay) this.#outbox.addCrash(crash, "elsewhere");
     }
     for (const { part, ageMs } of news.successes) {
       const atMs = nowMs - ageMs;
@@ -278,16 +275,15 @@
   }
 
   #accuse(
-    accusation: Accusation,
+    crash: NewCrashReport,
     source: EvidenceSource,
     nowMs: number,
   ): void {
-    const { crash, newParts } = accusation;
-    for (const part of newParts) {
+    for (const part of crash.report.parts) {
       this.#blocked.get(part)?.recordCrash(crash.atMs);
     }
     this.#judgeAtMs = nowMs;
-    this.#log.accused(accusation, source, nowMs);
+    this.#log.accused(crash, source, nowMs);
   }
 
   #handleListing(listed: readonly PartBlock[]): void {
@@ -296,7 +292,7 @@
     for (const block of changes.listed) {
       const known = this.#blocked.get(block.part);
       if (known === undefined) this.#block(block, undefined, nowMs);
-      else known.merge(block);
+      else known.merge(block, nowMs);
     }
     for (const part of changes.withdrawn) {
       if (!this.#blocked.has(part)) continue;
