--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -59,7 +59,9 @@
   /** Another VM may know where the resumed stream began. */
   | "unknownStream"
   /** A part of the prompt has crashed several servers. */
-  | "poisonPart";
+  | "poisonPart"
+  /** An unexpected error occurred before the request was sent. */
+  | "internalError";
 
 /** Status and headers of a response as sent to the client. */
 export interface ClientResponseHead {
