--- a/packages/daemon/src/poison_parts/poison_parts_test.ts
+++ b/packages/daemon/src/poison_parts/poison_parts_test.ts
@@ -109,6 +109,20 @@
       });
     });
 
+    it("are not blocked when a VM's connections break again and again", async () => {
+      await withFleet(vmCount, async (fleet) => {
+        for (let n = 0; n < 8; n++) {
+          fleet.send([FIRST_PART], 0);
+          await fleet.run(600, SOUND_TRAFFIC);
+          fleet.servers.breakCallsOf(0);
+        }
+        await fleet.run(2000, SOUND_TRAFFIC);
+        expect(blockedParts(fleet)).toEqual([]);
+        expect(fleet.requests.filter(({ outcome }) => outcome === "refused"))
+          .toEqual([]);
+      });
+    });
+
     it("are not blocked by restarted VMs when all servers end", async () => {
       await withFleet(vmCount, async (fleet) => {
         for (const index of fleet.vms.keys()) fleet.restart(index);
--- a/packages/daemon/src/poison_parts/testing/simulated_part_fleet.ts
+++ b/packages/daemon/src/poison_parts/testing/simulated_part_fleet.ts
@@ -148,9 +148,10 @@
     const server = this.servers.choose(this.#nextRandom());
     if (server === undefined) return;
     request.outcome = "running";
-    const { parts } = request;
+    const { parts, vmIndex } = request;
     const observation = vm.observe({ request: id, server, parts });
     this.servers.call(server.id, {
+      vmIndex,
       parts,
       onEvent: () => {
         request.outcome = "begun";
--- a/packages/daemon/src/poison_parts/testing/simulated_servers.ts
+++ b/packages/daemon/src/poison_parts/testing/simulated_servers.ts
@@ -21,6 +21,7 @@
 const MAX_NOTICE_DELAY_MS = 20;
 
 export interface SimulatedCall {
+  readonly vmIndex: number;
   readonly parts: readonly PromptPartId[];
   readonly onEvent: () => void;
   readonly onComplete: () => void;
@@ -84,6 +85,17 @@
     for (const server of this.#servers) this.#crash(server);
   }
 
+  /** Breaks the calls of a VM, which takes that for the end of the servers. */
+  breakCallsOf(vmIndex: number): void {
+    for (const { calls } of this.#servers) {
+      for (const call of [...calls]) {
+        if (call.vmIndex !== vmIndex) continue;
+        calls.delete(call);
+        call.onCrash();
+      }
+    }
+  }
+
   #runLater(
     { server, call }: {
       readonly server: SimulatedServer;
