--- a/packages/daemon/src/forwarding/stream_silence_test.ts
+++ b/packages/daemon/src/forwarding/stream_silence_test.ts
@@ -1,13 +1,16 @@
+import { type PromptPartId, toId } from "@sassafrasstage/protocol/ids";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { makePoisonParts } from "./testing/make_poison_parts.js";
 import {
   type SimulatedCall,
   SimulatedStream,
   type SimulatedStreamOptions,
 } from "./testing/simulated_stream.js";
 
+const PART = toId<PromptPartId>("aa");
 const TWO_SERVERS = { a: "v1", b: "v1" };
 const EVENT_COUNT = 8;
 /** Longer than the silence that sound servers have. */
@@ -244,6 +247,21 @@
     mock.timers.reset();
     mock.timers.enable({ apis: ["setTimeout", "setInterval"] });
   }
+
+  it("isn't replaced if a part of its prompt was blocked meanwhile", async () => {
+    let isBlocked = false;
+    const poisonParts = makePoisonParts();
+    poisonParts.admit = () =>
+      isBlocked
+        ? { kind: "refused", part: PART, retryAfterMs: 1000 }
+        : { kind: "admitted" };
+    const stream = start({ poisonParts });
+    await stream.advance(100);
+    isBlocked = true;
+    await stream.advance(2 * LONG_SILENCE_MS);
+    expect(stream.calls.length).toEqual(1);
+    expect(stream.call(0).isOpen).toEqual(true);
+  });
 });
 
 /** Time for which two servers worked on one stream. */
--- a/packages/daemon/src/forwarding/testing/simulated_stream.ts
+++ b/packages/daemon/src/forwarding/testing/simulated_stream.ts
@@ -18,6 +18,7 @@
 import { Metrics } from "../../observability/metrics.js";
 import { ServerDirectory } from "../../placement/server_directory.js";
 import type { ServerHealth } from "../../placement/server_health.js";
+import type { PoisonParts } from "../../poison_parts/poison_parts.js";
 import { makeRateLimits } from "../../rate_limits/testing/make_rate_limits.js";
 import { ServerRegister } from "../../register/server_register.js";
 import { LinkedVm } from "../../stage_graphs/testing/linked_vms.js";
@@ -27,6 +28,7 @@
 import { forwardStream } from "../forward_stream.js";
 import { RequestLifetime } from "../request_lifetime.js";
 import { RouteStatistics } from "../route_statistics.js";
+import type { PromptShape } from "../routed_request.js";
 import type {
   ResponseHead,
   ServerCall,
@@ -42,6 +44,8 @@
   /** Retries that the retry budget allows. */
   readonly retries?: number;
   readonly onCall?: (call: SimulatedCall) => void;
+  /** If set, the request has a prompt with a part that others may share. */
+  readonly poisonParts?: PoisonParts;
 }
 
 /** The part of `mock.timers` that is used. */
@@ -49,6 +53,11 @@
   tick(durationMs: number): void;
 }
 
+const PROMPT: PromptShape = {
+  inputTokens: 20,
+  maxOutputTokens: 5,
+  parts: [{ id: "aa", tokens: 10 }, { id: "own", tokens: 10 }],
+};
 const TICK_MS = 10;
 /** Turns of the event loop in which all reactions to a tick take place. */
 const TURNS_PER_TICK = 6;
@@ -169,7 +178,7 @@
           metrics,
           logger,
         }),
-        poisonParts: makePoisonParts(),
+        poisonParts: this.#options.poisonParts ?? makePoisonParts(),
         routeStatistics: new RouteStatistics(),
         dataCentre: toId<DataCentreName>("east"),
         clock,
@@ -186,7 +195,7 @@
         body: Buffer.alloc(0),
         key: undefined,
         deadlineInMs: TIMEOUT_MS,
-        prompt: undefined,
+        prompt: this.#options.poisonParts === undefined ? undefined : PROMPT,
         resumeAfter: undefined,
         resumedAttemptId: undefined,
         stageItems: undefined,
