--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -18,7 +18,9 @@
 import { prepareInputs } from "./prepare_inputs.js";
 import { ReplacementPlacer } from "./replacement_placer.js";
 import { MAX_REFUSALS } from "./replacement_policy.js";
+import { mayRetryAfterCrash, refusePoisonPart } from "./refuse_poison_part.js";
 import { resolveResumption } from "./resolve_resumption.js";
+import type { LocalReply } from "./routed_request.js";
 import type { StreamCall } from "./stream_call.js";
 import { StreamRelay, type StreamResult } from "./stream_relay.js";
 import {
@@ -35,6 +37,11 @@
   toPlacement,
 } from "./stream_state.js";
 
+/** Result of a call, or the reply to a request that must not be sent. */
+type AttemptOutcome =
+  | StreamResult
+  | { readonly kind: "refused"; readonly reply: LocalReply };
+
 const SERVERS_FULL_RETRY_AFTER_MS = 250;
 
 export async function forwardStream(
@@ -66,6 +73,8 @@
   state: StreamState,
 ): Promise<ForwardOutcome> {
   for (;;) {
+    const refusal = refusePoisonPart(context);
+    if (refusal !== undefined) return refuse(context, state, refusal);
     if (!canPlace(context, state)) {
       return giveUp(context, state, "noServerOfVersion");
     }
@@ -103,7 +112,7 @@
 function handleResult(
   context: ForwardContext,
   state: StreamState,
-  result: StreamResult | undefined,
+  result: AttemptOutcome | undefined,
 ): ForwardOutcome | undefined {
   if (result === undefined) return giveUp(context, state, "noServer");
   switch (result.kind) {
@@ -111,6 +120,8 @@
       return { kind: "answered", status: 200 };
     case "answered":
       return sendResponse(context, result);
+    case "refused":
+      return refuse(context, state, result.reply);
     case "ended":
       return finishAtLifetimeEnd(context, state);
     case "notRun":
@@ -127,6 +138,9 @@
       ) {
         return giveUp(context, state, result.detail);
       }
+      if (state.hasCrashedServer && !mayRetryAfterCrash(context)) {
+        return giveUp(context, state, "serverCrashed");
+      }
       if (!spendRetry(context)) return giveUp(context, state, "retryBudget");
       context.environment.metrics.countRetry(context.service, "streamBroken");
       context.environment.logger.info("streamResumed", {
@@ -141,13 +155,15 @@
 async function runAttempt(
   context: ForwardContext,
   state: StreamState,
-): Promise<StreamResult | undefined> {
+): Promise<AttemptOutcome | undefined> {
   const { environment } = context;
   const candidate = await environment.directory.assign(
     toPlacement(context, state),
   );
   if (candidate === undefined) return undefined;
   if (context.lifetime.end !== undefined) return { kind: "ended" };
+  const refusal = refusePoisonPart(context);
+  if (refusal !== undefined) return { kind: "refused", reply: refusal };
   return StreamRelay.run({
     context,
     progress: state,
@@ -174,6 +190,17 @@
   recordBegin(context, state, call.candidate.server);
 }
 
+/** Ends a request that must not be sent to a server, or not to another one. */
+function refuse(
+  context: ForwardContext,
+  state: StreamState,
+  reply: LocalReply,
+): ForwardOutcome {
+  return state.runs === 0 && !state.isHeadSent
+    ? replyLocally(context, reply)
+    : giveUp(context, state, "poisonPart");
+}
+
 /** Ends a request that can't be retried. */
 function giveUp(
   context: ForwardContext,
--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -30,6 +30,7 @@
   ServerCall,
   ServerCallListener,
 } from "./server_caller.js";
+import { makePoisonParts } from "./testing/make_poison_parts.js";
 
 const OBJECTIVE_MS = 100;
 /** Before the hedge of a request with this objective. */
@@ -127,6 +128,7 @@
         metrics: new Metrics(),
         logger: createLogger("error", {}),
       }),
+      poisonParts: makePoisonParts(),
       routeStatistics: new RouteStatistics(),
       dataCentre: toId<DataCentreName>("east"),
       clock,
--- a/packages/daemon/src/forwarding/replacement_placer.ts
+++ b/packages/daemon/src/forwarding/replacement_placer.ts
@@ -12,6 +12,7 @@
   decideReplacement,
   type ReplacementDecision,
 } from "./replacement_policy.js";
+import { mayRetryAfterCrash, refusePoisonPart } from "./refuse_poison_part.js";
 import type { AttemptInput } from "./run_attempt.js";
 import type { ReplacementSource } from "./stream_relay.js";
 import {
@@ -62,7 +63,9 @@
     await pollSockets();
     const candidate = await this.#assign(signal);
     if (signal.aborted) return;
-    if (candidate === undefined || !spendRetry(this.#context)) {
+    if (
+      candidate === undefined || !this.#maySend() || !spendRetry(this.#context)
+    ) {
       this.#state.refusals += 1;
       return;
     }
@@ -71,6 +74,14 @@
     start(beginRun(this.#context, this.#state, candidate));
   }
 
+  /** False for a request with a part that may crash the server. */
+  #maySend(): boolean {
+    if (this.#state.hasCrashedServer && !mayRetryAfterCrash(this.#context)) {
+      return false;
+    }
+    return refusePoisonPart(this.#context) === undefined;
+  }
+
   async #assign(signal: AbortSignal): Promise<ServerCandidate | undefined> {
     if (signal.aborted) return undefined;
     return this.#context.environment.directory.assign(
--- a/packages/daemon/src/forwarding/request_forwarder_test.ts
+++ b/packages/daemon/src/forwarding/request_forwarder_test.ts
@@ -36,7 +36,11 @@
       listener.onSend();
       listener.onHead(HEAD);
       listener.onBody(Buffer.from("id: 1\ndata: 1\n\n"));
-      listener.onFailure({ kind: "broken", detail: "ECONNRESET" });
+      listener.onFailure({
+        kind: "broken",
+        detail: "ECONNRESET",
+        remainingConnections: "some",
+      });
     });
     return { cancel: () => undefined, cancelIfNotSent: () => false };
   },
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -58,6 +58,8 @@
   | "serversFull"
   /** Another VM may know where the resumed stream began. */
   | "unknownStream"
+  /** A part of the prompt has crashed several servers. */
+  | "poisonPart"
   /** An unexpected error occurred before the request was sent. */
   | "internalError";
 
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -6,7 +6,9 @@
 
 import { makeDeferred } from "../deferred.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
+import { observeCall } from "./observe_call.js";
 import type { ForwardContext } from "./forward_context.js";
+import { formatPromptParts } from "./format_prompt_parts.js";
 import type {
   ResponseHead,
   RunningServerCall,
@@ -40,6 +42,8 @@
   readonly candidate: ServerCandidate;
   readonly inputs: readonly string[] | undefined;
   readonly resumeAfter: string | undefined;
+  /** Called before the listener's `onFailure` if the server has crashed. */
+  readonly onServerCrash?: () => void;
 }
 
 /** Converts the attempt into a call for the backend server adapter. */
@@ -66,6 +70,8 @@
    * the server; the listener's `onFailure` is called.
    */
   endOversized(detail: string): void;
+  /** Called for each event of a stream once it is complete. */
+  recordEvent(): void;
 }
 
 /** Starts a call and updates the server's health from its outcome. */
@@ -77,6 +83,8 @@
   const { health, server } = input.candidate;
   const startedAtMs = environment.clock.nowMs();
   let isFinished = false;
+  let hasFirstEvent = false;
+  const observation = observeCall(input);
   function finish(): boolean {
     if (isFinished) return false;
     isFinished = true;
@@ -88,22 +96,34 @@
     if (!finish()) return;
     if (failure.kind === "notSent") health.recordUnreachable(nowMs);
     else health.recordFailure(nowMs);
+    const remainingConnections = failure.kind === "broken"
+      ? failure.remainingConnections
+      : "notChecked";
+    if (remainingConnections === "none") {
+      environment.metrics.countEvent("callEndedWithServer");
+    }
+    if (observation.recordFailure(failure)) input.onServerCrash?.();
     environment.logger.info("serverCallFailed", {
       request: input.context.request.attemptId,
       server: server.id,
       failure: failure.kind,
       detail: failure.detail,
       afterMs: Math.round(nowMs - startedAtMs),
+      parts: formatPromptParts(input.context.request.prompt),
+      firstEvent: hasFirstEvent,
+      remainingConnections,
     });
     listener.onFailure(failure);
   }
   health.inFlight += 1;
   const call = environment.serverCaller.start(toServerCall(input), {
     onSend: () => {
+      observation.recordSend();
       logSend(input, environment.clock.nowMs() - startedAtMs);
       countSendUnderRateLimit(input);
     },
     onHead: (head) => {
+      observation.recordHead(head);
       const nowMs = environment.clock.nowMs();
       environment.rateLimits.recordStatement(server.id, head.rateLimit, {
         startedAtMs,
@@ -121,7 +141,9 @@
       listener.onBody(chunk);
     },
     onEnd: () => {
-      if (finish()) listener.onEnd();
+      if (!finish()) return;
+      observation.recordEnd();
+      listener.onEnd();
     },
     onFailure: fail,
   });
@@ -130,13 +152,20 @@
       if (isFinished) return;
       environment.metrics.countEvent("oversizedResponse");
       call.cancel();
-      fail({ kind: "broken", detail });
+      fail({ kind: "broken", detail, remainingConnections: "notChecked" });
+    },
+    recordEvent: () => {
+      hasFirstEvent = true;
+      observation.recordEvent();
     },
     cancel: () => {
-      if (finish()) call.cancel();
+      if (!finish()) return;
+      observation.recordCancel();
+      call.cancel();
     },
     cancelIfNotSent: () => {
       if (isFinished || !call.cancelIfNotSent()) return false;
+      observation.recordCancel();
       return finish();
     },
   };
--- a/packages/daemon/src/forwarding/stream_call.ts
+++ b/packages/daemon/src/forwarding/stream_call.ts
@@ -132,6 +132,7 @@
     }
     const events = this.#splitter.push(chunk);
     if (events.bytes.length > 0) {
+      this.#call.recordEvent();
       this.#listener.onEvents(this, head, events);
       this.#hasEvents = true;
     }
--- a/packages/daemon/src/forwarding/stream_state.ts
+++ b/packages/daemon/src/forwarding/stream_state.ts
@@ -31,6 +31,8 @@
   /** Number of calls that may have run. */
   runs: number;
   refusals: number;
+  /** A server has crashed during a call of this request. */
+  hasCrashedServer: boolean;
 }
 
 export function makeStreamState(
@@ -49,6 +51,7 @@
     formerInputs: [],
     runs: 0,
     refusals: 0,
+    hasCrashedServer: false,
     isHeadSent: false,
     endsWithConnection: false,
     lastEventId: request.resumeAfter,
@@ -102,6 +105,9 @@
     candidate,
     inputs: state.inputs?.references,
     resumeAfter: state.lastEventId,
+    onServerCrash: () => {
+      state.hasCrashedServer = true;
+    },
   };
 }
 
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -34,6 +34,7 @@
   LocalReply,
   RoutedRequest,
 } from "../routed_request.js";
+import { makePoisonParts } from "./make_poison_parts.js";
 
 const NO_CALL = {
   cancel: () => undefined,
@@ -144,6 +145,7 @@
       metrics,
       logger,
     }),
+    poisonParts: makePoisonParts(),
     routeStatistics: new RouteStatistics(),
     dataCentre: toId<DataCentreName>("east"),
     clock,
