Count requests to cold servers before waiting for a permit

Requests that were assigned at the same time all saw the cold quota of a server as free: since rate limits are asked for, assigning a request waits between the check of the quota and the count, if only for a turn of the promise queue.

Before: 30 requests at once were all assigned to a server that takes 10 a second (server_directory_test, both cases failed). The request is counted before the wait now, and the count withdrawn if it isn't sent; a server that turned cold meanwhile is left out.

Ruled out: the sliding window of ServerHealth, which counts right by itself.

--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -81,17 +81,19 @@
     const { clock, rateLimits, register } = this.#options;
     const excluded = new Set(request.excluded);
     for (;;) {
-      const choice = this.preview({ ...request, excluded }, clock.nowMs());
+      const nowMs = clock.nowMs();
+      const choice = this.preview({ ...request, excluded }, nowMs);
       if (choice === undefined) return undefined;
       const { server, health } = choice;
+      // Counted before waiting, as other requests are assigned meanwhile.
+      const isCounted = nowMs < server.coldUntilMs;
+      if (isCounted) health.recordColdRequest(nowMs);
       const isPermitted = await rateLimits.acquire(server.id);
-      // The server may have started to leave in the meantime.
-      const isUsable = register.isUsable(server);
-      if (isPermitted && isUsable) {
-        const nowMs = clock.nowMs();
-        if (nowMs < server.coldUntilMs) health.recordColdRequest(nowMs);
-        return choice;
-      }
+      // The server may have started to leave, or turned cold, in the meantime.
+      const isUsable = register.isUsable(server) &&
+        (isCounted || !this.#isCold(server.id));
+      if (isPermitted && isUsable) return choice;
+      if (isCounted) health.withdrawColdRequest(nowMs);
       excluded.add(server.id);
     }
   }
@@ -163,6 +165,11 @@
     return Math.max(1, Math.min(MAX_CONNECTIONS_PER_SERVER, share));
   }
 
+  #isCold(id: BackendServerId): boolean {
+    const { clock, register } = this.#options;
+    return clock.nowMs() < (register.get(id)?.coldUntilMs ?? 0);
+  }
+
   #suitableServers(request: PlacementRequest): RegisteredServer[] {
     const { excluded, service, softwareVersion } = request;
     return this.#options.register.usableServers(service).filter((server) =>
--- a/packages/daemon/src/placement/server_health.ts
+++ b/packages/daemon/src/placement/server_health.ts
@@ -83,4 +83,10 @@
   recordColdRequest(nowMs: number): void {
     this.#coldRequestTimes.push(nowMs);
   }
+
+  /** The request that was recorded at this time isn't sent. */
+  withdrawColdRequest(recordedAtMs: number): void {
+    const index = this.#coldRequestTimes.indexOf(recordedAtMs);
+    if (index >= 0) this.#coldRequestTimes.splice(index, 1);
+  }
 }
