Read other VMs' answers before giving a question up

After a delay of the VM's own event loop, the timers of 100 ms for the owner of a rate limit and for a stream's origin ran before the answer was read that had arrived: a permit that was granted was taken for denied, and the owner for silent; a resumption was refused.

--- a/packages/daemon/src/rate_limits/rate_limit_client.ts
+++ b/packages/daemon/src/rate_limits/rate_limit_client.ts
@@ -7,6 +7,7 @@
 import type { BackendServerId, VmId } from "@sassafrasstage/protocol/ids";
 import type { RateDecisionMessage } from "@sassafrasstage/protocol/peer_messages";
 import type { StatedRateLimit } from "@sassafrasstage/protocol/rate_limits";
+import { pollSockets } from "../http/poll_sockets.js";
 import type { PeerNetwork } from "../peers/peer_network.js";
 import type { RateDecision } from "./rate_limit_owner.js";
 
@@ -71,14 +72,22 @@
     const { backendServerId } = question;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
-        this.#pending.delete(requestNumber);
-        this.#options.onTimeout(backendServerId, owner);
-        resolve({ kind: "denied", retryAfterMs: SILENT_OWNER_RETRY_MS });
+        void this.#handleTimeout(requestNumber, owner);
       }, DECISION_TIMEOUT_MS);
       this.#pending.set(requestNumber, { backendServerId, resolve, timer });
     });
   }
 
+  /** Reads first what has arrived while the event loop was late. */
+  async #handleTimeout(requestNumber: number, owner: VmId): Promise<void> {
+    await pollSockets();
+    const pending = this.#pending.get(requestNumber);
+    if (pending === undefined) return;
+    this.#pending.delete(requestNumber);
+    this.#options.onTimeout(pending.backendServerId, owner);
+    pending.resolve({ kind: "denied", retryAfterMs: SILENT_OWNER_RETRY_MS });
+  }
+
   /** A grant that arrives after its question was given up remains unused. */
   #handleDecision(from: VmId, message: RateDecisionMessage): void {
     const pending = this.#pending.get(message.requestNumber);
--- a/packages/daemon/src/stream_versions/origin_lookup.ts
+++ b/packages/daemon/src/stream_versions/origin_lookup.ts
@@ -14,6 +14,7 @@
   StreamOrigin,
   VersionObservation,
 } from "@sassafrasstage/protocol/stream_origin";
+import { pollSockets } from "../http/poll_sockets.js";
 import type { PeerNetwork } from "../peers/peer_network.js";
 
 /** The client waits for the answer, and may try another VM instead. */
@@ -70,7 +71,7 @@
     }
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
-        this.#pending.get(requestNumber)?.finish(undefined);
+        void this.#handleTimeout(requestNumber);
       }, LOOKUP_TIMEOUT_MS);
       this.#pending.set(requestNumber, {
         unanswered: asked.length,
@@ -84,6 +85,12 @@
     });
   }
 
+  /** Reads first what has arrived while the event loop was late. */
+  async #handleTimeout(requestNumber: number): Promise<void> {
+    await pollSockets();
+    this.#pending.get(requestNumber)?.finish(undefined);
+  }
+
   #handleReply(message: StreamOriginReplyMessage): void {
     const pending = this.#pending.get(message.requestNumber);
     if (pending === undefined) return;
