Count only servers' refusals against a silent stream's replacement

Each time that no server or no retry could be had for a silent stream, that counted as a refusal of the request. After four such checks, within a second, no replacement was tried any more although a server was free again, and the first refusal by a server then cut the stream. Found by the review; replacement_placer_test saw one call instead of two. Refusals of the stages and of a prompt part are still counted, as these don't pass by themselves.

--- a/packages/daemon/src/forwarding/replacement_placer.ts
+++ b/packages/daemon/src/forwarding/replacement_placer.ts
@@ -62,13 +62,12 @@
     // The client's disconnect or the stream's next event may have arrived.
     await pollSockets();
     const candidate = await this.#assign(signal);
-    if (signal.aborted) return;
-    if (
-      candidate === undefined || !this.#maySend() || !spendRetry(this.#context)
-    ) {
+    if (signal.aborted || candidate === undefined) return;
+    if (!this.#maySend()) {
       this.#state.refusals += 1;
       return;
     }
+    if (!spendRetry(this.#context)) return;
     const { metrics } = this.#context.environment;
     metrics.countRetry(this.#context.service, "streamSilent");
     start(beginRun(this.#context, this.#state, candidate));
