Send a silent server's complete answer although its replacement is open

A server that had been silent answered a stream's request with a complete response of another kind, such as 400. While a replacement was open, the answer was dropped, and if the replacement refused, the client got a failure of this VM. Such an answer now ends the request, since another server would give the same. A server's error still yields to the replacement, which may deliver.

--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -62,6 +62,7 @@
   readonly onDropped: (cause: DropCause) => void;
 }
 
+const FIRST_SERVER_ERROR = 500;
 /** Interval of the check while a call is silent. */
 const SILENCE_RECHECK_MS = 250;
 /** What a client that doesn't read may leave unread of a stream. */
@@ -196,6 +197,8 @@
       this.#dropOthers(call);
       this.#sendHead(result.head);
       this.#options.context.channel.end();
+    } else if (isClientError(final)) {
+      this.#dropOthers(call);
     } else if (this.#hasOthers(call) && final.kind !== "complete") {
       this.#drop(call, final);
       return;
@@ -301,3 +304,8 @@
     return this.#options.context.environment.clock.nowMs();
   }
 }
+
+/** Other servers would give the same answer. */
+function isClientError(result: StreamResult): boolean {
+  return result.kind === "answered" && result.head.status < FIRST_SERVER_ERROR;
+}
