End a silent call soon after its replacement has begun

The silent call is now ended 200 ms after the head of the replacement, which shows that its server has begun. Until then nothing changes: a refused, unreachable or silent replacement doesn't end it.

The new case of stream_silence_test failed before (the first call was still open after 200 ms). Ruled out: a limit from the start of the replacement, since a replacement that waits at its server would then end an answer that may go on.

--- a/packages/daemon/src/forwarding/stream_call.ts
+++ b/packages/daemon/src/forwarding/stream_call.ts
@@ -36,6 +36,8 @@
   | { readonly kind: "superseded" };
 
 export interface StreamCallListener {
+  /** The head of a stream was received, so the server works on it. */
+  readonly onBegin: (call: StreamCall) => void;
   readonly onEvents: (
     call: StreamCall,
     head: ResponseHead,
@@ -69,6 +71,7 @@
       onHead: (head) => {
         this.#head = head;
         this.#recordReceived();
+        if (isStream(head)) listener.onBegin(this);
       },
       onBody: (chunk) => {
         this.#recordReceived();
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -63,6 +63,8 @@
 }
 
 const FIRST_SERVER_ERROR = 500;
+/** Time for which two servers may work on a stream. */
+const MAX_OVERLAP_MS = 200;
 /** Interval of the check while a call is silent. */
 const SILENCE_RECHECK_MS = 250;
 /** What a client that doesn't read may leave unread of a stream. */
@@ -76,6 +78,7 @@
   readonly #calls = new Set<StreamCall>();
   #placement: AbortController | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #overlapTimer: NodeJS.Timeout | undefined;
   #checkDueAtMs = 0;
 
   private constructor(options: StreamRelayOptions) {
@@ -101,6 +104,9 @@
 
   #start(attempt: AttemptInput): void {
     const call = new StreamCall(attempt, {
+      onBegin: (sender) => {
+        this.#limitOverlap(sender);
+      },
       onEvents: (sender, head, events) => {
         this.#handleEvents(sender, head, events);
       },
@@ -111,9 +117,20 @@
     if (!call.isEnded) this.#calls.add(call);
   }
 
+  /** Ends the other calls soon after a replacement has begun. */
+  #limitOverlap(call: StreamCall): void {
+    const [first] = this.#calls;
+    if (first === undefined || call === first) return;
+    clearTimeout(this.#overlapTimer);
+    this.#overlapTimer = setTimeout(() => {
+      if (this.#calls.has(call)) this.#dropOthers(call);
+    }, MAX_OVERLAP_MS);
+  }
+
   /** Ends all calls. */
   #finish(result: StreamResult): void {
     clearTimeout(this.#timer);
+    clearTimeout(this.#overlapTimer);
     this.#placement?.abort();
     for (const call of this.#calls) call.cancel();
     this.#calls.clear();
--- a/packages/daemon/src/forwarding/stream_silence_test.ts
+++ b/packages/daemon/src/forwarding/stream_silence_test.ts
@@ -153,6 +153,18 @@
     expectWhole(stream);
   });
 
+  it("is worked on by one server only, soon after another one has begun", async () => {
+    const stream = await startSilent();
+    await stream.advance(LONG_SILENCE_MS);
+    stream.call(1).sendHead();
+    await stream.advance(MAX_OVERLAP_MS);
+    expect(stream.call(0).isCanceled).toEqual(true);
+    expect(stream.call(1).isCanceled).toEqual(false);
+    sendFrom(stream.call(1), 4);
+    await stream.settle();
+    expectWhole(stream);
+  });
+
   it("cancels the other call when the first server goes on", async () => {
     const stream = await startSilent();
     await stream.advance(LONG_SILENCE_MS);
