Tell how a cold server's limit was passed

A run under random faults said that a server was overloaded and how long its calls had been in flight, not who had granted them or what was known. The owner logs each change of a server's state with its cause; at debug level each permit is logged when granted, received, reported and released; the stand-ins keep what they showed to callers. The run puts these in order for each overload. Lines below the logger's level are no longer formatted.

--- a/bench/src/slopes/pool_slopes.ts
+++ b/bench/src/slopes/pool_slopes.ts
@@ -109,6 +109,7 @@
       },
       isGone: () => false,
       onCooled: () => undefined,
+      onStateChanged: () => undefined,
       onEvent: () => undefined,
     });
     const vms = readVmAvailability(undefined);
--- a/packages/daemon/src/observability/logger.ts
+++ b/packages/daemon/src/observability/logger.ts
@@ -108,6 +108,7 @@
 }
 
 function write(entry: LogEntry): void {
+  if (CONSOLA_LEVELS[entry.level] > entry.consola.level) return;
   const linePrefix = formatLinePrefix(entry.level, entry.event);
   entry.consola[entry.level](formatLine(linePrefix, entry.fields));
 }
--- a/packages/daemon/src/pools/owned_pool_options.ts
+++ b/packages/daemon/src/pools/owned_pool_options.ts
@@ -15,6 +15,7 @@
 import type { LatencyBaselines } from "./latency_baseline.js";
 import type { PoolEntry } from "./pool_layout.js";
 import type { QueueOrderName } from "./queue_order.js";
+import type { StateChange } from "./state_change.js";
 
 export type OwnedPoolEvent =
   | "permitGranted"
@@ -41,5 +42,6 @@
   /** Whether the VM's process is known to have ended. */
   readonly isGone: (vmId: VmId) => boolean;
   readonly onCooled: (server: BackendServerId, nowMs: number) => void;
+  readonly onStateChanged: (change: StateChange) => void;
   readonly onEvent: (event: OwnedPoolEvent) => void;
 }
--- a/packages/daemon/src/pools/owned_pool_test.ts
+++ b/packages/daemon/src/pools/owned_pool_test.ts
@@ -62,6 +62,7 @@
       },
       isGone: () => false,
       onCooled: () => undefined,
+      onStateChanged: () => undefined,
       onEvent: () => undefined,
     });
     const vms = readVmAvailability(undefined);
--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -33,7 +33,9 @@
 import type { PermitLink } from "./permit_link.js";
 import type { PoolContext } from "./pool_context.js";
 import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
+import { logDecision, logOutstandingReply } from "./permit_log.js";
 import { refusal } from "./refusal.js";
+import { toLogFields } from "./state_change.js";
 import type { WarmUpTracker } from "./warm_up_tracker.js";
 
 const DEFAULT_SHARE = 1;
@@ -129,6 +131,7 @@
     nowMs: number,
   ): void {
     const ownership = this.#ownerships.get(poolKey(reply.pool));
+    logOutstandingReply(this.#options.logger, from, reply);
     for (const observation of reply.observations) {
       const seenAtMs = nowMs - observation.ageMs;
       const { backendServerId, warmUpState } = observation;
@@ -270,6 +273,9 @@
           metrics.countEvent("serverCooled");
           this.#options.coldStartNotifier.notify(entry.pool, server, atMs);
         },
+        onStateChanged: (change) => {
+          logger.info("backendServerStateChanged", toLogFields(change));
+        },
         onEvent: (event) => {
           this.#countEvent(event);
         },
@@ -322,6 +328,7 @@
   }
 
   #decide(to: VmId, attemptId: AttemptId, decision: PermitDecision): void {
+    logDecision(this.#options.logger, to, decision);
     this.#options.link.send(to, {
       type: "permitDecision",
       attemptId,
--- a/packages/daemon/src/pools/permit_client.ts
+++ b/packages/daemon/src/pools/permit_client.ts
@@ -17,6 +17,7 @@
   PermitDecision,
   PermitRelease,
 } from "@sassafrasstage/protocol/permits";
+import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { CandidatePools } from "./candidate_pools.js";
 import type { ColdStartNotifier } from "./cold_start_notifier.js";
@@ -33,6 +34,7 @@
 } from "./pending_request.js";
 import type { PendingRequests } from "./pending_requests.js";
 import type { PermitLink } from "./permit_link.js";
+import { logReceivedPermit, logReleasedPermit } from "./permit_log.js";
 import type { PoolContext } from "./pool_context.js";
 import { refusal } from "./refusal.js";
 import type { WarmUpTracker } from "./warm_up_tracker.js";
@@ -54,6 +56,7 @@
   readonly coldStartNotifier: ColdStartNotifier;
   readonly baselines: LatencyBaselines;
   readonly metrics: Metrics;
+  readonly logger: Logger;
 }
 
 interface ReceivedGrant {
@@ -107,6 +110,7 @@
       this.#options.metrics.countDrop("unknownPermit");
       return;
     }
+    logReleasedPermit(this.#options.logger, release);
     this.#observer.recordRelease(held, release, nowMs);
     for (const owner of this.#ownersToNotify(held)) {
       const message = {
@@ -296,17 +300,17 @@
   #acceptGrant(pending: PendingRequest, grant: ReceivedGrant): void {
     const { permit, granter, nowMs } = grant;
     this.#options.candidates.recordGrant(permit.pool);
-    this.#options.held.add({
+    const { attemptId } = pending.permitRequest;
+    const held = {
       permit,
       granter,
       heldSinceMs: nowMs,
       deadlineAtMs: pending.deadlineAtMs,
-    });
-    const { attemptId } = pending.permitRequest;
-    this.#settle(pending, {
-      kind: "granted",
-      permit: { ...permit, attemptId },
-    });
+    };
+    this.#options.held.add(held);
+    const usedPermit = { ...permit, attemptId };
+    logReceivedPermit(this.#options.logger, { ...held, permit: usedPermit });
+    this.#settle(pending, { kind: "granted", permit: usedPermit });
   }
 
   /** Returns the permit of a grant whose transmission has been canceled. */
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -19,6 +19,11 @@
   type ServerHealth,
   suspectedColdState,
 } from "./backend_server_state.js";
+import {
+  describeStateChange,
+  type StateChange,
+  type StateChangeCause,
+} from "./state_change.js";
 import { type GrantRights, haveSameRights, NO_RIGHTS } from "./grant_rights.js";
 import {
   availabilityOf,
@@ -43,6 +48,14 @@
   readonly hasPrefixAffinity: boolean;
   /** Called when a server that was considered warm turns out to be cold. */
   readonly onCooled: (server: BackendServerId, nowMs: number) => void;
+  /** Called when a server's state becomes one of another kind. */
+  readonly onStateChanged: (change: StateChange) => void;
+}
+
+/** Why and when a server's health is updated. */
+interface HealthUpdate {
+  readonly cause: StateChangeCause;
+  readonly nowMs: number;
 }
 
 /** Operations cost O(log n), except for those that concern all servers. */
@@ -50,6 +63,7 @@
   readonly #servers = new Map<BackendServerId, PooledServer>();
   readonly #selector: ServerSelector;
   readonly #onCooled: ServerTableOptions["onCooled"];
+  readonly #onStateChanged: ServerTableOptions["onStateChanged"];
   #service: Service;
   #rights = NO_RIGHTS;
   #latencySumMs = 0;
@@ -62,6 +76,7 @@
     this.#service = options.entry.service;
     this.#selector = new ServerSelector(options);
     this.#onCooled = options.onCooled;
+    this.#onStateChanged = options.onStateChanged;
   }
 
   get service(): Service {
@@ -149,7 +164,7 @@
         service: this.#service,
         nowMs,
       });
-      this.#setHealth(server, next, nowMs);
+      this.#setHealth(server, next, { cause: { kind: "idle" }, nowMs });
     }
   }
 
@@ -182,7 +197,7 @@
     this.#setHealth(
       server,
       healthAfterCall(server.health, report, context),
-      nowMs,
+      { cause: { kind: "callEnded", report }, nowMs },
     );
   }
 
@@ -218,7 +233,8 @@
       if (observation.warmUpState === "cold") continue;
       if (observation.ageMs >= this.#service.coldAfterIdleMs) continue;
       const next = observedWarmHealth(server.inFlight, context);
-      this.#setHealth(server, next, nowMs);
+      const cause = { kind: "observedWarm", ageMs: observation.ageMs } as const;
+      this.#setHealth(server, next, { cause, nowMs });
     }
   }
 
@@ -231,7 +247,10 @@
     if (server === undefined || isCold(server.health.state)) return;
     if (times.seenAtMs < server.health.state.sinceMs) return;
     const health = { ...server.health, state: suspectedColdState(times.nowMs) };
-    this.#setHealth(server, health, times.nowMs);
+    const { nowMs } = times;
+    const ageMs = nowMs - times.seenAtMs;
+    const cause = { kind: "observedCold", ageMs } as const;
+    this.#setHealth(server, health, { cause, nowMs });
   }
 
   /** Whether it stayed warm while out of service is unknown. */
@@ -240,14 +259,22 @@
     this.#setHealth(
       server,
       { ...server.health, state: coldState(nowMs) },
-      nowMs,
+      { cause: { kind: "backInService" }, nowMs },
     );
   }
 
-  #setHealth(server: PooledServer, next: ServerHealth, nowMs: number): void {
-    const hasCooled = !isCold(server.health.state) && isCold(next.state);
+  #setHealth(
+    server: PooledServer,
+    next: ServerHealth,
+    update: HealthUpdate,
+  ): void {
+    const { cause, nowMs } = update;
+    const before = server.health.state;
+    const hasCooled = !isCold(before) && isCold(next.state);
     server.health = next;
     this.#updateLimit(server, nowMs);
+    const change = describeStateChange(server, { before, cause, nowMs });
+    if (change !== undefined) this.#onStateChanged(change);
     if (!hasCooled) return;
     this.#forgetLatency(server);
     this.#onCooled(server.id, nowMs);
--- a/packages/daemon/src/pools/server_table_test.ts
+++ b/packages/daemon/src/pools/server_table_test.ts
@@ -27,6 +27,7 @@
       entry: inService.entry,
       hasPrefixAffinity: false,
       onCooled: () => undefined,
+      onStateChanged: () => undefined,
     });
     table.configure(inService.entry, { ...inService, nowMs: 0 });
     table.setRights({ mayGrantCold: true, warm: { kind: "full" } }, 0);
--- a/packages/daemon/src/pools/shared_permit_source.ts
+++ b/packages/daemon/src/pools/shared_permit_source.ts
@@ -61,6 +61,7 @@
       held: this.#held,
       baselines: new LatencyBaselines(),
       metrics: options.metrics,
+      logger: options.logger,
     };
     this.#context = context;
     const pending = new PendingRequests();
@@ -68,7 +69,6 @@
     this.#staticQuota = new StaticQuotaGrants(roleOptions);
     this.#owner = new OwnerRole({
       ...roleOptions,
-      logger: options.logger,
       startedAtMs: options.clock.nowMs(),
     });
     this.#permitClient = new PermitClient({
--- a/packages/daemon/src/pools/testing/measure_queue_orders.ts
+++ b/packages/daemon/src/pools/testing/measure_queue_orders.ts
@@ -215,6 +215,7 @@
     },
     isGone: () => false,
     onCooled: () => undefined,
+    onStateChanged: () => undefined,
     onEvent: () => undefined,
   });
   const vms = readVmAvailability(undefined);
--- a/packages/stand-ins/src/backend_servers/backend_server_core.ts
+++ b/packages/stand-ins/src/backend_servers/backend_server_core.ts
@@ -21,6 +21,11 @@
   DEFAULT_COLD_START,
 } from "./cold_start.js";
 import { type RunEntry, RunLog } from "./run_log.js";
+import {
+  type ServerEvent,
+  type ServerEventKind,
+  ServerEventLog,
+} from "./server_event_log.js";
 
 export interface BackendServerFaults {
   /** The port refuses connections, and open connections are closed. */
@@ -80,6 +85,8 @@
   /** The first sign of the unannounced cold start visible to a caller. */
   readonly firstSign?: ColdStartSign;
   readonly inFlight: readonly RunEntry[];
+  /** What the server did and showed in the time before. */
+  readonly events: readonly ServerEvent[];
 }
 
 /** Served at `GET /load` with a delay of up to `loadLagMs`. */
@@ -99,12 +106,15 @@
 
 const DEFAULT_LOAD_LAG_MS = 200;
 const FREEZE_POLL_MS = 20;
+/** How far the events in the record of an overload go back. */
+const OVERLOAD_TRACE_MS = 12_000;
 
 /** The state and the injected faults of one stand-in backend server. */
 export class BackendServerCore {
   readonly coldStart: ColdStart;
   readonly random: SeededRandom;
   readonly runs = new RunLog();
+  readonly #events = new ServerEventLog();
   readonly #calls = new Set<AdmittedCall>();
   readonly #overloads: ColdOverload[] = [];
   readonly #loadLagMs: number;
@@ -151,6 +161,7 @@
 
   turnCold(): void {
     this.coldStart.turnCold(Date.now());
+    this.#recordEvent("turnedCold");
     this.onTurnCold();
   }
 
@@ -169,8 +180,10 @@
     response: HttpResponse,
     makeEntry: () => Omit<RunEntry, "outcome">,
   ): AdmittedCall | undefined {
+    const { requestId } = makeEntry();
     if (this.#faults.isRefusing) {
       this.coldStart.recordSign("refusal", Date.now());
+      this.#recordEvent("refused", requestId);
       answerUnavailable(response, "refusing");
       return undefined;
     }
@@ -181,30 +194,43 @@
         const entry = this.runs.start(makeEntry());
         const call: AdmittedCall = { entry, abort: new AbortController() };
         this.#calls.add(call);
+        this.#recordEvent("admitted", requestId);
         return call;
       }
       case "refused":
+        this.#recordEvent("refused", requestId);
         answerUnavailable(response, "cold");
         return undefined;
       case "overload":
+        this.#recordEvent("overloaded", requestId);
         answerUnavailable(response, "overloaded while cold");
         this.#overloads.push({
           atMs: Date.now(),
           isSuddenlyCold,
           ...(firstSign === undefined ? {} : { firstSign }),
           inFlight: [...this.#calls].map((call) => ({ ...call.entry })),
+          events: this.#events.since(Date.now() - OVERLOAD_TRACE_MS),
         });
         for (const call of this.#calls) interrupt(call, "overload");
         return undefined;
     }
   }
 
+  /** Records that a token of the call is about to be sent. */
+  recordToken(call: AdmittedCall, index: number): void {
+    this.coldStart.recordSign("token", Date.now());
+    if (index === 0) this.#recordEvent("firstToken", call.entry.requestId);
+  }
+
   /** Must be called once for each admitted call. */
   finish(call: AdmittedCall): void {
     this.#calls.delete(call);
-    const { outcome, arrivedAtMs } = call.entry;
+    const { outcome, arrivedAtMs, requestId } = call.entry;
     const isCompleted = outcome === "completed";
+    const wasCold = this.coldStart.isCold;
     this.coldStart.release(isCompleted);
+    if (outcome !== "running") this.#recordEvent(outcome, requestId);
+    if (wasCold !== this.coldStart.isCold) this.#recordEvent("turnedWarm");
     // The caller of a canceled call has disconnected and can't see how it ended,
     // so its end is no sign of a cold start.
     if (outcome === "canceled") return;
@@ -225,6 +251,17 @@
     }
   }
 
+  #recordEvent(kind: ServerEventKind, requestId?: string): void {
+    const { inFlight } = this.coldStart;
+    const atMs = Date.now();
+    this.#events.add({
+      kind,
+      atMs,
+      inFlight,
+      ...(requestId === undefined ? {} : { requestId }),
+    });
+  }
+
   /** Routes served by both kinds of stand-in backend servers. */
   controlRoutes(server: () => StandInServer): Route[] {
     return [
--- a/packages/stand-ins/src/backend_servers/engine_stand_in.ts
+++ b/packages/stand-ins/src/backend_servers/engine_stand_in.ts
@@ -214,7 +214,7 @@
         await this.#core.simulateWork(call, this.#betweenTokensMs());
       }
       if (index >= breakAfter) throw new Error("Injected fault: broken answer");
-      this.#core.coldStart.recordSign("token", Date.now());
+      this.#core.recordToken(call, index);
       writer?.writeToken(token);
     }
     if (writer === undefined) sendCompletion(response, answer);
--- a/tests/src/random_faults/main.ts
+++ b/tests/src/random_faults/main.ts
@@ -33,6 +33,7 @@
 print(`seed=${seed} faults=${report.faults.length}`);
 print(`requests=${report.requestCount} ${report.summary}`);
 for (const violation of report.violations) print(`violation ${violation}`);
+for (const trace of report.overloadTraces) print(trace);
 print(`violations=${report.violations.length}`);
 process.exitCode = report.violations.length === 0 ? 0 : 1;
 
--- a/tests/src/random_faults/random_faults.ts
+++ b/tests/src/random_faults/random_faults.ts
@@ -18,6 +18,7 @@
 import { findRecoveryViolations, findRunViolations } from "./checks.js";
 import { freezeDaemon, killDaemon, shutDownDaemon } from "./daemon_faults.js";
 import type { ActiveFault, FaultContext, FaultInjector } from "./fault.js";
+import { type TimedLine, traceOverloads } from "./overload_trace.js";
 import {
   disconnectFromPlatform,
   injectLinkFault,
@@ -41,6 +42,8 @@
 
 export interface RandomFaultsReport {
   readonly violations: readonly string[];
+  /** One for each overload of a cold server. */
+  readonly overloadTraces: readonly string[];
   readonly faults: readonly string[];
   readonly requestCount: number;
   /** Number of requests by outcome. */
@@ -70,6 +73,7 @@
 const PLAN = makeSamplePlan({
   services: COLD_SERVICES,
   maxDeadlineMs: 4000,
+  settings: { log: { level: "debug" } },
 });
 
 /**
@@ -120,17 +124,32 @@
   });
   watch.start();
   load.start();
-  const faults = await injectFaults(context, options);
+  const timedFaults: TimedLine[] = [];
+  const faults = await injectFaults(context, {
+    ...options,
+    onFault: (description) => {
+      timedFaults.push({ atMs: Date.now(), text: `fault: ${description}` });
+      options.onFault?.(description);
+    },
+  });
   const recoveryViolations = await findRecoveryViolations(cluster);
   const requests = await load.stop();
+  const records = await readRecords(cluster);
   const violations = findRunViolations({
     requests,
-    records: await readRecords(cluster),
+    records,
     history: context.history,
     rollbacks: await watch.stop(),
   });
   return {
     violations: [...violations, ...recoveryViolations],
+    overloadTraces: traceOverloads(records, {
+      logs: cluster.daemons.map((daemon) => ({
+        vmId: daemon.vmId,
+        text: daemon.readLog(),
+      })),
+      faults: timedFaults,
+    }),
     faults,
     requestCount: requests.length,
     summary: summarize(requests),
--- a/tests/src/random_faults/random_faults_test.ts
+++ b/tests/src/random_faults/random_faults_test.ts
@@ -24,7 +24,8 @@
         .toEqual([]);
     });
 
-    it(`the cold limit holds, seed ${seed}`, () => {
+    it(`the cold limit holds, seed ${seed}`, (test) => {
+      for (const trace of report.overloadTraces) test.diagnostic(trace);
       expect(report.violations.filter((text) => OVERLOAD.test(text)))
         .toEqual([]);
     });
