--- a/packages/daemon/src/pools/backend_server_state_test.ts
+++ b/packages/daemon/src/pools/backend_server_state_test.ts
@@ -9,6 +9,7 @@
   limitOf,
   observedWarmHealth,
   type ServerHealth,
+  suspectedColdState,
   unknownHealth,
 } from "./backend_server_state.js";
 import type { LatencyGrade } from "./latency_baseline.js";
@@ -95,6 +96,35 @@
     });
   }
 
+  it("takes a refusal for certain although a suspicion came first", () => {
+    const granted = { ...COMPLETED, grantedAtMs: 300 };
+    const suspected = { ...warmHealth(), state: suspectedColdState(200) };
+    const refused = apply(
+      suspected,
+      { outcome: "refusedByServer", grantedAtMs: 150 },
+      201,
+    );
+    expect(limit(repeat(refused, granted, WARM_AFTER_COMPLETIONS - 1)))
+      .toEqual(COLD_LIMIT);
+    expect(limit(repeat(refused, granted, WARM_AFTER_COMPLETIONS)))
+      .toEqual(COLD_LIMIT + 1);
+  });
+
+  it("takes a refusal for certain although the call was granted while cold", () => {
+    const warming = repeat(
+      unknownHealth(0),
+      COMPLETED,
+      WARM_AFTER_COMPLETIONS,
+    );
+    expect(warming.state.kind).toEqual("warming");
+    const refused = apply(
+      warming,
+      { outcome: "refusedByServer", grantedAtMs: 50 },
+      200,
+    );
+    expect(limit(refused)).toEqual(COLD_LIMIT);
+  });
+
   it("suspects a cold start at the first slow completion", () => {
     const slow: Step = { outcome: "completed", grade: "coldStart" };
     const raised: Step = { outcome: "completed", grade: "raised" };
--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -218,6 +218,17 @@
     await expectAllAnswered(fixture);
   });
 
+  it("doesn't clear a server that rejected a call before it has warmed up", async () => {
+    const fixture = await makeFixture({ warmAfterCompletions: 20 });
+    const { load } = fixture;
+    await load.run(4000, LOAD);
+    expect(load.server("palermo-1").isCold).toEqual(false);
+    load.server("palermo-1").turnCold();
+    await load.run(3000, { everyMs: 5 });
+    expect(load.server("palermo-1").gracePeriodCalls >= 1).toEqual(true);
+    await expectAllAnswered(fixture);
+  });
+
   it("grants no permits for servers that are taken out or leaving", async () => {
     const fixture = await makeFixture({ servers: { palermo: 3 } });
     const { cluster, load } = fixture;
