Keep a cold start certain once the server has refused a call

Callers saw the calls in flight at a cold server fail when it was overloaded a second time. A refused call is first reported as a cold sign to all members, then released to the owner. The owner suspected the server on the sign and took the release, granted before the suspicion, for no evidence; five completions of usual latency then raised the limit, although the register wants more.

A refusal now makes the cold start certain whenever its call was granted. It isn't counted by the breaker again, and changes nothing while the server is down.

--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -382,8 +382,9 @@
   context: ReportContext,
 ): ServerHealth {
   const { state } = health;
-  // Calls granted before a change of state fail for the cause of that change.
-  if (report.grantedAtMs < state.sinceMs) return health;
+  if (report.grantedAtMs < state.sinceMs) {
+    return healthAfterEarlierFailure(health, report, context);
+  }
   const weight = report.outcome === "timedOut" ? TIMEOUT_FAILURE_WEIGHT : 1;
   const failures = health.failures + weight;
   if (state.kind === "down" || failures >= BREAKER_FAILURE_THRESHOLD) {
@@ -396,6 +397,27 @@
   };
 }
 
+/**
+ * Calls granted before a change of state fail for the cause of that change, and
+ * aren't counted. A refusal still makes the cold start certain: what made the
+ * change may have been a mere suspicion.
+ */
+function healthAfterEarlierFailure(
+  health: ServerHealth,
+  report: CallReport,
+  context: ReportContext,
+): ServerHealth {
+  if (!isDefiniteColdStart(report) || health.state.kind === "down") {
+    return health;
+  }
+  return { ...health, state: coldState(context.nowMs) };
+}
+
+function isDefiniteColdStart(report: CallReport): boolean {
+  return report.outcome === "connectFailed" ||
+    report.outcome === "refusedByServer";
+}
+
 function downState(state: ServerState, nowMs: number): ServerState {
   const backoffMs = state.kind === "down"
     ? Math.min(MAX_BACKOFF_MS, 2 * state.backoffMs)
@@ -414,9 +436,7 @@
   context: ReportContext,
 ): ServerState {
   const { nowMs } = context;
-  const isDefiniteColdStart = report.outcome === "connectFailed" ||
-    report.outcome === "refusedByServer";
-  if (isDefiniteColdStart || isCold(state)) return coldState(nowMs);
+  if (isDefiniteColdStart(report) || isCold(state)) return coldState(nowMs);
   if (report.outcome === "timedOut") return withDecreasedLimit(state, context);
   return suspectedColdState(nowMs);
 }
