Let an adopted warm sign yield to any newer cold one

A new owner adopts what members observed of a server, and dated its state from the moment of the takeover. A cold sign seen after the observation and before the takeover, told late by a member that was frozen or slow, was dropped as older than the state, and so were refusals of permits taken over. The state now counts from the observation. Found in reading, not in a trace; a newer warm sign is still believed.

--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -103,21 +103,21 @@
 
 /**
  * The health of a server that another daemon observed to be warm. Its limit
- * starts low and rises with each completion that shows no cold start.
+ * starts low and rises with each completion that shows no cold start. The state
+ * counts from the observation, so that any newer sign of a cold start ends it.
  *
  * @example
  * ```ts
- * observedWarmHealth(outstanding, { service, nowMs });
+ * observedWarmHealth({ inFlight, seenAtMs }, { service, nowMs });
  * ```
  */
 export function observedWarmHealth(
-  inFlight: number,
+  observed: { readonly inFlight: number; readonly seenAtMs: number },
   context: ReportContext,
 ): ServerHealth {
-  const { service, nowMs } = context;
-  const limit = Math.max(service.coldLimit, inFlight);
+  const limit = Math.max(context.service.coldLimit, observed.inFlight);
   return {
-    state: warmingOrWarmState(limit, context, nowMs),
+    state: warmingOrWarmState(limit, context, observed.seenAtMs),
     failures: 0,
   };
 }
--- a/packages/daemon/src/pools/backend_server_state_test.ts
+++ b/packages/daemon/src/pools/backend_server_state_test.ts
@@ -197,7 +197,10 @@
 
 describe("observedWarmHealth", () => {
   it("starts at the number of calls in flight and rises with completions", () => {
-    const health = observedWarmHealth(4, { service, nowMs: 0 });
+    const health = observedWarmHealth({ inFlight: 4, seenAtMs: 0 }, {
+      service,
+      nowMs: 0,
+    });
     expect(limit(health)).toEqual(4);
     expect(limit(apply(health, COMPLETED, 100))).toEqual(5);
   });
--- a/packages/daemon/src/pools/server_table.ts
+++ b/packages/daemon/src/pools/server_table.ts
@@ -232,7 +232,9 @@
       if (server?.health.state.kind !== "unknown") continue;
       if (observation.warmUpState === "cold") continue;
       if (observation.ageMs >= this.#service.coldAfterIdleMs) continue;
-      const next = observedWarmHealth(server.inFlight, context);
+      const seenAtMs = nowMs - observation.ageMs;
+      const { inFlight } = server;
+      const next = observedWarmHealth({ inFlight, seenAtMs }, context);
       const cause = { kind: "observedWarm", ageMs: observation.ageMs } as const;
       this.#setHealth(server, next, { cause, nowMs });
     }
