--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -229,6 +229,53 @@
     await expectAllAnswered(fixture);
   });
 
+  describe("after a pause of the owner", () => {
+    /** The owner resumes; heartbeats reach it before what the others observed. */
+    async function resumeOwner({ cluster, load }: Fixture, owner: ClusterNode) {
+      while (cluster.nowMs % 200 !== 175) await load.run(5, { everyMs: 5 });
+      cluster.loseMessagesTo(owner);
+      owner.isFrozen = false;
+      await cluster.advance(5);
+      for (const other of cluster.nodes) cluster.loseMessagesTo(other);
+      await load.run(60, { everyMs: 5 });
+    }
+
+    function isAnyWarm(owner: ClusterNode, cluster: InMemoryCluster): boolean {
+      return owner.permits.statuses(cluster.nowMs).some((pool) =>
+        pool.backendServers.some(({ state }) =>
+          state === "warming" || state === "warm"
+        )
+      );
+    }
+
+    it("doesn't believe what it observed before", async () => {
+      const fixture = await makeFixture({ warmAfterCompletions: 20 });
+      const { cluster, load } = fixture;
+      await load.run(4000, LOAD);
+      const owner = ownerOf(cluster);
+      owner.isFrozen = true;
+      await load.run(1500, LOAD);
+      for (const id of ["palermo-1", "palermo-2"]) load.server(id).turnCold();
+      await load.run(300, { everyMs: 5 });
+      await resumeOwner(fixture, owner);
+      expect(load.server("palermo-1").isCold).toEqual(true);
+      expect(isAnyWarm(owner, cluster)).toEqual(false);
+    });
+
+    it("believes what the others observed meanwhile", async () => {
+      const fixture = await makeFixture({ warmAfterCompletions: 20 });
+      const { cluster, load } = fixture;
+      await load.run(4000, LOAD);
+      const owner = ownerOf(cluster);
+      owner.isFrozen = true;
+      await load.run(1500, LOAD);
+      await resumeOwner(fixture, owner);
+      await load.run(150, LOAD);
+      expect(isAnyWarm(owner, cluster)).toEqual(true);
+      await expectAllAnswered(fixture);
+    });
+  });
+
   it("grants no permits for servers that are taken out or leaving", async () => {
     const fixture = await makeFixture({ servers: { palermo: 3 } });
     const { cluster, load } = fixture;
--- a/packages/daemon/src/pools/testing/in_memory_cluster.ts
+++ b/packages/daemon/src/pools/testing/in_memory_cluster.ts
@@ -130,6 +130,13 @@
     this.#cutLinks.clear();
   }
 
+  /** Loses the messages on their way to the node, as if its connections broke. */
+  loseMessagesTo(node: ClusterNode): void {
+    this.#inFlightMessages = this.#inFlightMessages.filter((inFlight) =>
+      inFlight.to !== node
+    );
+  }
+
   adopt(configuration: Configuration): void {
     this.configuration = configuration;
     void this.adopted.emit("adopted", configuration);
