Don't rely on what was observed before a pause

A process that was paused for longer than its lease took its pools over again and adopted at once what it had itself observed before: right after a pause all others look silent, so it waited for nobody. It missed the cold sign that others saw meanwhile, told to a connection that they had closed.

A pause now ends the trust in the process's own warm observations, also in those of calls granted before it; replies that come after the first adoption are adopted too, so that servers which the others know to be warm are used again.

--- a/packages/daemon/src/pools/call_observer.ts
+++ b/packages/daemon/src/pools/call_observer.ts
@@ -42,7 +42,7 @@
     });
     const isCompleted = release.outcome === "completed";
     if (record !== undefined && isCompleted) {
-      warmUpTracker.recordIfNewer(permit.backendServerId, record);
+      warmUpTracker.recordOwnCall(permit.backendServerId, record);
     } else if (record !== undefined) this.#reportCold(held, nowMs);
     const entry = context.layout().pools.get(poolKey(permit.pool));
     if (entry === undefined || !isCompleted) return;
--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -204,6 +204,7 @@
     this.#options.metrics.countEvent("pausedPastLease");
     this.#options.logger.warn("pausedPastLease", { pausedMs });
     this.#options.context.recordPause(nowMs);
+    this.#options.warmUpTracker.recordPause(nowMs);
     this.giveUpAll(nowMs);
   }
 
--- a/packages/daemon/src/pools/ownership.ts
+++ b/packages/daemon/src/pools/ownership.ts
@@ -88,6 +88,8 @@
     this.pool.addOutstandingPermits(from, reply.permits, nowMs);
     if (!this.#takeover.recordReply(from, reply.requestNumber)) return;
     this.#adoptObservationsWhenKnown(nowMs);
+    // Members may reply after the first adoption.
+    if (this.#areWarmPermitsKnown) this.#adoptObservations(nowMs);
     this.pool.grantWaiting(nowMs);
   }
 
@@ -190,11 +192,16 @@
   }
 
   #adoptObservationsWhenKnown(nowMs: number): void {
-    const { context, warmUpTracker } = this.#options;
+    if (this.#areWarmPermitsKnown) return;
+    const { context } = this.#options;
     if (!this.#takeover.areWarmPermitsKnown(context.members, nowMs)) return;
-    const isFirst = !this.#areWarmPermitsKnown;
     this.#areWarmPermitsKnown = true;
-    if (!isFirst) return;
+    this.#adoptObservations(nowMs);
+  }
+
+  /** Affects only servers about which this owner knows nothing yet. */
+  #adoptObservations(nowMs: number): void {
+    const { warmUpTracker } = this.#options;
     const ids = this.#entry.servers.map((server) => server.id);
     this.pool.adoptObservations(warmUpTracker.observations(ids, nowMs), nowMs);
   }
--- a/packages/daemon/src/pools/warm_up_tracker.ts
+++ b/packages/daemon/src/pools/warm_up_tracker.ts
@@ -17,6 +17,7 @@
 /** Keeps the most recent record of each backend server. */
 export class WarmUpTracker {
   readonly #records = new Map<BackendServerId, WarmUpRecord>();
+  #resumedAtMs = -Infinity;
 
   get(id: BackendServerId): WarmUpRecord | undefined {
     return this.#records.get(id);
@@ -30,6 +31,25 @@
     return true;
   }
 
+  /** Records the end of this daemon's own call; see `recordPause`. */
+  recordOwnCall(id: BackendServerId, record: WarmUpRecord): void {
+    const isFromBeforePause = record.seenAtMs < this.#resumedAtMs;
+    if (isFromBeforePause && record.warmUpState === "warm") return;
+    this.recordIfNewer(id, record);
+  }
+
+  /**
+   * Must be called after a pause of the process. Its own observations that
+   * servers were warm don't count any more, since others may have seen a cold
+   * start meanwhile without being able to tell it.
+   */
+  recordPause(nowMs: number): void {
+    this.#resumedAtMs = nowMs;
+    for (const [id, record] of this.#records) {
+      if (record.warmUpState === "warm") this.#records.delete(id);
+    }
+  }
+
   observations(
     ids: Iterable<BackendServerId>,
     nowMs: number,
