--- a/packages/daemon/src/pools/backend_server_state_test.ts
+++ b/packages/daemon/src/pools/backend_server_state_test.ts
@@ -125,6 +125,24 @@
     expect(limit(refused)).toEqual(COLD_LIMIT);
   });
 
+  it("keeps the cold limit if the server turned cold again while warming up", () => {
+    // It needs as many completions again, however many came before.
+    const slow: Step = { outcome: "completed", grade: "raised" };
+    const enough = repeat(
+      unknownHealth(0),
+      slow,
+      2 * WARM_AFTER_COMPLETIONS - 1,
+    );
+    expect(limit(enough)).toEqual(COLD_LIMIT);
+    expect(limit(apply(enough, slow, 100))).toEqual(COLD_LIMIT + 1);
+  });
+
+  it("ends a warm-up with the first completion of usual latency", () => {
+    const slow: Step = { outcome: "completed", grade: "raised" };
+    const enough = repeat(unknownHealth(0), slow, WARM_AFTER_COMPLETIONS);
+    expect(limit(apply(enough, COMPLETED, 100))).toEqual(COLD_LIMIT + 1);
+  });
+
   it("suspects a cold start at the first slow completion", () => {
     const slow: Step = { outcome: "completed", grade: "coldStart" };
     const raised: Step = { outcome: "completed", grade: "raised" };
