Warm a server up anew if it turned cold again meanwhile

An owner counts the completions that the register asks for. A server that had become warm, by calls before the owner's count began, and turned cold once more was taken for warm at the end of that count, though it needed as many again.

The completion that ends a warm-up must now have a usual latency. Without one, twice the completions are enough: the server turned cold after fewer than the register's number, so it has had that number since.

--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -300,9 +300,11 @@
   const usualCompletionsLeft = state.usualCompletionsLeft === undefined
     ? undefined
     : state.usualCompletionsLeft - (hasUsualLatency ? 1 : 0);
-  const hasEnoughCompletions =
-    completions >= context.service.warmAfterCompletions;
-  if (!hasEnoughCompletions && usualCompletionsLeft !== 0) {
+  const isWarmedUp = hasWarmedUp(completions, {
+    hasUsualLatency,
+    needed: context.service.warmAfterCompletions,
+  });
+  if (!isWarmedUp && usualCompletionsLeft !== 0) {
     return { ...state, completions, usualCompletionsLeft };
   }
   return warmingOrWarmState(
@@ -312,6 +314,19 @@
   );
 }
 
+/**
+ * The server may have turned cold again during its warm-up, and then needs as
+ * many completions once more. Either its latency shows that it hasn't, or both
+ * warm-ups have been completed.
+ */
+function hasWarmedUp(
+  completions: number,
+  warmUp: { readonly hasUsualLatency: boolean; readonly needed: number },
+): boolean {
+  const { hasUsualLatency, needed } = warmUp;
+  return completions >= (hasUsualLatency ? needed : 2 * needed);
+}
+
 function warmingOrWarmState(
   limit: number,
   context: ReportContext,
