Test that a delayed grant doesn't outdate a newer cold sign

Found in reading: a completed call dates its warm observation from the arrival of the grant, which may be later than a cold sign seen after the grant. The held permit now tells when its request was sent.

--- a/packages/daemon/src/pools/call_observer_test.ts
+++ b/packages/daemon/src/pools/call_observer_test.ts
@@ -4,7 +4,7 @@
   toId,
 } from "@sassafrasstage/protocol/ids";
 import { expect } from "earl";
-import { describe, it } from "node:test";
+import { beforeEach, describe, it } from "node:test";
 import { CallObserver } from "./call_observer.js";
 import { ColdStartNotifier } from "./cold_start_notifier.js";
 import type { HeldPermit } from "./held_permits.js";
@@ -58,16 +58,21 @@
       warmUpState: "warm",
     },
     granter: { kind: "staticQuota" },
+    requestedAtMs: 0,
     heldSinceMs: 0,
     deadlineAtMs: 10_000,
   };
 }
 
 describe("CallObserver", () => {
-  it("reports a slow first token to every member while the call is running", () => {
-    const recipients: string[] = [];
+  let recipients: string[];
+  let warmUpTracker: WarmUpTracker;
+  let observer: CallObserver;
+
+  beforeEach(() => {
+    recipients = [];
     const context = makeContext();
-    const warmUpTracker = new WarmUpTracker();
+    warmUpTracker = new WarmUpTracker();
     const link = {
       send: (to: string) => {
         recipients.push(to);
@@ -83,12 +88,29 @@
       link,
       warmUpTracker,
     });
-    const observer = new CallObserver({
+    observer = new CallObserver({
       context,
       warmUpTracker,
       coldStartNotifier,
       baselines,
     });
+  });
+
+  it("doesn't believe a grant that was delayed more than a newer cold sign", () => {
+    const cold = { warmUpState: "cold", seenAtMs: 1000 } as const;
+    warmUpTracker.recordIfNewer(server, cold);
+    const held = { ...makeHeld(), requestedAtMs: 900, heldSinceMs: 1100 };
+    const release = {
+      permitId: held.permit.permitId,
+      backendServerId: server,
+      outcome: "completed",
+      durationMs: 50,
+    } as const;
+    observer.recordRelease(held, release, 1150);
+    expect(warmUpTracker.get(server)).toEqual(cold);
+  });
+
+  it("reports a slow first token to every member while the call is running", () => {
     observer.recordFirstToken(makeHeld(), BASELINE_MS, 1000);
     expect(recipients).toEqual([]);
     observer.recordFirstToken(makeHeld(), 3 * BASELINE_MS, 1500);
--- a/packages/daemon/src/pools/held_permits.ts
+++ b/packages/daemon/src/pools/held_permits.ts
@@ -29,6 +29,8 @@
 export interface HeldPermit {
   readonly permit: Permit;
   readonly granter: PermitGranter;
+  /** When the request was sent that the permit answers; granted since then. */
+  readonly requestedAtMs: number;
   readonly heldSinceMs: number;
   /** The request's deadline by this daemon's clock. */
   readonly deadlineAtMs: number;
--- a/packages/daemon/src/pools/permit_client.ts
+++ b/packages/daemon/src/pools/permit_client.ts
@@ -62,6 +62,7 @@
 interface ReceivedGrant {
   readonly permit: Permit;
   readonly granter: PermitGranter;
+  readonly requestedAtMs: number;
   readonly nowMs: number;
 }
 
@@ -153,8 +154,12 @@
       return;
     }
     if (decision.kind === "granted") {
-      const granter = { kind: "owner", vmId: from } as const;
-      this.#acceptGrant(pending, { permit: decision.permit, granter, nowMs });
+      this.#acceptGrant(pending, {
+        permit: decision.permit,
+        granter: { kind: "owner", vmId: from },
+        requestedAtMs: pending.progress.sentAtMs,
+        nowMs,
+      });
       return;
     }
     if (decision.reason === "notReady") {
@@ -293,17 +298,19 @@
     this.#acceptGrant(pending, {
       permit,
       granter: { kind: "staticQuota" },
+      requestedAtMs: nowMs,
       nowMs,
     });
   }
 
   #acceptGrant(pending: PendingRequest, grant: ReceivedGrant): void {
-    const { permit, granter, nowMs } = grant;
+    const { permit, granter, requestedAtMs, nowMs } = grant;
     this.#options.candidates.recordGrant(permit.pool);
     const { attemptId } = pending.permitRequest;
     const held = {
       permit,
       granter,
+      requestedAtMs,
       heldSinceMs: nowMs,
       deadlineAtMs: pending.deadlineAtMs,
     };
