Date a warm observation from before the grant, not from its arrival

A call that completes shows that its server counted as warm when its permit was granted. The holder took the arrival of the grant for that time; a grant that was on its way, or waited at a busy process, while another call was refused made a warm observation newer than the cold sign, which a new owner or a static quota would have believed. Dated now from when the permit request was sent. The unit test saw the observation turn warm before. Found in reading, not in a trace.

--- a/packages/daemon/src/pools/call_observer.ts
+++ b/packages/daemon/src/pools/call_observer.ts
@@ -37,7 +37,7 @@
     const record = warmUpRecordOf({
       permit,
       release,
-      grantedAtMs: held.heldSinceMs,
+      grantedSinceMs: held.requestedAtMs,
       nowMs,
     });
     const isCompleted = release.outcome === "completed";
--- a/packages/daemon/src/pools/warm_up_tracker.ts
+++ b/packages/daemon/src/pools/warm_up_tracker.ts
@@ -71,7 +71,8 @@
 export interface EndedCall {
   readonly permit: Permit;
   readonly release: PermitRelease;
-  readonly grantedAtMs: number;
+  /** The call was granted at this time or later. */
+  readonly grantedSinceMs: number;
   readonly nowMs: number;
 }
 
@@ -81,7 +82,7 @@
  *
  * @example
  * ```ts
- * const record = warmUpRecordOf({ permit, release, grantedAtMs, nowMs });
+ * const record = warmUpRecordOf({ permit, release, grantedSinceMs, nowMs });
  * ```
  */
 export function warmUpRecordOf(call: EndedCall): WarmUpRecord | undefined {
@@ -89,7 +90,7 @@
     case "completed":
       return {
         warmUpState: call.permit.warmUpState,
-        seenAtMs: call.grantedAtMs,
+        seenAtMs: call.grantedSinceMs,
       };
     case "connectFailed":
     case "refusedByServer":
