--- a/packages/daemon/src/pools/owned_pool_test.ts
+++ b/packages/daemon/src/pools/owned_pool_test.ts
@@ -208,6 +208,35 @@
     expect(decision.permit.backendServerId === excludedServer).toEqual(false);
   });
 
+  it("doesn't warm a server up by calls that a former owner granted", () => {
+    const bench = new TestBench();
+    const [server] = bench.pool.statuses();
+    if (server === undefined) throw new Error("No server in the pool");
+    const permits = ["a", "b", "c", "d"].map((name) => ({
+      permitId: toId<PermitId>(`former-${name}`),
+      attemptId: toId<AttemptId>(`attempt-${name}`),
+      pool: makePermitRequest().pool,
+      backendServerId: server.id,
+      warmUpState: "warm" as const,
+    }));
+    bench.pool.addOutstandingPermits(
+      CLIENT_VM,
+      permits.map((permit) => ({ permit, remainingMs: 1000 })),
+      100,
+    );
+    for (const { permitId } of permits) {
+      bench.pool.release({
+        permitId,
+        backendServerId: server.id,
+        outcome: "completed",
+        durationMs: 50,
+      }, 200);
+    }
+    const [after] = bench.pool.statuses();
+    expect(after?.inFlight).toEqual(0);
+    expect(after?.limit).toEqual(COLD_LIMIT);
+  });
+
   it("keeps counting a call at a cold server that outlasts its permit", () => {
     const bench = new TestBench();
     const granted = bench.submit({ deadlineInMs: 1000 }, 0);
