Don't warm a server up by calls that a former owner granted

A new owner dated the permits that members report from the moment of the report. Calls that began before a cold sign then counted as completions since it.

Such permits now count as granted before anything the owner knows, as calls granted before a state began already do.

--- a/packages/daemon/src/pools/granted_permits.ts
+++ b/packages/daemon/src/pools/granted_permits.ts
@@ -14,6 +14,7 @@
   readonly holder: VmId;
   /** Undefined for permits that a previous owner granted. */
   readonly urgency: Urgency | undefined;
+  /** `-Infinity` for permits that a previous owner granted. */
   readonly grantedAtMs: number;
   /** Expiry by the owner's clock, later than at the permit client. */
   readonly expiresAtMs: number;
--- a/packages/daemon/src/pools/owned_pool.ts
+++ b/packages/daemon/src/pools/owned_pool.ts
@@ -51,6 +51,8 @@
 /** How long a call may continue after its request's deadline. */
 const MAX_CALL_OVERRUN_MS = 30_000;
 const OVERRUN_CHECK_INTERVAL_MS = 500;
+/** Earlier than every state of a server, so that the call proves nothing of it. */
+const UNKNOWN_EARLIER_TIME_MS = -Infinity;
 
 /**
  * Decides every permit request exactly once, unless it is canceled or the
@@ -196,7 +198,7 @@
         permit,
         holder,
         urgency: undefined,
-        grantedAtMs: nowMs,
+        grantedAtMs: UNKNOWN_EARLIER_TIME_MS,
         expiresAtMs,
         countedUntilMs: expiresAtMs + MAX_CALL_OVERRUN_MS,
       });
