Test that an owner counts the static quota used while it was silent

Found in reading: an owner that was silent for less than its lease isn't told which permits others granted themselves meanwhile. Seen to fail: 2 calls above the cold limit.

--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -16,6 +16,10 @@
 /** Covers a lease, the voters' wait after start-up and the longest permit. */
 const SETTLE_MS = 4000;
 const LOAD = { everyMs: 20 };
+/** Owners count as silent, but keep their leases. */
+const SILENCE_MS = 800;
+/** Longer than the silence of an owner. */
+const LONG_CALL_MS = 1000;
 
 interface Fixture {
   readonly cluster: InMemoryCluster;
@@ -229,6 +233,24 @@
     await expectAllAnswered(fixture);
   });
 
+  it("counts what others granted themselves while it was silent", async () => {
+    const { cluster } = await makeFixture({ warmAfterCompletions: 20 });
+    const warmUp = new ClusterLoad(cluster);
+    await warmUp.run(4000, LOAD);
+    const load = new ClusterLoad(cluster, LONG_CALL_MS);
+    for (const id of ["palermo-1", "palermo-2"]) load.server(id).warmUp();
+    const owner = ownerOf(cluster);
+    owner.isFrozen = true;
+    await load.run(SILENCE_MS, LOAD);
+    const grantedInSilence = load.server("palermo-1").inFlight;
+    expect(grantedInSilence >= 1).toEqual(true);
+    for (const id of ["palermo-1", "palermo-2"]) load.server(id).turnCold();
+    owner.isFrozen = false;
+    await load.run(LONG_CALL_MS, LOAD);
+    expect(ownersOf(cluster)).toEqual([owner]);
+    expect(load.overLimitCalls).toEqual(0);
+  });
+
   describe("after a pause of the owner", () => {
     /** The owner resumes; heartbeats reach it before what the others observed. */
     async function resumeOwner({ cluster, load }: Fixture, owner: ClusterNode) {
--- a/packages/daemon/src/pools/testing/fake_server.ts
+++ b/packages/daemon/src/pools/testing/fake_server.ts
@@ -65,6 +65,11 @@
     if (isStartedSinceCold) this.#completions += 1;
   }
 
+  /** Makes the server warm without any calls. */
+  warmUp(): void {
+    this.#completions = this.#options.warmAfterCompletions;
+  }
+
   /** Turns the server cold. Calls in flight go on, but don't count for its warm-up. */
   turnCold(): void {
     this.#completions = 0;
