Tell a silent owner which permits were granted without it

While an owner is silent, permit clients grant themselves a share of the warm limits. Only the next owner was told. One that came back within its lease asks nobody and granted on top, above the warm limit, and above the cold one if a server turned cold then: it didn't know of the calls to wait for.

Found in reading, not in a trace. Each such permit is now reported to the silent owner, and again when it is connected anew.

--- a/packages/daemon/src/pools/cold_start_notifier.ts
+++ b/packages/daemon/src/pools/cold_start_notifier.ts
@@ -13,7 +13,7 @@
 import type { WarmUpTracker } from "./warm_up_tracker.js";
 
 /** Request number of an `outstandingReply` that answers no request. */
-const UNSOLICITED_REQUEST_NUMBER = 0;
+export const UNSOLICITED_REQUEST_NUMBER = 0;
 
 export interface ColdStartNotifierOptions {
   readonly context: PoolContext;
--- a/packages/daemon/src/pools/held_permits.ts
+++ b/packages/daemon/src/pools/held_permits.ts
@@ -69,6 +69,16 @@
     return this.#staticQuotaGrants.get(server) ?? 0;
   }
 
+  /** The pools at whose servers this daemon granted itself permits. */
+  staticQuotaPools(): PoolId[] {
+    const pools = new Map<string, PoolId>();
+    for (const { granter, permit } of this.#byId.values()) {
+      if (granter.kind !== "staticQuota") continue;
+      pools.set(poolKey(permit.pool), permit.pool);
+    }
+    return [...pools.values()];
+  }
+
   outstanding(pool: PoolId, nowMs: number): OutstandingPermit[] {
     const key = poolKey(pool);
     return [...this.#byId.values()]
--- a/packages/daemon/src/pools/permit_client.ts
+++ b/packages/daemon/src/pools/permit_client.ts
@@ -66,7 +66,7 @@
   readonly nowMs: number;
 }
 
-/** Has no timers: messages and ticks drive it. Every call takes the current time. */
+/** Driven by messages and ticks; every call takes the current time. */
 export class PermitClient {
   readonly #options: PermitClientOptions;
   readonly #outbox: OwnerOutbox;
@@ -200,6 +200,7 @@
 
   handleConnected(vmId: VmId, nowMs: number): void {
     this.#outbox.flush(vmId, nowMs);
+    this.#options.staticQuota.reportTo(vmId, nowMs);
   }
 
   /**
@@ -301,6 +302,9 @@
       requestedAtMs: nowMs,
       nowMs,
     });
+    if (pending.owner === undefined) return;
+    const remainingMs = pending.deadlineAtMs - nowMs;
+    staticQuota.reportGrant(pending.owner, permit, remainingMs);
   }
 
   #acceptGrant(pending: PendingRequest, grant: ReceivedGrant): void {
--- a/packages/daemon/src/pools/static_quota_grants.ts
+++ b/packages/daemon/src/pools/static_quota_grants.ts
@@ -12,11 +12,14 @@
   toId,
   type VmId,
 } from "@sassafrasstage/protocol/ids";
+import type { OutstandingReplyMessage } from "@sassafrasstage/protocol/peer_messages";
 import type { Permit, PermitRequest } from "@sassafrasstage/protocol/permits";
 import type { BackendServer } from "@sassafrasstage/protocol/register";
+import { UNSOLICITED_REQUEST_NUMBER } from "./cold_start_notifier.js";
 import { warmShareOf } from "./grant_rights.js";
 import type { HeldPermits } from "./held_permits.js";
 import type { PendingRequest } from "./pending_request.js";
+import type { PermitLink } from "./permit_link.js";
 import type { PoolContext } from "./pool_context.js";
 import { availabilityOf, type PoolEntry } from "./pool_layout.js";
 import type { WarmUpTracker } from "./warm_up_tracker.js";
@@ -27,6 +30,7 @@
 export interface StaticQuotaOptions {
   readonly context: PoolContext;
   readonly held: HeldPermits;
+  readonly link: PermitLink;
   readonly warmUpTracker: WarmUpTracker;
 }
 
@@ -60,6 +64,24 @@
     return nowMs - sinceMs > OWNER_SILENCE_INTERVALS * intervalMs;
   }
 
+  /**
+   * Tells an owner which permits were granted without it. An owner that was
+   * silent for less than its lease still grants, and asks nobody.
+   */
+  reportTo(owner: VmId, nowMs: number): void {
+    const { context, held } = this.#options;
+    for (const pool of held.staticQuotaPools()) {
+      if (context.ownerOf(pool) !== owner) continue;
+      this.#report(owner, { pool, permits: held.outstanding(pool, nowMs) });
+    }
+  }
+
+  /** Tells the silent owner of the permit; it reads this when it resumes. */
+  reportGrant(owner: VmId, permit: Permit, remainingMs: number): void {
+    const permits = [{ permit, remainingMs }];
+    this.#report(owner, { pool: permit.pool, permits });
+  }
+
   grant(permitRequest: PermitRequest, nowMs: number): Permit | undefined {
     const { context } = this.#options;
     if (permitRequest.pool.dataCentre !== context.self.dataCentre) {
@@ -86,6 +108,18 @@
     };
   }
 
+  #report(
+    owner: VmId,
+    report: Pick<OutstandingReplyMessage, "pool" | "permits">,
+  ): void {
+    this.#options.link.send(owner, {
+      type: "outstandingReply",
+      requestNumber: UNSOLICITED_REQUEST_NUMBER,
+      observations: [],
+      ...report,
+    });
+  }
+
   #mayGrantAt(entry: PoolEntry, server: BackendServer, nowMs: number): boolean {
     const { context, held, warmUpTracker } = this.#options;
     const layout = context.layout();
