--- a/packages/daemon/src/pools/owned_pool_test.ts
+++ b/packages/daemon/src/pools/owned_pool_test.ts
@@ -1,5 +1,6 @@
 import {
   type AttemptId,
+  type BackendServerId,
   type PermitId,
   poolKey,
   toId,
@@ -25,6 +26,9 @@
 const CLIENT_VM = makeVmId("vm-1");
 const COLD_LIMIT = 2;
 const SERVERS = 3;
+const OTHER_SERVERS = ["palermo-2", "palermo-3"].map((id) =>
+  toId<BackendServerId>(id)
+);
 
 /** An owned pool that records its decisions. */
 class TestBench {
@@ -34,12 +38,12 @@
   rights: GrantRights = { mayGrantCold: true, warm: { kind: "full" } };
   #permitNumber = 0;
 
-  constructor() {
+  constructor(options: { readonly warmAfterCompletions?: number } = {}) {
     const layout = buildPoolLayout(makeConfiguration({
       servers: { palermo: SERVERS },
       warmLimit: 4,
       coldLimit: COLD_LIMIT,
-      warmAfterCompletions: 3,
+      warmAfterCompletions: options.warmAfterCompletions ?? 3,
     }));
     const entry = layout.pools.get(poolKey(makePermitRequest().pool));
     if (entry === undefined) throw new Error("No such pool in the layout");
@@ -237,6 +241,22 @@
     expect(after?.limit).toEqual(COLD_LIMIT);
   });
 
+  it("doesn't clear a suspected server while no usual latency is known", () => {
+    const bench = new TestBench({ warmAfterCompletions: 8 });
+    function completeCalls(count: number, nowMs: number): void {
+      for (let call = 0; call < count; call += 1) {
+        const granted = bench.submit({ excluded: OTHER_SERVERS }, nowMs);
+        bench.release(granted, "completed", nowMs);
+      }
+    }
+    completeCalls(8 + COLD_LIMIT, 100);
+    const server = toId<BackendServerId>("palermo-1");
+    bench.pool.recordColdStart(server, { seenAtMs: 200, nowMs: 200 });
+    completeCalls(7, 300);
+    const [after] = bench.pool.statuses();
+    expect(after?.limit).toEqual(COLD_LIMIT);
+  });
+
   it("keeps counting a call at a cold server that outlasts its permit", () => {
     const bench = new TestBench();
     const granted = bench.submit({ deadlineInMs: 1000 }, 0);
