Don't clear a suspected server while no usual latency is known

A suspicion ends after five completions of usual latency, and any latency was graded usual by a daemon with fewer than ten samples, such as one that has just been restarted. Such latencies are now of unknown grade and clear nothing; the register's number of completions does. Found in reading, not in a trace. A certain cold start ends after the register's number as before: twice as many at each start would slow down every warm-up.

--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -301,7 +301,7 @@
     ? undefined
     : state.usualCompletionsLeft - (hasUsualLatency ? 1 : 0);
   const isWarmedUp = hasWarmedUp(completions, {
-    hasUsualLatency,
+    isSlow: !hasUsualLatency && report.grade !== "unknown",
     needed: context.service.warmAfterCompletions,
   });
   if (!isWarmedUp && usualCompletionsLeft !== 0) {
@@ -316,15 +316,15 @@
 
 /**
  * The server may have turned cold again during its warm-up, and then needs as
- * many completions once more. Either its latency shows that it hasn't, or both
- * warm-ups have been completed.
+ * many completions once more. If its latency may show that, both warm-ups must
+ * have been completed.
  */
 function hasWarmedUp(
   completions: number,
-  warmUp: { readonly hasUsualLatency: boolean; readonly needed: number },
+  warmUp: { readonly isSlow: boolean; readonly needed: number },
 ): boolean {
-  const { hasUsualLatency, needed } = warmUp;
-  return completions >= (hasUsualLatency ? needed : 2 * needed);
+  const { isSlow, needed } = warmUp;
+  return completions >= (isSlow ? 2 * needed : needed);
 }
 
 function warmingOrWarmState(
--- a/packages/daemon/src/pools/latency_baseline.ts
+++ b/packages/daemon/src/pools/latency_baseline.ts
@@ -28,8 +28,16 @@
   readonly samples: number;
 }
 
-/** How a latency compares with the baseline, in rising order. */
-export type LatencyGrade = "usual" | "raised" | "high" | "coldStart";
+/**
+ * How a latency compares with the baseline, in rising order; unknown with too
+ * few samples.
+ */
+export type LatencyGrade =
+  | "unknown"
+  | "usual"
+  | "raised"
+  | "high"
+  | "coldStart";
 
 /**
  * The latency that indicates whether the server was cold: the time to the first
@@ -53,8 +61,7 @@
 }
 
 /**
- * Compares a latency with the baseline. With too few samples every latency is
- * graded `usual`.
+ * Compares a latency with the baseline.
  *
  * @example
  * ```ts
@@ -69,7 +76,9 @@
   baseline: LatencyBaseline | undefined,
   otherServersMs = 0,
 ): LatencyGrade {
-  if (baseline === undefined || baseline.samples < MIN_SAMPLES) return "usual";
+  if (baseline === undefined || baseline.samples < MIN_SAMPLES) {
+    return "unknown";
+  }
   const { deviationMs } = baseline;
   const meanMs = Math.max(baseline.meanMs, otherServersMs);
   const coldStartThresholdMs = Math.max(
--- a/packages/daemon/src/pools/record_call_result.ts
+++ b/packages/daemon/src/pools/record_call_result.ts
@@ -29,7 +29,7 @@
   const { service } = servers;
   const { backendServerId, warmUpState } = granted.permit;
   const sampleMs = latencySample(service, release);
-  const grade = sampleMs === undefined ? "usual" : gradeLatency(
+  const grade = sampleMs === undefined ? "unknown" : gradeLatency(
     sampleMs,
     baselines.get(service.name),
     servers.meanLatencyOfOthers(backendServerId),
