Class each overload of a cold server in its trace

By the promise alone: allowed if no caller had been sent a sign that could be acted on since the server turned cold without warning, a fault after a refusal or at a server that was cold anyway. Overloads after nothing but slower answers are named apart. The check itself is as before and counts all three.

--- a/packages/stand-ins/src/backend_servers/backend_server_core.ts
+++ b/packages/stand-ins/src/backend_servers/backend_server_core.ts
@@ -81,6 +81,8 @@
 /** An overload during cold start, with the calls in flight at that time. */
 export interface ColdOverload {
   readonly atMs: number;
+  /** The call that was above the limit. */
+  readonly requestId: string;
   readonly isSuddenlyCold: boolean;
   /** The first sign of the unannounced cold start visible to a caller. */
   readonly firstSign?: ColdStartSign;
@@ -202,15 +204,16 @@
         answerUnavailable(response, "cold");
         return undefined;
       case "overload":
-        this.#recordEvent("overloaded", requestId);
         answerUnavailable(response, "overloaded while cold");
         this.#overloads.push({
           atMs: Date.now(),
+          requestId,
           isSuddenlyCold,
           ...(firstSign === undefined ? {} : { firstSign }),
           inFlight: [...this.#calls].map((call) => ({ ...call.entry })),
           events: this.#events.since(Date.now() - OVERLOAD_TRACE_MS),
         });
+        this.#recordEvent("overloaded", requestId);
         for (const call of this.#calls) interrupt(call, "overload");
         return undefined;
     }
--- a/tests/src/random_faults/overload_trace.ts
+++ b/tests/src/random_faults/overload_trace.ts
@@ -6,6 +6,7 @@
  */
 
 import type { ColdOverload } from "@sassafrasstage/stand-ins/backend_servers/backend_server_core";
+import { classifyOverload } from "./overload_class.js";
 import type { ServerRecord } from "../support/find_violations.js";
 
 /** The log of one daemon. */
@@ -61,7 +62,8 @@
   const inFlight = overload.inFlight.map((entry) => entry.requestId).join(", ");
   return [
     `trace of ${record.id}, overloaded at ${new Date(atMs).toISOString()}`,
-    `in flight: ${inFlight}`,
+    `class=${classifyOverload(overload.events, atMs)}`,
+    `call above the limit: ${overload.requestId}, in flight: ${inFlight}`,
     ...lines,
   ].join("\n");
 }
