--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -1,3 +1,4 @@
+import { toId } from "@sassafrasstage/protocol/ids";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { electOwner } from "./owner_election.js";
@@ -9,6 +10,7 @@
 import {
   makeConfiguration,
   makePool,
+  makeVmId,
   type TestLayout,
 } from "./testing/test_configuration.js";
 
@@ -16,6 +18,12 @@
 /** Covers a lease, the voters' wait after start-up and the longest permit. */
 const SETTLE_MS = 4000;
 const LOAD = { everyMs: 20 };
+/** The state of a palermo server by where it was observed to be warm. */
+const ADOPTED_STATES = [
+  ["palermo", "warming"],
+  ["catania", "unknown"],
+] as const;
+const VM_PAIRS = [["vm-1", "vm-2"], ["vm-2", "vm-1"]] as const;
 /** Owners count as silent, but keep their leases. */
 const SILENCE_MS = 800;
 /** Longer than the silence of an owner. */
@@ -233,6 +241,31 @@
     await expectAllAnswered(fixture);
   });
 
+  for (const [dataCentre, state] of ADOPTED_STATES) {
+    it(`takes a server observed to be warm in ${dataCentre} for ${state}`, async () => {
+      const cluster = new InMemoryCluster({
+        vms: { "vm-1": "palermo", "vm-2": dataCentre },
+        configuration: makeConfiguration({ servers: { palermo: 1 } }),
+      });
+      for (const [from, to] of VM_PAIRS) {
+        cluster.send(cluster.node(from), makeVmId(to), {
+          type: "outstandingReply",
+          pool: makePool("palermo"),
+          requestNumber: 0,
+          permits: [],
+          observations: [{
+            backendServerId: toId("palermo-1"),
+            warmUpState: "warm",
+            ageMs: 10,
+          }],
+        });
+      }
+      await cluster.advance(100);
+      const [pool] = ownerOf(cluster).permits.statuses(cluster.nowMs);
+      expect(pool?.backendServers[0]?.state).toEqual(state);
+    });
+  }
+
   it("counts what others granted themselves while it was silent", async () => {
     const { cluster } = await makeFixture({ warmAfterCompletions: 20 });
     const warmUp = new ClusterLoad(cluster);
