Adopt warm observations of the pool's own data centre only

Cold signs are told to the members of the pool's data centre. A member of another one keeps what it saw before, and gave it to each new owner that asked.

Such observations no longer reach the owner's records; cold ones still do. A data centre whose VMs have all lost their memory warms its servers up anew.

--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -130,11 +130,17 @@
     reply: OutstandingReplyMessage,
     nowMs: number,
   ): void {
+    const { context, logger } = this.#options;
     const ownership = this.#ownerships.get(poolKey(reply.pool));
-    logOutstandingReply(this.#options.logger, from, reply);
+    const isToldOfColdStarts = context.members.some((member) =>
+      member.vmId === from && member.dataCentre === reply.pool.dataCentre
+    );
+    logOutstandingReply(logger, from, reply);
     for (const observation of reply.observations) {
       const seenAtMs = nowMs - observation.ageMs;
       const { backendServerId, warmUpState } = observation;
+      // A warm one may be outdated if its observer isn't told of cold starts.
+      if (warmUpState === "warm" && !isToldOfColdStarts) continue;
       this.#options.warmUpTracker.recordIfNewer(backendServerId, {
         warmUpState,
         seenAtMs,
