--- a/packages/daemon/src/pools/backend_server_state.ts
+++ b/packages/daemon/src/pools/backend_server_state.ts
@@ -103,21 +103,21 @@
 
 /**
  * The health of a server that another daemon observed to be warm. Its limit
- * starts low and rises with each completion that shows no cold start.
+ * starts low and rises with each completion that shows no cold start. The state
+ * counts from the observation, so that any newer sign of a cold start ends it.
  *
  * @example
  * ```ts
- * observedWarmHealth(outstanding, { service, nowMs });
+ * observedWarmHealth({ inFlight, seenAtMs }, { service, nowMs });
  * ```
  */
 export function observedWarmHealth(
-  inFlight: number,
+  observed: { readonly inFlight: number; readonly seenAtMs: number },
   context: ReportContext,
 ): ServerHealth {
-  const { service, nowMs } = context;
-  const limit = Math.max(service.coldLimit, inFlight);
+  const limit = Math.max(context.service.coldLimit, observed.inFlight);
   return {
-    state: warmingOrWarmState(limit, context, nowMs),
+    state: warmingOrWarmState(limit, context, observed.seenAtMs),
     failures: 0,
   };
 }
@@ -300,9 +300,11 @@
   const usualCompletionsLeft = state.usualCompletionsLeft === undefined
     ? undefined
     : state.usualCompletionsLeft - (hasUsualLatency ? 1 : 0);
-  const hasEnoughCompletions =
-    completions >= context.service.warmAfterCompletions;
-  if (!hasEnoughCompletions && usualCompletionsLeft !== 0) {
+  const isWarmedUp = hasWarmedUp(completions, {
+    isSlow: !hasUsualLatency && report.grade !== "unknown",
+    needed: context.service.warmAfterCompletions,
+  });
+  if (!isWarmedUp && usualCompletionsLeft !== 0) {
     return { ...state, completions, usualCompletionsLeft };
   }
   return warmingOrWarmState(
@@ -312,6 +314,19 @@
   );
 }
 
+/**
+ * The server may have turned cold again during its warm-up, and then needs as
+ * many completions once more. If its latency may show that, both warm-ups must
+ * have been completed.
+ */
+function hasWarmedUp(
+  completions: number,
+  warmUp: { readonly isSlow: boolean; readonly needed: number },
+): boolean {
+  const { isSlow, needed } = warmUp;
+  return completions >= (isSlow ? 2 * needed : needed);
+}
+
 function warmingOrWarmState(
   limit: number,
   context: ReportContext,
@@ -382,8 +397,9 @@
   context: ReportContext,
 ): ServerHealth {
   const { state } = health;
-  // Calls granted before a change of state fail for the cause of that change.
-  if (report.grantedAtMs < state.sinceMs) return health;
+  if (report.grantedAtMs < state.sinceMs) {
+    return healthAfterEarlierFailure(health, report, context);
+  }
   const weight = report.outcome === "timedOut" ? TIMEOUT_FAILURE_WEIGHT : 1;
   const failures = health.failures + weight;
   if (state.kind === "down" || failures >= BREAKER_FAILURE_THRESHOLD) {
@@ -396,6 +412,27 @@
   };
 }
 
+/**
+ * Calls granted before a change of state fail for the cause of that change, and
+ * aren't counted. A refusal still makes the cold start certain: what made the
+ * change may have been a mere suspicion.
+ */
+function healthAfterEarlierFailure(
+  health: ServerHealth,
+  report: CallReport,
+  context: ReportContext,
+): ServerHealth {
+  if (!isDefiniteColdStart(report) || health.state.kind === "down") {
+    return health;
+  }
+  return { ...health, state: coldState(context.nowMs) };
+}
+
+function isDefiniteColdStart(report: CallReport): boolean {
+  return report.outcome === "connectFailed" ||
+    report.outcome === "refusedByServer";
+}
+
 function downState(state: ServerState, nowMs: number): ServerState {
   const backoffMs = state.kind === "down"
     ? Math.min(MAX_BACKOFF_MS, 2 * state.backoffMs)
@@ -414,9 +451,7 @@
   context: ReportContext,
 ): ServerState {
   const { nowMs } = context;
-  const isDefiniteColdStart = report.outcome === "connectFailed" ||
-    report.outcome === "refusedByServer";
-  if (isDefiniteColdStart || isCold(state)) return coldState(nowMs);
+  if (isDefiniteColdStart(report) || isCold(state)) return coldState(nowMs);
   if (report.outcome === "timedOut") return withDecreasedLimit(state, context);
   return suspectedColdState(nowMs);
 }
--- a/packages/daemon/src/pools/backend_server_state_test.ts
+++ b/packages/daemon/src/pools/backend_server_state_test.ts
@@ -9,6 +9,7 @@
   limitOf,
   observedWarmHealth,
   type ServerHealth,
+  suspectedColdState,
   unknownHealth,
 } from "./backend_server_state.js";
 import type { LatencyGrade } from "./latency_baseline.js";
@@ -95,6 +96,53 @@
     });
   }
 
+  it("takes a refusal for certain although a suspicion came first", () => {
+    const granted = { ...COMPLETED, grantedAtMs: 300 };
+    const suspected = { ...warmHealth(), state: suspectedColdState(200) };
+    const refused = apply(
+      suspected,
+      { outcome: "refusedByServer", grantedAtMs: 150 },
+      201,
+    );
+    expect(limit(repeat(refused, granted, WARM_AFTER_COMPLETIONS - 1)))
+      .toEqual(COLD_LIMIT);
+    expect(limit(repeat(refused, granted, WARM_AFTER_COMPLETIONS)))
+      .toEqual(COLD_LIMIT + 1);
+  });
+
+  it("takes a refusal for certain although the call was granted while cold", () => {
+    const warming = repeat(
+      unknownHealth(0),
+      COMPLETED,
+      WARM_AFTER_COMPLETIONS,
+    );
+    expect(warming.state.kind).toEqual("warming");
+    const refused = apply(
+      warming,
+      { outcome: "refusedByServer", grantedAtMs: 50 },
+      200,
+    );
+    expect(limit(refused)).toEqual(COLD_LIMIT);
+  });
+
+  it("keeps the cold limit if the server turned cold again while warming up", () => {
+    // It needs as many completions again, however many came before.
+    const slow: Step = { outcome: "completed", grade: "raised" };
+    const enough = repeat(
+      unknownHealth(0),
+      slow,
+      2 * WARM_AFTER_COMPLETIONS - 1,
+    );
+    expect(limit(enough)).toEqual(COLD_LIMIT);
+    expect(limit(apply(enough, slow, 100))).toEqual(COLD_LIMIT + 1);
+  });
+
+  it("ends a warm-up with the first completion of usual latency", () => {
+    const slow: Step = { outcome: "completed", grade: "raised" };
+    const enough = repeat(unknownHealth(0), slow, WARM_AFTER_COMPLETIONS);
+    expect(limit(apply(enough, COMPLETED, 100))).toEqual(COLD_LIMIT + 1);
+  });
+
   it("suspects a cold start at the first slow completion", () => {
     const slow: Step = { outcome: "completed", grade: "coldStart" };
     const raised: Step = { outcome: "completed", grade: "raised" };
@@ -167,7 +215,10 @@
 
 describe("observedWarmHealth", () => {
   it("starts at the number of calls in flight and rises with completions", () => {
-    const health = observedWarmHealth(4, { service, nowMs: 0 });
+    const health = observedWarmHealth({ inFlight: 4, seenAtMs: 0 }, {
+      service,
+      nowMs: 0,
+    });
     expect(limit(health)).toEqual(4);
     expect(limit(apply(health, COMPLETED, 100))).toEqual(5);
   });
--- a/packages/daemon/src/pools/owner_role.ts
+++ b/packages/daemon/src/pools/owner_role.ts
@@ -33,7 +33,9 @@
 import type { PermitLink } from "./permit_link.js";
 import type { PoolContext } from "./pool_context.js";
 import type { PoolEntry, PoolLayout, VmAvailability } from "./pool_layout.js";
+import { logDecision, logOutstandingReply } from "./permit_log.js";
 import { refusal } from "./refusal.js";
+import { toLogFields } from "./state_change.js";
 import type { WarmUpTracker } from "./warm_up_tracker.js";
 
 const DEFAULT_SHARE = 1;
@@ -128,10 +130,17 @@
     reply: OutstandingReplyMessage,
     nowMs: number,
   ): void {
+    const { context, logger } = this.#options;
     const ownership = this.#ownerships.get(poolKey(reply.pool));
+    const isToldOfColdStarts = context.members.some((member) =>
+      member.vmId === from && member.dataCentre === reply.pool.dataCentre
+    );
+    logOutstandingReply(logger, from, reply);
     for (const observation of reply.observations) {
       const seenAtMs = nowMs - observation.ageMs;
       const { backendServerId, warmUpState } = observation;
+      // A warm one may be outdated if its observer isn't told of cold starts.
+      if (warmUpState === "warm" && !isToldOfColdStarts) continue;
       this.#options.warmUpTracker.recordIfNewer(backendServerId, {
         warmUpState,
         seenAtMs,
@@ -201,6 +210,7 @@
     this.#options.metrics.countEvent("pausedPastLease");
     this.#options.logger.warn("pausedPastLease", { pausedMs });
     this.#options.context.recordPause(nowMs);
+    this.#options.warmUpTracker.recordPause(nowMs);
     this.giveUpAll(nowMs);
   }
 
@@ -270,6 +280,9 @@
           metrics.countEvent("serverCooled");
           this.#options.coldStartNotifier.notify(entry.pool, server, atMs);
         },
+        onStateChanged: (change) => {
+          logger.info("backendServerStateChanged", toLogFields(change));
+        },
         onEvent: (event) => {
           this.#countEvent(event);
         },
@@ -322,6 +335,7 @@
   }
 
   #decide(to: VmId, attemptId: AttemptId, decision: PermitDecision): void {
+    logDecision(this.#options.logger, to, decision);
     this.#options.link.send(to, {
       type: "permitDecision",
       attemptId,
--- a/packages/daemon/src/pools/permit_client.ts
+++ b/packages/daemon/src/pools/permit_client.ts
@@ -17,6 +17,7 @@
   PermitDecision,
   PermitRelease,
 } from "@sassafrasstage/protocol/permits";
+import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { CandidatePools } from "./candidate_pools.js";
 import type { ColdStartNotifier } from "./cold_start_notifier.js";
@@ -33,6 +34,7 @@
 } from "./pending_request.js";
 import type { PendingRequests } from "./pending_requests.js";
 import type { PermitLink } from "./permit_link.js";
+import { logReceivedPermit, logReleasedPermit } from "./permit_log.js";
 import type { PoolContext } from "./pool_context.js";
 import { refusal } from "./refusal.js";
 import type { WarmUpTracker } from "./warm_up_tracker.js";
@@ -54,15 +56,17 @@
   readonly coldStartNotifier: ColdStartNotifier;
   readonly baselines: LatencyBaselines;
   readonly metrics: Metrics;
+  readonly logger: Logger;
 }
 
 interface ReceivedGrant {
   readonly permit: Permit;
   readonly granter: PermitGranter;
+  readonly requestedAtMs: number;
   readonly nowMs: number;
 }
 
-/** Has no timers: messages and ticks drive it. Every call takes the current time. */
+/** Driven by messages and ticks; every call takes the current time. */
 export class PermitClient {
   readonly #options: PermitClientOptions;
   readonly #outbox: OwnerOutbox;
@@ -107,6 +111,7 @@
       this.#options.metrics.countDrop("unknownPermit");
       return;
     }
+    logReleasedPermit(this.#options.logger, release);
     this.#observer.recordRelease(held, release, nowMs);
     for (const owner of this.#ownersToNotify(held)) {
       const message = {
@@ -149,8 +154,12 @@
       return;
     }
     if (decision.kind === "granted") {
-      const granter = { kind: "owner", vmId: from } as const;
-      this.#acceptGrant(pending, { permit: decision.permit, granter, nowMs });
+      this.#acceptGrant(pending, {
+        permit: decision.permit,
+        granter: { kind: "owner", vmId: from },
+        requestedAtMs: pending.progress.sentAtMs,
+        nowMs,
+      });
       return;
     }
     if (decision.reason === "notReady") {
@@ -191,6 +200,7 @@
 
   handleConnected(vmId: VmId, nowMs: number): void {
     this.#outbox.flush(vmId, nowMs);
+    this.#options.staticQuota.reportTo(vmId, nowMs);
   }
 
   /**
@@ -289,24 +299,29 @@
     this.#acceptGrant(pending, {
       permit,
       granter: { kind: "staticQuota" },
+      requestedAtMs: nowMs,
       nowMs,
     });
+    if (pending.owner === undefined) return;
+    const remainingMs = pending.deadlineAtMs - nowMs;
+    staticQuota.reportGrant(pending.owner, permit, remainingMs);
   }
 
   #acceptGrant(pending: PendingRequest, grant: ReceivedGrant): void {
-    const { permit, granter, nowMs } = grant;
+    const { permit, granter, requestedAtMs, nowMs } = grant;
     this.#options.candidates.recordGrant(permit.pool);
-    this.#options.held.add({
+    const { attemptId } = pending.permitRequest;
+    const held = {
       permit,
       granter,
+      requestedAtMs,
       heldSinceMs: nowMs,
       deadlineAtMs: pending.deadlineAtMs,
-    });
-    const { attemptId } = pending.permitRequest;
-    this.#settle(pending, {
-      kind: "granted",
-      permit: { ...permit, attemptId },
-    });
+    };
+    this.#options.held.add(held);
+    const usedPermit = { ...permit, attemptId };
+    logReceivedPermit(this.#options.logger, { ...held, permit: usedPermit });
+    this.#settle(pending, { kind: "granted", permit: usedPermit });
   }
 
   /** Returns the permit of a grant whose transmission has been canceled. */
--- a/packages/daemon/src/pools/shared_permit_source_test.ts
+++ b/packages/daemon/src/pools/shared_permit_source_test.ts
@@ -1,3 +1,4 @@
+import { toId } from "@sassafrasstage/protocol/ids";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { electOwner } from "./owner_election.js";
@@ -9,6 +10,7 @@
 import {
   makeConfiguration,
   makePool,
+  makeVmId,
   type TestLayout,
 } from "./testing/test_configuration.js";
 
@@ -16,6 +18,16 @@
 /** Covers a lease, the voters' wait after start-up and the longest permit. */
 const SETTLE_MS = 4000;
 const LOAD = { everyMs: 20 };
+/** The state of a palermo server by where it was observed to be warm. */
+const ADOPTED_STATES = [
+  ["palermo", "warming"],
+  ["catania", "unknown"],
+] as const;
+const VM_PAIRS = [["vm-1", "vm-2"], ["vm-2", "vm-1"]] as const;
+/** Owners count as silent, but keep their leases. */
+const SILENCE_MS = 800;
+/** Longer than the silence of an owner. */
+const LONG_CALL_MS = 1000;
 
 interface Fixture {
   readonly cluster: InMemoryCluster;
@@ -218,6 +230,107 @@
     await expectAllAnswered(fixture);
   });
 
+  it("doesn't clear a server that rejected a call before it has warmed up", async () => {
+    const fixture = await makeFixture({ warmAfterCompletions: 20 });
+    const { load } = fixture;
+    await load.run(4000, LOAD);
+    expect(load.server("palermo-1").isCold).toEqual(false);
+    load.server("palermo-1").turnCold();
+    await load.run(3000, { everyMs: 5 });
+    expect(load.server("palermo-1").gracePeriodCalls >= 1).toEqual(true);
+    await expectAllAnswered(fixture);
+  });
+
+  for (const [dataCentre, state] of ADOPTED_STATES) {
+    it(`takes a server observed to be warm in ${dataCentre} for ${state}`, async () => {
+      const cluster = new InMemoryCluster({
+        vms: { "vm-1": "palermo", "vm-2": dataCentre },
+        configuration: makeConfiguration({ servers: { palermo: 1 } }),
+      });
+      for (const [from, to] of VM_PAIRS) {
+        cluster.send(cluster.node(from), makeVmId(to), {
+          type: "outstandingReply",
+          pool: makePool("palermo"),
+          requestNumber: 0,
+          permits: [],
+          observations: [{
+            backendServerId: toId("palermo-1"),
+            warmUpState: "warm",
+            ageMs: 10,
+          }],
+        });
+      }
+      await cluster.advance(100);
+      const [pool] = ownerOf(cluster).permits.statuses(cluster.nowMs);
+      expect(pool?.backendServers[0]?.state).toEqual(state);
+    });
+  }
+
+  it("counts what others granted themselves while it was silent", async () => {
+    const { cluster } = await makeFixture({ warmAfterCompletions: 20 });
+    const warmUp = new ClusterLoad(cluster);
+    await warmUp.run(4000, LOAD);
+    const load = new ClusterLoad(cluster, LONG_CALL_MS);
+    for (const id of ["palermo-1", "palermo-2"]) load.server(id).warmUp();
+    const owner = ownerOf(cluster);
+    owner.isFrozen = true;
+    await load.run(SILENCE_MS, LOAD);
+    const grantedInSilence = load.server("palermo-1").inFlight;
+    expect(grantedInSilence >= 1).toEqual(true);
+    for (const id of ["palermo-1", "palermo-2"]) load.server(id).turnCold();
+    owner.isFrozen = false;
+    await load.run(LONG_CALL_MS, LOAD);
+    expect(ownersOf(cluster)).toEqual([owner]);
+    expect(load.overLimitCalls).toEqual(0);
+  });
+
+  describe("after a pause of the owner", () => {
+    /** The owner resumes; heartbeats reach it before what the others observed. */
+    async function resumeOwner({ cluster, load }: Fixture, owner: ClusterNode) {
+      while (cluster.nowMs % 200 !== 175) await load.run(5, { everyMs: 5 });
+      cluster.loseMessagesTo(owner);
+      owner.isFrozen = false;
+      await cluster.advance(5);
+      for (const other of cluster.nodes) cluster.loseMessagesTo(other);
+      await load.run(60, { everyMs: 5 });
+    }
+
+    function isAnyWarm(owner: ClusterNode, cluster: InMemoryCluster): boolean {
+      return owner.permits.statuses(cluster.nowMs).some((pool) =>
+        pool.backendServers.some(({ state }) =>
+          state === "warming" || state === "warm"
+        )
+      );
+    }
+
+    it("doesn't believe what it observed before", async () => {
+      const fixture = await makeFixture({ warmAfterCompletions: 20 });
+      const { cluster, load } = fixture;
+      await load.run(4000, LOAD);
+      const owner = ownerOf(cluster);
+      owner.isFrozen = true;
+      await load.run(1500, LOAD);
+      for (const id of ["palermo-1", "palermo-2"]) load.server(id).turnCold();
+      await load.run(300, { everyMs: 5 });
+      await resumeOwner(fixture, owner);
+      expect(load.server("palermo-1").isCold).toEqual(true);
+      expect(isAnyWarm(owner, cluster)).toEqual(false);
+    });
+
+    it("believes what the others observed meanwhile", async () => {
+      const fixture = await makeFixture({ warmAfterCompletions: 20 });
+      const { cluster, load } = fixture;
+      await load.run(4000, LOAD);
+      const owner = ownerOf(cluster);
+      owner.isFrozen = true;
+      await load.run(1500, LOAD);
+      await resumeOwner(fixture, owner);
+      await load.run(150, LOAD);
+      expect(isAnyWarm(owner, cluster)).toEqual(true);
+      await expectAllAnswered(fixture);
+    });
+  });
+
   it("grants no permits for servers that are taken out or leaving", async () => {
     const fixture = await makeFixture({ servers: { palermo: 3 } });
     const { cluster, load } = fixture;
--- a/packages/daemon/src/pools/warm_up_tracker.ts
+++ b/packages/daemon/src/pools/warm_up_tracker.ts
@@ -17,6 +17,7 @@
 /** Keeps the most recent record of each backend server. */
 export class WarmUpTracker {
   readonly #records = new Map<BackendServerId, WarmUpRecord>();
+  #resumedAtMs = -Infinity;
 
   get(id: BackendServerId): WarmUpRecord | undefined {
     return this.#records.get(id);
@@ -30,6 +31,25 @@
     return true;
   }
 
+  /** Records the end of this daemon's own call; see `recordPause`. */
+  recordOwnCall(id: BackendServerId, record: WarmUpRecord): void {
+    const isFromBeforePause = record.seenAtMs < this.#resumedAtMs;
+    if (isFromBeforePause && record.warmUpState === "warm") return;
+    this.recordIfNewer(id, record);
+  }
+
+  /**
+   * Must be called after a pause of the process. Its own observations that
+   * servers were warm don't count any more, since others may have seen a cold
+   * start meanwhile without being able to tell it.
+   */
+  recordPause(nowMs: number): void {
+    this.#resumedAtMs = nowMs;
+    for (const [id, record] of this.#records) {
+      if (record.warmUpState === "warm") this.#records.delete(id);
+    }
+  }
+
   observations(
     ids: Iterable<BackendServerId>,
     nowMs: number,
@@ -51,7 +71,8 @@
 export interface EndedCall {
   readonly permit: Permit;
   readonly release: PermitRelease;
-  readonly grantedAtMs: number;
+  /** The call was granted at this time or later. */
+  readonly grantedSinceMs: number;
   readonly nowMs: number;
 }
 
@@ -61,7 +82,7 @@
  *
  * @example
  * ```ts
- * const record = warmUpRecordOf({ permit, release, grantedAtMs, nowMs });
+ * const record = warmUpRecordOf({ permit, release, grantedSinceMs, nowMs });
  * ```
  */
 export function warmUpRecordOf(call: EndedCall): WarmUpRecord | undefined {
@@ -69,7 +90,7 @@
     case "completed":
       return {
         warmUpState: call.permit.warmUpState,
-        seenAtMs: call.grantedAtMs,
+        seenAtMs: call.grantedSinceMs,
       };
     case "connectFailed":
     case "refusedByServer":
