--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -1,36 +1,25 @@
-import {
-  type AttemptId,
-  type DataCentreName,
-  type ServiceName,
-  toId,
-} from "@sassafrasstage/protocol/ids";
 import { expect } from "earl";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { MONOTONIC_CLOCK } from "../clock.js";
-import { LatencyRecords } from "../observability/latency_records.js";
-import { createLogger } from "../observability/logger.js";
-import { Metrics } from "../observability/metrics.js";
-import { ServerDirectory } from "../placement/server_directory.js";
-import { makeRateLimits } from "../rate_limits/testing/make_rate_limits.js";
-import { ServerRegister } from "../register/server_register.js";
 import type { Repeatability } from "../routing/routing_configuration.js";
-import { ENCODER, makeReport } from "../testing/stage_samples.js";
-import { LinkedVm } from "../stage_graphs/testing/linked_vms.js";
-import { StreamVersions } from "../stream_versions/stream_versions.js";
+import { ENCODER } from "../testing/stage_samples.js";
 import type { ForwardContext } from "./forward_context.js";
 import { forwardBuffered } from "./forward_buffered.js";
 import { forwardStream } from "./forward_stream.js";
 import { RequestLifetime } from "./request_lifetime.js";
-import { RouteStatistics } from "./route_statistics.js";
 import type {
   ResponseHead,
   ServerCall,
   ServerCallListener,
 } from "./server_caller.js";
-import { makePoisonParts } from "./testing/make_poison_parts.js";
+import {
+  makeForwardEnvironment,
+  makeRoutedRequest,
+  makeSampleRoute,
+  RecordingChannel,
+} from "./testing/sample_forwarding.js";
 
 const OBJECTIVE_MS = 100;
 /** Before the hedge of a request with this objective. */
@@ -89,93 +78,32 @@
 } {
   const calls: ServerCall[] = [];
   const listeners: ServerCallListener[] = [];
-  const clock = MONOTONIC_CLOCK;
-  const rateLimits = makeRateLimits();
-  const register = new ServerRegister(() => undefined);
-  for (const id of ["a", "b"]) register.apply(makeReport(id), 0);
-  const limits = { retries: { windowMs: 10_000, ratio: 1, slack: 10 } };
+  const environment = makeForwardEnvironment({
+    serverCaller: {
+      start: (call, listener) => {
+        calls.push(call);
+        listeners.push(listener);
+        return { cancel: () => undefined, cancelIfNotSent: () => false };
+      },
+    },
+  });
+  const { clock } = environment;
+  const route = makeSampleRoute("lookup", repeatability, {
+    objectiveMs: OBJECTIVE_MS,
+  });
   const lifetime = new RequestLifetime({
-    endsAtMs: clock.nowMs() + 5000,
+    endsAtMs: clock.nowMs() + route.timeoutMs,
     clock,
   });
   server.once("end", () => {
     lifetime.endForClientDisconnect();
   });
   const context: ForwardContext = {
-    environment: {
-      directory: new ServerDirectory({
-        clock,
-        rateLimits,
-        register,
-        limits: () => ({ ...limits, coldOverage: 1, coldSlack: 0 }),
-        findService: () => undefined,
-        vmCount: () => 1,
-      }),
-      serverCaller: {
-        start: (call, listener) => {
-          calls.push(call);
-          listeners.push(listener);
-          return { cancel: () => undefined, cancelIfNotSent: () => false };
-        },
-      },
-      // Not used by a route without stages.
-      graphs: undefined as never,
-      rateLimits,
-      streamVersions: new StreamVersions({
-        network: new LinkedVm("vm-1"),
-        register,
-        clock,
-        metrics: new Metrics(),
-        logger: createLogger("error", {}),
-      }),
-      poisonParts: makePoisonParts(),
-      routeStatistics: new RouteStatistics(),
-      dataCentre: toId<DataCentreName>("east"),
-      clock,
-      metrics: new Metrics(),
-      latencies: new LatencyRecords(),
-      logger: createLogger("error", {}),
-    },
-    request: {
-      attemptId: toId<AttemptId>("attempt-1"),
-      host: "api.example",
-      method: "GET",
-      path: "/lookup/1",
-      headers: [],
-      body: Buffer.alloc(0),
-      key: undefined,
-      deadlineInMs: 5000,
-      prompt: undefined,
-      resumeAfter: undefined,
-      resumedAttemptId: undefined,
-      stageItems: undefined,
-      inputKey: undefined,
-      receivedAtMs: clock.nowMs(),
-    },
-    channel: {
-      isClosed: false,
-      backlogBytes: 0,
-      onClosed: () => undefined,
-      writeHead: () => undefined,
-      write: () => undefined,
-      end: () => undefined,
-      abort: () => undefined,
-      sendLocalReply: () => undefined,
-    },
-    route: {
-      name: "lookup",
-      host: "api.example",
-      pathPrefix: "/lookup/",
-      repeatability,
-      targets: [{ service: ENCODER, weight: 1 }],
-      maxAttempts: 2,
-      timeoutMs: 5000,
-      objectiveMs: OBJECTIVE_MS,
-      priority: 0,
-      isPublic: true,
-      stages: [],
-    },
-    service: toId<ServiceName>(ENCODER),
+    environment,
+    request: makeRoutedRequest("/lookup/1"),
+    channel: new RecordingChannel(),
+    route,
+    service: ENCODER,
     account: undefined,
     lifetime,
     stageGroup: "",
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -111,16 +111,17 @@
   }
 }
 
-/** Two backend servers are registered for the sample routes' service. */
+/** The backend servers are registered for the sample routes' service. */
 export function makeForwardEnvironment(
   overrides: Partial<ForwardEnvironment> = {},
+  serverIds: readonly string[] = ["a", "b"],
 ): ForwardEnvironment {
   const clock = MONOTONIC_CLOCK;
   const metrics = new Metrics();
   const logger = new RecordingLogger();
   const rateLimits = makeRateLimits();
   const register = new ServerRegister(() => undefined);
-  for (const id of ["a", "b"]) register.apply(makeReport(id), 0);
+  for (const id of serverIds) register.apply(makeReport(id), 0);
   return {
     directory: new ServerDirectory({
       clock,
@@ -159,6 +160,7 @@
 export function makeSampleRoute(
   name: string,
   repeatability: Repeatability,
+  overrides: Partial<Route> = {},
 ): Route {
   return {
     name,
@@ -172,6 +174,7 @@
     priority: 0,
     isPublic: true,
     stages: [],
+    ...overrides,
   };
 }
 
@@ -190,7 +193,10 @@
   });
 }
 
-export function makeRoutedRequest(path: string): RoutedRequest {
+export function makeRoutedRequest(
+  path: string,
+  overrides: Partial<RoutedRequest> = {},
+): RoutedRequest {
   return {
     attemptId: toId<AttemptId>("attempt-1"),
     host: "api.example",
@@ -206,5 +212,6 @@
     stageItems: undefined,
     inputKey: undefined,
     receivedAtMs: MONOTONIC_CLOCK.nowMs(),
+    ...overrides,
   };
 }
