Log what a VM knows of the configuration's age, and what it ignores as older

The logs couldn't tell its hypotheses apart: dropped listings and copies left no line, refusals for an unknown route or key named no version, and nothing told for how long the platform had been silent. No decision changes.

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -67,6 +67,7 @@
   readonly #dataCentresOut: ObjectMirror;
   readonly #watches: ObjectWatch[];
   readonly #serversWatch: ObjectWatch;
+  readonly #configurationWatch: ObjectWatch;
   readonly #sharing: ObjectSharing;
   readonly #pendingRemovals = new Map<BackendServerId, NodeJS.Timeout>();
   #hasListedServers = false;
@@ -111,9 +112,10 @@
     this.#serversWatch = this.#startWatch(servers, WATCH_WAIT_MS, () => {
       this.#hasListedServers = true;
     });
+    this.#configurationWatch = this.#startWatch(configuration, WATCH_WAIT_MS);
     this.#watches = [
       this.#serversWatch,
-      this.#startWatch(configuration, WATCH_WAIT_MS),
+      this.#configurationWatch,
       this.#startWatch(this.#dataCentresOut, WATCH_WAIT_MS),
       this.#startWatch(this.#entryVms, RARE_CHANGES_WAIT_MS, () => {
         void this.#join();
@@ -138,6 +140,11 @@
     return this.#table;
   }
 
+  /** Time since the platform last answered a call for the configuration. */
+  configurationAgeMs(nowMs: number): number {
+    return nowMs - this.#configurationWatch.lastResponseAtMs;
+  }
+
   /** Whether requests can be checked and assigned to backend servers. */
   get isReady(): boolean {
     return this.#table !== undefined &&
--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -53,11 +53,13 @@
     return this.#objects.values();
   }
 
-  applyListing(listing: ObjectListing): void {
-    if (listing.revision < (this.#revision ?? 0)) return;
+  /** Returns false if the listing is older than what is known. */
+  applyListing(listing: ObjectListing): boolean {
+    if (listing.revision < (this.#revision ?? 0)) return false;
     this.#replaceAll(listing.objects);
     this.#revision = listing.revision;
     this.#advanceComplete(listing.revision);
+    return true;
   }
 
   applyEvents(answer: WatchResponse): void {
--- a/packages/daemon/src/deployment/share_objects.ts
+++ b/packages/daemon/src/deployment/share_objects.ts
@@ -61,7 +61,18 @@
   #apply(from: string, copy: Parameters<ObjectMirror["applyCopy"]>[0]): void {
     const mirror = this.#options.mirrors
       .find((candidate) => candidate.prefix === copy.prefix);
-    if (mirror?.applyCopy(copy) !== true) return;
+    if (mirror === undefined) return;
+    const known = mirror.completeRevision;
+    if (!mirror.applyCopy(copy)) {
+      this.#options.metrics.countEvent("objectsFromPeerIgnored");
+      this.#options.logger.info("objectsFromPeerIgnored", {
+        peer: from,
+        objects: copy.prefix,
+        revision: copy.revision,
+        known,
+      });
+      return;
+    }
     this.#options.metrics.countEvent("objectsFromPeer");
     this.#options.logger.info("objectsFromPeer", {
       peer: from,
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -50,6 +50,11 @@
     this.#finished = this.#run();
   }
 
+  /** When the platform last answered. */
+  get lastResponseAtMs(): number {
+    return this.#lastResponseAtMs;
+  }
+
   /** When the platform last recovered; the current time while calls fail. */
   get recoveredAtMs(): number {
     return this.#failures > 0
@@ -80,13 +85,13 @@
   }
 
   async #step(): Promise<void> {
-    const { store, mirror, metrics, waitMs, onListed } = this.#options;
+    const { store, mirror, metrics, logger, waitMs, onListed } = this.#options;
     const { revision } = mirror;
     if (this.#needsListing || revision === undefined) {
       const listing = await store.list(mirror.prefix);
       this.#needsListing = false;
       this.#recordSuccess();
-      mirror.applyListing(listing);
+      if (!mirror.applyListing(listing)) this.#recordIgnored(listing.revision);
       onListed?.();
       return;
     }
@@ -100,9 +105,20 @@
       return;
     }
     metrics.countEvent("watchTooOld");
+    logger.info("watchTooOld", { objects: mirror.prefix, revision });
     this.#needsListing = true;
   }
 
+  #recordIgnored(revision: number): void {
+    const { metrics, logger, mirror } = this.#options;
+    metrics.countEvent("listingIgnored");
+    logger.warn("listingIgnored", {
+      objects: mirror.prefix,
+      revision,
+      known: mirror.revision,
+    });
+  }
+
   #recordSuccess(): void {
     const { clock, logger, mirror } = this.#options;
     this.#lastResponseAtMs = clock.nowMs();
@@ -116,7 +132,7 @@
   }
 
   #recordFailure(error: unknown): void {
-    const { metrics, logger, mirror } = this.#options;
+    const { clock, metrics, logger, mirror } = this.#options;
     this.#failures += 1;
     this.#needsListing = true;
     metrics.countEvent("platformCallFailed");
@@ -124,6 +140,7 @@
     logger.warn("platformLost", {
       objects: mirror.prefix,
       error: String(error),
+      silentMs: Math.round(clock.nowMs() - this.#lastResponseAtMs),
     });
   }
 
--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -31,6 +31,8 @@
   readonly environment: ForwardEnvironment;
   /** The active routes; undefined before the first configuration. */
   readonly table: () => RouteTable | undefined;
+  /** Time since the active routes were last known to be current. */
+  readonly configurationAgeMs: (nowMs: number) => number;
   /** Undefined unless this process is shutting down. */
   readonly shutdown: () => Shutdown | undefined;
 }
@@ -100,6 +102,7 @@
   ): void {
     guard.channel.sendLocalReply(reply);
     guard.enter("recording");
+    this.#logRefusal(request, reply);
     this.#recordOutcome(request, {
       kind: "own",
       answer: reply.kind === "refused" ? reply.reason : reply.kind,
@@ -107,6 +110,18 @@
     });
   }
 
+  /** What the refusal rests on. */
+  #logRefusal(request: RoutedRequest, reply: LocalReply): void {
+    const { configurationAgeMs, environment, table } = this.#options;
+    const { clock, logger } = environment;
+    logger.info("requestNotAdmitted", {
+      request: request.attemptId,
+      reason: reply.kind === "refused" ? reply.reason : reply.kind,
+      version: table()?.configuration.version,
+      versionAgeMs: Math.round(configurationAgeMs(clock.nowMs())),
+    });
+  }
+
   #admit(
     request: RoutedRequest,
     { channel, environment }: AnswerGuard,
--- a/packages/daemon/src/forwarding/request_forwarder_test.ts
+++ b/packages/daemon/src/forwarding/request_forwarder_test.ts
@@ -89,6 +89,7 @@
   const forwarder = new RequestForwarder({
     environment,
     table: () => ROUTES,
+    configurationAgeMs: () => 0,
     shutdown: () => undefined,
   });
   const finished = forwarder.forward(makeRoutedRequest(path), channel);
@@ -146,6 +147,7 @@
       table: () => {
         throw new Error("No table");
       },
+      configurationAgeMs: () => 0,
       shutdown: () => undefined,
     });
     await forwarder.forward(makeRoutedRequest("/lookup/1"), channel);
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -165,6 +165,7 @@
         logger,
       },
       table: () => this.#deployment.table,
+      configurationAgeMs: (nowMs) => this.#deployment.configurationAgeMs(nowMs),
       shutdown: () => this.#shutdown,
     });
     this.#eventLoop = new EventLoopMonitor({ clock, metrics, logger });
