Put removals off only after an outage of the platform, not after a cut watch

Entries that lapse while the store is away come back within 2 s of its return, so removals are put off until 2 s after a failed call. A watch that the store merely cuts off counted as such a failure: a removal at that moment took effect 2 s after the next listing, beyond the time in which a server that leaves may get requests. A broken connection whose next call is answered is no outage any more; time-outs, refusals and a second failure are. outdated_objects_test failed before (2 requests later than 2 s) and passed 3 of 3 times after.

--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { ObjectStore } from "../platform/object_store.js";
+import { isBrokenConnection } from "../platform/platform_transport.js";
 import type { ObjectMirror } from "./object_mirror.js";
 
 export interface ObjectWatchOptions {
@@ -36,6 +37,11 @@
   /** A watch that failed may have missed changes, so a listing is needed. */
   #needsListing = true;
   #failures = 0;
+  /**
+   * Whether the platform itself may have been unavailable. It may cut off a
+   * watch at any time, and then answers the next call.
+   */
+  #isOutage = false;
   #recoveredAtMs = -Infinity;
   #lastResponseAtMs: number;
 
@@ -55,11 +61,9 @@
     return this.#lastResponseAtMs;
   }
 
-  /** When the platform last recovered; the current time while calls fail. */
+  /** When the platform's last outage ended; the current time during one. */
   get recoveredAtMs(): number {
-    return this.#failures > 0
-      ? this.#options.clock.nowMs()
-      : this.#recoveredAtMs;
+    return this.#isOutage ? this.#options.clock.nowMs() : this.#recoveredAtMs;
   }
 
   async close(): Promise<void> {
@@ -126,14 +130,18 @@
     logger.info("platformRegained", {
       objects: mirror.prefix,
       failures: this.#failures,
+      outage: this.#isOutage,
     });
     this.#failures = 0;
+    if (!this.#isOutage) return;
+    this.#isOutage = false;
     this.#recoveredAtMs = clock.nowMs();
   }
 
   #recordFailure(error: unknown): void {
     const { clock, metrics, logger, mirror } = this.#options;
     this.#failures += 1;
+    this.#isOutage ||= this.#failures > 1 || !isBrokenConnection(error);
     this.#needsListing = true;
     metrics.countEvent("platformCallFailed");
     if (this.#failures > 1) return;
