Notice within 2.3 s that connections to the platform have fallen silent

A connection that stays open and delivers nothing was noticed only by the watch's time-out, up to 5 s later. A change ends the watches of all VMs together, so those of the whole fleet were silent for the same time and no peer knew better: a configuration came into force up to 5 s after its acknowledgement, though the VMs counted as in touch after 3 s. At 300 VMs the watches cost about 440 of the store's 2,000 reads a second.

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -42,11 +42,13 @@
   readonly onRoutes: (table: RouteTable) => void;
 }
 
+/** The longest time for which a watch call waits for events. */
+const WATCH_WAIT_MS = 4000;
 /**
- * How long a watch call waits for events. A silent connection is detected after
- * this time.
+ * Shorter, as this watch also detects when connections to the platform have
+ * fallen silent; all watches are then started again.
  */
-const WATCH_WAIT_MS = 4000;
+const CONFIGURATION_WAIT_MS = 1200;
 /**
  * Longer, as entry VMs and blocked parts change rarely and peers also learn of
  * them from each other.
@@ -112,7 +114,14 @@
     this.#serversWatch = this.#startWatch(servers, WATCH_WAIT_MS, () => {
       this.#hasListedServers = true;
     });
-    this.#configurationWatch = this.#startWatch(configuration, WATCH_WAIT_MS);
+    this.#configurationWatch = new ObjectWatch({
+      ...options,
+      mirror: configuration,
+      waitMs: CONFIGURATION_WAIT_MS,
+      onSilent: () => {
+        for (const watch of this.#watches) watch.restart();
+      },
+    });
     this.#watches = [
       this.#serversWatch,
       this.#configurationWatch,
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -9,8 +9,11 @@
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
-import type { ObjectStore } from "../platform/object_store.js";
-import { isBrokenConnection } from "../platform/platform_transport.js";
+import type { ObjectStore, WatchResult } from "../platform/object_store.js";
+import {
+  isBrokenConnection,
+  isTimeout,
+} from "../platform/platform_transport.js";
 import type { ObjectMirror } from "./object_mirror.js";
 
 export interface ObjectWatchOptions {
@@ -24,15 +27,21 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly onListed?: () => void;
+  /** Called when a connection has stayed open without a response in time. */
+  readonly onSilent?: () => void;
 }
 
 const INITIAL_RETRY_DELAY_MS = 60;
 const MAX_RETRY_DELAY_MS = 800;
+/** Keeps the watches of different VMs from ending at the same time. */
+const MIN_WAIT_FRACTION = 0.75;
 
 /** Background task that lists and watches objects until it is closed. */
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
   readonly #abort = new AbortController();
+  /** Ends the watch call in progress. */
+  #endWatchCall: (() => void) | undefined;
   readonly #finished: Promise<void>;
   /** A watch that failed may have missed changes, so a listing is needed. */
   #needsListing = true;
@@ -66,8 +75,14 @@
     return this.#isOutage ? this.#options.clock.nowMs() : this.#recoveredAtMs;
   }
 
+  /** Ends a watch call in progress and lists the objects on a new connection. */
+  restart(): void {
+    this.#endWatchCall?.();
+  }
+
   async close(): Promise<void> {
     this.#abort.abort();
+    this.#endWatchCall?.();
     await this.#finished;
   }
 
@@ -89,20 +104,27 @@
   }
 
   async #step(): Promise<void> {
-    const { store, mirror, metrics, logger, waitMs, onListed } = this.#options;
-    const { revision } = mirror;
-    if (this.#needsListing || revision === undefined) {
-      const listing = await store.list(mirror.prefix);
-      this.#needsListing = false;
-      this.#recordSuccess();
-      if (!mirror.applyListing(listing)) this.#recordIgnored(listing.revision);
-      onListed?.();
+    const { revision } = this.#options.mirror;
+    if (this.#needsListing || revision === undefined) await this.#list();
+    else await this.#watchFrom(revision);
+  }
+
+  async #list(): Promise<void> {
+    const { store, mirror, onListed } = this.#options;
+    const listing = await store.list(mirror.prefix);
+    this.#needsListing = false;
+    this.#recordSuccess();
+    if (!mirror.applyListing(listing)) this.#recordIgnored(listing.revision);
+    onListed?.();
+  }
+
+  async #watchFrom(revision: number): Promise<void> {
+    const { mirror, metrics, logger } = this.#options;
+    const result = await this.#callWatch(revision);
+    if (result === "restarted") {
+      this.#needsListing = true;
       return;
     }
-    const result = await store.watch(
-      { prefix: mirror.prefix, afterRevision: revision, waitMs },
-      this.#abort.signal,
-    );
     this.#recordSuccess();
     if (result.kind === "events") {
       mirror.applyEvents(result.answer);
@@ -113,6 +135,29 @@
     this.#needsListing = true;
   }
 
+  async #callWatch(revision: number): Promise<WatchResult | "restarted"> {
+    const { store, mirror, waitMs } = this.#options;
+    const fraction = MIN_WAIT_FRACTION +
+      (1 - MIN_WAIT_FRACTION) * Math.random();
+    const abort = new AbortController();
+    this.#endWatchCall = () => {
+      abort.abort();
+    };
+    if (this.#isClosed()) abort.abort();
+    try {
+      return await store.watch({
+        prefix: mirror.prefix,
+        afterRevision: revision,
+        waitMs: Math.round(waitMs * fraction),
+      }, abort.signal);
+    } catch (error) {
+      if (abort.signal.aborted && !this.#isClosed()) return "restarted";
+      throw error;
+    } finally {
+      this.#endWatchCall = undefined;
+    }
+  }
+
   #recordIgnored(revision: number): void {
     const { metrics, logger, mirror } = this.#options;
     metrics.countEvent("listingIgnored");
@@ -145,6 +190,7 @@
     this.#needsListing = true;
     metrics.countEvent("platformCallFailed");
     if (this.#failures > 1) return;
+    if (isTimeout(error)) this.#options.onSilent?.();
     logger.warn("platformLost", {
       objects: mirror.prefix,
       error: String(error),
--- a/packages/daemon/src/platform/platform_transport.ts
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -143,6 +143,12 @@
     hasCode(error.cause, BROKEN_CONNECTION_CODES);
 }
 
+/** Whether the call ended because there was no response in time. */
+export function isTimeout(error: unknown): boolean {
+  return error instanceof PlatformError && error.cause instanceof Error &&
+    error.cause.name === "TimeoutError";
+}
+
 function hasCode(cause: unknown, codes: ReadonlySet<string>): boolean {
   return cause instanceof Error && "code" in cause &&
     typeof cause.code === "string" && codes.has(cause.code);
