Refuse as not run what an outdated configuration doesn't allow

A VM that the platform hadn't answered for seconds refused requests with 401, 404 or 400 by a configuration that might have been replaced: the client is told for good what may not be so. From 2 s without an answer on (the time within which an accepted configuration is in force), such a request is refused as not run, with a Retry-After; the client can ask another VM.

--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -43,6 +43,8 @@
 
 /** Time within which a starting daemon is likely to have a configuration. */
 const NOT_READY_RETRY_AFTER_MS = 300;
+/** An accepted configuration is in force everywhere within this time. */
+const MAX_CONFIGURATION_AGE_MS = 2000;
 /** Short, as another VM can take the request immediately. */
 const OTHER_VM_RETRY_AFTER_MS = 20;
 
@@ -131,9 +133,13 @@
       return refuse("notReady", "No configuration is in force yet");
     }
     const route = table.findRoute(request.host, request.path);
-    if (route === undefined) return refuse("noRoute", "No route matches");
+    if (route === undefined) {
+      return this.#refuseByConfiguration("noRoute", "No route matches");
+    }
     const account = findAccount(table, route, request.key);
-    if (account === "unknown") return refuse("unknownKey", "Unknown key");
+    if (account === "unknown") {
+      return this.#refuseByConfiguration("unknownKey", "Unknown key");
+    }
     const limitMs = Math.min(
       route.timeoutMs,
       request.deadlineInMs ?? route.timeoutMs,
@@ -164,7 +170,19 @@
     const stageItemsError = findStageItemsError(context);
     if (stageItemsError === undefined) return { kind: "admitted", context };
     lifetime.close();
-    return refuse("badRequest", stageItemsError);
+    return this.#refuseByConfiguration("badRequest", stageItemsError);
+  }
+
+  /**
+   * Refuses what the configuration doesn't allow. A newer one may allow it, so
+   * the refusal is final only if the configuration is known to be current.
+   */
+  #refuseByConfiguration(reason: RefusalReason, detail: string): Admission {
+    const { configurationAgeMs, environment } = this.#options;
+    const ageMs = configurationAgeMs(environment.clock.nowMs());
+    if (ageMs <= MAX_CONFIGURATION_AGE_MS) return refuse(reason, detail);
+    environment.metrics.countEvent("refusedAsOutdated");
+    return refuse("outdated", `The configuration may be outdated: ${reason}`);
   }
 
   /** A request that can't finish here is refused, as another VM can serve it. */
@@ -253,6 +271,7 @@
 function retryAfterOf(reason: RefusalReason): number | undefined {
   switch (reason) {
     case "notReady":
+    case "outdated":
       return NOT_READY_RETRY_AFTER_MS;
     case "leaving":
     case "noServer":
--- a/packages/daemon/src/forwarding/routed_request.ts
+++ b/packages/daemon/src/forwarding/routed_request.ts
@@ -51,6 +51,8 @@
   | "leaving"
   | "noRoute"
   | "unknownKey"
+  /** The configuration may have been replaced by one that allows the request. */
+  | "outdated"
   | "badRequest"
   | "overloaded"
   | "outOfTime"
