Compare the platform's revisions only within one era of its store

What callers saw: routes and keys that had been accepted for seconds were refused, and servers that had announced their leaving got requests.

Cause: the store can come back from an older copy. Revisions then go back and are given out again, but mirrors compared them as if they only rose. They dropped each listing of a lower revision, asked on from the old one, got 410, and listed again; objects rewritten at a lower revision stayed old even after the store had passed the old revision. Peers' copies were dropped for the same reason.

Change: the era that the store states counts beside each revision: in listings, watch responses, peers' copies and heartbeats. A later era replaces what is known, also at a lower revision; answers of an earlier one are late and dropped. - What the copy lacks is kept for 3 s, in which it is written again: servers, data centres out, entry VMs (so quotas don't grow); a VM lists itself again. - A configuration in force never reverts. VMs report its generation to peers, and one that starts or is cut off takes a higher one from them. - A server process that announced its leaving doesn't come back; entries of processes that had ended are ignored for 10 s, after which the platform has removed those that don't report.

Weighed: taking any lower revision (a late answer would undo changes); forgetting all on 410 (loses quotas, outages and leaving servers for seconds); rewriting the configuration from the VMs' memory (the operator's to write).

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -24,7 +24,7 @@
 } from "../register/server_register.js";
 import { RouteTable } from "../routing/route_table.js";
 import type { DeploymentObjectFormat } from "./deployment_object_format.js";
-import { ObjectMirror } from "./object_mirror.js";
+import { type EraChange, ObjectMirror } from "./object_mirror.js";
 import { ObjectSharing } from "./share_objects.js";
 import { StoredPartBlocks } from "./stored_part_blocks.js";
 import { ObjectWatch } from "./watch_objects.js";
@@ -60,6 +60,16 @@
  */
 const REMOVAL_GRACE_MS = 2000;
 const JOIN_RETRY_DELAY_MS = 1000;
+/**
+ * After the store came back from an older copy, its operators and servers write
+ * again what it lost; what it still lacks after this time is gone.
+ */
+const RESTORATION_MS = 3000;
+/**
+ * Time after such a return within which the platform removes the entries of
+ * servers that no longer report.
+ */
+const ENDED_SERVER_ENTRY_MS = 10_000;
 
 export class Deployment {
   readonly register: ServerRegister;
@@ -72,6 +82,7 @@
   readonly #configurationWatch: ObjectWatch;
   readonly #sharing: ObjectSharing;
   readonly #pendingRemovals = new Map<BackendServerId, NodeJS.Timeout>();
+  readonly #returnTimers = new Set<NodeJS.Timeout>();
   #hasListedServers = false;
   #table: RouteTable | undefined;
   #isClosed = false;
@@ -85,8 +96,19 @@
         this.#adoptConfiguration(object);
       },
       onDeleted: () => undefined,
+      onEraChanged: (change) => {
+        this.#handleEraChange(configuration, change);
+      },
+      generationOf: (object) => {
+        const result = objectFormat.readConfiguration(object);
+        return result.kind === "value" ? result.value.version : undefined;
+      },
     });
     const servers = new ObjectMirror(objectFormat.serversPrefix, {
+      onEraChanged: (change) => {
+        this.#handleEraChange(servers, change);
+        this.#withholdEndedServers(servers);
+      },
       onUpdated: (object) => {
         this.#applyServer(object);
       },
@@ -95,6 +117,9 @@
       },
     });
     this.#dataCentresOut = new ObjectMirror(objectFormat.dataCentresOutPrefix, {
+      onEraChanged: (change) => {
+        this.#handleEraChange(this.#dataCentresOut, change);
+      },
       onUpdated: () => {
         this.#applyDataCentresOut();
       },
@@ -103,6 +128,9 @@
       },
     });
     this.#entryVms = new ObjectMirror(objectFormat.entryVmsPrefix, {
+      onEraChanged: (change) => {
+        this.#handleEraChange(this.#entryVms, change);
+      },
       onUpdated: () => {
         this.#updateListedVms();
       },
@@ -110,7 +138,12 @@
         this.#updateListedVms();
       },
     });
-    this.partBlocks = new StoredPartBlocks(options);
+    this.partBlocks = new StoredPartBlocks({
+      ...options,
+      onEraChanged: (change) => {
+        this.#handleEraChange(this.partBlocks.mirror, change);
+      },
+    });
     this.#serversWatch = this.#startWatch(servers, WATCH_WAIT_MS, () => {
       this.#hasListedServers = true;
     });
@@ -133,6 +166,8 @@
     ];
     this.#sharing = new ObjectSharing({
       ...options,
+      configuration,
+      generation: () => toGeneration(this.#table),
       // All VMs list the kinds in this order.
       mirrors: [
         configuration,
@@ -165,7 +200,7 @@
    * their entry, so VMs that have left are counted too.
    */
   get entryVmCount(): number {
-    return Math.max(1, [...this.#entryVms.objects].length);
+    return Math.max(1, this.#entryVms.objects.length);
   }
 
   async close(): Promise<void> {
@@ -173,6 +208,7 @@
     this.#sharing.close();
     this.partBlocks.close();
     for (const timer of this.#pendingRemovals.values()) clearTimeout(timer);
+    for (const timer of this.#returnTimers) clearTimeout(timer);
     await Promise.all(this.#watches.map((watch) => watch.close()));
   }
 
@@ -185,7 +221,7 @@
   }
 
   #adoptConfiguration(object: StoredObject): void {
-    const { objectFormat, logger, metrics, onRoutes } = this.#options;
+    const { objectFormat, logger, metrics, network, onRoutes } = this.#options;
     const result = objectFormat.readConfiguration(object);
     if (result.kind === "unreadable") {
       this.#recordUnreadable(object, result.detail);
@@ -198,6 +234,7 @@
       return;
     }
     this.#table = new RouteTable(result.value);
+    network.setGeneration(toGeneration(this.#table));
     metrics.setGauge("configurationVersion", version);
     logger.info("configurationAdopted", {
       version,
@@ -207,6 +244,47 @@
     onRoutes(this.#table);
   }
 
+  /**
+   * The store has come back from an older copy. What it lost is kept for as long
+   * as it takes to be written again.
+   */
+  #handleEraChange(mirror: ObjectMirror, { from, to }: EraChange): void {
+    const { logger, metrics } = this.#options;
+    metrics.countEvent("storeEraChanged");
+    logger.warn("storeEraChanged", { objects: mirror.prefix, from, to });
+    for (const watch of this.#watches) watch.restartIfBefore(to);
+    this.#afterReturn(RESTORATION_MS, () => {
+      const lost = mirror.dropUnconfirmed(to);
+      logger.info("storeEraRestored", {
+        objects: mirror.prefix,
+        era: to,
+        revision: mirror.revision,
+        known: mirror.objects.length,
+        lost,
+      });
+    });
+  }
+
+  #withholdEndedServers(servers: ObjectMirror): void {
+    const { objectFormat, clock } = this.#options;
+    const untilMs = clock.nowMs() + ENDED_SERVER_ENTRY_MS;
+    this.register.withholdEndedUntil(untilMs);
+    this.#afterReturn(ENDED_SERVER_ENTRY_MS, () => {
+      for (const object of servers.objects) {
+        const known = this.register.get(objectFormat.serverId(object));
+        if (known === undefined) this.#applyServer(object);
+      }
+    });
+  }
+
+  #afterReturn(delayMs: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.#returnTimers.delete(timer);
+      action();
+    }, delayMs);
+    this.#returnTimers.add(timer);
+  }
+
   #applyServer(object: StoredObject): void {
     const { objectFormat, clock } = this.#options;
     const result = objectFormat.readServer(object);
@@ -244,7 +322,7 @@
 
   #applyDataCentresOut(): void {
     const { objectFormat, logger } = this.#options;
-    const dataCentres: DataCentreName[] = [...this.#dataCentresOut.objects]
+    const dataCentres: DataCentreName[] = this.#dataCentresOut.objects
       .map((object) => objectFormat.readDataCentreOut(object));
     this.register.setDataCentresOut(dataCentres);
     logger.info("dataCentresOut", { dataCentres: dataCentres.join() });
@@ -252,7 +330,7 @@
 
   #updateListedVms(): void {
     const { objectFormat, network } = this.#options;
-    const vms = [...this.#entryVms.objects].flatMap((object) => {
+    const vms = this.#entryVms.objects.flatMap((object) => {
       const result = objectFormat.readEntryVm(object);
       return result.kind === "value" ? [result.value] : [];
     });
@@ -266,8 +344,7 @@
     const { objectFormat, self, store, logger } = this.#options;
     const { key, value } = objectFormat.entryVmObject(self);
     while (!this.#isClosed) {
-      const stored = [...this.#entryVms.objects]
-        .find((object) => object.key === key);
+      const stored = this.#entryVms.confirmed(key);
       if (JSON.stringify(stored?.value) === JSON.stringify(value)) return;
       try {
         const result = await store.update(
@@ -294,3 +371,8 @@
     });
   }
 }
+
+/** The version as peers compare it: a non-negative integer. */
+function toGeneration(table: RouteTable | undefined): number {
+  return Math.max(0, Math.floor(table?.configuration.version ?? 0));
+}
--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -4,30 +4,67 @@
  * @module
  */
 
+import { isDeepStrictEqual } from "node:util";
 import type { ObjectsCopy } from "@sassafrasstage/protocol/peer_messages";
-import type {
-  ObjectListing,
-  StoredObject,
-  WatchResponse,
+import {
+  FIRST_STORE_ERA,
+  type ObjectListing,
+  type StoredObject,
+  type StoreEra,
+  type WatchResponse,
 } from "@sassafrasstage/protocol/platform_objects";
 
-export interface MirrorListener {
+export interface EraChange {
+  readonly from: StoreEra;
+  readonly to: StoreEra;
+}
+
+export interface MirrorOptions {
   readonly onUpdated: (object: StoredObject) => void;
   readonly onDeleted: (object: StoredObject) => void;
+  /**
+   * The platform's store has come back from an older copy. Called before the
+   * objects that it has now are reported.
+   */
+  readonly onEraChanged?: (change: EraChange) => void;
+  /**
+   * For objects whose value never reverts: its generation, or undefined if the
+   * value can't be read.
+   */
+  readonly generationOf?: (object: StoredObject) => number | undefined;
+}
+
+interface Entry {
+  readonly object: StoredObject;
+  /** In which the object was seen last. */
+  readonly era: StoreEra;
 }
 
-/** Applies updates from the platform and peers; ignores older versions. */
+/** A version lower than those of the platform. */
+const EARLIER_ERA_VERSION = 0;
+
+/**
+ * Applies updates from the platform and peers; ignores older versions. Objects
+ * that a new era lacks are kept until `dropUnconfirmed`, as those who wrote them
+ * write them again.
+ */
 export class ObjectMirror {
   readonly prefix: string;
-  readonly #listener: MirrorListener;
-  readonly #objects = new Map<string, StoredObject>();
+  readonly #options: MirrorOptions;
+  readonly #entries = new Map<string, Entry>();
+  #era = FIRST_STORE_ERA;
   #revision: number | undefined;
   #completeRevision: number | undefined;
   #newsVersion = 0;
 
-  constructor(prefix: string, listener: MirrorListener) {
+  constructor(prefix: string, options: MirrorOptions) {
     this.prefix = prefix;
-    this.#listener = listener;
+    this.#options = options;
+  }
+
+  /** The newest known era, to which the revisions and versions belong. */
+  get era(): StoreEra {
+    return this.#era;
   }
 
   /** Where a watch resumes; undefined before the first listing. */
@@ -49,19 +86,29 @@
     return this.#newsVersion;
   }
 
-  get objects(): IterableIterator<StoredObject> {
-    return this.#objects.values();
+  get objects(): StoredObject[] {
+    return [...this.#entries.values()].map(({ object }) => object);
+  }
+
+  /** The object, if the store has it in the present era. */
+  confirmed(key: string): StoredObject | undefined {
+    const entry = this.#entries.get(key);
+    return entry?.era === this.#era ? entry.object : undefined;
   }
 
   /** Returns false if the listing is older than what is known. */
   applyListing(listing: ObjectListing): boolean {
-    if (listing.revision < (this.#revision ?? 0)) return false;
-    this.#replaceAll(listing.objects);
-    this.#revision = listing.revision;
-    this.#advanceComplete(listing.revision);
+    const { era = FIRST_STORE_ERA, revision, objects } = listing;
+    if (era < this.#era) return false;
+    if (era === this.#era && revision < (this.#revision ?? 0)) return false;
+    this.#enterEra(era);
+    this.#replaceAll(objects);
+    this.#revision = revision;
+    this.#advanceComplete(revision);
     return true;
   }
 
+  /** The response has to be of the mirror's era. */
   applyEvents(answer: WatchResponse): void {
     for (const event of answer.events) {
       if (event.kind === "updated") this.#update(event.object);
@@ -77,10 +124,12 @@
    * further without receiving events.
    */
   applyCopy(copy: ObjectsCopy): boolean {
-    if (copy.revision <= (this.#completeRevision ?? -1)) return false;
-    this.#replaceAll(copy.objects);
-    this.#revision = copy.revision;
-    this.#advanceComplete(copy.revision);
+    const { era = FIRST_STORE_ERA, revision, objects } = copy;
+    if (!this.#isNewer(era, revision)) return this.#takeGenerations(objects);
+    this.#enterEra(era);
+    this.#replaceAll(objects);
+    this.#revision = revision;
+    this.#advanceComplete(revision);
     this.#newsVersion = Math.max(this.#newsVersion, copy.newsVersion);
     return true;
   }
@@ -89,39 +138,112 @@
     if (this.#completeRevision === undefined) return undefined;
     return {
       prefix: this.prefix,
+      ...(this.#era !== FIRST_STORE_ERA && { era: this.#era }),
       revision: this.#completeRevision,
       newsVersion: this.#newsVersion,
-      objects: [...this.#objects.values()],
+      objects: [...this.#entries.values()].flatMap((entry) =>
+        this.#toCopied(entry)
+      ),
     };
   }
 
+  /**
+   * Removes the objects that the store hasn't had since the era began, and
+   * returns how many there were. Has no effect in a later era.
+   */
+  dropUnconfirmed(era: StoreEra): number {
+    if (era !== this.#era || this.#options.generationOf !== undefined) return 0;
+    const unconfirmed = [...this.#entries.values()]
+      .filter((entry) => entry.era !== this.#era);
+    for (const { object } of unconfirmed) this.#remove(object);
+    return unconfirmed.length;
+  }
+
+  #isNewer(era: StoreEra, revision: number): boolean {
+    if (era !== this.#era) return era > this.#era;
+    return revision > (this.#completeRevision ?? -1);
+  }
+
+  #enterEra(era: StoreEra): void {
+    if (era === this.#era) return;
+    const change = { from: this.#era, to: era };
+    const isReturn = this.#completeRevision !== undefined;
+    this.#era = era;
+    this.#revision = undefined;
+    this.#completeRevision = undefined;
+    this.#newsVersion = 0;
+    if (isReturn) this.#options.onEraChanged?.(change);
+  }
+
+  /** Takes what has a higher generation from a copy that isn't newer. */
+  #takeGenerations(objects: readonly StoredObject[]): boolean {
+    if (this.#options.generationOf === undefined) return false;
+    const before = [...this.#entries.values()];
+    for (const object of objects) this.#update(object);
+    return [...this.#entries.values()]
+      .some((entry, index) => entry !== before[index]);
+  }
+
+  #toCopied({ object, era }: Entry): StoredObject[] {
+    if (era === this.#era) return [object];
+    if (this.#options.generationOf === undefined) return [];
+    return [{ ...object, version: EARLIER_ERA_VERSION }];
+  }
+
   #advanceComplete(revision: number): void {
     this.#completeRevision = Math.max(this.#completeRevision ?? 0, revision);
   }
 
   #replaceAll(objects: readonly StoredObject[]): void {
     const listed = new Set(objects.map((object) => object.key));
-    for (const key of [...this.#objects.keys()]) {
-      if (!listed.has(key)) this.#delete(key, Infinity);
+    for (const [key, entry] of [...this.#entries]) {
+      if (!listed.has(key) && entry.era === this.#era) {
+        this.#delete(key, Infinity);
+      }
     }
     for (const object of objects) this.#update(object);
   }
 
   #update(object: StoredObject): void {
-    const known = this.#objects.get(object.key);
-    if (known !== undefined && known.version >= object.version) return;
-    this.#objects.set(object.key, object);
+    const known = this.#entries.get(object.key);
+    const order = this.#compareGenerations(object, known?.object);
+    const isKnownVersion = known?.era === this.#era &&
+      known.object.version >= object.version;
+    if (isKnownVersion && order <= 0) return;
     this.#newsVersion = Math.max(this.#newsVersion, object.version);
-    this.#listener.onUpdated(object);
+    if (order >= 0) {
+      this.#entries.set(object.key, { object, era: this.#era });
+    }
+    const isRewritten = known !== undefined && known.era !== this.#era &&
+      isDeepStrictEqual(known.object.value, object.value);
+    if (!isRewritten) this.#options.onUpdated(object);
+  }
+
+  /** Positive if the object has a higher generation than the known one. */
+  #compareGenerations(
+    object: StoredObject,
+    known: StoredObject | undefined,
+  ): number {
+    const { generationOf } = this.#options;
+    if (generationOf === undefined || known === undefined) return 0;
+    const isSame = known.version === object.version &&
+      isDeepStrictEqual(known.value, object.value);
+    if (isSame) return 0;
+    return (generationOf(object) ?? -1) - (generationOf(known) ?? -1);
   }
 
   #delete(key: string, version: number): void {
     if (Number.isFinite(version)) {
       this.#newsVersion = Math.max(this.#newsVersion, version);
     }
-    const known = this.#objects.get(key);
-    if (known === undefined || known.version > version) return;
-    this.#objects.delete(key);
-    this.#listener.onDeleted(known);
+    const known = this.#entries.get(key);
+    if (known === undefined) return;
+    if (known.era === this.#era && known.object.version > version) return;
+    if (this.#options.generationOf === undefined) this.#remove(known.object);
+  }
+
+  #remove(object: StoredObject): void {
+    this.#entries.delete(object.key);
+    this.#options.onDeleted(object);
   }
 }
--- a/packages/daemon/src/deployment/object_mirror_test.ts
+++ b/packages/daemon/src/deployment/object_mirror_test.ts
@@ -1,3 +1,4 @@
+import { toStoreEra } from "@sassafrasstage/protocol/platform_objects";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { ObjectMirror } from "./object_mirror.js";
@@ -21,6 +22,24 @@
   return { key: `servers/${name}`, version, value: {} };
 }
 
+const SECOND_ERA = toStoreEra(2);
+
+/** The value is the generation. */
+function makeGenerationMirror(): ObjectMirror {
+  return new ObjectMirror("config/", {
+    onUpdated: () => undefined,
+    onDeleted: () => undefined,
+    generationOf: ({ value }) => value as number,
+  });
+}
+
+function generation(
+  value: number,
+  version: number,
+): { key: string; version: number; value: number } {
+  return { key: "config/main", version, value };
+}
+
 describe("ObjectMirror", () => {
   it("reports each change once, and objects missing from a newer listing", () => {
     const { mirror, changes } = makeMirror();
@@ -69,6 +88,70 @@
     expect(changes).toEqual(["servers/a@3", "-servers/a", "servers/b@7"]);
   });
 
+  it("takes the objects of a later era, whose revisions have gone back", () => {
+    const { mirror, changes } = makeMirror();
+    mirror.applyListing({ revision: 9, objects: [object("a", 8)] });
+    mirror.applyListing({
+      era: SECOND_ERA,
+      revision: 4,
+      objects: [{ ...object("a", 3), value: "rewritten" }],
+    });
+    mirror.applyEvents({
+      era: SECOND_ERA,
+      revision: 5,
+      events: [{ kind: "updated", object: object("b", 5) }],
+    });
+    mirror.applyListing({ revision: 10, objects: [object("c", 10)] });
+    expect(mirror.revision).toEqual(5);
+    expect(changes).toEqual(["servers/a@8", "servers/a@3", "servers/b@5"]);
+  });
+
+  it("drops what a later era lacks only when told to", () => {
+    const { mirror, changes } = makeMirror();
+    mirror.applyListing({
+      revision: 9,
+      objects: [object("a", 8), object("b", 9)],
+    });
+    mirror.applyListing({ era: SECOND_ERA, revision: 4, objects: [] });
+    expect(mirror.objects.length).toEqual(2);
+    expect(mirror.confirmed("servers/a")).toEqual(undefined);
+    expect(mirror.copy()?.objects).toEqual([]);
+    mirror.applyEvents({
+      era: SECOND_ERA,
+      revision: 5,
+      events: [{ kind: "updated", object: object("a", 5) }],
+    });
+    expect(mirror.dropUnconfirmed(SECOND_ERA)).toEqual(1);
+    expect(changes).toEqual(["servers/a@8", "servers/b@9", "-servers/b"]);
+  });
+
+  it("keeps the highest generation over eras, deletions and copies", () => {
+    const generations = makeGenerationMirror();
+    generations.applyListing({ revision: 9, objects: [generation(2, 9)] });
+    generations.applyListing({
+      era: SECOND_ERA,
+      revision: 4,
+      objects: [generation(1, 3)],
+    });
+    expect(generations.dropUnconfirmed(SECOND_ERA)).toEqual(0);
+    const started = makeGenerationMirror();
+    started.applyListing({
+      era: SECOND_ERA,
+      revision: 4,
+      objects: [generation(1, 3)],
+    });
+    const copy = generations.copy();
+    expect(copy !== undefined && started.applyCopy(copy)).toEqual(true);
+    started.applyListing({ era: SECOND_ERA, revision: 5, objects: [] });
+    expect(started.objects.map(({ value }) => value)).toEqual([2]);
+    started.applyEvents({
+      era: SECOND_ERA,
+      revision: 6,
+      events: [{ kind: "updated", object: generation(2, 6) }],
+    });
+    expect(started.confirmed("config/main")?.version).toEqual(6);
+  });
+
   it("ignores a deletion that is older than the object", () => {
     const { mirror, changes } = makeMirror();
     mirror.applyListing({ revision: 9, objects: [object("a", 9)] });
--- a/packages/daemon/src/deployment/share_objects.ts
+++ b/packages/daemon/src/deployment/share_objects.ts
@@ -6,17 +6,29 @@
  * @module
  */
 
+import type { KnownObjects } from "@sassafrasstage/protocol/peer_messages";
+import {
+  FIRST_STORE_ERA,
+  type StoreEra,
+} from "@sassafrasstage/protocol/platform_objects";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
-import type { PeerNetwork } from "../peers/peer_network.js";
+import type { Member, PeerNetwork } from "../peers/peer_network.js";
 import type { ObjectMirror } from "./object_mirror.js";
 
 export interface ObjectSharingOptions {
   readonly network: PeerNetwork & {
-    setNewsVersions(versions: readonly number[]): void;
+    setNewsVersions(
+      versions: readonly number[],
+      eras: readonly StoreEra[],
+    ): void;
   };
   readonly mirrors: readonly ObjectMirror[];
+  /** The configuration's mirror. */
+  readonly configuration: ObjectMirror;
+  /** Generation of the configuration in force. */
+  readonly generation: () => number;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -36,12 +48,12 @@
     const { network } = options;
     network.messages.on("objectsRequest", ({ from, message }) => {
       const known = new Map(
-        message.known.map(({ prefix, revision }) => [prefix, revision]),
+        message.known.map((objects) => [objects.prefix, objects]),
       );
       const copies = options.mirrors.flatMap((mirror) => {
         const copy = mirror.copy();
         if (copy === undefined) return [];
-        return copy.revision > (known.get(copy.prefix) ?? -1) ? [copy] : [];
+        return isNewer(copy, known.get(copy.prefix)) ? [copy] : [];
       });
       if (copies.length === 0) return;
       network.send(from.vmId, { type: "objects", copies });
@@ -62,14 +74,16 @@
     const mirror = this.#options.mirrors
       .find((candidate) => candidate.prefix === copy.prefix);
     if (mirror === undefined) return;
-    const known = mirror.completeRevision;
+    const known = { era: mirror.era, revision: mirror.completeRevision };
     if (!mirror.applyCopy(copy)) {
       this.#options.metrics.countEvent("objectsFromPeerIgnored");
       this.#options.logger.info("objectsFromPeerIgnored", {
         peer: from,
         objects: copy.prefix,
+        era: copy.era,
         revision: copy.revision,
-        known,
+        knownEra: known.era,
+        known: known.revision,
       });
       return;
     }
@@ -77,6 +91,7 @@
     this.#options.logger.info("objectsFromPeer", {
       peer: from,
       objects: copy.prefix,
+      era: copy.era,
       revision: copy.revision,
     });
   }
@@ -84,10 +99,13 @@
   #check(): void {
     const { network, clock, mirrors } = this.#options;
     const nowMs = clock.nowMs();
-    network.setNewsVersions(mirrors.map((mirror) => mirror.newsVersion));
+    network.setNewsVersions(
+      mirrors.map((mirror) => mirror.newsVersion),
+      mirrors.map((mirror) => mirror.era),
+    );
     const peersAhead = network.view(nowMs).members.filter((member) =>
       !member.isSelf && member.state === "live" &&
-      this.#isAhead(member.newsVersions ?? [])
+      this.#isAhead(member)
     );
     if (peersAhead.length === 0) {
       this.#behindSinceMs = undefined;
@@ -104,21 +122,48 @@
     if (peer === undefined) return;
     network.send(peer.vmId, {
       type: "objectsRequest",
-      known: mirrors.flatMap(({ prefix, completeRevision }) =>
-        completeRevision === undefined
-          ? []
-          : [{ prefix, revision: completeRevision }]
-      ),
+      known: mirrors.flatMap((mirror) => this.#toKnown(mirror, peer)),
     });
   }
 
+  #toKnown(mirror: ObjectMirror, peer: Member): KnownObjects[] {
+    const { prefix, completeRevision: revision, era } = mirror;
+    if (revision === undefined) return [];
+    // The peer sends what isn't named, whatever its revision.
+    if (this.#lacksGenerationOf(peer, mirror)) return [];
+    return [{ prefix, revision, ...(era !== FIRST_STORE_ERA && { era }) }];
+  }
+
   /**
    * Compares each mirror separately: a newer version in one mirror says nothing
    * about changes that were missed in another.
    */
-  #isAhead(newsVersions: readonly number[]): boolean {
+  #isAhead(member: Member): boolean {
+    const { newsVersions = [], newsEras = [] } = member;
     return this.#options.mirrors.some((mirror, index) =>
-      (newsVersions[index] ?? 0) > (mirror.completeRevision ?? -1)
+      this.#lacksGenerationOf(member, mirror) ||
+      isNewer(
+        { era: newsEras[index], revision: newsVersions[index] ?? 0 },
+        { era: mirror.era, revision: mirror.completeRevision ?? -1 },
+      )
     );
   }
+
+  /** A store that came back from an older copy may lack what is in force. */
+  #lacksGenerationOf(member: Member, mirror: ObjectMirror): boolean {
+    const { configuration, generation } = this.#options;
+    return mirror === configuration && member.generation > generation();
+  }
+}
+
+interface EraRevision {
+  readonly era?: StoreEra | undefined;
+  readonly revision: number;
+}
+
+function isNewer(a: EraRevision, b: EraRevision | undefined): boolean {
+  if (b === undefined) return true;
+  const { era = FIRST_STORE_ERA } = a;
+  const { era: otherEra = FIRST_STORE_ERA } = b;
+  return era === otherEra ? a.revision > b.revision : era > otherEra;
 }
--- a/packages/daemon/src/deployment/share_objects_test.ts
+++ b/packages/daemon/src/deployment/share_objects_test.ts
@@ -35,6 +35,8 @@
     new ObjectSharing({
       network: vm,
       mirrors: [configuration, servers],
+      configuration,
+      generation: () => 0,
       clock: MONOTONIC_CLOCK,
       metrics: new Metrics(),
       logger: createLogger("error", {}),
--- a/packages/daemon/src/deployment/stored_part_blocks.ts
+++ b/packages/daemon/src/deployment/stored_part_blocks.ts
@@ -12,13 +12,14 @@
 import type { ObjectStore } from "../platform/object_store.js";
 import type { PartBlock, PartBlocks } from "../poison_parts/part_blocks.js";
 import type { DeploymentObjectFormat } from "./deployment_object_format.js";
-import { ObjectMirror } from "./object_mirror.js";
+import { type EraChange, ObjectMirror } from "./object_mirror.js";
 
 export interface StoredPartBlocksOptions {
   readonly store: ObjectStore;
   readonly objectFormat: DeploymentObjectFormat;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  readonly onEraChanged?: (change: EraChange) => void;
 }
 
 type Change =
@@ -54,6 +55,7 @@
         notify();
       },
       onDeleted: notify,
+      onEraChanged: (change) => options.onEraChanged?.(change),
     });
   }
 
@@ -76,7 +78,7 @@
   }
 
   #blocks(): PartBlock[] {
-    return [...this.mirror.objects].flatMap((object) => {
+    return this.mirror.objects.flatMap((object) => {
       const block = this.#read(object);
       return block === undefined ? [] : [block];
     }).slice(0, MAX_BLOCKS);
@@ -220,11 +222,11 @@
   }
 
   #mirrored(key: string): StoredObject | undefined {
-    return [...this.mirror.objects].find((object) => object.key === key);
+    return this.mirror.confirmed(key);
   }
 
   #count(): number {
-    return [...this.mirror.objects].length;
+    return this.mirror.objects.length;
   }
 }
 
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -6,6 +6,10 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
+import {
+  FIRST_STORE_ERA,
+  type StoreEra,
+} from "@sassafrasstage/protocol/platform_objects";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -80,6 +84,11 @@
     this.#endWatchCall?.();
   }
 
+  /** Lists the objects if they are known only of an earlier era. */
+  restartIfBefore(era: StoreEra): void {
+    if (this.#options.mirror.era < era) this.restart();
+  }
+
   async close(): Promise<void> {
     this.#abort.abort();
     this.#endWatchCall?.();
@@ -120,6 +129,7 @@
 
   async #watchFrom(revision: number): Promise<void> {
     const { mirror, metrics, logger } = this.#options;
+    const { era } = mirror;
     const result = await this.#callWatch(revision);
     if (result === "restarted") {
       this.#needsListing = true;
@@ -127,7 +137,10 @@
     }
     this.#recordSuccess();
     if (result.kind === "events") {
-      mirror.applyEvents(result.answer);
+      const responseEra = result.answer.era ?? FIRST_STORE_ERA;
+      if (responseEra === era && mirror.era === era) {
+        mirror.applyEvents(result.answer);
+      } else this.#needsListing = true;
       return;
     }
     metrics.countEvent("watchTooOld");
--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -9,6 +9,7 @@
   HeartbeatMessage,
   HeartbeatReplyMessage,
 } from "@sassafrasstage/protocol/peer_messages";
+import { FIRST_STORE_ERA } from "@sassafrasstage/protocol/platform_objects";
 import type { PoisonPartNews } from "@sassafrasstage/protocol/poison_parts";
 import type { BegunStreams } from "@sassafrasstage/protocol/stream_origin";
 import { encodeFrame } from "./frame_codec.js";
@@ -163,6 +164,8 @@
       ...(this.#wantsReply && { wantsReply: true }),
       ...(membership.ownNewsVersions.length > 0 &&
         { newsVersions: membership.ownNewsVersions }),
+      ...(membership.ownNewsEras.some((era) => era !== FIRST_STORE_ERA) &&
+        { newsEras: membership.ownNewsEras }),
       ...(begunStreams.length > 0 && { begunStreams }),
       ...(poisonParts !== undefined && { poisonParts }),
     };
--- a/packages/daemon/src/peers/membership.ts
+++ b/packages/daemon/src/peers/membership.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { StoreEra } from "@sassafrasstage/protocol/platform_objects";
 import { memberStateOf, silenceLimitMs } from "./member_state.js";
 import type {
   Member,
@@ -34,6 +35,8 @@
   ownGeneration = 0;
   /** Version of the newest change seen by this VM for each kind of object. */
   ownNewsVersions: readonly number[] = [];
+  /** The eras of these versions. */
+  ownNewsEras: readonly StoreEra[] = [];
   /** Whether this VM has announced that it is shutting down. */
   isLeaving = false;
   #view: MembershipView = { members: [] };
@@ -95,6 +98,7 @@
       isSelf: false,
       generation: peer.generation,
       newsVersions: peer.newsVersions,
+      newsEras: peer.newsEras,
       processorCores: peer.processorCores,
     };
   }
@@ -110,6 +114,7 @@
       isSelf: true,
       generation: this.ownGeneration,
       newsVersions: this.ownNewsVersions,
+      newsEras: this.ownNewsEras,
       processorCores: registry.selfProcessorCores,
     };
   }
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -163,6 +163,7 @@
     ownedPools: arrayOf(isPool),
     wantsReply: optional(isBoolean),
     newsVersions: optional(arrayOf(isNonNegativeInteger)),
+    newsEras: optional(arrayOf(isNonNegativeInteger)),
     begunStreams: optional(arrayOf(isBegunStreams)),
     poisonParts: optional(isPoisonPartNews),
   }),
@@ -241,12 +242,17 @@
   }),
   objectsRequest: shape({
     known: arrayOf(
-      shape({ prefix: isShortString, revision: isNonNegativeInteger }),
+      shape({
+        prefix: isShortString,
+        era: optional(isNonNegativeInteger),
+        revision: isNonNegativeInteger,
+      }),
     ),
   }),
   objects: shape({
     copies: arrayOf(shape({
       prefix: isShortString,
+      era: optional(isNonNegativeInteger),
       revision: isNonNegativeInteger,
       newsVersion: isNonNegativeInteger,
       objects: arrayOf(
--- a/packages/daemon/src/peers/message_handler.ts
+++ b/packages/daemon/src/peers/message_handler.ts
@@ -4,7 +4,10 @@
  * @module
  */
 
-import type { PeerMessage } from "@sassafrasstage/protocol/peer_messages";
+import type {
+  HeartbeatMessage,
+  PeerMessage,
+} from "@sassafrasstage/protocol/peer_messages";
 import type { Heartbeats } from "./heartbeats.js";
 import type { Membership } from "./membership.js";
 import type { ReceivedFrame } from "./peer_links.js";
@@ -33,7 +36,7 @@
     switch (message.type) {
       case "heartbeat":
         this.#recordGeneration(peer, message.generation);
-        this.#recordNewsVersions(peer, message.newsVersions ?? []);
+        this.#recordNews(peer, message);
         if (message.leaving) this.#recordLeaving(peer);
         heartbeats.replyTo({ peer, link, message }, nowMs);
         break;
@@ -68,13 +71,16 @@
     this.#options.membership.invalidate();
   }
 
-  #recordNewsVersions(peer: PeerRecord, versions: readonly number[]): void {
+  #recordNews(peer: PeerRecord, message: HeartbeatMessage): void {
+    const { newsVersions = [], newsEras = [] } = message;
     if (
-      versions.every((version, index) => version === peer.newsVersions[index])
+      isSameList(newsVersions, peer.newsVersions) &&
+      isSameList(newsEras, peer.newsEras)
     ) {
       return;
     }
-    peer.newsVersions = versions;
+    peer.newsVersions = newsVersions;
+    peer.newsEras = newsEras;
     this.#options.membership.invalidate();
   }
 
@@ -84,3 +90,7 @@
     this.#options.onStateMayHaveChanged();
   }
 }
+
+function isSameList(a: readonly number[], b: readonly number[]): boolean {
+  return a.length === b.length && a.every((value, index) => value === b[index]);
+}
--- a/packages/daemon/src/peers/peer_links.ts
+++ b/packages/daemon/src/peers/peer_links.ts
@@ -167,6 +167,7 @@
       peer.announcedLeaving = false;
       peer.generation = 0;
       peer.newsVersions = [];
+      peer.newsEras = [];
       peer.replyRequiredAfterSequence = undefined;
     }
     if (peer.link !== undefined) {
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -13,6 +13,7 @@
   PeerMessage,
   PeerMessageType,
 } from "@sassafrasstage/protocol/peer_messages";
+import type { StoreEra } from "@sassafrasstage/protocol/platform_objects";
 import type Emittery from "emittery";
 
 export interface PeerIdentity {
@@ -49,6 +50,8 @@
    * object; absent or empty before the first report.
    */
   readonly newsVersions?: readonly number[];
+  /** The eras of these versions; absent or empty if all are of the first. */
+  readonly newsEras?: readonly StoreEra[];
   /** Processor capacity in cores; undefined or absent if it isn't known. */
   readonly processorCores?: number | undefined;
 }
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -9,7 +9,10 @@
   PeerMessage,
   PeerMessageType,
 } from "@sassafrasstage/protocol/peer_messages";
-import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import type {
+  StoreEra,
+  VmListing,
+} from "@sassafrasstage/protocol/platform_objects";
 import Emittery from "emittery";
 import { setMaxListeners } from "node:events";
 import type { Address } from "../settings/settings.js";
@@ -144,8 +147,12 @@
     this.#membership.invalidate();
   }
 
-  setNewsVersions(versions: readonly number[]): void {
+  setNewsVersions(
+    versions: readonly number[],
+    eras: readonly StoreEra[],
+  ): void {
     this.#membership.ownNewsVersions = versions;
+    this.#membership.ownNewsEras = eras;
     this.#membership.invalidate();
   }
 
--- a/packages/daemon/src/peers/peer_record.ts
+++ b/packages/daemon/src/peers/peer_record.ts
@@ -9,6 +9,7 @@
   Incarnation,
   VmId,
 } from "@sassafrasstage/protocol/ids";
+import type { StoreEra } from "@sassafrasstage/protocol/platform_objects";
 import Emittery from "emittery";
 import type { Address } from "../settings/settings.js";
 import type { FrameChannel } from "./frame_channel.js";
@@ -78,6 +79,7 @@
   isRemoved = false;
   generation = 0;
   newsVersions: readonly number[] = [];
+  newsEras: readonly StoreEra[] = [];
   /** Processor capacity in the platform's list. */
   processorCores: number | undefined;
   /** Frames queued until an on-demand connection is made. */
--- a/packages/daemon/src/peers/running_peer_network.ts
+++ b/packages/daemon/src/peers/running_peer_network.ts
@@ -5,7 +5,10 @@
  */
 
 import type { Incarnation } from "@sassafrasstage/protocol/ids";
-import type { VmListing } from "@sassafrasstage/protocol/platform_objects";
+import type {
+  StoreEra,
+  VmListing,
+} from "@sassafrasstage/protocol/platform_objects";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -33,7 +36,10 @@
   /** Sets the configuration generation that is reported to peers. */
   setGeneration(generation: number): void;
   /** Sets the object versions that each heartbeat reports to peers. */
-  setNewsVersions(versions: readonly number[]): void;
+  setNewsVersions(
+    versions: readonly number[],
+    eras: readonly StoreEra[],
+  ): void;
   setBegunStreams(take: TakeBegunStreams): void;
   setPoisonPartNews(take: TakePoisonPartNews): void;
   setHeartbeatContent(content: HeartbeatContent): void;
--- a/packages/daemon/src/platform/platform_transport.ts
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { IncomingHttpHeaders } from "node:http";
 import { type Agent, request } from "undici";
 import type { z } from "zod";
 import { PlatformError, type PlatformErrorKind } from "./platform_error.js";
@@ -42,6 +43,7 @@
 
 export interface PlatformReply {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
 }
 
@@ -110,7 +112,11 @@
       headers: { ...call.headers },
       body: call.body ?? null,
     });
-    return { status: response.statusCode, text: await response.body.text() };
+    return {
+      status: response.statusCode,
+      headers: response.headers,
+      text: await response.body.text(),
+    };
   } catch (cause) {
     throw new PlatformError(
       errorKindFor(call, cause),
--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -41,25 +41,35 @@
   /** The server process ended, so all the state that it held is lost. */
   | { readonly kind: "ended"; readonly server: RegisteredServer };
 
+const MAX_REMEMBERED_ENDED = 1000;
+
 /** The backend servers, and the data centres that are out of service. */
 export class ServerRegister {
   readonly #servers = new Map<BackendServerId, RegisteredServer>();
   readonly #byService = new Map<ServiceName, RegisteredServer[]>();
   readonly #dataCentresOut = new Set<DataCentreName>();
+  /** The latest process that ended under each id, the oldest ones first. */
+  readonly #ended = new Map<BackendServerId, RegisteredServer>();
+  #withholdsEndedUntilMs = Number.NEGATIVE_INFINITY;
   readonly #onChange: (change: RegisterChange) => void;
 
   constructor(onChange: (change: RegisterChange) => void) {
     this.#onChange = onChange;
   }
 
-  /** Ignores a report of an earlier process than the known one. */
+  /**
+   * Ignores a report of an earlier process than the known one. A process that
+   * has announced that it leaves doesn't come back.
+   */
   apply(report: ServerReport, nowMs: number): void {
     const known = this.#servers.get(report.id);
     const server = {
       ...report,
+      isDraining: report.isDraining || hasLeft(report, known),
       coldUntilMs: nowMs + Math.max(0, report.coldRemainingMs),
     };
     if (known === undefined) {
+      if (nowMs < this.#withholdsEndedUntilMs && this.#hasEnded(report)) return;
       this.#store(server);
       this.#onChange({ kind: "added", server });
       return;
@@ -79,9 +89,18 @@
     if (known === undefined) return;
     this.#servers.delete(id);
     this.#byService.delete(known.service);
+    this.#rememberEnded(known);
     this.#onChange({ kind: "ended", server: known });
   }
 
+  /**
+   * Until this time, reports of processes that have ended are ignored: a store
+   * that came back from an older copy may list them again.
+   */
+  withholdEndedUntil(untilMs: number): void {
+    this.#withholdsEndedUntilMs = untilMs;
+  }
+
   setDataCentresOut(dataCentres: readonly DataCentreName[]): void {
     this.#dataCentresOut.clear();
     for (const dataCentre of dataCentres) this.#dataCentresOut.add(dataCentre);
@@ -139,6 +158,20 @@
     return this.#servers.size;
   }
 
+  #hasEnded(report: ServerReport): boolean {
+    const ended = this.#ended.get(report.id);
+    return report.startedAt !== undefined && ended?.startedAt !== undefined &&
+      report.startedAt <= ended.startedAt;
+  }
+
+  #rememberEnded(server: RegisteredServer): void {
+    this.#ended.delete(server.id);
+    this.#ended.set(server.id, server);
+    if (this.#ended.size <= MAX_REMEMBERED_ENDED) return;
+    const [oldest] = this.#ended.keys();
+    if (oldest !== undefined) this.#ended.delete(oldest);
+  }
+
   #store(server: RegisteredServer): void {
     const known = this.#servers.get(server.id);
     if (known !== undefined) this.#byService.delete(known.service);
@@ -152,6 +185,14 @@
     report.startedAt < known.startedAt;
 }
 
+function hasLeft(
+  report: ServerReport,
+  known: ServerReport | undefined,
+): boolean {
+  return known !== undefined && known.isDraining &&
+    report.startedAt !== undefined && !isOtherProcess(report, known);
+}
+
 function isOtherProcess(report: ServerReport, known: ServerReport): boolean {
   return report.startedAt !== known.startedAt ||
     report.address.host !== known.address.host ||
--- a/packages/daemon/src/stage_graphs/testing/linked_vms.ts
+++ b/packages/daemon/src/stage_graphs/testing/linked_vms.ts
@@ -14,6 +14,7 @@
   PeerMessage,
   PeerMessageType,
 } from "@sassafrasstage/protocol/peer_messages";
+import type { StoreEra } from "@sassafrasstage/protocol/platform_objects";
 import Emittery from "emittery";
 import type {
   MembershipView,
@@ -30,6 +31,8 @@
   other: LinkedVm | undefined;
   isLinked = true;
   newsVersions: readonly number[] = [];
+  newsEras: readonly StoreEra[] = [];
+  generation = 0;
   /** Types of the messages sent by this VM. */
   readonly sent: PeerMessageType[] = [];
 
@@ -60,8 +63,9 @@
           dataCentre: vm.self.dataCentre,
           state: "live" as const,
           isSelf: vm === this,
-          generation: 0,
+          generation: vm.generation,
           newsVersions: vm.newsVersions,
+          newsEras: vm.newsEras,
         }]
       ),
     };
@@ -75,8 +79,12 @@
     // Nor do its prompt parts.
   }
 
-  setNewsVersions(versions: readonly number[]): void {
+  setNewsVersions(
+    versions: readonly number[],
+    eras: readonly StoreEra[],
+  ): void {
     this.newsVersions = versions;
+    this.newsEras = eras;
   }
 
   async setLinked(isLinked: boolean): Promise<void> {
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -24,7 +24,7 @@
   StreamOrigin,
   VersionObservation,
 } from "./stream_origin.js";
-import type { StoredObject } from "./platform_objects.js";
+import type { StoredObject, StoreEra } from "./platform_objects.js";
 import type {
   Permit,
   PermitDecision,
@@ -78,6 +78,8 @@
    * shared object. All daemons list the kinds in the same order.
    */
   readonly newsVersions?: readonly number[];
+  /** The eras of these versions; absent if all are of the first. */
+  readonly newsEras?: readonly StoreEra[];
   /**
    * Streams that began since the last heartbeat. Sent only to peers that get
    * every heartbeat.
@@ -239,6 +241,8 @@
 /** The revision of the sender's copy of one kind of object. */
 export interface KnownObjects {
   readonly prefix: string;
+  /** Absent for the first. */
+  readonly era?: StoreEra;
   readonly revision: number;
 }
 
@@ -251,9 +255,12 @@
 /** All objects of one kind at a revision. */
 export interface ObjectsCopy {
   readonly prefix: string;
+  /** Absent for the first. */
+  readonly era?: StoreEra;
   readonly revision: number;
   /** The version of the latest change that the sender has seen. */
   readonly newsVersion: number;
+  /** The version is 0 if the sender knows the object only from earlier eras. */
   readonly objects: readonly StoredObject[];
 }
 
--- a/packages/protocol/src/platform_objects.ts
+++ b/packages/protocol/src/platform_objects.ts
@@ -20,6 +20,29 @@
 
 import type { DataCentreName, VmId } from "./ids.js";
 
+declare const storeEra: unique symbol;
+
+/**
+ * Counts the times that the platform's store came back from an older copy of its
+ * objects. Revisions and versions compare only within one era.
+ */
+export type StoreEra = number & { readonly [storeEra]: true };
+
+/** Also that of stores that state none. */
+export const FIRST_STORE_ERA = toStoreEra(0);
+
+/**
+ * Brands a number as an era. Only adapters and parsers should call it.
+ *
+ * @example
+ * ```ts
+ * const era = toStoreEra(2);
+ * ```
+ */
+export function toStoreEra(count: number): StoreEra {
+  return count as StoreEra;
+}
+
 /** Maximum size of a value's JSON text. */
 export const MAX_OBJECT_BYTES = 1_000_000;
 
@@ -35,6 +58,8 @@
 }
 
 export interface ObjectListing {
+  /** Absent if the store states none. */
+  readonly era?: StoreEra;
   /** The revision from which a watch continues. */
   readonly revision: number;
   readonly objects: readonly StoredObject[];
@@ -49,6 +74,8 @@
   };
 
 export interface WatchResponse {
+  /** Absent if the store states none. */
+  readonly era?: StoreEra;
   /** The `after` parameter of the next request. */
   readonly revision: number;
   readonly events: readonly WatchEvent[];
