Log a digest of the request in failed calls to servers

The lines of a crash couldn't tell whether the requests in flight were the same ones: they have no prompt parts, and their ids differ. No decision changes.

--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -8,6 +8,7 @@
 import type { ServerCandidate } from "../placement/choose_server.js";
 import { observeCall } from "./observe_call.js";
 import type { ForwardContext } from "./forward_context.js";
+import { requestDigest } from "./request_digest.js";
 import { formatPromptParts } from "./format_prompt_parts.js";
 import type {
   ResponseHead,
@@ -109,6 +110,7 @@
       failure: failure.kind,
       detail: failure.detail,
       afterMs: Math.round(nowMs - startedAtMs),
+      digest: requestDigest(input.context),
       parts: formatPromptParts(input.context.request.prompt),
       firstEvent: hasFirstEvent,
       remainingConnections,
