Block whole requests that crash each server which begins to run them

What callers saw: a request that comes again with the same path, caller and body ended every server of its service, three times over; other requests to the service were refused meanwhile.

Cause: crashes accused the shared parts of prompts only. A request without a prompt, or whose crash follows from the whole of it, was judged as new each time, and its own retries carried it to the next server. Ruled out: load on cold replacements (the test has none); retries alone (routes without them show it).

Change: one mechanism for both. What is accused is a part of a prompt or the digest of method, host, path with query, client account and body, and both share evidence, spread, block, probe and end. After a crash a request is sent again only if at most one crash counts against it, and it isn't hedged while any does. Buffered responses prove a request sound when they are complete, with any status.

Weighed: a digest only at a crash (then nothing tells a popular sound request from a new one when servers end together); the prompt in the digest (the users' words are path, caller and body); no retry after a crash at all (a connection that a sound server resets can look like one).

--- a/packages/daemon/src/deployment/deployment_object_format.ts
+++ b/packages/daemon/src/deployment/deployment_object_format.ts
@@ -8,7 +8,7 @@
 import type {
   BackendServerId,
   DataCentreName,
-  PromptPartId,
+  SuspectId,
 } from "@sassafrasstage/protocol/ids";
 import type {
   ListedVm,
@@ -41,6 +41,6 @@
   ): { readonly key: string; readonly value: unknown };
   readPartBlock(object: StoredObject): ReadResult<PartBlock>;
   /** The key of the object that blocks the part. */
-  partBlockKey(part: PromptPartId): string;
+  partBlockKey(part: SuspectId): string;
   partBlockValue(block: PartBlock): unknown;
 }
--- a/packages/daemon/src/deployment/stored_part_blocks.ts
+++ b/packages/daemon/src/deployment/stored_part_blocks.ts
@@ -5,7 +5,7 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { SuspectId } from "@sassafrasstage/protocol/ids";
 import type { StoredObject } from "@sassafrasstage/protocol/platform_objects";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -24,7 +24,7 @@
 
 type Change =
   | { readonly kind: "publish"; readonly block: PartBlock }
-  | { readonly kind: "withdraw"; readonly part: PromptPartId };
+  | { readonly kind: "withdraw"; readonly part: SuspectId };
 
 type Progress = "done" | "conflict";
 
@@ -40,8 +40,8 @@
   readonly #options: StoredPartBlocksOptions;
   readonly #listeners: ((blocks: readonly PartBlock[]) => void)[] = [];
   /** The latest change of each part that isn't stored yet. */
-  readonly #changes = new Map<PromptPartId, Change>();
-  readonly #writing = new Set<PromptPartId>();
+  readonly #changes = new Map<SuspectId, Change>();
+  readonly #writing = new Set<SuspectId>();
   #isClosed = false;
 
   constructor(options: StoredPartBlocksOptions) {
@@ -63,7 +63,7 @@
     this.#change(block.part, { kind: "publish", block });
   }
 
-  withdraw(part: PromptPartId): void {
+  withdraw(part: SuspectId): void {
     this.#change(part, { kind: "withdraw", part });
   }
 
@@ -107,7 +107,7 @@
     });
   }
 
-  #change(part: PromptPartId, change: Change): void {
+  #change(part: SuspectId, change: Change): void {
     this.#changes.set(part, change);
     if (this.#writing.has(part)) return;
     this.#writing.add(part);
@@ -115,7 +115,7 @@
   }
 
   /** Stores the changes of a part until none is left. */
-  async #writeChanges(part: PromptPartId): Promise<void> {
+  async #writeChanges(part: SuspectId): Promise<void> {
     for (;;) {
       const change = this.#changes.get(part);
       if (change === undefined || this.#isClosed) break;
@@ -126,7 +126,7 @@
     this.#writing.delete(part);
   }
 
-  async #store(part: PromptPartId, change: Change): Promise<void> {
+  async #store(part: SuspectId, change: Change): Promise<void> {
     const { metrics, logger, objectFormat } = this.#options;
     const key = objectFormat.partBlockKey(part);
     let stored = this.#mirrored(key);
@@ -207,7 +207,7 @@
 
   async #removeBlock(
     key: string,
-    part: PromptPartId,
+    part: SuspectId,
     stored: StoredObject | undefined,
   ): Promise<Progress> {
     if (stored === undefined) return "done";
--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -13,6 +13,11 @@
 import { makeDeferred } from "../deferred.js";
 import { pollSockets } from "../http/poll_sockets.js";
 import type { ForwardContext, ForwardOutcome } from "./forward_context.js";
+import {
+  mayHedge,
+  mayRetryAfterCrash,
+  refusePoisonPart,
+} from "./refuse_poison_part.js";
 import {
   type AttemptResult,
   type BufferedResponse,
@@ -39,6 +44,9 @@
   runs: number;
   refusals: number;
   failureDetail: string;
+  hasCrashedServer: boolean;
+  /** Why another attempt was refused here. */
+  refusal: LocalReply | undefined;
   /** A 5xx response, forwarded if no other attempt succeeds. */
   serverError: BufferedResponse | undefined;
 }
@@ -52,6 +60,8 @@
     runs: 0,
     refusals: 0,
     failureDetail: "",
+    hasCrashedServer: false,
+    refusal: undefined,
     serverError: undefined,
   };
   context.environment.directory.retryBudgetOf(context.service)
@@ -111,15 +121,17 @@
       ? refuse(context, state)
       : replyAtLifetimeEnd(context, false);
   }
-  let mayHedge = isIdempotent(context);
+  let isHedgeDue = isIdempotent(context);
   while (state.running.size > 0) {
-    const event = await nextEvent(context, state, { ended, mayHedge });
+    const event = await nextEvent(context, state, { ended, isHedgeDue });
     switch (event.kind) {
       case "ended":
         return replyAtLifetimeEnd(context, state.runs > 0);
       case "hedge":
-        mayHedge = false;
-        await startRetry(context, state, { isHedge: true });
+        isHedgeDue = false;
+        if (mayHedge(context)) {
+          await startRetry(context, state, { isHedge: true });
+        }
         break;
       case "result": {
         state.running.delete(event.attempt);
@@ -143,7 +155,10 @@
 async function nextEvent(
   context: ForwardContext,
   state: ForwardState,
-  options: { readonly ended: Promise<RaceEvent>; readonly mayHedge: boolean },
+  options: {
+    readonly ended: Promise<RaceEvent>;
+    readonly isHedgeDue: boolean;
+  },
 ): Promise<RaceEvent> {
   const results = [...state.running].map(async (
     attempt,
@@ -152,7 +167,7 @@
     attempt,
     result: await attempt.result,
   }));
-  if (!options.mayHedge) return Promise.race([options.ended, ...results]);
+  if (!options.isHedgeDue) return Promise.race([options.ended, ...results]);
   let timer: NodeJS.Timeout | undefined;
   const hedge = new Promise<RaceEvent>((resolve) => {
     timer = setTimeout(() => {
@@ -210,6 +225,7 @@
 ): boolean {
   const hasNotRun = result.kind === "notRun" || result.kind === "notSent";
   if (!hasNotRun && !isIdempotent(context)) return false;
+  if (state.hasCrashedServer && !mayRetryAfterCrash(context)) return false;
   return state.refusals <= MAX_REFUSALS;
 }
 
@@ -245,6 +261,7 @@
   state: ForwardState,
   { isHedge }: AttemptOptions,
 ): Promise<boolean> {
+  if (!isAdmitted(context, state)) return false;
   const { directory, dataCentre } = context.environment;
   const candidate = await directory.assign({
     service: context.service,
@@ -258,6 +275,7 @@
   if (candidate === undefined || context.lifetime.end !== undefined) {
     return false;
   }
+  if (!isAdmitted(context, state)) return false;
   state.triedServers.add(candidate.server.id);
   state.runs += 1;
   state.running.add(runBufferedAttempt({
@@ -265,10 +283,19 @@
     candidate,
     inputs: undefined,
     resumeAfter: undefined,
+    onServerCrash: () => {
+      state.hasCrashedServer = true;
+    },
   }));
   return true;
 }
 
+/** Whether nothing in the request is known to crash servers. */
+function isAdmitted(context: ForwardContext, state: ForwardState): boolean {
+  state.refusal = refusePoisonPart(context);
+  return state.refusal === undefined;
+}
+
 function isIdempotent(context: ForwardContext): boolean {
   return context.route.repeatability.kind === "idempotent";
 }
@@ -285,6 +312,9 @@
 }
 
 function refuse(context: ForwardContext, state: ForwardState): ForwardOutcome {
+  if (state.runs === 0 && state.refusal !== undefined) {
+    return replyLocally(context, state.refusal);
+  }
   const reply: LocalReply = state.runs > 0
     ? { kind: "failed", detail: state.failureDetail }
     : {
--- a/packages/daemon/src/forwarding/observe_call.ts
+++ b/packages/daemon/src/forwarding/observe_call.ts
@@ -1,15 +1,15 @@
 /**
- * Tells the judging of prompt parts what becomes of a call to a server.
+ * Tells the judging of prompt parts and whole requests what becomes of a call.
  *
  * @module
  */
 
 import type { CallObservation } from "../poison_parts/call_observation.js";
-import { suspectableParts } from "../poison_parts/suspectable_parts.js";
 import type { AttemptInput } from "./run_attempt.js";
 import type { ResponseHead, ServerCallFailure } from "./server_caller.js";
+import { suspectsOf } from "./suspects_of.js";
 
-/** Takes the events of one call; does nothing for a prompt without parts. */
+/** Takes the events of one call. */
 export interface ObservedAttempt {
   recordSend(): void;
   recordHead(head: ResponseHead): void;
@@ -24,22 +24,22 @@
 export function observeCall(input: AttemptInput): ObservedAttempt {
   const { environment, request } = input.context;
   const { server } = input.candidate;
-  const parts = suspectableParts(request.prompt);
   let observation: CallObservation | undefined;
   let hasRun = false;
   let isNotRun = false;
   return {
     recordSend: () => {
-      if (parts.length === 0) return;
       observation ??= environment.poisonParts.observe({
         request: request.attemptId,
         server,
-        parts,
+        parts: suspectsOf(input.context),
       });
     },
     recordHead: (head) => {
       isNotRun = head.isNotRun;
-      hasRun = head.isGenuine && !head.isNotRun && head.status === 200;
+      // A server that rejects a prompt hasn't read it.
+      const isRunStatus = request.prompt === undefined || head.status === 200;
+      hasRun = head.isGenuine && !head.isNotRun && isRunStatus;
     },
     recordEvent: () => {
       observation?.recordEvent();
--- a/packages/daemon/src/forwarding/refuse_poison_part.ts
+++ b/packages/daemon/src/forwarding/refuse_poison_part.ts
@@ -1,23 +1,24 @@
 /**
- * Refuses requests with prompt parts that crash servers.
+ * Refuses requests that crash servers, or have prompt parts that do.
  *
  * @module
  */
 
-import { suspectableParts } from "../poison_parts/suspectable_parts.js";
+import { isRequestSuspect } from "../poison_parts/request_suspect.js";
 import type { ForwardContext } from "./forward_context.js";
 import type { LocalReply } from "./routed_request.js";
+import { suspectsOf } from "./suspects_of.js";
 
 /**
  * Returns the reply for a request that must not be sent to a server now;
  * undefined if it may be sent.
  */
 export function refusePoisonPart(
-  { environment, request }: ForwardContext,
+  context: ForwardContext,
 ): LocalReply | undefined {
-  const parts = suspectableParts(request.prompt);
-  if (parts.length === 0) return undefined;
-  const admission = environment.poisonParts.admit(request.attemptId, parts);
+  const { environment, request } = context;
+  const admission = environment.poisonParts
+    .admit(request.attemptId, suspectsOf(context));
   switch (admission.kind) {
     case "admitted":
     case "probe":
@@ -27,7 +28,9 @@
         kind: "refused",
         reason: "poisonPart",
         retryAfterMs: admission.retryAfterMs,
-        detail: `Prompt part ${admission.part} has crashed servers`,
+        detail: isRequestSuspect(admission.part)
+          ? "Requests with this content have crashed servers"
+          : `Prompt part ${admission.part} has crashed servers`,
       };
   }
 }
@@ -36,8 +39,11 @@
  * Whether a request under which a server has crashed may be sent to another
  * one.
  */
-export function mayRetryAfterCrash(
-  { environment, request }: ForwardContext,
-): boolean {
-  return environment.poisonParts.mayRetry(suspectableParts(request.prompt));
+export function mayRetryAfterCrash(context: ForwardContext): boolean {
+  return context.environment.poisonParts.mayRetry(suspectsOf(context));
+}
+
+/** Whether a request may be sent to two servers at the same time. */
+export function mayHedge(context: ForwardContext): boolean {
+  return !context.environment.poisonParts.isAccused(suspectsOf(context));
 }
--- a/packages/daemon/src/poison_parts/blocked_part.ts
+++ b/packages/daemon/src/poison_parts/blocked_part.ts
@@ -5,8 +5,9 @@
  * @module
  */
 
-import type { AttemptId, PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { AttemptId, SuspectId } from "@sassafrasstage/protocol/ids";
 import type { PartBlock } from "./part_blocks.js";
+import { isRequestSuspect } from "./request_suspect.js";
 
 /**
  * Time from the last crash to the next probe, by the number of failed probes.
@@ -14,6 +15,8 @@
  * blocked wrongly, and few later.
  */
 const PROBE_WAITS_MS = [10_000, 30_000] as const;
+/** A whole request that was blocked wrongly keeps no other from being served. */
+const REQUEST_PROBE_WAITS_MS = [30_000] as const;
 const LONGEST_PROBE_WAIT_MS = 600_000;
 /** Crashes sooner after the last one were under requests already in flight. */
 const MIN_PROBE_CRASH_GAP_MS = 5000;
@@ -32,7 +35,7 @@
 }
 
 export class BlockedPart {
-  readonly part: PromptPartId;
+  readonly part: SuspectId;
   readonly blockedAtMs: number;
   #crashes: number;
   #failedProbes: number;
@@ -126,7 +129,10 @@
   }
 
   #nextProbeAtMs(): number {
-    const waitMs = PROBE_WAITS_MS[this.#failedProbes] ?? LONGEST_PROBE_WAIT_MS;
+    const waitsMs: readonly number[] = isRequestSuspect(this.part)
+      ? REQUEST_PROBE_WAITS_MS
+      : PROBE_WAITS_MS;
+    const waitMs = waitsMs[this.#failedProbes] ?? LONGEST_PROBE_WAIT_MS;
     return this.#lastCrashAtMs + waitMs;
   }
 }
--- a/packages/daemon/src/poison_parts/call_observation.ts
+++ b/packages/daemon/src/poison_parts/call_observation.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { AttemptId, PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { AttemptId, SuspectId } from "@sassafrasstage/protocol/ids";
 import type { RegisteredServer } from "../register/server_register.js";
 
 /** A call that is about to be sent to a server. */
@@ -12,7 +12,7 @@
   readonly request: AttemptId;
   readonly server: RegisteredServer;
   /** See `suspectableParts`. */
-  readonly parts: readonly PromptPartId[];
+  readonly parts: readonly SuspectId[];
 }
 
 /**
--- a/packages/daemon/src/poison_parts/crash_ledger.ts
+++ b/packages/daemon/src/poison_parts/crash_ledger.ts
@@ -4,17 +4,14 @@
  * @module
  */
 
-import type {
-  BackendServerId,
-  PromptPartId,
-} from "@sassafrasstage/protocol/ids";
+import type { BackendServerId, SuspectId } from "@sassafrasstage/protocol/ids";
 import type { CrashReport } from "@sassafrasstage/protocol/poison_parts";
 import { compareText } from "../peers/rendezvous.js";
 
 /** Requests with a rare part may be minutes apart. */
 export const CRASH_RETENTION_MS = 600_000;
 const MAX_CRASHES = 256;
-const MAX_PARTS_PER_CRASH = 256;
+const MAX_PARTS_PER_CRASH = 512;
 /** VMs learn of a crash within this time of each other. */
 const SAME_CRASH_MS = 2000;
 
@@ -30,7 +27,7 @@
   readonly server: BackendServerId;
   readonly startedAt: number | undefined;
   /** The parts of calls that any VM had in flight. */
-  readonly accusations: ReadonlyMap<PromptPartId, Accusation>;
+  readonly accusations: ReadonlyMap<SuspectId, Accusation>;
 }
 
 /**
@@ -52,7 +49,7 @@
   /** By process, so that a crash counts once although many VMs report it. */
   readonly #crashes = new Map<string, Crash>();
   /** When each accused part was accused last. Undefined if out of date. */
-  #lastAccusedMs: Map<PromptPartId, number> | undefined;
+  #lastAccusedMs: Map<SuspectId, number> | undefined;
 
   get size(): number {
     return this.#crashes.size;
@@ -66,18 +63,23 @@
     return this.#crashes.get(processKey(report.server, report.startedAt));
   }
 
-  lastAccusedMs(): ReadonlyMap<PromptPartId, number> {
+  accusationsOf(part: SuspectId): Accusation[] {
+    if (!this.lastAccusedMs().has(part)) return [];
+    return this.all().flatMap(({ accusations }) => accusations.get(part) ?? []);
+  }
+
+  lastAccusedMs(): ReadonlyMap<SuspectId, number> {
     this.#lastAccusedMs ??= findLastAccused(this.#crashes.values());
     return this.#lastAccusedMs;
   }
 
   /** Returns the parts that the known reports of the crash didn't accuse. */
-  merge(report: CrashReport, nowMs: number): PromptPartId[] {
+  merge(report: CrashReport, nowMs: number): SuspectId[] {
     const atMs = nowMs - report.ageMs;
     if (report.ageMs >= CRASH_RETENTION_MS) return [];
     const known = this.get(report)?.accusations;
     const accusations = new Map(known);
-    const newParts: PromptPartId[] = [];
+    const newParts: SuspectId[] = [];
     for (const part of report.parts) {
       const accusation = known?.get(part);
       if (accusation === undefined || isLater(atMs, accusation)) {
@@ -134,8 +136,8 @@
 
 /** Chooses the same parts on every VM, in whatever order they were reported. */
 function limitParts(
-  accusations: ReadonlyMap<PromptPartId, Accusation>,
-): ReadonlyMap<PromptPartId, Accusation> {
+  accusations: ReadonlyMap<SuspectId, Accusation>,
+): ReadonlyMap<SuspectId, Accusation> {
   if (accusations.size <= MAX_PARTS_PER_CRASH) return accusations;
   const kept = [...accusations]
     .sort(([a], [b]) => compareText(a, b))
@@ -145,8 +147,8 @@
 
 function findLastAccused(
   crashes: Iterable<Crash>,
-): Map<PromptPartId, number> {
-  const lastAccusedMs = new Map<PromptPartId, number>();
+): Map<SuspectId, number> {
+  const lastAccusedMs = new Map<SuspectId, number>();
   for (const { accusations } of crashes) {
     for (const [part, { atMs }] of accusations) {
       lastAccusedMs.set(part, Math.max(atMs, lastAccusedMs.get(part) ?? atMs));
--- a/packages/daemon/src/poison_parts/part_blocks.ts
+++ b/packages/daemon/src/poison_parts/part_blocks.ts
@@ -4,11 +4,11 @@
  * @module
  */
 
-import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { SuspectId } from "@sassafrasstage/protocol/ids";
 
 /** A prompt part with which requests are refused. */
 export interface PartBlock {
-  readonly part: PromptPartId;
+  readonly part: SuspectId;
   /** Crashes that are attributed to the part. */
   readonly crashes: number;
   /** Probes under which a server has crashed since the part was blocked. */
@@ -25,7 +25,7 @@
   /** Adds a block, or replaces the one of the same part. */
   publish(block: PartBlock): void;
   /** Removes the part's block, if there is one. */
-  withdraw(part: PromptPartId): void;
+  withdraw(part: SuspectId): void;
   /** The listener gets all present blocks: at first, and on each change. */
   onChanged(listener: (blocks: readonly PartBlock[]) => void): void;
 }
--- a/packages/daemon/src/poison_parts/part_decision_log.ts
+++ b/packages/daemon/src/poison_parts/part_decision_log.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { AttemptId, PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { AttemptId, SuspectId } from "@sassafrasstage/protocol/ids";
 import type { CrashReport } from "@sassafrasstage/protocol/poison_parts";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -94,19 +94,19 @@
     });
   }
 
-  cleared(part: PromptPartId, reason: ClearReason): void {
+  cleared(part: SuspectId, reason: ClearReason): void {
     this.#metrics.countEvent(`promptPart.cleared.${reason}`);
     this.#logger.info("promptPartCleared", { part, reason });
   }
 
-  probed(request: AttemptId, parts: readonly PromptPartId[]): void {
+  probed(request: AttemptId, parts: readonly SuspectId[]): void {
     this.#metrics.countEvent("promptPart.probe");
     this.#logger.info("promptPartProbed", { request, parts: parts.join() });
   }
 
   refused(
     request: AttemptId,
-    refusal: { readonly part: PromptPartId; readonly retryAfterMs: number },
+    refusal: { readonly part: SuspectId; readonly retryAfterMs: number },
   ): void {
     this.#metrics.countEvent("promptPart.refused");
     this.#logger.info("requestRefusedForPart", { request, ...refusal });
--- a/packages/daemon/src/poison_parts/part_evidence.ts
+++ b/packages/daemon/src/poison_parts/part_evidence.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { SuspectId } from "@sassafrasstage/protocol/ids";
 import type { CrashReport } from "@sassafrasstage/protocol/poison_parts";
 import { CRASH_RETENTION_MS, CrashLedger } from "./crash_ledger.js";
 import type { PartEvidence } from "./judge_parts.js";
@@ -20,7 +20,7 @@
   readonly ledger = new CrashLedger();
   readonly successes = new PartSuccesses();
   /** When a block of the part ended without a success that is known here. */
-  readonly #clearedAtMs = new Map<PromptPartId, number>();
+  readonly #clearedAtMs = new Map<SuspectId, number>();
 
   /** Returns undefined if nothing about the crash is new. */
   addCrash(report: CrashReport, nowMs: number): NewCrashReport | undefined {
@@ -29,8 +29,15 @@
     return { report: { ...report, parts }, atMs: nowMs - report.ageMs };
   }
 
+  /** Crashes that count against the part. */
+  crashCount(part: SuspectId): number {
+    const countsFromMs = this.#countsFromMs(part);
+    return this.ledger.accusationsOf(part)
+      .filter(({ atMs }) => atMs > countsFromMs).length;
+  }
+
   /** Crashes up to now no longer count against the part. */
-  clear(part: PromptPartId, nowMs: number): void {
+  clear(part: SuspectId, nowMs: number): void {
     this.#clearedAtMs.set(part, nowMs);
   }
 
@@ -44,7 +51,7 @@
   }
 
   /** @param blocked Parts that explain crashes already */
-  toEvidence(blocked: ReadonlySet<PromptPartId>): PartEvidence {
+  toEvidence(blocked: ReadonlySet<SuspectId>): PartEvidence {
     return {
       crashes: this.ledger.all(),
       lastSuccessMs: (part) => this.successes.lastMs(part),
@@ -53,7 +60,7 @@
     };
   }
 
-  #countsFromMs(part: PromptPartId): number {
+  #countsFromMs(part: SuspectId): number {
     return Math.max(
       this.successes.lastMs(part) ?? Number.NEGATIVE_INFINITY,
       this.#clearedAtMs.get(part) ?? Number.NEGATIVE_INFINITY,
--- a/packages/daemon/src/poison_parts/part_news_outbox.ts
+++ b/packages/daemon/src/poison_parts/part_news_outbox.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { SuspectId } from "@sassafrasstage/protocol/ids";
 import type {
   CrashReport,
   PartSuccess,
@@ -27,9 +27,9 @@
   #crashesHere: NewCrashReport[] = [];
   #crashesElsewhere: NewCrashReport[] = [];
   /** Parts whose successes are told although no crash accuses them. */
-  readonly #announced = new Set<PromptPartId>();
+  readonly #announced = new Set<SuspectId>();
   /** The newest success of each accused part that VMs have told each other. */
-  readonly #toldMs = new Map<PromptPartId, number>();
+  readonly #toldMs = new Map<SuspectId, number>();
 
   constructor(ledger: CrashLedger, successes: PartSuccesses) {
     this.#ledger = ledger;
@@ -41,12 +41,12 @@
     else this.#crashesElsewhere.push(crash);
   }
 
-  announceSuccess(part: PromptPartId): void {
+  announceSuccess(part: SuspectId): void {
     this.#announced.add(part);
   }
 
   /** Other VMs know the success already. */
-  recordTold(part: PromptPartId, successAtMs: number): void {
+  recordTold(part: SuspectId, successAtMs: number): void {
     const toldMs = this.#toldMs.get(part) ?? successAtMs;
     this.#toldMs.set(part, Math.max(toldMs, successAtMs));
   }
@@ -84,7 +84,7 @@
     };
   }
 
-  #takeUntoldParts(): PromptPartId[] {
+  #takeUntoldParts(): SuspectId[] {
     const accused = this.#ledger.lastAccusedMs();
     const untold = [...accused]
       .filter(([part, crashAtMs]) => this.#isUntold(part, crashAtMs))
@@ -101,7 +101,7 @@
     return parts;
   }
 
-  #isUntold(part: PromptPartId, crashAtMs: number): boolean {
+  #isUntold(part: SuspectId, crashAtMs: number): boolean {
     const successAtMs = this.#successes.lastMs(part);
     if (successAtMs === undefined) return false;
     if (crashAtMs - successAtMs > SUCCESS_VALIDITY_MS) return false;
@@ -110,7 +110,7 @@
       (toldMs <= crashAtMs && successAtMs > toldMs);
   }
 
-  #toSuccesses(parts: readonly PromptPartId[], nowMs: number): PartSuccess[] {
+  #toSuccesses(parts: readonly SuspectId[], nowMs: number): PartSuccess[] {
     return parts.flatMap((part) => {
       const atMs = this.#successes.lastMs(part);
       return atMs === undefined
@@ -133,7 +133,7 @@
 /** Returns one report for each time at which parts were accused. */
 function describeCrash(crash: Crash, nowMs: number): CrashReport[] {
   const { server, startedAt, accusations } = crash;
-  const partsByTime = new Map<number, PromptPartId[]>();
+  const partsByTime = new Map<number, SuspectId[]>();
   for (const [part, { atMs }] of accusations) {
     const parts = partsByTime.get(atMs);
     if (parts === undefined) partsByTime.set(atMs, [part]);
--- a/packages/daemon/src/poison_parts/part_successes.ts
+++ b/packages/daemon/src/poison_parts/part_successes.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { SuspectId } from "@sassafrasstage/protocol/ids";
 
 /** Time for which a success says that servers run requests with the part. */
 export const SUCCESS_VALIDITY_MS = 60_000;
@@ -18,27 +18,27 @@
 
 export class PartSuccesses {
   /** In the order of recording, so the least recently recorded comes first. */
-  readonly #successes = new Map<PromptPartId, Success>();
+  readonly #successes = new Map<SuspectId, Success>();
 
   get size(): number {
     return this.#successes.size;
   }
 
-  lastMs(part: PromptPartId): number | undefined {
+  lastMs(part: SuspectId): number | undefined {
     return this.#successes.get(part)?.atMs;
   }
 
-  isOwn(part: PromptPartId): boolean {
+  isOwn(part: SuspectId): boolean {
     return this.#successes.get(part)?.isOwn ?? false;
   }
 
-  isValid(part: PromptPartId, nowMs: number): boolean {
+  isValid(part: SuspectId, nowMs: number): boolean {
     const atMs = this.lastMs(part);
     return atMs !== undefined && nowMs - atMs <= SUCCESS_VALIDITY_MS;
   }
 
   /** Returns whether it is newer than the known one. */
-  record(part: PromptPartId, success: Success): boolean {
+  record(part: SuspectId, success: Success): boolean {
     const known = this.#successes.get(part);
     if (known !== undefined && known.atMs >= success.atMs) return false;
     this.#successes.delete(part);
@@ -48,7 +48,7 @@
 
   /** Bounds the memory; parts that crashes accuse are kept. */
   dropExpired(
-    accused: ReadonlyMap<PromptPartId, number>,
+    accused: ReadonlyMap<SuspectId, number>,
     nowMs: number,
   ): void {
     let excess = this.#successes.size - MAX_PARTS;
--- a/packages/daemon/src/poison_parts/poison_parts.ts
+++ b/packages/daemon/src/poison_parts/poison_parts.ts
@@ -1,10 +1,11 @@
 /**
- * Finds the prompt parts that crash servers, and refuses requests with them.
+ * Finds the prompt parts and whole requests that crash servers, and refuses
+ * them. A whole request is judged like a part that no other request has.
  *
  * @module
  */
 
-import type { AttemptId, PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { AttemptId, SuspectId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -26,6 +27,7 @@
   PartDecisionLog,
 } from "./part_decision_log.js";
 import { KnownEvidence, type NewCrashReport } from "./part_evidence.js";
+import { isRequestSuspect } from "./request_suspect.js";
 import { PartNewsOutbox } from "./part_news_outbox.js";
 import { PartNewsSharing, type ReceivedPartNews } from "./part_news_sharing.js";
 import { SharedBlocks } from "./shared_blocks.js";
@@ -44,10 +46,10 @@
 export type Admission =
   | { readonly kind: "admitted" }
   /** Sent to find out whether the blocked part still crashes servers. */
-  | { readonly kind: "probe"; readonly part: PromptPartId }
+  | { readonly kind: "probe"; readonly part: SuspectId }
   | {
     readonly kind: "refused";
-    readonly part: PromptPartId;
+    readonly part: SuspectId;
     readonly retryAfterMs: number;
   };
 
@@ -58,7 +60,7 @@
  * heartbeat each way, and twice that through other data centres.
  */
 const SETTLE_MS = 500;
-/** Of one report; those without a recent success come first. */
+/** Of each kind in one report; those without a recent success come first. */
 const MAX_REPORTED_PARTS = 64;
 const ADMITTED: Admission = { kind: "admitted" };
 
@@ -67,12 +69,12 @@
   readonly #log: PartDecisionLog;
   readonly #startedAtMs: number;
   readonly #evidence = new KnownEvidence();
-  readonly #blocked = new Map<PromptPartId, BlockedPart>();
+  readonly #blocked = new Map<SuspectId, BlockedPart>();
   /**
    * Parts to be blocked unless other VMs tell of successes by this time. Until
    * then this VM alone refuses them; it has none of their usual requests.
    */
-  readonly #heldUntilMs = new Map<PromptPartId, number>();
+  readonly #heldUntilMs = new Map<SuspectId, number>();
   readonly #openCalls: OpenCalls;
   readonly #outbox: PartNewsOutbox;
   readonly #sharedBlocks: SharedBlocks;
@@ -124,7 +126,7 @@
    * Decides whether a request may be sent to a server; called right before each
    * call. Refusals are logged and counted.
    */
-  admit(request: AttemptId, parts: readonly PromptPartId[]): Admission {
+  admit(request: AttemptId, parts: readonly SuspectId[]): Admission {
     if (parts.length === 0) return ADMITTED;
     const nowMs = this.#clock.nowMs();
     this.#judgeIfDue(nowMs);
@@ -151,15 +153,29 @@
 
   /**
    * Whether a request may be sent to another server after one has crashed under
-   * it: all its parts must have been found sound recently.
+   * it: all its parts must have been found sound recently. As most requests are
+   * sent only once, one crash is no evidence against a whole request.
    */
-  mayRetry(parts: readonly PromptPartId[]): boolean {
+  mayRetry(parts: readonly SuspectId[]): boolean {
     const nowMs = this.#clock.nowMs();
-    return parts.every((part) => this.#evidence.successes.isValid(part, nowMs));
+    const { successes } = this.#evidence;
+    return parts.every((part) =>
+      successes.isValid(part, nowMs) ||
+      (isRequestSuspect(part) && this.#evidence.crashCount(part) <= 1)
+    );
+  }
+
+  /** Whether a server has crashed under the parts since they last succeeded. */
+  isAccused(parts: readonly SuspectId[]): boolean {
+    const nowMs = this.#clock.nowMs();
+    const { successes } = this.#evidence;
+    return parts.some((part) =>
+      !successes.isValid(part, nowMs) && this.#evidence.crashCount(part) > 0
+    );
   }
 
   /** Ordered, so that all VMs choose the same owner for the request's probe. */
-  #findBlocked(parts: readonly PromptPartId[]): BlockedPart[] {
+  #findBlocked(parts: readonly SuspectId[]): BlockedPart[] {
     if (this.#blocked.size === 0) return [];
     return parts.flatMap((part) => this.#blocked.get(part) ?? [])
       .sort((a, b) => compareText(a.part, b.part));
@@ -167,7 +183,7 @@
 
   #admitUnlessHeld(
     request: AttemptId,
-    parts: readonly PromptPartId[],
+    parts: readonly SuspectId[],
     nowMs: number,
   ): Admission {
     for (const part of parts) {
@@ -243,13 +259,17 @@
   #chooseReported(
     calls: readonly ObservedCall[],
     nowMs: number,
-  ): PromptPartId[] {
+  ): SuspectId[] {
     const { successes } = this.#evidence;
-    const parts = [...new Set(calls.flatMap((call) => call.parts))];
-    if (parts.length <= MAX_REPORTED_PARTS) return parts;
-    const sound = parts.filter((part) => successes.isValid(part, nowMs));
-    const unknown = parts.filter((part) => !successes.isValid(part, nowMs));
-    return [...unknown, ...sound].slice(0, MAX_REPORTED_PARTS);
+    const accused = [...new Set(calls.flatMap((call) => call.parts))];
+    const sound = accused.filter((part) => successes.isValid(part, nowMs));
+    const unknown = accused.filter((part) => !successes.isValid(part, nowMs));
+    const ordered = [...unknown, ...sound];
+    return [
+      ...ordered.filter((part) => !isRequestSuspect(part))
+        .slice(0, MAX_REPORTED_PARTS),
+      ...ordered.filter(isRequestSuspect).slice(0, MAX_REPORTED_PARTS),
+    ];
   }
 
   #handleNews({ from, news, relay }: ReceivedPartNews): void {
@@ -361,14 +381,14 @@
   }
 
   /** Returns whether the success has ended a block. */
-  #clearIfSound(part: PromptPartId, soundAtMs: number): boolean {
+  #clearIfSound(part: SuspectId, soundAtMs: number): boolean {
     const block = this.#blocked.get(part);
     if (block === undefined || soundAtMs <= block.lastCrashAtMs) return false;
     this.#unblock(part, "success");
     return true;
   }
 
-  #unblock(part: PromptPartId, reason: ClearReason): void {
+  #unblock(part: SuspectId, reason: ClearReason): void {
     this.#blocked.delete(part);
     // Crashes that the part explained may count against others now.
     this.#judgeAtMs = this.#clock.nowMs();
--- a/packages/daemon/src/poison_parts/shared_blocks.ts
+++ b/packages/daemon/src/poison_parts/shared_blocks.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { SuspectId } from "@sassafrasstage/protocol/ids";
 import type { PeerNetwork } from "../peers/peer_network.js";
 import { findReachableMembers } from "../peers/reachable_members.js";
 import { rankByRendezvous } from "../peers/rendezvous.js";
@@ -19,17 +19,17 @@
   /** Listed now, and not refused to be adopted. */
   readonly listed: readonly PartBlock[];
   /** No longer listed. */
-  readonly withdrawn: readonly PromptPartId[];
+  readonly withdrawn: readonly SuspectId[];
 }
 
 export class SharedBlocks {
   readonly #network: PeerNetwork;
   readonly #store: PartBlocks;
-  #listed = new Map<PromptPartId, PartBlock>();
+  #listed = new Map<SuspectId, PartBlock>();
   /** Listed blocks that have ended here; the store isn't up to date yet. */
-  readonly #ended = new Map<PromptPartId, PartBlock>();
+  readonly #ended = new Map<SuspectId, PartBlock>();
   /** When this VM last published each block, and with what. */
-  readonly #published = new Map<PromptPartId, PartBlock>();
+  readonly #published = new Map<SuspectId, PartBlock>();
 
   constructor(network: PeerNetwork, store: PartBlocks) {
     this.#network = network;
@@ -69,7 +69,7 @@
   }
 
   /** The block has ended at this VM. */
-  end(part: PromptPartId, options: { readonly withdraw: boolean }): void {
+  end(part: SuspectId, options: { readonly withdraw: boolean }): void {
     const listed = this.#listed.get(part);
     if (listed !== undefined) this.#ended.set(part, listed);
     this.#published.delete(part);
@@ -77,7 +77,7 @@
   }
 
   /** Whether this VM probes the part and ends its block. */
-  isOwner(part: PromptPartId, nowMs: number): boolean {
+  isOwner(part: SuspectId, nowMs: number): boolean {
     return this.#hasMajority(nowMs) && this.#rankOf(part, nowMs) === 0;
   }
 
@@ -89,7 +89,7 @@
     return 2 * reachable > running.length;
   }
 
-  #rankOf(part: PromptPartId, nowMs: number): number {
+  #rankOf(part: SuspectId, nowMs: number): number {
     const { self } = this.#network;
     const members = findReachableMembers(this.#network.view(nowMs))
       .filter(({ state }) => state === "live");
--- a/packages/daemon/src/poison_parts/suspectable_parts.ts
+++ b/packages/daemon/src/poison_parts/suspectable_parts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type PromptPartId, toId } from "@sassafrasstage/protocol/ids";
+import { type SuspectId, toId } from "@sassafrasstage/protocol/ids";
 import type { PromptShape } from "../forwarding/routed_request.js";
 
 /** Bound what is remembered of one request. */
@@ -23,11 +23,11 @@
  */
 export function suspectableParts(
   prompt: PromptShape | undefined,
-): readonly PromptPartId[] {
+): readonly SuspectId[] {
   if (prompt === undefined || prompt.parts.length < 2) return [];
   const ids = prompt.parts.slice(0, -1)
     .filter(({ id }) => id.length <= MAX_ID_LENGTH)
     .slice(0, MAX_PARTS)
-    .map(({ id }) => toId<PromptPartId>(id));
+    .map(({ id }) => toId<SuspectId>(id));
   return [...new Set(ids)];
 }
--- a/packages/daemon/src/poison_parts/testing/simulated_block_store.ts
+++ b/packages/daemon/src/poison_parts/testing/simulated_block_store.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { PromptPartId } from "@sassafrasstage/protocol/ids";
+import type { SuspectId } from "@sassafrasstage/protocol/ids";
 import type { PartBlock, PartBlocks } from "../part_blocks.js";
 
 const CHANGE_DELAY_MS = 100;
@@ -13,7 +13,7 @@
 type Listener = (blocks: readonly PartBlock[]) => void;
 
 export class SimulatedBlockStore {
-  readonly blocks = new Map<PromptPartId, PartBlock>();
+  readonly blocks = new Map<SuspectId, PartBlock>();
   /** Number of changes that VMs have asked for. */
   writes = 0;
   readonly #listeners = new Map<number, Listener>();
--- a/packages/daemon/src/poison_parts/testing/simulated_part_fleet.ts
+++ b/packages/daemon/src/poison_parts/testing/simulated_part_fleet.ts
@@ -7,7 +7,7 @@
 
 import {
   type AttemptId,
-  type PromptPartId,
+  type SuspectId,
   toId,
 } from "@sassafrasstage/protocol/ids";
 import type { MockTimers } from "node:test";
@@ -27,11 +27,11 @@
 const MS_PER_SECOND = 1000;
 
 /** Every request of the route has it. */
-export const FIRST_PART = toId<PromptPartId>("first");
-export const POISON_PART = toId<PromptPartId>("poison");
+export const FIRST_PART = toId<SuspectId>("first");
+export const POISON_PART = toId<SuspectId>("poison");
 /** Requests have one of them. */
 const SECOND_PARTS = ["a", "b", "c", "d"].map((name) =>
-  toId<PromptPartId>(`second-${name}`)
+  toId<SuspectId>(`second-${name}`)
 );
 
 export interface PartFleetOptions {
@@ -51,7 +51,7 @@
 export interface SentRequest {
   readonly atMs: number;
   readonly vmIndex: number;
-  readonly parts: readonly PromptPartId[];
+  readonly parts: readonly SuspectId[];
   readonly isProbe: boolean;
   outcome: "refused" | "noServer" | "running" | "begun" | "crashed";
 }
@@ -107,7 +107,7 @@
 
   /** Sends a request at a random VM, or at the given one. */
   send(
-    parts: readonly PromptPartId[],
+    parts: readonly SuspectId[],
     vmIndex = Math.floor(this.#nextRandom() * this.vms.length),
   ): SentRequest {
     const vm = this.vms[vmIndex];
@@ -128,7 +128,7 @@
   }
 
   /** Requests with the part that servers got, from this time on. */
-  sentWith(part: PromptPartId, fromMs: number): SentRequest[] {
+  sentWith(part: SuspectId, fromMs: number): SentRequest[] {
     return this.requests.filter(({ atMs, parts, outcome }) =>
       atMs >= fromMs && parts.includes(part) && outcome !== "refused" &&
       outcome !== "noServer"
@@ -167,7 +167,7 @@
     });
   }
 
-  #soundParts(): PromptPartId[] {
+  #soundParts(): SuspectId[] {
     const index = Math.floor(this.#nextRandom() * SECOND_PARTS.length);
     return [FIRST_PART, ...SECOND_PARTS.slice(index, index + 1)];
   }
--- a/packages/daemon/src/poison_parts/testing/simulated_servers.ts
+++ b/packages/daemon/src/poison_parts/testing/simulated_servers.ts
@@ -7,7 +7,7 @@
 
 import {
   type BackendServerId,
-  type PromptPartId,
+  type SuspectId,
   toId,
 } from "@sassafrasstage/protocol/ids";
 import type { RegisteredServer } from "../../register/server_register.js";
@@ -22,7 +22,7 @@
 
 export interface SimulatedCall {
   readonly vmIndex: number;
-  readonly parts: readonly PromptPartId[];
+  readonly parts: readonly SuspectId[];
   readonly onEvent: () => void;
   readonly onComplete: () => void;
   readonly onCrash: () => void;
@@ -37,7 +37,7 @@
 
 export class SimulatedServers {
   /** Requests with one of them crash the server. */
-  readonly poison = new Set<PromptPartId>();
+  readonly poison = new Set<SuspectId>();
   /** When servers crashed. */
   readonly crashesAtMs: number[] = [];
   readonly #servers: SimulatedServer[];
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -39,8 +39,11 @@
 export type AttemptId = Branded<"AttemptId">;
 /** A permit for one call in flight at one backend server. */
 export type PermitId = Branded<"PermitId">;
-/** A part of prompts that requests can have in common. */
-export type PromptPartId = Branded<"PromptPartId">;
+/**
+ * What requests that crash servers can have in common: a part of their prompts,
+ * or the digest of the whole request.
+ */
+export type SuspectId = Branded<"SuspectId">;
 /** A change of the configuration by an operator. */
 export type ChangeId = Branded<"ChangeId">;
 
--- a/packages/protocol/src/poison_parts.ts
+++ b/packages/protocol/src/poison_parts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { BackendServerId, PromptPartId } from "./ids.js";
+import type { BackendServerId, SuspectId } from "./ids.js";
 
 /** The end of one server process under calls that weren't proven sound. */
 export interface CrashReport {
@@ -13,12 +13,12 @@
   readonly startedAt?: number | undefined;
   readonly ageMs: number;
   /** The parts of the calls that were in flight at the sender. */
-  readonly parts: readonly PromptPartId[];
+  readonly parts: readonly SuspectId[];
 }
 
 /** The latest time at which a server has run a request with the part. */
 export interface PartSuccess {
-  readonly part: PromptPartId;
+  readonly part: SuspectId;
   readonly ageMs: number;
 }
 
