Store blocks again that the platform's store lost

When the store came back from an older copy, blocks of what crashes servers were dropped by all VMs after 3 s as withdrawn, and the requests reached servers again.

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -142,6 +142,7 @@
       ...options,
       onEraChanged: (change) => {
         this.#handleEraChange(this.partBlocks.mirror, change);
+        void this.partBlocks.restoreUnconfirmed();
       },
     });
     this.#serversWatch = this.#startWatch(servers, WATCH_WAIT_MS, () => {
--- a/packages/daemon/src/deployment/stored_part_blocks.ts
+++ b/packages/daemon/src/deployment/stored_part_blocks.ts
@@ -33,6 +33,8 @@
 const INITIAL_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 3200;
 const MAX_TRIES = 20;
+/** Before VMs drop what the store lacks. */
+const MAX_RESTORATION_DELAY_MS = 1500;
 
 export class StoredPartBlocks implements PartBlocks {
   /** The stored blocks; the owner keeps it up to date. */
@@ -72,6 +74,22 @@
     listener(this.#blocks());
   }
 
+  /**
+   * Stores the blocks again that the store lacks since it came back from an
+   * older copy, unless another VM does.
+   */
+  async restoreUnconfirmed(): Promise<void> {
+    // Most VMs then find the blocks stored already.
+    await sleep(MAX_RESTORATION_DELAY_MS * Math.random());
+    for (const object of this.mirror.objects) {
+      const block = this.#read(object);
+      if (block === undefined) continue;
+      if (this.#mirrored(object.key) !== undefined) continue;
+      this.#options.metrics.countEvent("partBlockRestored");
+      this.publish(block);
+    }
+  }
+
   /** Ends all retries. */
   close(): void {
     this.#isClosed = true;
