Obey what servers say about themselves in their responses

A server that leaves says so in its responses, and one that turns a request away may ask for a time without requests; nothing read either, so requests went on to it until the platform's entry changed, or by its health.

Both are facts about one process of a server (id, start and address), read from every response, of stage calls too, and bind this VM whatever the platform or peers say. Leaving is final for the process. Every choice of a server goes by the register, and a request that waited for a connection is checked again when it is written. If all servers asked for a pause, requests are refused at once with its end. Results at a paused server are left to expire.

--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -16,6 +16,7 @@
 import type { StreamVersions } from "../stream_versions/stream_versions.js";
 import type { StageGraphClient } from "../stage_graphs/stage_graph_client.js";
 import type { RequestLifetime } from "./request_lifetime.js";
+import type { ServerNotices } from "../register/server_notices.js";
 import type { RouteStatistics } from "./route_statistics.js";
 import type { ClientChannel, RoutedRequest } from "./routed_request.js";
 import type { ServerCaller } from "./server_caller.js";
@@ -28,6 +29,7 @@
   readonly rateLimits: ServerRateLimits;
   readonly streamVersions: StreamVersions;
   readonly poisonParts: PoisonParts;
+  readonly serverNotices: ServerNotices;
   readonly routeStatistics: RouteStatistics;
   readonly dataCentre: DataCentreName;
   readonly clock: Clock;
--- a/packages/daemon/src/forwarding/late_event_loop_test.ts
+++ b/packages/daemon/src/forwarding/late_event_loop_test.ts
@@ -1,3 +1,4 @@
+import { NO_NOTICE } from "../register/server_notice.js";
 import { expect } from "earl";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
@@ -38,6 +39,7 @@
   endsWithConnection: false,
   isGenuine: true,
   rateLimit: { kind: "unknown" },
+  notice: NO_NOTICE,
 };
 
 function block(durationMs: number): void {
--- a/packages/daemon/src/forwarding/observe_call_test.ts
+++ b/packages/daemon/src/forwarding/observe_call_test.ts
@@ -1,3 +1,4 @@
+import { NO_NOTICE } from "../register/server_notice.js";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { ServerHealth } from "../placement/server_health.js";
@@ -80,6 +81,7 @@
     endsWithConnection: false,
     isGenuine: true,
     rateLimit: { kind: "unknown" },
+    notice: NO_NOTICE,
     ...overrides,
   };
 }
--- a/packages/daemon/src/forwarding/request_forwarder_test.ts
+++ b/packages/daemon/src/forwarding/request_forwarder_test.ts
@@ -1,3 +1,4 @@
+import { NO_NOTICE } from "../register/server_notice.js";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -27,6 +28,7 @@
   endsWithConnection: false,
   isGenuine: true,
   rateLimit: { kind: "unknown" },
+  notice: NO_NOTICE,
 };
 
 /** Responds to each call with one event, and then breaks the stream. */
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -53,6 +53,7 @@
   return {
     server: candidate.server,
     request: context.request,
+    maySend: () => context.environment.directory.isUsable(candidate.server),
     connectionShare: context.environment.directory
       .connectionShare(candidate.server.service),
     remainingMs: Math.max(1, Math.floor(context.lifetime.remainingMs())),
@@ -95,8 +96,11 @@
   function fail(failure: ServerCallFailure): void {
     const nowMs = environment.clock.nowMs();
     if (!finish()) return;
-    if (failure.kind === "notSent") health.recordUnreachable(nowMs);
-    else health.recordFailure(nowMs);
+    if (failure.kind === "notSent") {
+      if (environment.directory.isUsable(server)) {
+        health.recordUnreachable(nowMs);
+      }
+    } else health.recordFailure(nowMs);
     const remainingConnections = failure.kind === "broken"
       ? failure.remainingConnections
       : "notChecked";
@@ -131,8 +135,16 @@
         startedAtMs,
         request: input.context.request.attemptId,
       });
-      if (head.isNotRun) health.recordOverload(nowMs);
-      else if (!head.isGenuine) health.recordFailure(nowMs);
+      environment.serverNotices.record(
+        server,
+        head.notice,
+        input.context.request.attemptId,
+      );
+      // A pause says when the server can be used again.
+      const isPaused = head.notice.pause.kind === "requested";
+      if (head.isNotRun) {
+        if (!isPaused) health.recordOverload(nowMs);
+      } else if (!head.isGenuine) health.recordFailure(nowMs);
       else {
         health.recordResponse(nowMs - startedAtMs);
         if (head.status >= 500) health.recordFailure(nowMs);
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -7,6 +7,7 @@
 
 import type { ClientAccountId } from "@sassafrasstage/protocol/ids";
 import type { RateLimitStatement } from "../rate_limits/rate_limit_statement.js";
+import type { ServerNotice } from "../register/server_notice.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { HeaderList, RoutedRequest } from "./routed_request.js";
 
@@ -15,6 +16,11 @@
   readonly request: RoutedRequest;
   /** Maximum number of connections from this VM to the server. */
   readonly connectionShare: number;
+  /**
+   * Whether the server may still get the request; checked right before it is
+   * written, as it may have waited for a connection.
+   */
+  readonly maySend: () => boolean;
   /** Time left for the server to respond. */
   readonly remainingMs: number;
   readonly account: ClientAccountId | undefined;
@@ -39,6 +45,7 @@
   /** The signature is the server's and the response belongs to this request. */
   readonly isGenuine: boolean;
   readonly rateLimit: RateLimitStatement;
+  readonly notice: ServerNotice;
 }
 
 export type ServerCallFailure =
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { ServerNotices } from "../../register/server_notices.js";
 import {
   type AttemptId,
   type DataCentreName,
@@ -147,6 +148,7 @@
       logger,
     }),
     poisonParts: makePoisonParts(),
+    serverNotices: new ServerNotices({ register, clock, metrics, logger }),
     routeStatistics: new RouteStatistics(),
     dataCentre: toId<DataCentreName>("east"),
     clock,
--- a/packages/daemon/src/forwarding/testing/simulated_stream.ts
+++ b/packages/daemon/src/forwarding/testing/simulated_stream.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { ServerNotices } from "../../register/server_notices.js";
+import { NO_NOTICE } from "../../register/server_notice.js";
 import {
   type AttemptId,
   type BackendServerId,
@@ -179,6 +181,7 @@
           logger,
         }),
         poisonParts: this.#options.poisonParts ?? makePoisonParts(),
+        serverNotices: new ServerNotices({ register, clock, metrics, logger }),
         routeStatistics: new RouteStatistics(),
         dataCentre: toId<DataCentreName>("east"),
         clock,
@@ -302,6 +305,7 @@
       endsWithConnection: false,
       isGenuine: true,
       rateLimit: { kind: "unknown" },
+      notice: NO_NOTICE,
       ...head,
     });
   }
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -122,14 +122,21 @@
 
   /**
    * Time until a server of the service accepts another request; 0 if there is
-   * one without a limit or with capacity left.
+   * one without a limit or with capacity left. Considers servers that asked for
+   * a pause only if there is no other one.
    */
   availableInMs(service: ServiceName): number {
     const { clock, rateLimits, register } = this.#options;
     const nowMs = clock.nowMs();
     const waitsMs = register.usableServers(service)
       .map(({ id }) => rateLimits.availableInMs(id, nowMs));
-    return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
+    if (waitsMs.length > 0) return Math.min(...waitsMs);
+    return Math.max(0, (register.pauseEndsAtMs(service) ?? nowMs) - nowMs);
+  }
+
+  /** See `ServerRegister.isUsable`. */
+  isUsable(server: RegisteredServer): boolean {
+    return this.#options.register.isUsable(server);
   }
 
   /** See `ServerRegister.isStaying`. */
--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -41,7 +41,13 @@
   /** The server process ended, so all the state that it held is lost. */
   | { readonly kind: "ended"; readonly server: RegisteredServer };
 
-const MAX_REMEMBERED_ENDED = 1000;
+/** In which this VM sends nothing to a server process. */
+interface Pause {
+  readonly server: RegisteredServer;
+  readonly untilMs: number;
+}
+
+const MAX_REMEMBERED_PROCESSES = 1000;
 
 /** The backend servers, and the data centres that are out of service. */
 export class ServerRegister {
@@ -51,6 +57,9 @@
   /** The latest process that ended under each id, the oldest ones first. */
   readonly #ended = new Map<BackendServerId, RegisteredServer>();
   #withholdsEndedUntilMs = Number.NEGATIVE_INFINITY;
+  /** Processes that have said in a response that they leave. */
+  readonly #leaving = new Map<BackendServerId, RegisteredServer>();
+  readonly #pauses = new Map<BackendServerId, Pause>();
   readonly #onChange: (change: RegisterChange) => void;
 
   constructor(onChange: (change: RegisterChange) => void) {
@@ -65,7 +74,8 @@
     const known = this.#servers.get(report.id);
     const server = {
       ...report,
-      isDraining: report.isDraining || hasLeft(report, known),
+      isDraining: report.isDraining || hasLeft(report, known) ||
+        hasLeft(report, this.#leaving.get(report.id)),
       coldUntilMs: nowMs + Math.max(0, report.coldRemainingMs),
     };
     if (known === undefined) {
@@ -89,10 +99,58 @@
     if (known === undefined) return;
     this.#servers.delete(id);
     this.#byService.delete(known.service);
-    this.#rememberEnded(known);
+    remember(this.#ended, known);
     this.#onChange({ kind: "ended", server: known });
   }
 
+  /**
+   * The process has said that it leaves. Returns false if that is known, or the
+   * process has been replaced.
+   */
+  announceLeaving(server: RegisteredServer): boolean {
+    const known = this.#servers.get(server.id);
+    if (known !== undefined && isOtherProcess(server, known)) return false;
+    const leaving = { ...(known ?? server), isDraining: true };
+    const isNews = this.#leaving.get(server.id)?.startedAt !== server.startedAt;
+    remember(this.#leaving, leaving);
+    if (known === undefined || known.isDraining) return isNews;
+    this.#store(leaving);
+    this.#onChange({ kind: "updated", server: leaving });
+    return true;
+  }
+
+  /**
+   * Until this time, the process gets no new work. Returns false if it has been
+   * replaced, or a longer pause is known.
+   */
+  pause(server: RegisteredServer, untilMs: number): boolean {
+    const known = this.#servers.get(server.id);
+    if (known === undefined || isOtherProcess(server, known)) return false;
+    const pause = this.#pauses.get(server.id);
+    const isCurrent = pause !== undefined &&
+      !isOtherProcess(pause.server, server);
+    if (isCurrent && pause.untilMs >= untilMs) return false;
+    this.#pauses.set(server.id, { server, untilMs });
+    return true;
+  }
+
+  endPause(id: BackendServerId): void {
+    this.#pauses.delete(id);
+  }
+
+  isPaused(server: RegisteredServer): boolean {
+    const pause = this.#pauses.get(server.id);
+    return pause !== undefined && !isOtherProcess(pause.server, server);
+  }
+
+  /** When the first pause of the service's servers ends, if one is paused. */
+  pauseEndsAtMs(service: ServiceName): number | undefined {
+    const endTimesMs = this.serversOf(service)
+      .filter((server) => !server.isDraining && this.isPaused(server))
+      .map(({ id }) => this.#pauses.get(id)?.untilMs ?? Infinity);
+    return endTimesMs.length === 0 ? undefined : Math.min(...endTimesMs);
+  }
+
   /**
    * Until this time, reports of processes that have ended are ignored: a store
    * that came back from an older copy may list them again.
@@ -112,7 +170,8 @@
 
   /** Whether new work can be sent to the server. */
   canReceiveWork(server: RegisteredServer): boolean {
-    return !server.isDraining && !this.#dataCentresOut.has(server.dataCentre) &&
+    return !server.isDraining && !this.isPaused(server) &&
+      !this.#dataCentresOut.has(server.dataCentre) &&
       this.#servers.get(server.id) === server;
   }
 
@@ -164,14 +223,6 @@
       report.startedAt <= ended.startedAt;
   }
 
-  #rememberEnded(server: RegisteredServer): void {
-    this.#ended.delete(server.id);
-    this.#ended.set(server.id, server);
-    if (this.#ended.size <= MAX_REMEMBERED_ENDED) return;
-    const [oldest] = this.#ended.keys();
-    if (oldest !== undefined) this.#ended.delete(oldest);
-  }
-
   #store(server: RegisteredServer): void {
     const known = this.#servers.get(server.id);
     if (known !== undefined) this.#byService.delete(known.service);
@@ -185,6 +236,18 @@
     report.startedAt < known.startedAt;
 }
 
+/** Adds the server as the newest, and drops the oldest ones. */
+function remember(
+  servers: Map<BackendServerId, RegisteredServer>,
+  server: RegisteredServer,
+): void {
+  servers.delete(server.id);
+  servers.set(server.id, server);
+  if (servers.size <= MAX_REMEMBERED_PROCESSES) return;
+  const [oldest] = servers.keys();
+  if (oldest !== undefined) servers.delete(oldest);
+}
+
 function hasLeft(
   report: ServerReport,
   known: ServerReport | undefined,
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -28,6 +28,7 @@
 import type { ObjectStore } from "./platform/object_store.js";
 import { PoisonParts } from "./poison_parts/poison_parts.js";
 import { ServerRateLimits } from "./rate_limits/server_rate_limits.js";
+import { ServerNotices } from "./register/server_notices.js";
 import type {
   RegisterChange,
   RegisteredServer,
@@ -68,6 +69,7 @@
   readonly #deployment: Deployment;
   readonly #directory: ServerDirectory;
   readonly #rateLimits: ServerRateLimits;
+  readonly #serverNotices: ServerNotices;
   readonly #streamVersions: StreamVersions;
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
@@ -109,6 +111,12 @@
       metrics,
       logger,
     });
+    this.#serverNotices = new ServerNotices({
+      register: this.#deployment.register,
+      clock,
+      metrics,
+      logger,
+    });
     this.#streamVersions = new StreamVersions({
       network,
       register: this.#deployment.register,
@@ -135,6 +143,7 @@
       register: this.#deployment.register,
       caller: options.batchCaller,
       rateLimits: this.#rateLimits,
+      serverNotices: this.#serverNotices,
       limitsOf: (name) => findService(name)?.batches,
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
       clock,
@@ -157,6 +166,7 @@
         rateLimits: this.#rateLimits,
         streamVersions: this.#streamVersions,
         poisonParts,
+        serverNotices: this.#serverNotices,
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
         clock,
@@ -237,6 +247,7 @@
     this.#eventLoop.close();
     this.#graphs.close();
     this.#coordinator.close();
+    this.#serverNotices.close();
     await this.#deployment.close();
     await this.#network.close();
   }
--- a/packages/daemon/src/stage_graphs/batch_caller.ts
+++ b/packages/daemon/src/stage_graphs/batch_caller.ts
@@ -6,6 +6,7 @@
 
 import type { AttemptId } from "@sassafrasstage/protocol/ids";
 import type { RateLimitStatement } from "../rate_limits/rate_limit_statement.js";
+import type { ServerNotice } from "../register/server_notice.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { StageCallOutcome } from "./stage_call.js";
 
@@ -32,6 +33,7 @@
   readonly outcome: StageCallOutcome;
   /** What the response states; "unknown" without a response. */
   readonly rateLimit: RateLimitStatement;
+  readonly notice: ServerNotice;
 }
 
 export interface BatchCaller {
--- a/packages/daemon/src/stage_graphs/former_coordinator_test.ts
+++ b/packages/daemon/src/stage_graphs/former_coordinator_test.ts
@@ -1,3 +1,5 @@
+import { ServerNotices } from "../register/server_notices.js";
+import { NO_NOTICE } from "../register/server_notice.js";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -36,6 +38,7 @@
     ...common,
     latencies: new LatencyRecords(),
     register,
+    serverNotices: new ServerNotices({ register, ...common }),
     rateLimits: makeRateLimits(network),
     limitsOf: () => SAMPLE_LIMITS,
     retryBudgetOf: () =>
@@ -52,6 +55,7 @@
             items: items.map((_, n) => ({ kind: "made", reference: `1.${n}` })),
           },
           rateLimit: { kind: "unlimited" },
+          notice: NO_NOTICE,
         };
       },
       freeResults: () => Promise.resolve(),
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -16,6 +16,7 @@
   ServerRegister,
 } from "../register/server_register.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
+import type { ServerNotices } from "../register/server_notices.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
 import { BatchScheduler } from "./batch_scheduler.js";
@@ -33,6 +34,7 @@
   readonly caller: BatchCaller;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
   readonly rateLimits: ServerRateLimits;
+  readonly serverNotices: ServerNotices;
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -178,16 +180,18 @@
   }
 
   async #runCall(call: StageCall): Promise<void> {
-    const { clock, caller, rateLimits } = this.#options;
-    const { outcome, rateLimit } = await caller.runItems({
+    const { clock, caller, rateLimits, serverNotices } = this.#options;
+    const { outcome, rateLimit, notice } = await caller.runItems({
       server: call.server,
       items: call.entries.map((entry) => toBatchItem(entry, call.startedAtMs)),
       timeoutMs: CALL_TIMEOUT_MS,
     });
+    const request = call.entries[0]?.job.graph.attemptId;
     rateLimits.recordStatement(call.server.id, rateLimit, {
       startedAtMs: call.startedAtMs,
-      request: call.entries[0]?.job.graph.attemptId,
+      request,
     });
+    serverNotices.record(call.server, notice, request ?? "");
     this.#recordCall(call, outcome);
     this.#scheduler.endCall(call.id, outcome, clock.nowMs());
     this.#schedulePlan();
@@ -251,6 +255,8 @@
     server: RegisteredServer,
     results: readonly ResultReference[],
   ): void {
+    // Results expire; a server that asked for a pause gets no calls.
+    if (this.#options.register.isPaused(server)) return;
     const references = results.map((result) => result.reference);
     void this.#options.caller.freeResults(server, references);
   }
--- a/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
@@ -1,3 +1,5 @@
+import { ServerNotices } from "../register/server_notices.js";
+import { NO_NOTICE } from "../register/server_notice.js";
 import type { StageGraph } from "@sassafrasstage/protocol/stage_graph";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
@@ -46,6 +48,7 @@
       ...common,
       latencies: new LatencyRecords(),
       register,
+      serverNotices: new ServerNotices({ register, ...common }),
       rateLimits: makeRateLimits(this.network),
       limitsOf: () => SAMPLE_LIMITS,
       retryBudgetOf: () => budget,
@@ -63,6 +66,7 @@
               })),
             },
             rateLimit: { kind: "unlimited" },
+            notice: NO_NOTICE,
           };
         },
         freeResults: () => Promise.resolve(),
