--- a/packages/daemon/src/register/server_register_test.ts
+++ b/packages/daemon/src/register/server_register_test.ts
@@ -43,6 +43,61 @@
     expect(register.usableServers(ENCODER).length).toEqual(1);
   });
 
+  it("doesn't take back that a process leaves, but uses the next one", () => {
+    const { register } = makeRegister();
+    register.apply(makeReport("a", { startedAt: 5, isDraining: true }), 0);
+    register.apply(makeReport("a", { startedAt: 5 }), 0);
+    expect(register.usableServers(ENCODER)).toEqual([]);
+    register.apply(makeReport("a", { startedAt: 9 }), 0);
+    expect(register.usableServers(ENCODER).length).toEqual(1);
+  });
+
+  it("ignores processes that ended, for as long as it is told", () => {
+    const { register } = makeRegister();
+    register.apply(makeReport("a", { startedAt: 5 }), 0);
+    register.remove(makeReport("a").id);
+    register.withholdEndedUntil(100);
+    register.apply(makeReport("a", { startedAt: 5 }), 50);
+    expect(register.size).toEqual(0);
+    register.apply(makeReport("a", { startedAt: 6 }), 50);
+    register.remove(makeReport("a").id);
+    register.apply(makeReport("a", { startedAt: 6 }), 100);
+    expect(register.size).toEqual(1);
+  });
+
+  it("keeps what a process said in a response, also if its entry lapses", () => {
+    const { register, changes } = makeRegister();
+    register.apply(makeReport("a", { startedAt: 5 }), 0);
+    const [server] = register.usableServers(ENCODER);
+    if (server === undefined) throw new Error("The server isn't usable");
+    expect(register.announceLeaving(server)).toEqual(true);
+    expect(register.announceLeaving(server)).toEqual(false);
+    register.remove(server.id);
+    register.apply(makeReport("a", { startedAt: 5 }), 0);
+    expect(register.usableServers(ENCODER)).toEqual([]);
+    register.apply(makeReport("a", { startedAt: 9 }), 0);
+    expect(register.announceLeaving(server)).toEqual(false);
+    expect(register.usableServers(ENCODER).length).toEqual(1);
+    expect(changes.slice(0, 2)).toEqual(["added a", "updated a"]);
+  });
+
+  it("excludes a process during the longest of its pauses", () => {
+    const { register } = makeRegister();
+    register.apply(makeReport("a", { startedAt: 5 }), 0);
+    const [server] = register.usableServers(ENCODER);
+    if (server === undefined) throw new Error("The server isn't usable");
+    expect(register.pause(server, 200)).toEqual(true);
+    expect(register.pause(server, 100)).toEqual(false);
+    expect(register.usableServers(ENCODER)).toEqual([]);
+    expect(register.isStaying(server)).toEqual(true);
+    expect(register.pauseEndsAtMs(ENCODER)).toEqual(200);
+    register.apply(makeReport("a", { startedAt: 9 }), 0);
+    expect(register.usableServers(ENCODER).length).toEqual(1);
+    expect(register.pause(server, 300)).toEqual(false);
+    register.endPause(server.id);
+    expect(register.pauseEndsAtMs(ENCODER)).toEqual(undefined);
+  });
+
   it("allows no new work on an outdated entry", () => {
     const { register } = makeRegister();
     register.apply(makeReport("a"), 0);
