List a removal that no longer waits after a silent outage

When the watch of the configuration falls silent, the other watches start again without counting an outage, so servers whose entries lapsed meanwhile are removed at once instead of 2 s later. The test fails on this code and is listed.

--- a/packages/daemon/src/deployment/watch_objects_test.ts
+++ b/packages/daemon/src/deployment/watch_objects_test.ts
@@ -78,4 +78,19 @@
     expect(seen).toEqual(["old", "new"]);
     expect(connection.watchCount).toEqual(2);
   });
+
+  it("counts a restart because of silent connections as an outage", async () => {
+    const connection = new SilentConnection(new MemoryObjectStore());
+    const mirror = new ObjectMirror("servers/", {
+      onUpdated: () => undefined,
+      onDeleted: () => undefined,
+    });
+    const watch = startWatch(connection, mirror);
+    await sleep(WAIT_MS);
+    const restartedAtMs = MONOTONIC_CLOCK.nowMs();
+    watch.restart();
+    await sleep(WAIT_MS);
+    expect(connection.watchCount).toEqual(2);
+    expect(watch.recoveredAtMs >= restartedAtMs).toEqual(true);
+  });
 });
