Ask the mirror of blocks directly

Since mirrors find an object by its key and give their objects as a list, the store of blocks needs neither of its two private methods.

--- a/packages/daemon/src/deployment/stored_part_blocks.ts
+++ b/packages/daemon/src/deployment/stored_part_blocks.ts
@@ -84,7 +84,7 @@
     for (const object of this.mirror.objects) {
       const block = this.#read(object);
       if (block === undefined) continue;
-      if (this.#mirrored(object.key) !== undefined) continue;
+      if (this.mirror.confirmed(object.key) !== undefined) continue;
       this.#options.metrics.countEvent("partBlockRestored");
       this.publish(block);
     }
@@ -147,7 +147,7 @@
   async #store(part: SuspectId, change: Change): Promise<void> {
     const { metrics, logger, objectFormat } = this.#options;
     const key = objectFormat.partBlockKey(part);
-    let stored = this.#mirrored(key);
+    let stored = this.mirror.confirmed(key);
     let isReadBack = false;
     let lastError = "";
     for (let tries = 1; tries <= MAX_TRIES; tries++) {
@@ -199,7 +199,7 @@
     if (storedBlock !== undefined && includes(storedBlock, block)) {
       return "done";
     }
-    if (stored === undefined && this.#count() >= MAX_BLOCKS) {
+    if (stored === undefined && this.mirror.objects.length >= MAX_BLOCKS) {
       metrics.countEvent("partBlockNotStored");
       logger.warn("partBlockNotStored", { part: block.part, key, full: true });
       return "done";
@@ -238,14 +238,6 @@
     logger.info(event, { part, key, revision: stored.version });
     return "done";
   }
-
-  #mirrored(key: string): StoredObject | undefined {
-    return this.mirror.confirmed(key);
-  }
-
-  #count(): number {
-    return this.mirror.objects.length;
-  }
 }
 
 /** Whether storing the other block would change nothing. */
