--- a/packages/daemon/src/forwarding/observe_call_test.ts
+++ b/packages/daemon/src/forwarding/observe_call_test.ts
@@ -98,7 +98,7 @@
     const failures: ServerCallFailure[] = [
       broken("some"),
       broken("notChecked"),
-      { kind: "notSent", detail: "ECONNREFUSED" },
+      { kind: "notSent", detail: "ECONNREFUSED", isConnectionFailure: true },
     ];
     for (const failure of failures) {
       const { call, events } = observe(makePrompt("aa", "own"));
@@ -152,7 +152,11 @@
     canceled.call.recordCancel();
     expect(canceled.events).toEqual(["sent aa,whole", "end"]);
     const unsent = observe(makePrompt("aa", "own"));
-    unsent.call.recordFailure({ kind: "notSent", detail: "ECONNREFUSED" });
+    unsent.call.recordFailure({
+      kind: "notSent",
+      detail: "ECONNREFUSED",
+      isConnectionFailure: true,
+    });
     expect(unsent.events).toEqual([]);
   });
 
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -50,7 +50,12 @@
 
 export type ServerCallFailure =
   /** No part of the request has left this VM. */
-  | { readonly kind: "notSent"; readonly detail: string }
+  | {
+    readonly kind: "notSent";
+    readonly detail: string;
+    /** No connection to the server could be made. */
+    readonly isConnectionFailure: boolean;
+  }
   /** The request may have run. */
   | {
     readonly kind: "broken";
--- a/packages/daemon/src/forwarding/testing/simulated_stream.ts
+++ b/packages/daemon/src/forwarding/testing/simulated_stream.ts
@@ -336,7 +336,7 @@
     this.closedAtMs = this.#clock.nowMs();
     this.#listener.onFailure(
       kind === "notSent"
-        ? { kind, detail: "test" }
+        ? { kind, detail: "test", isConnectionFailure: true }
         : { kind, detail: "test", remainingConnections: "some" },
     );
   }
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -28,6 +28,9 @@
 import type { ObjectStore } from "./platform/object_store.js";
 import { PoisonParts } from "./poison_parts/poison_parts.js";
 import { ServerRateLimits } from "./rate_limits/server_rate_limits.js";
+import { ObservedBatchCaller } from "./server_reach/observed_batch_caller.js";
+import { ObservedServerCaller } from "./server_reach/observed_server_caller.js";
+import { ServerReach } from "./server_reach/server_reach.js";
 import { ServerNotices } from "./register/server_notices.js";
 import type {
   RegisterChange,
@@ -70,6 +73,7 @@
   readonly #directory: ServerDirectory;
   readonly #rateLimits: ServerRateLimits;
   readonly #serverNotices: ServerNotices;
+  readonly #serverReach: ServerReach;
   readonly #streamVersions: StreamVersions;
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
@@ -117,6 +121,12 @@
       metrics,
       logger,
     });
+    this.#serverReach = new ServerReach({
+      register: this.#deployment.register,
+      clock,
+      metrics,
+      logger,
+    });
     this.#streamVersions = new StreamVersions({
       network,
       register: this.#deployment.register,
@@ -141,7 +151,7 @@
     });
     this.#coordinator = new StageCoordinator({
       register: this.#deployment.register,
-      caller: options.batchCaller,
+      caller: new ObservedBatchCaller(options.batchCaller, this.#serverReach),
       rateLimits: this.#rateLimits,
       serverNotices: this.#serverNotices,
       limitsOf: (name) => findService(name)?.batches,
@@ -161,7 +171,10 @@
     this.forwarder = new RequestForwarder({
       environment: {
         directory: this.#directory,
-        serverCaller: options.serverCaller,
+        serverCaller: new ObservedServerCaller(
+          options.serverCaller,
+          this.#serverReach,
+        ),
         graphs: this.#graphs,
         rateLimits: this.#rateLimits,
         streamVersions: this.#streamVersions,
@@ -266,6 +279,7 @@
     if (change.kind !== "ended") return;
     this.#directory.forget(server.id);
     this.#rateLimits.forget(server.id);
+    this.#serverReach.forget(server.id);
     this.#streamVersions.recordServerEnded(server);
     this.#coordinator.handleServerEnded(server);
     onServerEnded(server);
