--- a/packages/daemon/src/register/server_register_test.ts
+++ b/packages/daemon/src/register/server_register_test.ts
@@ -98,6 +98,20 @@
     expect(register.pauseEndsAtMs(ENCODER)).toEqual(undefined);
   });
 
+  it("keeps a pause that a process asked for while its entry had lapsed", () => {
+    const { register } = makeRegister();
+    const report = makeReport("a", { startedAt: 5 });
+    register.apply(report, 0);
+    const [server] = register.usableServers(ENCODER);
+    if (server === undefined) throw new Error("The server isn't usable");
+    register.remove(server.id);
+    expect(register.pause(server, 200)).toEqual(true);
+    register.apply(report, 0);
+    expect(register.usableServers(ENCODER)).toEqual([]);
+    register.apply(makeReport("a", { startedAt: 9 }), 0);
+    expect(register.usableServers(ENCODER).length).toEqual(1);
+  });
+
   it("allows no new work on an outdated entry", () => {
     const { register } = makeRegister();
     register.apply(makeReport("a"), 0);
