Keep pauses of servers whose entries have lapsed

A server that refuses a request may ask for a time without requests. If its entry had lapsed by then, as in an outage of the platform's store, the register dropped the pause, and the server got requests once its entry was back. Pauses are kept by process, like announcements of leaving; they end by their own timers, so the register doesn't grow. server_register_test failed before.

--- a/packages/daemon/src/register/server_register.ts
+++ b/packages/daemon/src/register/server_register.ts
@@ -120,12 +120,12 @@
   }
 
   /**
-   * Until this time, the process gets no new work. Returns false if it has been
-   * replaced, or a longer pause is known.
+   * Until this time, the process gets no new work, also if its entry lapses and
+   * comes back. Returns false if it has been replaced, or a longer pause is known.
    */
   pause(server: RegisteredServer, untilMs: number): boolean {
     const known = this.#servers.get(server.id);
-    if (known === undefined || isOtherProcess(server, known)) return false;
+    if (known !== undefined && isOtherProcess(server, known)) return false;
     const pause = this.#pauses.get(server.id);
     const isCurrent = pause !== undefined &&
       !isOtherProcess(pause.server, server);
