Heed what servers say when they refuse to free results

A server that refused such a call with 503 and a time got stage calls as before: the response was discarded unread. It is now taken like that of any other call. server_notice_test failed before.

--- a/packages/daemon/src/server_reach/observed_batch_caller.ts
+++ b/packages/daemon/src/server_reach/observed_batch_caller.ts
@@ -10,6 +10,7 @@
   BatchCaller,
   BatchCallResult,
 } from "../stage_graphs/batch_caller.js";
+import type { ServerNotice } from "../register/server_notice.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { StageCallOutcome } from "../stage_graphs/stage_call.js";
 import type { CallSilence } from "./call_silence.js";
@@ -43,7 +44,7 @@
   freeResults(
     server: RegisteredServer,
     references: readonly string[],
-  ): Promise<void> {
+  ): Promise<ServerNotice> {
     return this.#options.caller.freeResults(server, references);
   }
 
--- a/packages/daemon/src/stage_graphs/batch_caller.ts
+++ b/packages/daemon/src/stage_graphs/batch_caller.ts
@@ -39,9 +39,12 @@
 export interface BatchCaller {
   /** Never rejects; failures are reported as an outcome. */
   runItems(call: BatchCall): Promise<BatchCallResult>;
-  /** Frees results at the server; if the call is lost, they expire there. */
+  /**
+   * Frees results at the server; if the call is lost, they expire there. Never
+   * rejects; resolves with what the response says about the server.
+   */
   freeResults(
     server: RegisteredServer,
     references: readonly string[],
-  ): Promise<void>;
+  ): Promise<ServerNotice>;
 }
--- a/packages/daemon/src/stage_graphs/former_coordinator_test.ts
+++ b/packages/daemon/src/stage_graphs/former_coordinator_test.ts
@@ -58,7 +58,7 @@
           notice: NO_NOTICE,
         };
       },
-      freeResults: () => Promise.resolve(),
+      freeResults: () => Promise.resolve(NO_NOTICE),
     },
   });
   return new StageGraphClient({ ...common, network, coordinator });
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -269,7 +269,16 @@
     // Results expire; a server that asked for a pause gets no calls.
     if (this.#options.register.isPaused(server)) return;
     const references = results.map((result) => result.reference);
-    void this.#options.caller.freeResults(server, references);
+    void this.#callToFreeResults(server, references);
+  }
+
+  async #callToFreeResults(
+    server: RegisteredServer,
+    references: readonly string[],
+  ): Promise<void> {
+    const { caller, serverNotices } = this.#options;
+    const notice = await caller.freeResults(server, references);
+    serverNotices.record(server, notice, "");
   }
 }
 
--- a/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client_test.ts
@@ -69,7 +69,7 @@
             notice: NO_NOTICE,
           };
         },
-        freeResults: () => Promise.resolve(),
+        freeResults: () => Promise.resolve(NO_NOTICE),
       },
     });
     this.client = new StageGraphClient({
