Check stage calls again when they are written

A batched call that had been planned before its server asked for a pause, or said that it leaves, and that waited for a connection meanwhile, was written all the same.

--- a/packages/daemon/src/server_reach/observed_batch_caller.ts
+++ b/packages/daemon/src/server_reach/observed_batch_caller.ts
@@ -55,9 +55,12 @@
   ): void {
     const { reach } = this.#options;
     if (outcome.kind === "unknown") return;
-    if (outcome.kind === "notRun" && outcome.reason === "notConnected") {
-      reach.recordFailedConnection(server, outcome.reason);
-      return;
+    if (outcome.kind === "notRun") {
+      if (outcome.reason === "notAllowed") return;
+      if (outcome.reason === "notConnected") {
+        reach.recordFailedConnection(server, outcome.reason);
+        return;
+      }
     }
     recordData();
     reach.recordResponse(server);
--- a/packages/daemon/src/stage_graphs/batch_caller.ts
+++ b/packages/daemon/src/stage_graphs/batch_caller.ts
@@ -27,6 +27,11 @@
   readonly server: RegisteredServer;
   readonly items: readonly BatchItem[];
   readonly timeoutMs: number;
+  /**
+   * Whether the server may still get the call; checked right before it is
+   * written, as it may have waited for a connection.
+   */
+  readonly maySend: () => boolean;
 }
 
 export interface BatchCallResult {
--- a/packages/daemon/src/stage_graphs/in_flight_call.ts
+++ b/packages/daemon/src/stage_graphs/in_flight_call.ts
@@ -35,6 +35,10 @@
       batchServer.markReachable();
       batchServer.suspendBriefly(nowMs);
       break;
+    case "notAllowed":
+      // The call wasn't written, so it doesn't count as a send.
+      for (const { item } of entries) item.sendCount -= 1;
+      break;
     case "notConnected":
     case "otherServer":
       batchServer.markUnreachable(nowMs);
--- a/packages/daemon/src/stage_graphs/stage_call.ts
+++ b/packages/daemon/src/stage_graphs/stage_call.ts
@@ -26,6 +26,8 @@
 export type NotRunReason =
   | "full"
   | "notConnected"
+  /** The server may not get the call any more. */
+  | "notAllowed"
   /** The address now belongs to another server. */
   | "otherServer";
 
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -196,6 +196,7 @@
       server: call.server,
       items: call.entries.map((entry) => toBatchItem(entry, call.startedAtMs)),
       timeoutMs: CALL_TIMEOUT_MS,
+      maySend: () => this.#options.register.isUsable(call.server),
     });
     const request = call.entries[0]?.job.graph.attemptId;
     rateLimits.recordStatement(call.server.id, rateLimit, {
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -57,6 +57,7 @@
   /** Simulated connect timeout. */
   notConnected: 900,
   otherServer: 2,
+  notAllowed: 2,
 };
 
 interface SimulationEvent {
