Record on the platform which versions have served

Clients that took up a stream after all VMs had been killed got its rest from another software version, if the servers of the first one had just left and the client named no attempt; if it named one, they were refused for 60 s even with a single version. Cause: versions were known only as long as a VM lived that had seen them, and an unnamed take-up didn't even ask for that.

One object for each version of each service is now stored when its first server is seen, and removed when none was registered for 60 s. A take-up goes on only if some VM knows all versions since before the stream can have begun, named or not.

The test 'needs no earlier observation if the client names no attempt' demanded the fault.

--- a/packages/daemon/src/deployment/deployment_object_format.ts
+++ b/packages/daemon/src/deployment/deployment_object_format.ts
@@ -16,6 +16,7 @@
 } from "@sassafrasstage/protocol/platform_objects";
 import type { PartBlock } from "../poison_parts/part_blocks.js";
 import type { RoutingConfiguration } from "../routing/routing_configuration.js";
+import type { ServedVersionFormat } from "../stream_versions/served_versions.js";
 import type { ServerReport } from "../register/server_register.js";
 
 /** The value of an object, or the reason why it can't be read. */
@@ -23,7 +24,7 @@
   | { readonly kind: "value"; readonly value: Value }
   | { readonly kind: "unreadable"; readonly detail: string };
 
-export interface DeploymentObjectFormat {
+export interface DeploymentObjectFormat extends ServedVersionFormat {
   readonly configurationPrefix: string;
   readonly serversPrefix: string;
   readonly dataCentresOutPrefix: string;
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -25,6 +25,7 @@
   Route,
 } from "../../routing/routing_configuration.js";
 import { LinkedVm } from "../../stage_graphs/testing/linked_vms.js";
+import { NO_RECORDED_VERSIONS } from "../../stream_versions/served_versions.js";
 import { StreamVersions } from "../../stream_versions/stream_versions.js";
 import { ENCODER, makeReport } from "../../testing/stage_samples.js";
 import type { ForwardEnvironment } from "../forward_context.js";
@@ -143,6 +144,7 @@
     streamVersions: new StreamVersions({
       network: new LinkedVm("vm-1"),
       register,
+      served: NO_RECORDED_VERSIONS,
       clock,
       metrics,
       logger,
--- a/packages/daemon/src/forwarding/testing/simulated_stream.ts
+++ b/packages/daemon/src/forwarding/testing/simulated_stream.ts
@@ -24,6 +24,7 @@
 import { makeRateLimits } from "../../rate_limits/testing/make_rate_limits.js";
 import { ServerRegister } from "../../register/server_register.js";
 import { LinkedVm } from "../../stage_graphs/testing/linked_vms.js";
+import { NO_RECORDED_VERSIONS } from "../../stream_versions/served_versions.js";
 import { StreamVersions } from "../../stream_versions/stream_versions.js";
 import { ENCODER, makeReport } from "../../testing/stage_samples.js";
 import type { ForwardContext, ForwardOutcome } from "../forward_context.js";
@@ -176,6 +177,7 @@
         streamVersions: new StreamVersions({
           network: new LinkedVm("vm-1"),
           register,
+          served: NO_RECORDED_VERSIONS,
           clock,
           metrics,
           logger,
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -39,6 +39,7 @@
 import type { BatchCaller } from "./stage_graphs/batch_caller.js";
 import { StageCoordinator } from "./stage_graphs/stage_coordinator.js";
 import { StageGraphClient } from "./stage_graphs/stage_graph_client.js";
+import { ServedVersions } from "./stream_versions/served_versions.js";
 import { StreamVersions } from "./stream_versions/stream_versions.js";
 
 export interface RoutedDaemonOptions {
@@ -74,6 +75,7 @@
   readonly #rateLimits: ServerRateLimits;
   readonly #serverNotices: ServerNotices;
   readonly #serverAccess: ServerAccess;
+  readonly #servedVersions: ServedVersions;
   readonly #streamVersions: StreamVersions;
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
@@ -121,9 +123,16 @@
       metrics,
       logger,
     });
+    this.#servedVersions = new ServedVersions({
+      ...options,
+      network,
+      register: this.#deployment.register,
+      clock,
+    });
     this.#streamVersions = new StreamVersions({
       network,
       register: this.#deployment.register,
+      served: this.#servedVersions,
       clock,
       metrics,
       logger,
@@ -267,6 +276,7 @@
     this.#graphs.close();
     this.#coordinator.close();
     this.#serverNotices.close();
+    this.#servedVersions.close();
     this.#serverAccess.close();
     await this.#deployment.close();
     await this.#network.close();
--- a/packages/daemon/src/stream_versions/stream_versions.ts
+++ b/packages/daemon/src/stream_versions/stream_versions.ts
@@ -36,6 +36,7 @@
   OriginLookup,
   type OriginQuestion,
 } from "./origin_lookup.js";
+import type { ServedVersionSource } from "./served_versions.js";
 import { StreamOrigins } from "./stream_origins.js";
 import { findOnlyVersion, VersionHistory } from "./version_history.js";
 
@@ -44,6 +45,7 @@
     setBegunStreams(take: TakeBegunStreams): void;
   };
   readonly register: ServerRegister;
+  readonly served: ServedVersionSource;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -76,6 +78,7 @@
     const { network, clock, metrics } = options;
     this.#history = new VersionHistory(
       options.register,
+      options.served,
       clock.nowMs(),
     );
     this.#lookup = new OriginLookup(network);
@@ -125,7 +128,7 @@
     const question = { attemptId: resumedAttemptId, service };
     const answers = await this.#findOrigin(question);
     const origin = answers.origin ??
-      this.#inferOrigin(question, answers.observations);
+      this.#inferOrigin(service, answers.observations);
     const source = answers.origin === undefined ? "onlyVersion" : "remembered";
     const result = origin === undefined ? "unknown" : source;
     metrics.countEvent(`streamOrigin.${result}`);
@@ -176,18 +179,15 @@
   }
 
   /**
-   * A client that doesn't name the attempt can take up any stream, so nothing
-   * but the versions can tell where it began. One that names an attempt that no
-   * VM remembers takes up a stream from before the VMs lost their memory.
+   * No VM remembers the stream, or the client doesn't name it: only the versions
+   * can tell where it began.
    */
   #inferOrigin(
-    { attemptId, service }: OriginQuestion,
+    service: ServiceName,
     observations: readonly VersionObservation[],
   ): StreamOrigin | undefined {
     const own = this.#history.observe(service, this.#options.clock.nowMs());
-    const softwareVersion = findOnlyVersion([own, ...observations], {
-      needsComplete: attemptId !== undefined,
-    });
+    const softwareVersion = findOnlyVersion([own, ...observations]);
     return softwareVersion === undefined
       ? undefined
       : { service, softwareVersion };
--- a/packages/daemon/src/stream_versions/stream_versions_test.ts
+++ b/packages/daemon/src/stream_versions/stream_versions_test.ts
@@ -3,7 +3,10 @@
   type SoftwareVersion,
   toId,
 } from "@sassafrasstage/protocol/ids";
-import type { StreamOrigin } from "@sassafrasstage/protocol/stream_origin";
+import type {
+  StreamOrigin,
+  VersionObservation,
+} from "@sassafrasstage/protocol/stream_origin";
 import { expect } from "earl";
 import { describe, it, mock } from "node:test";
 import { createLogger } from "../observability/logger.js";
@@ -31,6 +34,8 @@
   readonly network = new SimulatedNetwork(mock.timers);
   readonly register = new ServerRegister(() => undefined);
   readonly versions: StreamVersions[] = [];
+  /** What earlier processes recorded on the platform. */
+  recorded: VersionObservation = { versions: [], isComplete: false };
 
   constructor(vmCount: number) {
     for (let n = 0; n < vmCount; n++) this.restart(n);
@@ -40,6 +45,7 @@
     this.versions[index] = new StreamVersions({
       network: this.network.startVm(index),
       register: this.register,
+      served: { recorded: () => this.recorded },
       clock: { nowMs: () => this.network.nowMs },
       metrics: new Metrics(),
       logger: createLogger("error", {}),
@@ -190,10 +196,28 @@
     });
   });
 
-  it("needs no earlier observation if the client names no attempt", async () => {
-    await withFleet(1, async (fleet) => {
-      fleet.register.apply(makeReport("a"), 0);
-      expect(await fleet.find(fleet.vm(0), undefined)).toEqual(ORIGIN);
+  for (const attemptId of [id, undefined]) {
+    const name = attemptId === undefined ? "unnamed" : "named";
+    it(`is unknown to VMs that all were just restarted (${name})`, async () => {
+      await withFleet(6, async (fleet) => {
+        fleet.register.apply(makeReport("a"), 0);
+        expect(await fleet.find(fleet.vm(0), attemptId)).toEqual(undefined);
+      });
     });
-  });
+
+    it(`is the only version that earlier processes recorded (${name})`, async () => {
+      await withFleet(6, async (fleet) => {
+        fleet.register.apply(makeReport("a"), 0);
+        const { softwareVersion } = ORIGIN;
+        fleet.recorded = { versions: [softwareVersion], isComplete: true };
+        expect(await fleet.find(fleet.vm(0), attemptId)).toEqual(ORIGIN);
+        const other = toId<SoftwareVersion>("v2");
+        fleet.recorded = {
+          versions: [softwareVersion, other],
+          isComplete: true,
+        };
+        expect(await fleet.find(fleet.vm(0), attemptId)).toEqual(undefined);
+      });
+    });
+  }
 });
