--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -66,7 +66,8 @@
 /**
  * Whether this VM still has open connections to a server that closed or reset
  * the connection of a call. Without any, the server process may have ended.
- * `notChecked` for a call that failed in another way.
+ * `notChecked` for a call that failed in another way, or together with those to
+ * several other servers, as the path to them may be at fault.
  */
 export type RemainingConnections = "none" | "some" | "notChecked";
 
