End calls for peers in a shutdown, and check dead servers again

A peer told of a server that it had heard of up to 1 s before, so a server that had just crashed could be taken for cut off, and each call to it went through peers in vain; a peer's evidence now counts for 100 ms, and a server that a peer doesn't reach either is checked again, without handing calls over meanwhile.

--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -202,7 +202,11 @@
   head: shape({ head: isRelayedResponseHead }),
   data: shape({ data: isBytes }),
   ended: shape({}),
-  notSent: shape({ detail: isString, isPeerFailure: isBoolean }),
+  notSent: shape({
+    detail: isString,
+    isConnectionFailure: isBoolean,
+    isPeerFailure: isBoolean,
+  }),
   broken: shape({
     detail: isString,
     remainingConnections: oneOf("none", "some", "notChecked"),
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -158,6 +158,7 @@
       register: this.#deployment.register,
       serverNotices: this.#serverNotices,
       connectionShare: (service) => this.#directory.connectionShare(service),
+      isLeaving: () => this.isLeaving,
       clock,
       onPathChanged: (server) => {
         this.#directory.healthOf(server.id).forgetFailures();
@@ -260,7 +261,7 @@
     this.#network.announceLeaving();
     await sleep(Math.min(ACCEPT_CONNECTIONS_MS, graceMs));
     while (MONOTONIC_CLOCK.nowMs() < endsAtMs) {
-      if (this.forwarder.inFlight + this.#coordinator.jobCount === 0) break;
+      if (this.#workInProgress() === 0) break;
       await sleep(DRAIN_POLL_INTERVAL_MS);
     }
     // In the same turn as the last check, so that no request is admitted after it.
@@ -271,6 +272,11 @@
     });
   }
 
+  #workInProgress(): number {
+    return this.forwarder.inFlight + this.#coordinator.jobCount +
+      this.#serverAccess.callsForPeers;
+  }
+
   async close(): Promise<void> {
     this.#eventLoop.close();
     this.#graphs.close();
--- a/packages/daemon/src/server_reach/reach_prober.ts
+++ b/packages/daemon/src/server_reach/reach_prober.ts
@@ -39,6 +39,8 @@
 export class ReachProber {
   readonly #options: ReachProberOptions;
   readonly #probing = new Set<BackendServerId>();
+  /** Servers that peers have to confirm whatever is known of others. */
+  readonly #toConfirm = new Set<BackendServerId>();
   readonly #probedAtMs = new Map<BackendServerId, number>();
   /** Servers to probe as others were found to be cut off, or to return. */
   readonly #queue = new Map<BackendServerId, RegisteredServer>();
@@ -61,6 +63,12 @@
     void this.#verify(server);
   }
 
+  /** A peer that was to call the server didn't reach it. */
+  handleUnreachedByPeer(server: RegisteredServer): void {
+    this.#toConfirm.add(server.id);
+    this.#options.reach.recordUnreachedByPeer(server);
+  }
+
   /** The server or the path to it has closed a connection in use. */
   handleBroken(server: RegisteredServer): void {
     this.#queue.set(server.id, server);
@@ -91,6 +99,7 @@
 
   forget(id: BackendServerId): void {
     this.#probedAtMs.delete(id);
+    this.#toConfirm.delete(id);
     this.#queue.delete(id);
   }
 
@@ -138,13 +147,15 @@
       probe(server),
       inquiry.findPeer(server),
     ]);
+    this.#toConfirm.delete(server.id);
     if (!this.#isSuspected(server)) return;
     if (isReached) reach.recordConnection(server);
     else if (peer === undefined) reach.recordDown(server);
     else reach.recordCutOff(server, peer);
   }
 
-  #hasConfirmedServers({ service }: RegisteredServer): boolean {
+  #hasConfirmedServers({ id, service }: RegisteredServer): boolean {
+    if (this.#toConfirm.has(id)) return false;
     const confirmed = this.#options.reach.serversOfKind("cutOff")
       .filter((server) => server.service === service);
     return confirmed.length >= CONFIRMED_SERVERS_PER_SERVICE;
--- a/packages/daemon/src/server_reach/relayed_call_client.ts
+++ b/packages/daemon/src/server_reach/relayed_call_client.ts
@@ -129,7 +129,7 @@
         listener.onEnd();
         return;
       case "notSent":
-        this.#fail(callNumber, { ...event, isConnectionFailure: false });
+        this.#fail(callNumber, event);
         return;
       case "broken":
         this.#fail(callNumber, { ...event, isPeerFailure: false });
--- a/packages/daemon/src/server_reach/relayed_call_run.ts
+++ b/packages/daemon/src/server_reach/relayed_call_run.ts
@@ -96,11 +96,7 @@
       onFailure: (failure) => {
         this.#finish(
           failure.kind === "notSent"
-            ? {
-              kind: "notSent",
-              detail: failure.detail,
-              isPeerFailure: false,
-            }
+            ? { ...failure, isPeerFailure: false }
             : failure,
         );
       },
--- a/packages/daemon/src/server_reach/relayed_call_server.ts
+++ b/packages/daemon/src/server_reach/relayed_call_server.ts
@@ -39,6 +39,8 @@
   readonly caller: ServerCaller;
   readonly serverNotices: ServerNotices;
   readonly connectionShare: (service: ServiceName) => number;
+  /** Whether this process is shutting down. */
+  readonly isLeaving: () => boolean;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -76,6 +78,11 @@
     metrics.registerGauge("callsForPeers", () => this.#runCount);
   }
 
+  /** Number of calls in progress. */
+  get runCount(): number {
+    return this.#runCount;
+  }
+
   #find(vmId: VmId, callNumber: number): RelayedCallRun | undefined {
     return this.#runs.get(vmId)?.get(callNumber);
   }
@@ -97,6 +104,7 @@
       this.#send(from, callNumber, {
         kind: "notSent",
         detail,
+        isConnectionFailure: false,
         isPeerFailure: detail !== "serverNotUsable",
       });
       return;
@@ -120,6 +128,7 @@
     if (server === undefined || isOtherProcess || !register.isUsable(server)) {
       return "serverNotUsable";
     }
+    if (this.#options.isLeaving()) return "leaving";
     if (reach.stateOf(server.id)?.kind === "cutOff") return "serverNotReached";
     if (call.bodyBytes > MAX_RELAYED_BODY_BYTES) return "bodyTooLarge";
     const callsOfVm = this.#runs.get(from)?.size ?? 0;
--- a/packages/daemon/src/server_reach/relaying_server_caller.ts
+++ b/packages/daemon/src/server_reach/relaying_server_caller.ts
@@ -13,6 +13,7 @@
   ServerCallListener,
 } from "../forwarding/server_caller.js";
 import type { RelayedCallClient, RelayFailure } from "./relayed_call_client.js";
+import type { RegisteredServer } from "../register/server_register.js";
 import type { RelayPeers } from "./relay_peers.js";
 import type { ServerReach } from "./server_reach.js";
 
@@ -24,6 +25,8 @@
   readonly clock: Clock;
   /** Returns a number of at least 0 and less than 1. */
   readonly random: () => number;
+  /** Called if a peer couldn't connect to the server either. */
+  readonly onUnreachedByPeer: (server: RegisteredServer) => void;
 }
 
 /** Peers that a call is offered to. */
@@ -118,6 +121,9 @@
   #handleRelayFailure(failure: RelayFailure): void {
     const mayOffer = failure.kind === "notSent" && failure.isPeerFailure;
     if (mayOffer && this.#relay()) return;
+    if (failure.kind === "notSent" && failure.isConnectionFailure) {
+      this.#options.onUnreachedByPeer(this.#call.server);
+    }
     this.#listener.onFailure(failure);
   }
 
--- a/packages/daemon/src/server_reach/relaying_server_caller_test.ts
+++ b/packages/daemon/src/server_reach/relaying_server_caller_test.ts
@@ -113,6 +113,7 @@
 }
 
 function makeVm(network: LinkedVm) {
+  const state = { isLeaving: false, unreachedByPeer: 0 };
   const clock = MONOTONIC_CLOCK;
   const metrics = new Metrics();
   const logger = new RecordingLogger();
@@ -130,13 +131,14 @@
   });
   const direct = new RecordingCaller();
   const peers = new RelayPeers({ network, clock, random: () => 0 });
-  new RelayedCallServer({
+  const relayedCalls = new RelayedCallServer({
     network,
     register,
     reach,
     caller: direct,
     serverNotices: new ServerNotices({ register, clock, metrics, logger }),
     connectionShare: () => 4,
+    isLeaving: () => state.isLeaving,
     clock,
     metrics,
     logger,
@@ -148,8 +150,11 @@
     reach,
     clock,
     random: () => 0,
+    onUnreachedByPeer: () => {
+      state.unreachedByPeer += 1;
+    },
   });
-  return { network, register, reach, direct, caller };
+  return { state, relayedCalls, network, register, reach, direct, caller };
 }
 
 describe("RelayingServerCaller", () => {
@@ -348,6 +353,28 @@
     expect(peer.network.sent.length > sentBefore).toEqual(true);
   });
 
+  it("checks a server again that the peer doesn't reach either", async () => {
+    peer.direct.isCutOff = true;
+    await startAtPeer();
+    expect(owner.state.unreachedByPeer).toEqual(1);
+    expect(listener.failures.map(({ kind }) => kind)).toEqual(["notSent"]);
+  });
+
+  it("takes no new calls in a shutdown, and ends those in progress", async () => {
+    const made = await startAtPeer();
+    peer.state.isLeaving = true;
+    start(0, "attempt-2");
+    await sleep(SETTLE_MS);
+    expect(peer.direct.calls.length).toEqual(1);
+    expect(listener.failures.map(({ kind }) => kind)).toEqual(["notSent"]);
+    expect(peer.relayedCalls.runCount).toEqual(1);
+    made.listener.onHead(HEAD);
+    made.listener.onEnd();
+    await sleep(SETTLE_MS);
+    expect(listener.endCount).toEqual(1);
+    expect(peer.relayedCalls.runCount).toEqual(0);
+  });
+
   it("takes no event of a call from another VM", async () => {
     await startAtPeer();
     void owner.network.messages.emit("serverCallEvent", {
--- a/packages/daemon/src/server_reach/server_access.ts
+++ b/packages/daemon/src/server_reach/server_access.ts
@@ -36,6 +36,8 @@
   readonly serverCaller: ServerCaller;
   readonly batchCaller: BatchCaller;
   readonly connectionShare: (service: ServiceName) => number;
+  /** Whether this process is shutting down. */
+  readonly isLeaving: () => boolean;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -52,6 +54,7 @@
   readonly batchCaller: BatchCaller;
   readonly #reach: ServerReach;
   readonly #prober: ReachProber;
+  readonly #relayedCalls: RelayedCallServer;
 
   constructor(options: ServerAccessOptions) {
     const { network, register, clock, metrics, logger } = options;
@@ -113,6 +116,9 @@
       reach,
       clock,
       random,
+      onUnreachedByPeer: (server) => {
+        this.#prober.handleUnreachedByPeer(server);
+      },
     });
     this.batchCaller = new ObservedBatchCaller({
       caller: options.batchCaller,
@@ -120,10 +126,19 @@
       silence,
       clock,
     });
-    new RelayedCallServer({ ...options, reach, caller: direct });
+    this.#relayedCalls = new RelayedCallServer({
+      ...options,
+      reach,
+      caller: direct,
+    });
     network.setRelaysCalls();
   }
 
+  /** Number of calls in progress that this VM makes for others. */
+  get callsForPeers(): number {
+    return this.#relayedCalls.runCount;
+  }
+
   handleServerChange({ kind, server }: RegisterChange): void {
     switch (kind) {
       case "added":
--- a/packages/daemon/src/server_reach/server_reach.ts
+++ b/packages/daemon/src/server_reach/server_reach.ts
@@ -20,7 +20,12 @@
 /** What is known of a server to which a connection has failed. */
 export type LostServer =
   /** It isn't known whether the server or the path to it is at fault. */
-  | { readonly kind: "suspected"; readonly sinceMs: number }
+  | {
+    readonly kind: "suspected";
+    readonly sinceMs: number;
+    /** No VM reached it when it was checked last. */
+    readonly wasDown: boolean;
+  }
   /** No peer reached it either. */
   | { readonly kind: "down"; readonly sinceMs: number }
   /** Peers reach it, and this VM doesn't. */
@@ -44,7 +49,7 @@
 /** Time in which the calls to a server return to this VM's connections. */
 const RETURN_MS = 1000;
 /** A server's response or connection is evidence for this time. */
-const EVIDENCE_TTL_MS = 1000;
+const EVIDENCE_TTL_MS = 100;
 
 /** Servers without a record are taken for reachable. */
 export class ServerReach {
@@ -102,9 +107,9 @@
    * the server's: no other server of the service is reached either.
    */
   isLikelyCutOff(server: RegisteredServer): boolean {
-    const kind = this.#lost.get(server.id)?.kind;
-    if (kind === "cutOff") return true;
-    if (kind !== "suspected") return false;
+    const lost = this.#lost.get(server.id);
+    if (lost?.kind === "cutOff") return true;
+    if (lost?.kind !== "suspected" || lost.wasDown) return false;
     return this.#options.register.usableServers(server.service)
       .every(({ id }) => this.#isUnreached(id));
   }
@@ -117,7 +122,8 @@
     const isKnown = known !== undefined && known.kind !== "returning" &&
       !(known.kind === "down" && nowMs - known.sinceMs > DOWN_TTL_MS);
     if (isKnown) return;
-    this.#set(server, { kind: "suspected", sinceMs: nowMs });
+    const wasDown = known?.kind === "down";
+    this.#set(server, { kind: "suspected", sinceMs: nowMs, wasDown });
     metrics.countEvent("serverSuspected");
     const servers = register.usableServers(server.service);
     logger.info("serverSuspected", {
@@ -174,6 +180,14 @@
     onCutOff(server);
   }
 
+  /** A peer didn't reach a server that this VM is cut off from. */
+  recordUnreachedByPeer(server: RegisteredServer): void {
+    const lost = this.#lost.get(server.id);
+    if (lost?.kind !== "cutOff") return;
+    this.#set(server, { ...lost, kind: "suspected", wasDown: true });
+    this.#options.onSuspected(server);
+  }
+
   /** No VM that was asked reaches the server. */
   recordDown(server: RegisteredServer): void {
     if (this.#lost.get(server.id)?.kind !== "suspected") return;
--- a/packages/daemon/src/server_reach/server_reach_test.ts
+++ b/packages/daemon/src/server_reach/server_reach_test.ts
@@ -91,6 +91,28 @@
     expect(mustRelay("a")).toEqual(true);
   });
 
+  it("isn't taken for likely again after no VM reached the servers", () => {
+    for (const id of ["a", "b"]) {
+      reach.recordFailedConnection(server(id), "ECONNREFUSED");
+      reach.recordDown(server(id));
+    }
+    nowMs += DOWN_TTL_MS + 1;
+    for (const id of ["a", "b"]) {
+      reach.recordFailedConnection(server(id), "ECONNREFUSED");
+    }
+    expect(reach.isLikelyCutOff(server("a"))).toEqual(false);
+  });
+
+  it("ends for a server that a peer doesn't reach either", () => {
+    reach.recordFailedConnection(server("a"), "ECONNREFUSED");
+    reach.recordCutOff(server("a"), undefined);
+    reach.recordUnreachedByPeer(server("a"));
+    expect(mustRelay("a")).toEqual(false);
+    expect(suspected.length).toEqual(2);
+    reach.recordDown(server("a"));
+    expect(reach.stateOf(server("a").id)?.kind).toEqual("down");
+  });
+
   it("isn't ended by responses on connections made before the cut", () => {
     reach.recordFailedConnection(server("a"), "ECONNREFUSED");
     reach.recordCutOff(server("a"), undefined);
--- a/packages/protocol/src/server_calls.ts
+++ b/packages/protocol/src/server_calls.ts
@@ -69,6 +69,8 @@
   | {
     readonly kind: "notSent";
     readonly detail: string;
+    /** No connection to the server could be made. */
+    readonly isConnectionFailure: boolean;
     /** Whether another VM may be able to make the call. */
     readonly isPeerFailure: boolean;
   }
