Split the checks of relayed calls off, and share samples of tests

The gradual return of servers ends at one place. Response heads and stream headers of tests stand once; the assertions are the same.

--- a/packages/daemon/src/forwarding/request_forwarder_test.ts
+++ b/packages/daemon/src/forwarding/request_forwarder_test.ts
@@ -1,10 +1,9 @@
-import { NO_NOTICE } from "../register/server_notice.js";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ForwardEnvironment } from "./forward_context.js";
 import { RequestForwarder } from "./request_forwarder.js";
-import type { ResponseHead, ServerCaller } from "./server_caller.js";
+import type { ServerCaller } from "./server_caller.js";
 import {
   makeForwardEnvironment,
   makeRoutedRequest,
@@ -12,6 +11,7 @@
   makeSampleTable,
   RecordingChannel,
   RecordingLogger,
+  SAMPLE_HEAD,
 } from "./testing/sample_forwarding.js";
 
 const ROUTES = makeSampleTable([
@@ -20,23 +20,13 @@
   makeSampleRoute("draft", { kind: "stream", isResumable: true }),
 ]);
 const SETTLE_MS = 50;
-const HEAD: ResponseHead = {
-  status: 200,
-  headers: [],
-  isNotRun: false,
-  isInputGone: false,
-  endsWithConnection: false,
-  isGenuine: true,
-  rateLimit: { kind: "unknown" },
-  notice: NO_NOTICE,
-};
 
 /** Responds to each call with one event, and then breaks the stream. */
 const BREAKING_CALLER: ServerCaller = {
   start: (_call, listener) => {
     setImmediate(() => {
       listener.onSend();
-      listener.onHead(HEAD);
+      listener.onHead(SAMPLE_HEAD);
       listener.onBody(Buffer.from("id: 1\ndata: 1\n\n"));
       listener.onFailure({
         kind: "broken",
@@ -53,7 +43,7 @@
   start: (_call, listener) => {
     setImmediate(() => {
       listener.onSend();
-      listener.onHead(HEAD);
+      listener.onHead(SAMPLE_HEAD);
       listener.onEnd();
     });
     return { cancel: () => undefined, cancelIfNotSent: () => false };
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { NO_NOTICE } from "../../register/server_notice.js";
 import { ServerNotices } from "../../register/server_notices.js";
 import {
   type AttemptId,
@@ -36,6 +37,7 @@
   LocalReply,
   RoutedRequest,
 } from "../routed_request.js";
+import type { ResponseHead } from "../server_caller.js";
 import { makePoisonParts } from "./make_poison_parts.js";
 
 const NO_CALL = {
@@ -43,6 +45,18 @@
   cancelIfNotSent: () => false,
 };
 
+/** The head of a server's sound response. */
+export const SAMPLE_HEAD: ResponseHead = {
+  status: 200,
+  headers: [],
+  isNotRun: false,
+  isInputGone: false,
+  endsWithConnection: false,
+  isGenuine: true,
+  rateLimit: { kind: "unknown" },
+  notice: NO_NOTICE,
+};
+
 export interface LoggedEvent {
   readonly level: "error" | "warn" | "info" | "debug";
   readonly event: string;
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -25,6 +25,7 @@
   type ShapeCheck,
   variant,
 } from "./message_shape.js";
+import { isRelayedCall, isRelayedCallEvent } from "./relayed_call_check.js";
 
 const isPool = shape({ service: isShortString, dataCentre: isShortString });
 
@@ -156,63 +157,6 @@
   ),
 });
 
-function isHeader(value: unknown): boolean {
-  return Array.isArray(value) && value.length === 2 && value.every(isString);
-}
-
-const isRelayedCall = shape({
-  backendServerId: isShortString,
-  startedAt: optional(isFiniteNumber),
-  attemptId: isShortString,
-  host: isString,
-  method: isShortString,
-  path: isString,
-  headers: arrayOf(isHeader),
-  bodyBytes: isNonNegativeInteger,
-  remainingMs: isNonNegativeNumber,
-  clientAccountId: optional(isShortString),
-  inputs: optional(arrayOf(isString)),
-  resumeAfter: optional(isString),
-});
-
-const isRelayedResponseHead = shape({
-  status: isNonNegativeInteger,
-  headers: arrayOf(isHeader),
-  isNotRun: isBoolean,
-  isInputGone: isBoolean,
-  endsWithConnection: isBoolean,
-  isGenuine: isBoolean,
-  rateLimit: variant("kind", {
-    limited: shape({ requestsPerSecond: isNonNegativeNumber }),
-    unlimited: shape({}),
-    unknown: shape({}),
-  }),
-  notice: shape({
-    isLeaving: isBoolean,
-    pause: variant("kind", {
-      none: shape({}),
-      requested: shape({ durationMs: isNonNegativeNumber }),
-      invalid: shape({ text: isString }),
-    }),
-  }),
-});
-
-const isRelayedCallEvent = variant("kind", {
-  sent: shape({}),
-  head: shape({ head: isRelayedResponseHead }),
-  data: shape({ data: isBytes }),
-  ended: shape({}),
-  notSent: shape({
-    detail: isString,
-    isConnectionFailure: isBoolean,
-    isPeerFailure: isBoolean,
-  }),
-  broken: shape({
-    detail: isString,
-    remainingConnections: oneOf("none", "some", "notChecked"),
-  }),
-});
-
 const MESSAGE_SHAPES: Readonly<Record<PeerMessageType, ShapeCheck>> = {
   heartbeat: shape({
     sequence: isNonNegativeInteger,
--- a/packages/daemon/src/server_reach/relaying_server_caller_test.ts
+++ b/packages/daemon/src/server_reach/relaying_server_caller_test.ts
@@ -18,9 +18,9 @@
 import {
   makeRoutedRequest,
   RecordingLogger,
+  SAMPLE_HEAD,
 } from "../forwarding/testing/sample_forwarding.js";
 import { Metrics } from "../observability/metrics.js";
-import { NO_NOTICE } from "../register/server_notice.js";
 import { ServerNotices } from "../register/server_notices.js";
 import { ServerRegister } from "../register/server_register.js";
 import { LinkedVm, setLinked } from "../stage_graphs/testing/linked_vms.js";
@@ -40,14 +40,8 @@
 const SERVER_ID = toId<BackendServerId>("engine-1");
 const BODY_BYTES = 3 * MAX_RELAYED_CHUNK_BYTES + 5;
 const HEAD: ResponseHead = {
-  status: 200,
+  ...SAMPLE_HEAD,
   headers: [["x-sample", "value"]],
-  isNotRun: false,
-  isInputGone: false,
-  endsWithConnection: false,
-  isGenuine: true,
-  rateLimit: { kind: "unknown" },
-  notice: NO_NOTICE,
 };
 
 interface DirectCall {
--- a/packages/daemon/src/server_reach/server_reach.ts
+++ b/packages/daemon/src/server_reach/server_reach.ts
@@ -158,7 +158,6 @@
         this.#returnServer(server, lost);
         return;
       case "returning":
-        if (clock.nowMs() - lost.sinceMs > RETURN_MS) this.#clear(server);
         return;
       case undefined:
         this.#reachedAtMs.set(server.id, clock.nowMs());
