Keep the cost of heartbeats constant in large data centres

Cause: each VM sent every heartbeat to every VM of its data centre, 127 a second each way at 39 VMs; each heartbeat of a gossip link and each change that a peer had seen computed the whole view anew; each listed VM woke all peer tasks; begun streams went to all VMs of a data centre, of which two are asked. Ruled out: loading the bundle (0.2 s once), minifying it and V8's memory flags (no difference measured at 4 VMs). Change: in a data centre of more than 16 VMs a peer gets every fifth heartbeat, three get all. Heartbeats state their interval; builds that state none get all, as before. Begun streams go to the VMs that are asked for them. The view replaces only members that differ. Frames are read by listeners.

--- a/packages/daemon/src/configuration/testing/memory_peers.ts
+++ b/packages/daemon/src/configuration/testing/memory_peers.ts
@@ -100,6 +100,10 @@
     return true;
   }
 
+  sendToAll(to: readonly VmId[], message: PeerMessage): void {
+    for (const vmId of to) this.send(vmId, message);
+  }
+
   async receive(from: PeerIdentity, message: PeerMessage): Promise<void> {
     if (this.isDisconnected) return;
     const received = {
--- a/packages/daemon/src/peers/frame_channel.ts
+++ b/packages/daemon/src/peers/frame_channel.ts
@@ -11,6 +11,8 @@
 
 /** Above this many unsent bytes the peer is considered not to be reading. */
 export const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+/** Above this many bytes of frames that wait, nothing more is read. */
+const MAX_UNREAD_BYTES = 256 * 1024;
 /** Maximum frame size until the peer is authenticated. */
 const MAX_HANDSHAKE_FRAME_BYTES = 4096;
 
@@ -33,7 +35,10 @@
   readonly #socket: Socket;
   readonly #maxBufferedBytes: number;
   readonly #splitter = new FrameSplitter(MAX_HANDSHAKE_FRAME_BYTES);
-  readonly #chunks: AsyncIterator<Buffer>;
+  /** Resolves the wait for more data. */
+  #wake: (() => void) | undefined;
+  #end: "open" | "ended" | "failed" = "open";
+  #failure: unknown;
   #isCorked = false;
   #closeReason: PeerError | undefined;
 
@@ -41,10 +46,22 @@
     this.#socket = socket;
     this.#maxBufferedBytes = options.maxBufferedBytes;
     socket.setNoDelay(true);
-    // Errors reach the reader through the iterator. Without this listener an
-    // error that occurs while nothing is reading would end the process.
-    socket.on("error", () => undefined);
-    this.#chunks = socket[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    // Listeners cost a fraction of an iterator over the socket, which counts in
+    // a fleet where most chunks are one small frame.
+    socket.on("data", (chunk: Buffer) => {
+      this.#splitter.push(chunk);
+      if (this.#splitter.bufferedBytes > MAX_UNREAD_BYTES) socket.pause();
+      this.#wake?.();
+    });
+    socket.on("error", (error) => {
+      this.#recordEnd("failed", error);
+    });
+    socket.on("end", () => {
+      this.#recordEnd("ended");
+    });
+    socket.on("close", () => {
+      this.#recordEnd("failed");
+    });
   }
 
   get closeReason(): PeerError | undefined {
@@ -87,12 +104,16 @@
     for (;;) {
       const payload = this.#splitter.next();
       if (payload !== undefined) return decodePayload(payload);
-      const chunk = await this.#nextChunk();
-      if (chunk === undefined) {
+      if (this.#end === "failed") throw this.#failureError();
+      if (this.#end === "ended") {
         this.#splitter.finish();
         return undefined;
       }
-      this.#splitter.push(chunk);
+      if (this.#socket.isPaused()) this.#socket.resume();
+      await new Promise<void>((resolve) => {
+        this.#wake = resolve;
+      });
+      this.#wake = undefined;
     }
   }
 
@@ -106,15 +127,18 @@
     this.#socket.destroy();
   }
 
-  async #nextChunk(): Promise<Buffer | undefined> {
-    try {
-      const result = await this.#chunks.next();
-      return result.done === true ? undefined : result.value;
-    } catch (cause) {
-      if (this.#closeReason !== undefined) throw this.#closeReason;
-      throw new PeerError("connectionClosed", "The connection failed", {
-        cause,
+  /** The first way of ending counts. */
+  #recordEnd(end: "ended" | "failed", failure?: unknown): void {
+    if (this.#end !== "open") return;
+    this.#end = end;
+    this.#failure = failure;
+    this.#wake?.();
+  }
+
+  #failureError(): PeerError {
+    return this.#closeReason ??
+      new PeerError("connectionClosed", "The connection failed", {
+        cause: this.#failure,
       });
-    }
   }
 }
--- a/packages/daemon/src/peers/frame_splitter.ts
+++ b/packages/daemon/src/peers/frame_splitter.ts
@@ -33,6 +33,11 @@
     this.maxPayloadBytes = maxPayloadBytes;
   }
 
+  /** Received bytes that are not part of a returned payload. */
+  get bufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
   push(chunk: Buffer): void {
     this.#bufferedBytes += chunk.length;
     if (this.#data.length === 0 && this.#chunks.length === 0) {
--- a/packages/daemon/src/peers/heartbeat_content.ts
+++ b/packages/daemon/src/peers/heartbeat_content.ts
@@ -20,6 +20,12 @@
  */
 export type TakePoisonPartNews = (nowMs: number) => PoisonPartNews | undefined;
 
+/**
+ * Returns the time in milliseconds since the platform's store answered, if this
+ * VM watches it for others.
+ */
+export type ReadStoreAge = (nowMs: number) => number | undefined;
+
 /** Supplies and receives the pool fields of heartbeats and their replies. */
 export interface HeartbeatContent {
   /**
--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -15,9 +15,11 @@
 import { encodeFrame } from "./frame_codec.js";
 import type {
   HeartbeatContent,
+  ReadStoreAge,
   TakeBegunStreams,
   TakePoisonPartNews,
 } from "./heartbeat_content.js";
+import { isTurnOf, planHeartbeats } from "./heartbeat_plan.js";
 import { REDUCED_HEARTBEAT_INTERVALS, silenceLimitMs } from "./member_state.js";
 import type { Membership } from "./membership.js";
 import { PeerError } from "./peer_error.js";
@@ -34,6 +36,7 @@
   readonly registry: PeerRegistry;
   readonly links: PeerLinks;
   readonly membership: Membership;
+  readonly heartbeatIntervalMs: number;
   readonly heartbeatTimeoutMs: number;
 }
 
@@ -52,6 +55,13 @@
 
 const NO_NEWS: HeartbeatNews = { begunStreams: [], poisonParts: undefined };
 
+/** What distinguishes the frames that are sent in one interval. */
+interface FrameVariant {
+  readonly withPools: boolean;
+  readonly withNews: boolean;
+  readonly intervals: number;
+}
+
 const EMPTY_CONTENT: HeartbeatContent = {
   ownedPools: () => [],
   supportFor: () => [],
@@ -68,6 +78,7 @@
   content: HeartbeatContent = EMPTY_CONTENT;
   takeBegunStreams: TakeBegunStreams = () => [];
   takePoisonPartNews: TakePoisonPartNews = () => undefined;
+  storeAgeMs: ReadStoreAge = () => undefined;
   sequence = 0;
   #wantsReply = false;
 
@@ -93,27 +104,52 @@
       begunStreams: this.takeBegunStreams(nowMs),
       poisonParts: this.takePoisonPartNews(nowMs),
     };
-    const sameDataCentreFrame = encodeFrame({
-      ...this.#makeHeartbeat(news),
-      ownedPools: this.content.ownedPools(nowMs),
-    });
-    const standingFrame = encodeFrame(this.#makeHeartbeat(news));
-    const reducedFrame = isEmpty(news)
-      ? standingFrame
-      : encodeFrame(this.#makeHeartbeat(NO_NEWS));
-    for (const peer of registry.all()) {
+    const storeAgeMs = this.storeAgeMs(nowMs);
+    const frameOf = this.#makeFrames({ news, storeAgeMs }, nowMs);
+    const role = storeAgeMs === undefined ? "regular" : "storeWatcher";
+    const plan = planHeartbeats(self, registry.all(), role);
+    for (const [peer, intervals] of plan) {
       if (peer.link === undefined) continue;
-      if (!isUrgent && !this.#isDue(peer)) continue;
-      const otherFrame = peer.linkPolicy === "standing"
-        ? standingFrame
-        : reducedFrame;
+      const withNews = peer.linkPolicy === "standing" && !isEmpty(news);
+      const isDue = isUrgent || withNews || intervals !== peer.sentIntervals ||
+        peer.replyRequiredAfterSequence !== undefined ||
+        isTurnOf(peer, { sequence: this.sequence, intervals });
+      if (!isDue) continue;
+      peer.sentIntervals = intervals;
+      const withPools = peer.dataCentre === self.dataCentre;
       this.#options.links.sendFrame(
         peer.link,
-        peer.dataCentre === self.dataCentre ? sameDataCentreFrame : otherFrame,
+        frameOf({ withPools, withNews, intervals }),
       );
     }
   }
 
+  /** Encodes each variant once, for all peers that get it. */
+  #makeFrames(
+    content: {
+      readonly news: HeartbeatNews;
+      readonly storeAgeMs: number | undefined;
+    },
+    nowMs: number,
+  ): (variant: FrameVariant) => Buffer {
+    const { news, storeAgeMs } = content;
+    const ownedPools = this.content.ownedPools(nowMs);
+    const frames = new Map<string, Buffer>();
+    return ({ withPools, withNews, intervals }) => {
+      const key = `${withPools} ${withNews} ${intervals}`;
+      let frame = frames.get(key);
+      if (frame === undefined) {
+        frame = encodeFrame({
+          ...this.#makeHeartbeat(withNews ? news : NO_NEWS, storeAgeMs),
+          intervalMs: intervals * this.#options.heartbeatIntervalMs,
+          ...(withPools && { ownedPools }),
+        });
+        frames.set(key, frame);
+      }
+      return frame;
+    };
+  }
+
   /** Closes half-open connections and idle on-demand connections. */
   closeInactiveLinks(nowMs: number): void {
     const { registry, heartbeatTimeoutMs } = this.#options;
@@ -156,7 +192,10 @@
     this.content.onReply(from, sentAtMs, reply.supportedPools);
   }
 
-  #makeHeartbeat(news: HeartbeatNews): HeartbeatMessage {
+  #makeHeartbeat(
+    news: HeartbeatNews,
+    storeAgeMs: number | undefined,
+  ): HeartbeatMessage {
     const { membership } = this.#options;
     const { begunStreams, poisonParts } = news;
     return {
@@ -173,16 +212,13 @@
       ...(begunStreams.length > 0 && { begunStreams }),
       ...(poisonParts !== undefined && { poisonParts }),
       ...(membership.ownRelaysCalls && { relaysCalls: true }),
+      ...(membership.ownTakesObjectChanges && { takesObjectChanges: true }),
+      ...(storeAgeMs !== undefined && { storeAgeMs }),
       ...(membership.ownCutOffServices.length > 0 &&
         { cutOffServices: membership.ownCutOffServices }),
     };
   }
 
-  #isDue(peer: PeerRecord): boolean {
-    return peer.linkPolicy === "standing" ||
-      this.sequence % REDUCED_HEARTBEAT_INTERVALS === 0;
-  }
-
   #pruneSentTimes(nowMs: number): void {
     const retentionMs = CLOSE_TIMEOUT_FACTOR * REDUCED_HEARTBEAT_INTERVALS *
       this.#options.heartbeatTimeoutMs;
--- a/packages/daemon/src/peers/member_state.ts
+++ b/packages/daemon/src/peers/member_state.ts
@@ -27,6 +27,9 @@
   peer: PeerRecord,
   heartbeatTimeoutMs: number,
 ): number {
+  if (peer.statedIntervals !== undefined) {
+    return heartbeatTimeoutMs * peer.statedIntervals;
+  }
   switch (peer.linkPolicy) {
     case "standing":
       return heartbeatTimeoutMs;
--- a/packages/daemon/src/peers/membership.ts
+++ b/packages/daemon/src/peers/membership.ts
@@ -18,6 +18,9 @@
 import type { PeerRegistry } from "./peer_registry.js";
 import { compareText } from "./rendezvous.js";
 
+/** `state` if a member was added or removed, or its state or place changed. */
+type ViewChange = "none" | "details" | "state";
+
 export interface MembershipOptions {
   readonly self: PeerIdentity;
   readonly registry: PeerRegistry;
@@ -39,13 +42,15 @@
   /** The eras of these versions. */
   ownNewsEras: readonly StoreEra[] = [];
   ownRelaysCalls = false;
+  ownTakesObjectChanges = false;
   ownCutOffServices: readonly ServiceName[] = [];
   /** Whether this VM has announced that it is shutting down. */
   isLeaving = false;
   #view: MembershipView = { members: [] };
   /** Until this time no peer can become silent, so the view stays valid. */
   #validUntilMs = Number.NEGATIVE_INFINITY;
-  #signature = "";
+  readonly #members = new Map<PeerRecord, Member>();
+  #self: Member | undefined;
 
   constructor(options: MembershipOptions) {
     this.#options = options;
@@ -59,22 +64,39 @@
   view(nowMs: number): MembershipView {
     if (nowMs <= this.#validUntilMs) return this.#view;
     const peers = this.#options.registry.all();
-    const members = peers.map((peer) => this.#toMember(peer, nowMs));
-    members.push(this.#selfMember());
-    members.sort((a, b) => compareText(a.vmId, b.vmId));
-    this.#view = { members };
+    const change = this.#updateMembers(peers, nowMs);
     this.#validUntilMs = this.#computeValidUntilMs(peers, nowMs);
-    this.#reportChange();
+    if (change === "none") return this.#view;
+    this.#view = { members: this.#sortedMembers() };
+    if (change === "state") this.#options.onChanged(this.#view);
     return this.#view;
   }
 
-  #reportChange(): void {
-    const signature = this.#view.members
-      .map((member) => `${member.vmId} ${member.dataCentre} ${member.state}`)
-      .join("\n");
-    if (signature === this.#signature) return;
-    this.#signature = signature;
-    this.#options.onChanged(this.#view);
+  /** Replaces the members that differ, so that a large view is cheap to keep. */
+  #updateMembers(peers: readonly PeerRecord[], nowMs: number): ViewChange {
+    const own = this.#selfMember();
+    let change = compareMembers(this.#self, own);
+    if (change !== "none") this.#self = own;
+    for (const peer of peers) {
+      const known = this.#members.get(peer);
+      const member = this.#toMember(peer, nowMs);
+      const memberChange = compareMembers(known, member);
+      if (memberChange === "none") continue;
+      this.#members.set(peer, member);
+      if (change !== "state") change = memberChange;
+    }
+    if (this.#members.size === peers.length) return change;
+    const present = new Set(peers);
+    for (const peer of this.#members.keys()) {
+      if (!present.has(peer)) this.#members.delete(peer);
+    }
+    return "state";
+  }
+
+  #sortedMembers(): Member[] {
+    const members = [...this.#members.values()];
+    if (this.#self !== undefined) members.push(this.#self);
+    return members.sort((a, b) => compareText(a.vmId, b.vmId));
   }
 
   /**
@@ -103,6 +125,7 @@
       newsVersions: peer.newsVersions,
       newsEras: peer.newsEras,
       relaysCalls: peer.relaysCalls,
+      takesObjectChanges: peer.takesObjectChanges,
       cutOffServices: peer.cutOffServices,
       processorCores: peer.processorCores,
     };
@@ -121,8 +144,24 @@
       newsVersions: this.ownNewsVersions,
       newsEras: this.ownNewsEras,
       relaysCalls: this.ownRelaysCalls,
+      takesObjectChanges: this.ownTakesObjectChanges,
       cutOffServices: this.ownCutOffServices,
       processorCores: registry.selfProcessorCores,
     };
   }
 }
+
+function compareMembers(known: Member | undefined, member: Member): ViewChange {
+  if (known === undefined) return "state";
+  if (known.state !== member.state || known.dataCentre !== member.dataCentre) {
+    return "state";
+  }
+  const isSame = known.generation === member.generation &&
+    known.newsVersions === member.newsVersions &&
+    known.newsEras === member.newsEras &&
+    known.relaysCalls === member.relaysCalls &&
+    known.takesObjectChanges === member.takesObjectChanges &&
+    known.cutOffServices === member.cutOffServices &&
+    known.processorCores === member.processorCores;
+  return isSame ? "none" : "details";
+}
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -157,6 +157,16 @@
   ),
 });
 
+const isStoredObject = shape({
+  key: isShortString,
+  version: isNonNegativeInteger,
+});
+
+const isObjectEvent = variant("kind", {
+  updated: shape({ object: isStoredObject }),
+  deleted: shape({ key: isShortString, version: isNonNegativeInteger }),
+});
+
 const MESSAGE_SHAPES: Readonly<Record<PeerMessageType, ShapeCheck>> = {
   heartbeat: shape({
     sequence: isNonNegativeInteger,
@@ -164,12 +174,15 @@
     leaving: isBoolean,
     ownedPools: arrayOf(isPool),
     wantsReply: optional(isBoolean),
+    intervalMs: optional(isNonNegativeNumber),
     newsVersions: optional(arrayOf(isNonNegativeInteger)),
     newsEras: optional(arrayOf(isNonNegativeInteger)),
     begunStreams: optional(arrayOf(isBegunStreams)),
     poisonParts: optional(isPoisonPartNews),
     relaysCalls: optional(isBoolean),
     cutOffServices: optional(arrayOf(isShortString)),
+    takesObjectChanges: optional(isBoolean),
+    storeAgeMs: optional(isNonNegativeNumber),
   }),
   heartbeatReply: shape({
     sequence: isNonNegativeInteger,
@@ -259,11 +272,19 @@
       era: optional(isNonNegativeInteger),
       revision: isNonNegativeInteger,
       newsVersion: isNonNegativeInteger,
-      objects: arrayOf(
-        shape({ key: isShortString, version: isNonNegativeInteger }),
-      ),
+      objects: arrayOf(isStoredObject),
     })),
   }),
+  objectChanges: shape({
+    changes: shape({
+      prefix: isShortString,
+      era: optional(isNonNegativeInteger),
+      after: isNonNegativeInteger,
+      revision: isNonNegativeInteger,
+      events: arrayOf(isObjectEvent),
+    }),
+    recoveredAgeMs: optional(isNonNegativeNumber),
+  }),
   rateLimitChange: shape({
     backendServerId: isShortString,
     stated: isStatedRateLimit,
@@ -281,7 +302,10 @@
     retryAfterMs: isNonNegativeNumber,
     stated: optional(isStatedRateLimit),
   }),
-  streamsBegun: shape({ begunStreams: arrayOf(isBegunStreams) }),
+  streamsBegun: shape({
+    begunStreams: arrayOf(isBegunStreams),
+    relay: optional(isBoolean),
+  }),
   poisonParts: shape({ news: isPoisonPartNews, relay: isBoolean }),
   streamOriginRequest: shape({
     requestNumber: isNonNegativeInteger,
--- a/packages/daemon/src/peers/message_handler.ts
+++ b/packages/daemon/src/peers/message_handler.ts
@@ -8,7 +8,10 @@
   HeartbeatMessage,
   PeerMessage,
 } from "@sassafrasstage/protocol/peer_messages";
+import { toStatedIntervals } from "./heartbeat_plan.js";
 import type { Heartbeats } from "./heartbeats.js";
+import { silenceLimitMs } from "./member_state.js";
+import { isSameList } from "./is_same_list.js";
 import type { Membership } from "./membership.js";
 import type { ReceivedFrame } from "./peer_links.js";
 import type { PeerRecord } from "./peer_record.js";
@@ -16,6 +19,7 @@
 export interface MessageHandlerOptions {
   readonly heartbeats: Heartbeats;
   readonly membership: Membership;
+  readonly heartbeatIntervalMs: number;
   readonly heartbeatTimeoutMs: number;
   readonly onStateMayHaveChanged: () => void;
 }
@@ -35,9 +39,13 @@
     this.#recordHeard(peer, message, nowMs);
     switch (message.type) {
       case "heartbeat":
+        peer.statedIntervals = toStatedIntervals(
+          message.intervalMs,
+          this.#options.heartbeatIntervalMs,
+        );
         this.#recordGeneration(peer, message.generation);
         this.#recordNews(peer, message);
-        this.#recordReach(peer, message);
+        this.#recordAbilities(peer, message);
         if (message.leaving) this.#recordLeaving(peer);
         heartbeats.replyTo({ peer, link, message }, nowMs);
         break;
@@ -55,7 +63,8 @@
 
   #recordHeard(peer: PeerRecord, message: PeerMessage, nowMs: number): void {
     const { heartbeatTimeoutMs, onStateMayHaveChanged } = this.#options;
-    const wasOverdue = nowMs - peer.lastHeardAtMs > heartbeatTimeoutMs;
+    const wasOverdue = nowMs - peer.lastHeardAtMs >
+      silenceLimitMs(peer, heartbeatTimeoutMs);
     const requiredAfterSequence = peer.replyRequiredAfterSequence;
     if (requiredAfterSequence !== undefined) {
       if (message.type !== "heartbeatReply") return;
@@ -85,13 +94,19 @@
     this.#options.membership.invalidate();
   }
 
-  #recordReach(peer: PeerRecord, message: HeartbeatMessage): void {
-    const { relaysCalls = false, cutOffServices = [] } = message;
+  #recordAbilities(peer: PeerRecord, message: HeartbeatMessage): void {
+    const {
+      relaysCalls = false,
+      takesObjectChanges = false,
+      cutOffServices = [],
+    } = message;
     if (
       relaysCalls === peer.relaysCalls &&
+      takesObjectChanges === peer.takesObjectChanges &&
       isSameList(cutOffServices, peer.cutOffServices)
     ) return;
     peer.relaysCalls = relaysCalls;
+    peer.takesObjectChanges = takesObjectChanges;
     peer.cutOffServices = cutOffServices;
     this.#options.membership.invalidate();
   }
@@ -102,7 +117,3 @@
     this.#options.onStateMayHaveChanged();
   }
 }
-
-function isSameList<Item>(a: readonly Item[], b: readonly Item[]): boolean {
-  return a.length === b.length && a.every((value, index) => value === b[index]);
-}
--- a/packages/daemon/src/peers/peer_links.ts
+++ b/packages/daemon/src/peers/peer_links.ts
@@ -80,13 +80,24 @@
    * frame. Queued frames are lost if the connection can't be made.
    */
   send(to: VmId, message: PeerMessage): boolean {
+    return this.#sendEncoded(to, encodeFrame(message));
+  }
+
+  /** Encodes the message once for all receivers. */
+  sendToAll(to: readonly VmId[], message: PeerMessage): void {
+    if (to.length === 0) return;
+    const frame = encodeFrame(message);
+    for (const vmId of to) this.#sendEncoded(vmId, frame);
+  }
+
+  #sendEncoded(to: VmId, frame: Buffer): boolean {
     const peer = this.#options.registry.get(to);
     if (peer === undefined) return false;
     if (peer.link !== undefined) {
       peer.link.lastUsedAtMs = this.#options.clock.nowMs();
-      return this.sendFrame(peer.link, encodeFrame(message));
+      return this.sendFrame(peer.link, frame);
     }
-    return this.#sendOnDemand(peer, message);
+    return this.#sendOnDemand(peer, frame);
   }
 
   sendFrame(link: PeerLink, frame: Buffer): boolean {
@@ -116,10 +127,10 @@
     for (const link of this.#openLinks) link.channel.destroy(reason);
   }
 
-  #sendOnDemand(peer: PeerRecord, message: PeerMessage): boolean {
+  #sendOnDemand(peer: PeerRecord, frame: Buffer): boolean {
     if (!isPresumedLive(peer) || peer.address === undefined) return false;
     if (peer.pendingFrames.length >= MAX_PENDING_FRAMES) return false;
-    peer.pendingFrames.push(encodeFrame(message));
+    peer.pendingFrames.push(frame);
     peer.notifyTask();
     return true;
   }
@@ -169,6 +180,8 @@
       peer.newsVersions = [];
       peer.newsEras = [];
       peer.relaysCalls = false;
+      peer.takesObjectChanges = false;
+      peer.statedIntervals = undefined;
       peer.cutOffServices = [];
       peer.replyRequiredAfterSequence = undefined;
     }
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -55,6 +55,8 @@
   readonly newsEras?: readonly StoreEra[];
   /** Whether it makes calls to servers for other VMs. */
   readonly relaysCalls?: boolean;
+  /** Whether it takes changes of objects from other VMs. */
+  readonly takesObjectChanges?: boolean;
   /** Services of which it reaches no server, but other VMs do. */
   readonly cutOffServices?: readonly ServiceName[];
   /** Processor capacity in cores; undefined or absent if it isn't known. */
@@ -91,5 +93,7 @@
   readonly lifecycle: Emittery<PeerLifecycleEvents>;
   /** Returns false if the message was neither sent nor queued. */
   send(to: VmId, message: PeerMessage): boolean;
+  /** Encodes the message once; VMs to which it can't be sent are skipped. */
+  sendToAll(to: readonly VmId[], message: PeerMessage): void;
   view(nowMs: number): MembershipView;
 }
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -20,11 +20,13 @@
 import type { HandshakeOptions } from "./handshake.js";
 import type {
   HeartbeatContent,
+  ReadStoreAge,
   TakeBegunStreams,
   TakePoisonPartNews,
 } from "./heartbeat_content.js";
 import { Heartbeats } from "./heartbeats.js";
 import { Membership } from "./membership.js";
+import { isSameList } from "./is_same_list.js";
 import { MessageHandler } from "./message_handler.js";
 import type { PeerError } from "./peer_error.js";
 import { PeerLinks, type ReceivedFrame } from "./peer_links.js";
@@ -101,11 +103,13 @@
       registry: this.#registry,
       links: this.#links,
       membership: this.#membership,
+      heartbeatIntervalMs: settings.peers.heartbeat_interval_ms,
       heartbeatTimeoutMs: heartbeat_timeout_ms,
     });
     this.#messageHandler = new MessageHandler({
       heartbeats: this.#heartbeats,
       membership: this.#membership,
+      heartbeatIntervalMs: settings.peers.heartbeat_interval_ms,
       heartbeatTimeoutMs: heartbeat_timeout_ms,
       onStateMayHaveChanged: () => {
         this.#refreshView();
@@ -132,6 +136,10 @@
     return this.#links.send(to, message);
   }
 
+  sendToAll(to: readonly VmId[], message: PeerMessage): void {
+    this.#links.sendToAll(to, message);
+  }
+
   view(nowMs: number): MembershipView {
     this.#handlePause(nowMs);
     return this.#membership.view(nowMs);
@@ -151,6 +159,12 @@
     versions: readonly number[],
     eras: readonly StoreEra[],
   ): void {
+    const { ownNewsVersions, ownNewsEras } = this.#membership;
+    if (
+      isSameList(versions, ownNewsVersions) && isSameList(eras, ownNewsEras)
+    ) {
+      return;
+    }
     this.#membership.ownNewsVersions = versions;
     this.#membership.ownNewsEras = eras;
     this.#membership.invalidate();
@@ -161,6 +175,15 @@
     this.#membership.invalidate();
   }
 
+  setTakesObjectChanges(): void {
+    this.#membership.ownTakesObjectChanges = true;
+    this.#membership.invalidate();
+  }
+
+  setStoreAge(read: ReadStoreAge): void {
+    this.#heartbeats.storeAgeMs = read;
+  }
+
   setCutOffServices(services: readonly ServiceName[]): void {
     this.#membership.ownCutOffServices = services;
     this.#membership.invalidate();
--- a/packages/daemon/src/peers/peer_record.ts
+++ b/packages/daemon/src/peers/peer_record.ts
@@ -81,7 +81,16 @@
   generation = 0;
   newsVersions: readonly number[] = [];
   newsEras: readonly StoreEra[] = [];
+  /**
+   * How many times as long as this VM's own interval is the time between the
+   * peer's heartbeats; undefined if the peer doesn't state it, and expects every
+   * heartbeat itself.
+   */
+  statedIntervals: number | undefined;
+  /** Which of this VM's heartbeats go to the peer: each one, or each nth. */
+  sentIntervals = 1;
   relaysCalls = false;
+  takesObjectChanges = false;
   cutOffServices: readonly ServiceName[] = [];
   /** Processor capacity in the platform's list. */
   processorCores: number | undefined;
--- a/packages/daemon/src/peers/peer_registry.ts
+++ b/packages/daemon/src/peers/peer_registry.ts
@@ -113,6 +113,7 @@
     peer.listed = vm.state;
     peer.processorCores = vm.processorCores;
     if (peer.isSeed || address === undefined) return;
+    if (isSameAddress(peer.address, address)) return;
     peer.address = address;
     peer.notifyTask();
   }
@@ -133,3 +134,7 @@
   if (host === undefined || port === undefined) return undefined;
   return { host, port: Number(port) };
 }
+
+function isSameAddress(a: Address | undefined, b: Address): boolean {
+  return a?.host === b.host && a.port === b.port;
+}
--- a/packages/daemon/src/peers/running_peer_network.ts
+++ b/packages/daemon/src/peers/running_peer_network.ts
@@ -15,6 +15,7 @@
 import type { Address, Settings } from "../settings/settings.js";
 import type {
   HeartbeatContent,
+  ReadStoreAge,
   TakeBegunStreams,
   TakePoisonPartNews,
 } from "./heartbeat_content.js";
@@ -42,6 +43,10 @@
   ): void;
   /** Tells peers that this daemon makes calls to servers for them. */
   setRelaysCalls(): void;
+  /** Tells peers that this daemon knows the `objectChanges` message. */
+  setTakesObjectChanges(): void;
+  /** Sets what heartbeats tell the VMs that don't watch the store themselves. */
+  setStoreAge(read: ReadStoreAge): void;
   /** Sets the services that heartbeats name as cut off from this VM. */
   setCutOffServices(services: readonly ServiceName[]): void;
   setBegunStreams(take: TakeBegunStreams): void;
--- a/packages/daemon/src/peers/testing/simulated_network.ts
+++ b/packages/daemon/src/peers/testing/simulated_network.ts
@@ -75,6 +75,10 @@
     return this.#network.deliver(this, to, message);
   }
 
+  sendToAll(to: readonly VmId[], message: PeerMessage): void {
+    for (const vmId of to) this.send(vmId, message);
+  }
+
   setBegunStreams(take: TakeBegunStreams): void {
     this.takeBegunStreams = take;
   }
--- a/packages/daemon/src/pools/testing/in_memory_cluster.ts
+++ b/packages/daemon/src/pools/testing/in_memory_cluster.ts
@@ -66,6 +66,9 @@
       messages: this.messages,
       lifecycle: this.lifecycleEvents,
       send: (to, message) => cluster.send(this, to, message),
+      sendToAll: (to, message) => {
+        for (const vmId of to) cluster.send(this, vmId, message);
+      },
       view: () => ({ members: cluster.viewOf(this) }),
     };
   }
--- a/packages/daemon/src/stage_graphs/testing/linked_vms.ts
+++ b/packages/daemon/src/stage_graphs/testing/linked_vms.ts
@@ -58,6 +58,10 @@
     return true;
   }
 
+  sendToAll(to: readonly VmId[], message: PeerMessage): void {
+    for (const vmId of to) this.send(vmId, message);
+  }
+
   view(): MembershipView {
     return {
       members: [this, this.other].flatMap((vm) =>
--- a/packages/daemon/src/stream_versions/stream_versions.ts
+++ b/packages/daemon/src/stream_versions/stream_versions.ts
@@ -53,6 +53,8 @@
 
 /** More than one, as one of them may just have been restarted. */
 const ASKED_PER_DATA_CENTRE = 2;
+/** Largest number of peers in a data centre that all remember its streams. */
+const MAX_TOLD_BY_HEARTBEAT = 15;
 
 /** A request with which a client takes a stream up. */
 export interface StreamResumption {
@@ -88,6 +90,7 @@
     });
     network.messages.on("streamsBegun", ({ message }) => {
       this.#remember(message.begunStreams);
+      if (message.relay === false) return;
       for (const { origin, attemptIds } of message.begunStreams) {
         this.#begunElsewhere.add(origin, attemptIds);
       }
@@ -204,7 +207,47 @@
   #takeBegunStreams(nowMs: number): BegunStreams[] {
     const begunHere = this.#begunHere.take();
     if (begunHere.length > 0) this.#tellOtherDataCentres(begunHere, nowMs);
-    return [...begunHere, ...this.#begunElsewhere.take()];
+    const begun = [...begunHere, ...this.#begunElsewhere.take()];
+    if (begun.length === 0) return begun;
+    const { network } = this.#options;
+    const local = findReachableMembers(network.view(nowMs))
+      .filter(({ dataCentre }) => dataCentre === network.self.dataCentre)
+      .map(({ vmId }) => vmId);
+    if (local.length <= MAX_TOLD_BY_HEARTBEAT) return begun;
+    this.#tellThoseAsked(begun, local);
+    return [];
+  }
+
+  /**
+   * In a large data centre, tells only the VMs that are asked for the stream, and
+   * one more in case that one of them fails.
+   */
+  #tellThoseAsked(
+    begunStreams: readonly BegunStreams[],
+    local: readonly VmId[],
+  ): void {
+    const { network } = this.#options;
+    const candidates = [...local, network.self.vmId];
+    const byVm = new Map<VmId, BegunStreamsBuffer>();
+    for (const { origin, attemptIds } of begunStreams) {
+      for (const attemptId of attemptIds) {
+        const told = rankByRendezvous(attemptId, candidates)
+          .slice(0, ASKED_PER_DATA_CENTRE + 1);
+        for (const vmId of told) {
+          const buffer = byVm.get(vmId) ?? new BegunStreamsBuffer();
+          buffer.add(origin, [attemptId]);
+          byVm.set(vmId, buffer);
+        }
+      }
+    }
+    byVm.delete(network.self.vmId);
+    for (const [vmId, buffer] of byVm) {
+      network.send(vmId, {
+        type: "streamsBegun",
+        begunStreams: buffer.take(),
+        relay: false,
+      });
+    }
   }
 
   /** In a large fleet, heartbeats don't tell the VMs of other data centres. */
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -25,7 +25,7 @@
   StreamOrigin,
   VersionObservation,
 } from "./stream_origin.js";
-import type { StoredObject, StoreEra } from "./platform_objects.js";
+import type { StoredObject, StoreEra, WatchEvent } from "./platform_objects.js";
 import type {
   Permit,
   PermitDecision,
@@ -64,9 +64,14 @@
   readonly proof: string;
 }
 
-/** Sent at a fixed interval to each peer in the data centre. */
+/** Sent to each connected peer, to some of them less often. */
 export interface HeartbeatMessage {
   readonly type: "heartbeat";
+  /**
+   * The next heartbeat on this connection follows within this time, apart from
+   * delays. A VM that states it also accepts longer intervals than its own.
+   */
+  readonly intervalMs?: number;
   readonly sequence: number;
   readonly generation: number;
   readonly leaving: boolean;
@@ -95,6 +100,13 @@
   readonly relaysCalls?: boolean;
   /** Services of which the sender reaches no server, but other VMs do. */
   readonly cutOffServices?: readonly ServiceName[];
+  /** The sender knows the `objectChanges` message. Only such VMs get it. */
+  readonly takesObjectChanges?: boolean;
+  /**
+   * Time since the platform's store answered the sender; present only if the
+   * sender watches the store for the other VMs of its data centre.
+   */
+  readonly storeAgeMs?: number;
 }
 
 /** Reply to a heartbeat that lists pools or requests a reply. */
@@ -272,6 +284,29 @@
   readonly objects: readonly StoredObject[];
 }
 
+/** Changes of objects of one kind between two revisions. */
+export interface ObjectChanges {
+  readonly prefix: string;
+  /** Absent for the first. */
+  readonly era?: StoreEra;
+  /** Earlier changes aren't included. */
+  readonly after: number;
+  /** Changes up to this revision are included. */
+  readonly revision: number;
+  readonly events: readonly WatchEvent[];
+}
+
+/**
+ * Changes that the sender has learned of, for VMs that don't watch the
+ * platform's store themselves.
+ */
+export interface ObjectChangesMessage {
+  readonly type: "objectChanges";
+  readonly changes: ObjectChanges;
+  /** Time since the last outage of the store ended, if that isn't long ago. */
+  readonly recoveredAgeMs?: number;
+}
+
 export interface ObjectsMessage {
   readonly type: "objects";
   readonly copies: readonly ObjectsCopy[];
@@ -305,9 +340,11 @@
   readonly stated?: StatedRateLimit | undefined;
 }
 
-/** Streams that began at the sender, for all VMs of the receiver's data centre. */
+/** Streams that began at another VM. */
 export interface StreamsBegunMessage {
   readonly type: "streamsBegun";
+  /** Whether the receiver tells VMs of its data centre; absent means yes. */
+  readonly relay?: boolean;
   readonly begunStreams: readonly BegunStreams[];
 }
 
@@ -412,6 +449,7 @@
   | StageCoordinatingMessage
   | ObjectsRequestMessage
   | ObjectsMessage
+  | ObjectChangesMessage
   | RateLimitChangeMessage
   | RateRequestMessage
   | RateDecisionMessage
