Watch the store from a few VMs of each data centre

All VMs watched five kinds of objects each: each VM that joined, and each change of a server, ended a call of every VM, and each VM renewed its watches twice a second. Ruled out: renewals of leases and served versions (one listing a VM). Change: in fleets of more than 16 VMs, two VMs of each data centre watch and send changes to the others, which call the store themselves once no watcher was heard for 1.5 s or the store hasn't answered one for 2.5 s. Watches of what changes rarely wait for changes to collect.

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -5,10 +5,7 @@
  * @module
  */
 
-import type {
-  BackendServerId,
-  DataCentreName,
-} from "@sassafrasstage/protocol/ids";
+import type { DataCentreName } from "@sassafrasstage/protocol/ids";
 import type {
   ListedVm,
   StoredObject,
@@ -25,9 +22,12 @@
 import { RouteTable } from "../routing/route_table.js";
 import type { DeploymentObjectFormat } from "./deployment_object_format.js";
 import { type EraChange, ObjectMirror } from "./object_mirror.js";
+import { ChangeSharing } from "./share_changes.js";
+import { ServerEntries } from "./server_entries.js";
 import { ObjectSharing } from "./share_objects.js";
+import { MAX_STORE_AGE_MS, StoreWatchers } from "./store_watchers.js";
 import { StoredPartBlocks } from "./stored_part_blocks.js";
-import { ObjectWatch } from "./watch_objects.js";
+import { ObjectWatch, type ObjectWatchOptions } from "./watch_objects.js";
 
 export interface DeploymentOptions {
   readonly store: ObjectStore;
@@ -43,22 +43,20 @@
 }
 
 /** The longest time for which a watch call waits for events. */
-const WATCH_WAIT_MS = 4000;
+const WATCH_WAIT_MS = 15_000;
 /**
  * Shorter, as this watch also detects when connections to the platform have
  * fallen silent; all watches are then started again.
  */
 const CONFIGURATION_WAIT_MS = 1200;
 /**
- * Longer, as entry VMs and blocked parts change rarely and peers also learn of
- * them from each other.
- */
-const RARE_CHANGES_WAIT_MS = 15_000;
-/**
- * Reports that expired while the platform was unavailable are renewed within
- * this time of its recovery.
+ * Collects changes that come in quick succession, as when all VMs start, so that
+ * not each of them ends a call.
  */
-const REMOVAL_GRACE_MS = 2000;
+const RARE_CHANGES_INTERVAL_MS = 1000;
+const SERVER_CHANGES_INTERVAL_MS = 150;
+/** Interval at which this VM's part in watching the store is chosen anew. */
+const STORE_ROLE_INTERVAL_MS = 250;
 const JOIN_RETRY_DELAY_MS = 1000;
 /**
  * After the store came back from an older copy, its operators and servers write
@@ -81,7 +79,11 @@
   readonly #serversWatch: ObjectWatch;
   readonly #configurationWatch: ObjectWatch;
   readonly #sharing: ObjectSharing;
-  readonly #pendingRemovals = new Map<BackendServerId, NodeJS.Timeout>();
+  readonly #watchers: StoreWatchers;
+  readonly #roleTimer: NodeJS.Timeout;
+  /** When the latest outage ended that a watcher of the store has seen. */
+  #toldRecoveredAtMs = -Infinity;
+  readonly #serverEntries: ServerEntries;
   readonly #returnTimers = new Set<NodeJS.Timeout>();
   #hasListedServers = false;
   #table: RouteTable | undefined;
@@ -91,6 +93,15 @@
     this.#options = options;
     this.register = new ServerRegister(options.onServerChange);
     const { objectFormat } = options;
+    this.#serverEntries = new ServerEntries({
+      ...options,
+      register: this.register,
+      recoveredAtMs: () =>
+        Math.max(this.#serversWatch.recoveredAtMs, this.#toldRecoveredAtMs),
+      onUnreadable: (object, detail) => {
+        this.#recordUnreadable(object, detail);
+      },
+    });
     const configuration = new ObjectMirror(objectFormat.configurationPrefix, {
       onUpdated: (object) => {
         this.#adoptConfiguration(object);
@@ -110,10 +121,10 @@
         this.#withholdEndedServers(servers);
       },
       onUpdated: (object) => {
-        this.#applyServer(object);
+        this.#serverEntries.apply(object);
       },
       onDeleted: (object) => {
-        this.#removeServer(object);
+        this.#serverEntries.remove(object);
       },
     });
     this.#dataCentresOut = new ObjectMirror(objectFormat.dataCentresOutPrefix, {
@@ -131,10 +142,9 @@
       onEraChanged: (change) => {
         this.#handleEraChange(this.#entryVms, change);
       },
-      onUpdated: () => {
-        this.#updateListedVms();
-      },
-      onDeleted: () => {
+      onUpdated: () => undefined,
+      onDeleted: () => undefined,
+      onChanged: () => {
         this.#updateListedVms();
       },
     });
@@ -145,13 +155,19 @@
         void this.partBlocks.restoreUnconfirmed();
       },
     });
-    this.#serversWatch = this.#startWatch(servers, WATCH_WAIT_MS, () => {
-      this.#hasListedServers = true;
+    this.#watchers = new StoreWatchers(options);
+    this.#serversWatch = this.#startWatch(servers, {
+      waitMs: WATCH_WAIT_MS,
+      minIntervalMs: SERVER_CHANGES_INTERVAL_MS,
+      onListed: () => {
+        this.#hasListedServers = true;
+      },
     });
     this.#configurationWatch = new ObjectWatch({
       ...options,
       mirror: configuration,
       waitMs: CONFIGURATION_WAIT_MS,
+      isFollowing: (nowMs) => this.#watchers.isFollowing(nowMs),
       onSilent: () => {
         for (const watch of this.#watches) watch.restart();
       },
@@ -159,25 +175,59 @@
     this.#watches = [
       this.#serversWatch,
       this.#configurationWatch,
-      this.#startWatch(this.#dataCentresOut, WATCH_WAIT_MS),
-      this.#startWatch(this.#entryVms, RARE_CHANGES_WAIT_MS, () => {
-        void this.#join();
+      this.#startWatch(this.#dataCentresOut, { waitMs: WATCH_WAIT_MS }),
+      this.#startWatch(this.#entryVms, {
+        waitMs: WATCH_WAIT_MS,
+        minIntervalMs: RARE_CHANGES_INTERVAL_MS,
+        onListed: () => {
+          void this.#join();
+        },
+      }),
+      this.#startWatch(this.partBlocks.mirror, {
+        waitMs: WATCH_WAIT_MS,
       }),
-      this.#startWatch(this.partBlocks.mirror, RARE_CHANGES_WAIT_MS),
+    ];
+    // All VMs list the kinds in this order.
+    const mirrors = [
+      configuration,
+      servers,
+      this.#dataCentresOut,
+      this.#entryVms,
+      this.partBlocks.mirror,
     ];
     this.#sharing = new ObjectSharing({
       ...options,
       configuration,
       generation: () => toGeneration(this.#table),
-      // All VMs list the kinds in this order.
-      mirrors: [
-        configuration,
-        servers,
-        this.#dataCentresOut,
-        this.#entryVms,
-        this.partBlocks.mirror,
-      ],
+      mirrors,
+    });
+    this.#shareChanges(mirrors);
+    this.#roleTimer = setInterval(() => {
+      this.#watchers.update(options.clock.nowMs());
+      for (const watch of this.#watches) watch.checkFollowing();
+    }, STORE_ROLE_INTERVAL_MS);
+  }
+
+  #shareChanges(mirrors: readonly ObjectMirror[]): void {
+    const { network } = this.#options;
+    new ChangeSharing({
+      ...this.#options,
+      mirrors,
+      watchers: this.#watchers,
+      recoveredAtMs: () => this.#serversWatch.recoveredAtMs,
+      onRecovered: (recoveredAtMs) => {
+        this.#toldRecoveredAtMs = Math.max(
+          this.#toldRecoveredAtMs,
+          recoveredAtMs,
+        );
+      },
     });
+    network.setTakesObjectChanges();
+    network.setStoreAge((nowMs) =>
+      this.#watchers.role === "watcher"
+        ? nowMs - this.#configurationWatch.lastResponseAtMs
+        : undefined
+    );
   }
 
   /** The current routes; undefined until the first configuration is read. */
@@ -187,7 +237,11 @@
 
   /** Time since the platform last answered a call for the configuration. */
   configurationAgeMs(nowMs: number): number {
-    return nowMs - this.#configurationWatch.lastResponseAtMs;
+    const respondedAtMs = Math.max(
+      this.#configurationWatch.lastResponseAtMs,
+      this.#watchers.respondedAtMs(),
+    );
+    return nowMs - respondedAtMs;
   }
 
   /** Whether requests can be checked and assigned to backend servers. */
@@ -207,18 +261,34 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#sharing.close();
+    clearInterval(this.#roleTimer);
     this.partBlocks.close();
-    for (const timer of this.#pendingRemovals.values()) clearTimeout(timer);
+    this.#serverEntries.close();
     for (const timer of this.#returnTimers) clearTimeout(timer);
     await Promise.all(this.#watches.map((watch) => watch.close()));
   }
 
   #startWatch(
     mirror: ObjectMirror,
-    waitMs: number,
-    onListed: () => void = () => undefined,
+    options: Pick<ObjectWatchOptions, "waitMs" | "minIntervalMs" | "onListed">,
   ): ObjectWatch {
-    return new ObjectWatch({ ...this.#options, mirror, waitMs, onListed });
+    return new ObjectWatch({
+      ...this.#options,
+      ...options,
+      mirror,
+      isFollowing: (nowMs) => this.#needsNoWatch(nowMs),
+    });
+  }
+
+  /**
+   * While the store answers nobody, only the watch of the configuration finds out
+   * when it is back.
+   */
+  #needsNoWatch(nowMs: number): boolean {
+    if (this.#watchers.isFollowing(nowMs)) return true;
+    const isUnanswered = nowMs - this.#configurationWatch.lastResponseAtMs >
+      MAX_STORE_AGE_MS;
+    return isUnanswered && this.#watchers.hasLiveWatcher(nowMs);
   }
 
   #adoptConfiguration(object: StoredObject): void {
@@ -267,14 +337,11 @@
   }
 
   #withholdEndedServers(servers: ObjectMirror): void {
-    const { objectFormat, clock } = this.#options;
+    const { clock } = this.#options;
     const untilMs = clock.nowMs() + ENDED_SERVER_ENTRY_MS;
     this.register.withholdEndedUntil(untilMs);
     this.#afterReturn(ENDED_SERVER_ENTRY_MS, () => {
-      for (const object of servers.objects) {
-        const known = this.register.get(objectFormat.serverId(object));
-        if (known === undefined) this.#applyServer(object);
-      }
+      this.#serverEntries.applyUnknown(servers.objects);
     });
   }
 
@@ -286,41 +353,6 @@
     this.#returnTimers.add(timer);
   }
 
-  #applyServer(object: StoredObject): void {
-    const { objectFormat, clock } = this.#options;
-    const result = objectFormat.readServer(object);
-    if (result.kind === "unreadable") {
-      this.#recordUnreadable(object, result.detail);
-      return;
-    }
-    this.#cancelRemoval(result.value.id);
-    this.register.apply(result.value, clock.nowMs());
-  }
-
-  #removeServer(object: StoredObject): void {
-    const { objectFormat, clock } = this.#options;
-    const id = objectFormat.serverId(object);
-    const nowMs = clock.nowMs();
-    const graceMs = this.#serversWatch.recoveredAtMs + REMOVAL_GRACE_MS - nowMs;
-    if (graceMs <= 0) {
-      this.register.remove(id);
-      return;
-    }
-    this.#cancelRemoval(id);
-    this.#pendingRemovals.set(
-      id,
-      setTimeout(() => {
-        this.#pendingRemovals.delete(id);
-        this.register.remove(id);
-      }, graceMs),
-    );
-  }
-
-  #cancelRemoval(id: BackendServerId): void {
-    clearTimeout(this.#pendingRemovals.get(id));
-    this.#pendingRemovals.delete(id);
-  }
-
   #applyDataCentresOut(): void {
     const { objectFormat, logger } = this.#options;
     const dataCentres: DataCentreName[] = this.#dataCentresOut.objects
--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -5,12 +5,16 @@
  */
 
 import { isDeepStrictEqual } from "node:util";
-import type { ObjectsCopy } from "@sassafrasstage/protocol/peer_messages";
+import type {
+  ObjectChanges,
+  ObjectsCopy,
+} from "@sassafrasstage/protocol/peer_messages";
 import {
   FIRST_STORE_ERA,
   type ObjectListing,
   type StoredObject,
   type StoreEra,
+  type WatchEvent,
   type WatchResponse,
 } from "@sassafrasstage/protocol/platform_objects";
 
@@ -22,6 +26,8 @@
 export interface MirrorOptions {
   readonly onUpdated: (object: StoredObject) => void;
   readonly onDeleted: (object: StoredObject) => void;
+  /** Called once after any number of objects was updated or deleted together. */
+  readonly onChanged?: (changes: ObjectChanges) => void;
   /**
    * The platform's store has come back from an older copy. Called before the
    * objects that it has now are reported.
@@ -56,6 +62,9 @@
   #revision: number | undefined;
   #completeRevision: number | undefined;
   #newsVersion = 0;
+  /** Changes that haven't been reported yet. */
+  #changes: WatchEvent[] = [];
+  readonly #listeners: ((changes: ObjectChanges) => void)[] = [];
 
   constructor(prefix: string, options: MirrorOptions) {
     this.prefix = prefix;
@@ -96,26 +105,48 @@
     return entry?.era === this.#era ? entry.object : undefined;
   }
 
+  /** Adds a listener to all changes, whether from the platform or a peer. */
+  onChanges(listener: (changes: ObjectChanges) => void): void {
+    this.#listeners.push(listener);
+  }
+
   /** Returns false if the listing is older than what is known. */
   applyListing(listing: ObjectListing): boolean {
     const { era = FIRST_STORE_ERA, revision, objects } = listing;
     if (era < this.#era) return false;
     if (era === this.#era && revision < (this.#revision ?? 0)) return false;
     this.#enterEra(era);
-    this.#replaceAll(objects);
+    const after = this.#completeRevision;
+    this.#replaceAll(objects, revision);
     this.#revision = revision;
     this.#advanceComplete(revision);
+    this.#reportChanges(after);
     return true;
   }
 
   /** The response has to be of the mirror's era. */
   applyEvents(answer: WatchResponse): void {
-    for (const event of answer.events) {
-      if (event.kind === "updated") this.#update(event.object);
-      else this.#delete(event.key, event.version);
-    }
+    const after = this.#completeRevision;
+    this.#applyEach(answer.events);
     if (answer.events.length > 0) this.#advanceComplete(this.#newsVersion);
     this.#revision = Math.max(this.#revision ?? 0, answer.revision);
+    this.#reportChanges(after);
+  }
+
+  /**
+   * Applies what another VM learned from the platform, and returns whether no
+   * change before it is missing. Nothing is applied otherwise.
+   */
+  applyChanges(changes: ObjectChanges): boolean {
+    const { era = FIRST_STORE_ERA, after, revision, events } = changes;
+    const known = this.#completeRevision;
+    if (era !== this.#era || known === undefined || known < after) return false;
+    // An older update would bring back what has been deleted since.
+    this.#applyEach(events.filter((event) => versionOf(event) > known));
+    this.#advanceComplete(revision);
+    this.#revision = Math.max(this.#revision ?? 0, revision);
+    this.#reportChanges(known);
+    return true;
   }
 
   /**
@@ -127,10 +158,12 @@
     const { era = FIRST_STORE_ERA, revision, objects } = copy;
     if (!this.#isNewer(era, revision)) return this.#takeGenerations(objects);
     this.#enterEra(era);
-    this.#replaceAll(objects);
+    const after = this.#completeRevision;
+    this.#replaceAll(objects, revision);
     this.#revision = revision;
     this.#advanceComplete(revision);
     this.#newsVersion = Math.max(this.#newsVersion, copy.newsVersion);
+    this.#reportChanges(after);
     return true;
   }
 
@@ -156,9 +189,34 @@
     const unconfirmed = [...this.#entries.values()]
       .filter((entry) => entry.era !== this.#era);
     for (const { object } of unconfirmed) this.#remove(object);
+    this.#reportChanges(this.#completeRevision);
     return unconfirmed.length;
   }
 
+  /** @param after The revision up to which every change was known before */
+  #reportChanges(after: number | undefined): void {
+    const events = this.#changes;
+    if (events.length === 0) return;
+    this.#changes = [];
+    const revision = this.#completeRevision ?? 0;
+    const changes: ObjectChanges = {
+      prefix: this.prefix,
+      ...(this.#era !== FIRST_STORE_ERA && { era: this.#era }),
+      after: after ?? revision,
+      revision,
+      events,
+    };
+    this.#options.onChanged?.(changes);
+    for (const listener of this.#listeners) listener(changes);
+  }
+
+  #applyEach(events: readonly WatchEvent[]): void {
+    for (const event of events) {
+      if (event.kind === "updated") this.#update(event.object);
+      else this.#delete(event.key, event.version);
+    }
+  }
+
   #isNewer(era: StoreEra, revision: number): boolean {
     if (era !== this.#era) return era > this.#era;
     return revision > (this.#completeRevision ?? -1);
@@ -194,11 +252,11 @@
     this.#completeRevision = Math.max(this.#completeRevision ?? 0, revision);
   }
 
-  #replaceAll(objects: readonly StoredObject[]): void {
+  #replaceAll(objects: readonly StoredObject[], revision: number): void {
     const listed = new Set(objects.map((object) => object.key));
     for (const [key, entry] of [...this.#entries]) {
       if (!listed.has(key) && entry.era === this.#era) {
-        this.#delete(key, Infinity);
+        this.#delete(key, Infinity, revision);
       }
     }
     for (const object of objects) this.#update(object);
@@ -216,7 +274,9 @@
     }
     const isRewritten = known !== undefined && known.era !== this.#era &&
       isDeepStrictEqual(known.object.value, object.value);
-    if (!isRewritten) this.#options.onUpdated(object);
+    if (isRewritten) return;
+    this.#changes.push({ kind: "updated", object });
+    this.#options.onUpdated(object);
   }
 
   /** Positive if the object has a higher generation than the known one. */
@@ -232,18 +292,27 @@
     return (generationOf(object) ?? -1) - (generationOf(known) ?? -1);
   }
 
-  #delete(key: string, version: number): void {
+  /** @param deletedAt At the latest, if the version isn't known */
+  #delete(key: string, version: number, deletedAt = version): void {
     if (Number.isFinite(version)) {
       this.#newsVersion = Math.max(this.#newsVersion, version);
     }
     const known = this.#entries.get(key);
     if (known === undefined) return;
     if (known.era === this.#era && known.object.version > version) return;
-    if (this.#options.generationOf === undefined) this.#remove(known.object);
+    if (this.#options.generationOf === undefined) {
+      this.#remove(known.object, deletedAt);
+    }
   }
 
-  #remove(object: StoredObject): void {
-    this.#entries.delete(object.key);
+  #remove(object: StoredObject, version = this.#completeRevision ?? 0): void {
+    const { key } = object;
+    this.#entries.delete(key);
+    this.#changes.push({ kind: "deleted", key, version });
     this.#options.onDeleted(object);
   }
 }
+
+function versionOf(event: WatchEvent): number {
+  return event.kind === "updated" ? event.object.version : event.version;
+}
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -31,6 +31,13 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly onListed?: () => void;
+  /**
+   * Whether other VMs tell this one all changes, so that it needs no watch call
+   * now.
+   */
+  readonly isFollowing?: (nowMs: number) => boolean;
+  /** Shortest time between the starts of two watch calls. */
+  readonly minIntervalMs?: number;
   /** Called when a connection has stayed open without a response in time. */
   readonly onSilent?: () => void;
 }
@@ -44,8 +51,9 @@
 export class ObjectWatch {
   readonly #options: ObjectWatchOptions;
   readonly #abort = new AbortController();
-  /** Ends the watch call in progress. */
-  #endWatchCall: (() => void) | undefined;
+  /** Ends the watch call or pause in progress. */
+  #interrupt: (() => void) | undefined;
+  #endFollowing: (() => void) | undefined;
   readonly #finished: Promise<void>;
   /** A watch that failed may have missed changes, so a listing is needed. */
   #needsListing = true;
@@ -57,6 +65,8 @@
   #isOutage = false;
   #recoveredAtMs = -Infinity;
   #lastResponseAtMs: number;
+  /** When the latest watch call started. */
+  #watchedAtMs = -Infinity;
 
   constructor(options: ObjectWatchOptions) {
     const { clock, metrics, mirror } = options;
@@ -79,19 +89,28 @@
     return this.#isOutage ? this.#options.clock.nowMs() : this.#recoveredAtMs;
   }
 
-  /** Ends a watch call in progress and lists the objects on a new connection. */
+  /**
+   * Ends a watch call in progress and lists the objects on a new connection, as
+   * connections to the platform have been silent.
+   */
   restart(): void {
-    this.#endWatchCall?.();
+    this.#isOutage = true;
+    this.#interrupt?.();
+  }
+
+  /** Has to be called when it may no longer be enough to follow other VMs. */
+  checkFollowing(): void {
+    if (!this.#isFollowing()) this.#endFollowing?.();
   }
 
   /** Lists the objects if they are known only of an earlier era. */
   restartIfBefore(era: StoreEra): void {
-    if (this.#options.mirror.era < era) this.restart();
+    if (this.#options.mirror.era < era) this.#interrupt?.();
   }
 
   async close(): Promise<void> {
     this.#abort.abort();
-    this.#endWatchCall?.();
+    this.#interrupt?.();
     await this.#finished;
   }
 
@@ -99,7 +118,6 @@
     while (!this.#isClosed()) {
       try {
         await this.#step();
-        this.#recordSuccess();
       } catch (error) {
         if (this.#isClosed()) return;
         this.#recordFailure(error);
@@ -115,9 +133,45 @@
   async #step(): Promise<void> {
     const { revision } = this.#options.mirror;
     if (this.#needsListing || revision === undefined) await this.#list();
+    else if (this.#isFollowing()) await this.#waitWhileFollowing();
     else await this.#watchFrom(revision);
   }
 
+  #isFollowing(): boolean {
+    const { isFollowing, clock } = this.#options;
+    return isFollowing?.(clock.nowMs()) ?? false;
+  }
+
+  /** Until this VM has to call the platform itself. */
+  async #waitWhileFollowing(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#endFollowing = resolve;
+      this.#interrupt = () => {
+        this.#needsListing = true;
+        resolve();
+      };
+      if (this.#isClosed()) resolve();
+    });
+    this.#endFollowing = undefined;
+    this.#interrupt = undefined;
+  }
+
+  /** A restart ends the pause; the objects have to be listed then. */
+  async #pause(ms: number): Promise<void> {
+    const abort = new AbortController();
+    this.#interrupt = () => {
+      abort.abort();
+    };
+    if (this.#isClosed()) abort.abort();
+    try {
+      await sleep(ms, undefined, { signal: abort.signal });
+    } catch {
+      this.#needsListing = true;
+    } finally {
+      this.#interrupt = undefined;
+    }
+  }
+
   async #list(): Promise<void> {
     const { store, mirror, onListed } = this.#options;
     const listing = await store.list(mirror.prefix);
@@ -128,8 +182,15 @@
   }
 
   async #watchFrom(revision: number): Promise<void> {
-    const { mirror, metrics, logger } = this.#options;
+    const { mirror, metrics, logger, clock } = this.#options;
+    const { minIntervalMs = 0 } = this.#options;
     const { era } = mirror;
+    const pauseMs = this.#watchedAtMs + minIntervalMs - clock.nowMs();
+    if (pauseMs > 0) {
+      await this.#pause(pauseMs);
+      return;
+    }
+    this.#watchedAtMs = clock.nowMs();
     const result = await this.#callWatch(revision);
     if (result === "restarted") {
       this.#needsListing = true;
@@ -153,7 +214,7 @@
     const fraction = MIN_WAIT_FRACTION +
       (1 - MIN_WAIT_FRACTION) * Math.random();
     const abort = new AbortController();
-    this.#endWatchCall = () => {
+    this.#interrupt = () => {
       abort.abort();
     };
     if (this.#isClosed()) abort.abort();
@@ -167,7 +228,7 @@
       if (abort.signal.aborted && !this.#isClosed()) return "restarted";
       throw error;
     } finally {
-      this.#endWatchCall = undefined;
+      this.#interrupt = undefined;
     }
   }
 
@@ -184,12 +245,13 @@
   #recordSuccess(): void {
     const { clock, logger, mirror } = this.#options;
     this.#lastResponseAtMs = clock.nowMs();
-    if (this.#failures === 0) return;
-    logger.info("platformRegained", {
-      objects: mirror.prefix,
-      failures: this.#failures,
-      outage: this.#isOutage,
-    });
+    if (this.#failures > 0) {
+      logger.info("platformRegained", {
+        objects: mirror.prefix,
+        failures: this.#failures,
+        outage: this.#isOutage,
+      });
+    }
     this.#failures = 0;
     if (!this.#isOutage) return;
     this.#isOutage = false;
--- a/packages/daemon/src/deployment/watch_objects_test.ts
+++ b/packages/daemon/src/deployment/watch_objects_test.ts
@@ -15,7 +15,7 @@
   MemoryObjectStore,
 } from "../platform/testing/memory_object_store.js";
 import { ObjectMirror } from "./object_mirror.js";
-import { ObjectWatch } from "./watch_objects.js";
+import { ObjectWatch, type ObjectWatchOptions } from "./watch_objects.js";
 
 const WAIT_MS = 500;
 
@@ -24,6 +24,25 @@
   await Promise.all(watches.splice(0).map((watch) => watch.close()));
 });
 
+class CountingConnection extends MemoryConnection {
+  watchCount = 0;
+
+  override watch(
+    request: WatchRequest,
+    signal: AbortSignal,
+  ): Promise<WatchResult> {
+    this.watchCount += 1;
+    return super.watch(request, signal);
+  }
+}
+
+function makeMirror(prefix: string): ObjectMirror {
+  return new ObjectMirror(prefix, {
+    onUpdated: () => undefined,
+    onDeleted: () => undefined,
+  });
+}
+
 /** Its watches deliver no events and stay open until `disconnect`. */
 class SilentConnection extends MemoryConnection {
   #rejectWatch: ((error: Error) => void) | undefined;
@@ -47,8 +66,13 @@
   }
 }
 
-function startWatch(store: ObjectStore, mirror: ObjectMirror): ObjectWatch {
+function startWatch(
+  store: ObjectStore,
+  mirror: ObjectMirror,
+  options: Pick<ObjectWatchOptions, "isFollowing" | "minIntervalMs"> = {},
+): ObjectWatch {
   const started = new ObjectWatch({
+    ...options,
     store,
     mirror,
     waitMs: 4000,
@@ -93,4 +117,59 @@
     expect(connection.watchCount).toEqual(2);
     expect(watch.recoveredAtMs >= restartedAtMs).toEqual(true);
   });
+
+  it("makes a few calls while 195 VMs join", async () => {
+    const store = new MemoryObjectStore();
+    const connection = new CountingConnection(store);
+    const mirror = makeMirror("entry-vms/");
+    startWatch(connection, mirror, { minIntervalMs: 200 });
+    await sleep(WAIT_MS);
+    const callsBefore = connection.watchCount;
+    for (let vm = 0; vm < 195; vm++) {
+      store.put(`entry-vms/vm-${vm}`, vm);
+      await sleep(2);
+    }
+    await sleep(WAIT_MS);
+    expect(mirror.objects.length).toEqual(195);
+    expect(connection.watchCount - callsBefore <= 8).toEqual(true);
+  });
+
+  it("makes no calls while other VMs tell it all changes", async () => {
+    const store = new MemoryObjectStore();
+    const connection = new CountingConnection(store);
+    const mirror = makeMirror("servers/");
+    startWatch(connection, mirror, { isFollowing: () => true });
+    await sleep(WAIT_MS);
+    store.put("servers/a", 1);
+    await sleep(WAIT_MS);
+    expect(connection.watchCount).toEqual(0);
+  });
+
+  it("misses no change of the time in which it made no calls", async () => {
+    const store = new MemoryObjectStore();
+    const mirror = makeMirror("servers/");
+    let isFollowing = true;
+    const watch = startWatch(new MemoryConnection(store), mirror, {
+      isFollowing: () => isFollowing,
+    });
+    await sleep(WAIT_MS);
+    store.put("servers/a", 1);
+    isFollowing = false;
+    watch.checkFollowing();
+    await sleep(WAIT_MS);
+    expect(mirror.objects.map(({ key }) => key)).toEqual(["servers/a"]);
+  });
+
+  it("lists the objects when it is restarted while it made no calls", async () => {
+    const store = new MemoryObjectStore();
+    const mirror = makeMirror("servers/");
+    const watch = startWatch(new MemoryConnection(store), mirror, {
+      isFollowing: () => true,
+    });
+    await sleep(WAIT_MS);
+    store.put("servers/a", 1);
+    watch.restart();
+    await sleep(WAIT_MS);
+    expect(mirror.objects.map(({ key }) => key)).toEqual(["servers/a"]);
+  });
 });
