Notice a silent coordinator by its missing announcements

Cause: with fewer heartbeats, and always in other data centres, a frozen or cut-off coordinator was noticed after 5 s; requests with stages waited for it. Change: a VM with unfinished graphs at a coordinator that hasn't announced itself for 1.5 s submits them elsewhere, and passes it over until it is heard. The own pause of a VM doesn't count. Announcements are encoded once for all.

--- a/packages/daemon/src/stage_graphs/coordinator_selector.ts
+++ b/packages/daemon/src/stage_graphs/coordinator_selector.ts
@@ -17,6 +17,15 @@
 /** A coordinator without a new job for this long is no longer active. */
 const IDLE_TIMEOUT_MS = 2000;
 
+/**
+ * A coordinator announces itself several times in this interval. One that is
+ * silent for so long while requests wait for it is frozen or cut off.
+ */
+const COORDINATOR_SILENCE_MS = 1500;
+
+/** After this time, its connection or its heartbeats have told. */
+const SILENT_COORDINATOR_MS = 5000;
+
 interface Announcement {
   readonly activeSinceMs: number;
   readonly receivedAtMs: number;
@@ -36,6 +45,8 @@
 export class CoordinatorSelector {
   readonly #announcements = new Map<string, Map<VmId, Announcement>>();
   readonly #ownActivity = new Map<string, OwnActivity>();
+  /** Since when coordinators are silent that haven't announced themselves since. */
+  readonly #silentSinceMs = new Map<VmId, number>();
 
   /** Another VM announced for how long it has been coordinating the group. */
   recordAnnouncement(
@@ -43,6 +54,7 @@
     from: VmId,
     times: { readonly activeForMs: number; readonly nowMs: number },
   ): void {
+    this.#silentSinceMs.delete(from);
     const groupAnnouncements = this.#announcements.get(group) ??
       new Map<VmId, Announcement>();
     groupAnnouncements.set(from, {
@@ -82,7 +94,12 @@
     candidates: CoordinatorCandidates,
     nowMs: number,
   ): VmId {
-    const { self, liveVms } = candidates;
+    const { self } = candidates;
+    const heardVms = candidates.liveVms.filter((vmId) => {
+      const sinceMs = this.#silentSinceMs.get(vmId) ?? -Infinity;
+      return nowMs - sinceMs > SILENT_COORDINATOR_MS;
+    });
+    const liveVms = heardVms.length > 0 ? heardVms : candidates.liveVms;
     const live = new Set(liveVms);
     let best: VmId | undefined;
     let bestSinceMs = Infinity;
@@ -99,6 +116,25 @@
     return best ?? rankByRendezvous(group, liveVms)[0] ?? self;
   }
 
+  /**
+   * Whether a coordinator that has announced itself has fallen silent since. It
+   * is passed over then until it announces itself again.
+   *
+   * @param listeningSinceMs Since when this VM would have heard it
+   */
+  isSilent(
+    group: string,
+    coordinator: VmId,
+    times: { readonly listeningSinceMs: number; readonly nowMs: number },
+  ): boolean {
+    const announced = this.#announcements.get(group)?.get(coordinator);
+    if (announced === undefined) return false;
+    const heardAtMs = Math.max(announced.receivedAtMs, times.listeningSinceMs);
+    if (times.nowMs - heardAtMs <= COORDINATOR_SILENCE_MS) return false;
+    this.#silentSinceMs.set(coordinator, times.nowMs);
+    return true;
+  }
+
   #activeCoordinators(
     group: string,
     self: VmId,
--- a/packages/daemon/src/stage_graphs/coordinator_selector_test.ts
+++ b/packages/daemon/src/stage_graphs/coordinator_selector_test.ts
@@ -57,4 +57,44 @@
     selector.forgetOwnActivity();
     expect(selector.choose(GROUP, candidates, 9000)).toEqual(SECOND);
   });
+
+  it("passes over a coordinator that stopped announcing itself", () => {
+    const selector = new CoordinatorSelector();
+    const candidates = { self: THIRD, liveVms: VMS };
+    selector.recordAnnouncement(GROUP, FIRST, { activeForMs: 9000, nowMs: 0 });
+    const times = { listeningSinceMs: 0 };
+    expect(selector.isSilent(GROUP, FIRST, { ...times, nowMs: 1000 }))
+      .toEqual(false);
+    expect(selector.isSilent(GROUP, FIRST, { ...times, nowMs: 1600 }))
+      .toEqual(true);
+    expect(selector.choose(GROUP, candidates, 1600)).toEqual(SECOND);
+    // Later on, the membership tells whether it is live.
+    expect(selector.choose(GROUP, candidates, 7000)).toEqual(FIRST);
+  });
+
+  it("chooses it again once it is heard", () => {
+    const selector = new CoordinatorSelector();
+    const candidates = { self: THIRD, liveVms: VMS };
+    selector.recordAnnouncement(GROUP, FIRST, { activeForMs: 9000, nowMs: 0 });
+    const times = { listeningSinceMs: 0, nowMs: 1600 };
+    expect(selector.isSilent(GROUP, FIRST, times)).toEqual(true);
+    selector.recordAnnouncement(GROUP, FIRST, {
+      activeForMs: 10_700,
+      nowMs: 1700,
+    });
+    expect(selector.choose(GROUP, candidates, 1700)).toEqual(FIRST);
+  });
+
+  it("doesn't take its own pause for the coordinator's silence", () => {
+    const selector = new CoordinatorSelector();
+    selector.recordAnnouncement(GROUP, FIRST, { activeForMs: 9000, nowMs: 0 });
+    const times = { listeningSinceMs: 4900, nowMs: 5000 };
+    expect(selector.isSilent(GROUP, FIRST, times)).toEqual(false);
+  });
+
+  it("doesn't expect announcements of a VM that has sent none", () => {
+    const selector = new CoordinatorSelector();
+    const times = { listeningSinceMs: 0, nowMs: 9000 };
+    expect(selector.isSilent(GROUP, FIRST, times)).toEqual(false);
+  });
 });
--- a/packages/daemon/src/stage_graphs/pending_graph.ts
+++ b/packages/daemon/src/stage_graphs/pending_graph.ts
@@ -26,6 +26,8 @@
   readonly startedAtMs: number;
   readonly settle: (outcome: GraphOutcome) => void;
   coordinator: VmId;
+  /** To the present coordinator. */
+  submittedAtMs: number;
   isSettled: boolean;
 }
 
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -75,6 +75,8 @@
   readonly #chosenCoordinators = new Map<string, VmId>();
   #lastRequestNumber = 0;
   #lastAnnounceAtMs: number;
+  /** When this process last went on after a pause. */
+  #resumedAtMs = -Infinity;
 
   constructor(options: StageGraphClientOptions) {
     this.#options = options;
@@ -129,6 +131,7 @@
       group,
       graph,
       startedAtMs: this.#options.clock.nowMs(),
+      submittedAtMs: this.#options.clock.nowMs(),
       settle: outcome.resolve,
       coordinator: this.#options.network.self.vmId,
       isSettled: false,
@@ -195,6 +198,7 @@
   #submit(pending: PendingGraph, failedSends = 0): void {
     const { network, coordinator } = this.#options;
     pending.coordinator = this.#chooseCoordinator(pending.group);
+    pending.submittedAtMs = this.#options.clock.nowMs();
     const isLocal = pending.coordinator === network.self.vmId;
     if (!isLocal) {
       if (
@@ -249,6 +253,26 @@
     return coordinator;
   }
 
+  /**
+   * Notices a frozen or cut-off coordinator in another data centre before its
+   * connection or its heartbeats tell.
+   */
+  #resubmitFromSilentCoordinators(nowMs: number): void {
+    const silent = new Set<VmId>();
+    for (const pending of this.#pending.values()) {
+      const { group, coordinator, isSettled, submittedAtMs } = pending;
+      if (isSettled || coordinator === this.#options.network.self.vmId) {
+        continue;
+      }
+      const listeningSinceMs = Math.max(submittedAtMs, this.#resumedAtMs);
+      const times = { listeningSinceMs, nowMs };
+      if (this.#selector.isSilent(group, coordinator, times)) {
+        silent.add(coordinator);
+      }
+    }
+    for (const vmId of silent) this.#resubmitFrom(vmId);
+  }
+
   /** VMs that accept new work. */
   #liveVms(): VmId[] {
     const { network, clock } = this.#options;
@@ -266,7 +290,11 @@
     const nowMs = clock.nowMs();
     const wasPaused = nowMs - this.#lastAnnounceAtMs > PAUSE_THRESHOLD_MS;
     this.#lastAnnounceAtMs = nowMs;
-    if (wasPaused) this.#selector.forgetOwnActivity();
+    if (wasPaused) {
+      this.#selector.forgetOwnActivity();
+      this.#resumedAtMs = nowMs;
+    }
+    this.#resubmitFromSilentCoordinators(nowMs);
     for (
       const { group, activeForMs } of this.#selector.coordinatedGroups(nowMs)
     ) {
@@ -274,10 +302,13 @@
         this.#handOver();
         continue;
       }
-      for (const vmId of this.#liveVms()) {
-        if (vmId === network.self.vmId) continue;
-        network.send(vmId, { type: "stageCoordinating", group, activeForMs });
-      }
+      const others = this.#liveVms()
+        .filter((vmId) => vmId !== network.self.vmId);
+      network.sendToAll(others, {
+        type: "stageCoordinating",
+        group,
+        activeForMs,
+      });
     }
   }
 
