--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -21,6 +21,7 @@
 } from "../register/server_register.js";
 import { RouteTable } from "../routing/route_table.js";
 import type { DeploymentObjectFormat } from "./deployment_object_format.js";
+import { listEntryVm } from "./list_entry_vm.js";
 import { type EraChange, ObjectMirror } from "./object_mirror.js";
 import { ChangeSharing } from "./share_changes.js";
 import { ServerEntries } from "./server_entries.js";
@@ -57,7 +58,6 @@
 const SERVER_CHANGES_INTERVAL_MS = 150;
 /** Interval at which this VM's part in watching the store is chosen anew. */
 const STORE_ROLE_INTERVAL_MS = 250;
-const JOIN_RETRY_DELAY_MS = 1000;
 /**
  * After the store came back from an older copy, its operators and servers write
  * again what it lost; what it still lacks after this time is gone.
@@ -180,7 +180,11 @@
         waitMs: WATCH_WAIT_MS,
         minIntervalMs: RARE_CHANGES_INTERVAL_MS,
         onListed: () => {
-          void this.#join();
+          void listEntryVm({
+            ...options,
+            entryVms: this.#entryVms,
+            isClosed: () => this.#isClosed,
+          });
         },
       }),
       this.#startWatch(this.partBlocks.mirror, {
@@ -370,31 +374,6 @@
     network.setListedVms({ vms });
   }
 
-  /**
-   * Lists this VM as an entry VM, or updates its entry after an address change.
-   */
-  async #join(): Promise<void> {
-    const { objectFormat, self, store, logger } = this.#options;
-    const { key, value } = objectFormat.entryVmObject(self);
-    while (!this.#isClosed) {
-      const stored = this.#entryVms.confirmed(key);
-      if (JSON.stringify(stored?.value) === JSON.stringify(value)) return;
-      try {
-        const result = await store.update(
-          key,
-          value,
-          stored === undefined
-            ? { kind: "absent" }
-            : { kind: "version", version: stored.version },
-        );
-        if (result.kind === "updated") return;
-      } catch (error) {
-        logger.warn("joinFailed", { error: String(error) });
-      }
-      await new Promise((resolve) => setTimeout(resolve, JOIN_RETRY_DELAY_MS));
-    }
-  }
-
   #recordUnreadable(object: StoredObject, detail: string): void {
     this.#options.metrics.countEvent("unreadableObject");
     this.#options.logger.warn("unreadableObject", {
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -21,6 +21,7 @@
 } from "../peers/peer_network.js";
 import { coordinatorCandidates, isCutOff } from "./coordinator_candidates.js";
 import { CoordinatorSelector } from "./coordinator_selector.js";
+import { findSilentCoordinators } from "./find_silent_coordinators.js";
 import {
   type GraphOutcome,
   graphWithTimeLeft,
@@ -28,6 +29,7 @@
   type PendingGraph,
   toRunMessage,
 } from "./pending_graph.js";
+import { ReconnectGrace } from "./reconnect_grace.js";
 import type { StageCoordinator } from "./stage_coordinator.js";
 import type {
   StageGraph,
@@ -51,15 +53,8 @@
 
 /** Interval at which a coordinator announces itself to the other VMs. */
 const ANNOUNCE_INTERVAL_MS = 300;
-/**
- * Time for a reset connection to come back before its graphs are resubmitted;
- * the coordinator continues to run them in the meantime.
- */
-const RECONNECT_GRACE_MS = 500;
-/** Jobs of an owner that stays disconnected for longer are canceled. */
-const OWNER_GRACE_MS = 1500;
 const SEND_RETRY_DELAY_MS = 50;
-/** All retries together take about as long as `RECONNECT_GRACE_MS`. */
+/** All retries together take about as long as a reset link may take. */
 const MAX_SEND_RETRIES = 8;
 /** If the process pauses for this long, another VM may have taken over. */
 const PAUSE_THRESHOLD_MS = 1000;
@@ -68,7 +63,7 @@
   readonly #options: StageGraphClientOptions;
   readonly #pending = new Map<number, PendingGraph>();
   readonly #selector = new CoordinatorSelector();
-  readonly #graceTimers = new Map<VmId, readonly NodeJS.Timeout[]>();
+  readonly #grace: ReconnectGrace;
   readonly #incarnations = new Map<VmId, Incarnation>();
   readonly #timer: NodeJS.Timeout;
   /** The coordinator chosen last for each group. */
@@ -81,6 +76,14 @@
   constructor(options: StageGraphClientOptions) {
     this.#options = options;
     const { network } = options;
+    this.#grace = new ReconnectGrace({
+      onCoordinatorLost: (vmId) => {
+        this.#resubmitFrom(vmId);
+      },
+      onOwnerLost: (vmId) => {
+        options.coordinator.cancelOwnedBy(vmId);
+      },
+    });
     network.messages.on("stageGraphRun", (received) => {
       this.#handleRun(received);
     });
@@ -97,7 +100,7 @@
       });
     });
     network.lifecycle.on("disconnected", ({ vmId }) => {
-      this.#startGrace(vmId);
+      this.#grace.start(vmId);
       if (this.#liveVms().length <= 1) this.#selector.forgetOwnActivity();
     });
     network.lifecycle.on("connected", (peer) => {
@@ -114,7 +117,7 @@
 
   close(): void {
     clearInterval(this.#timer);
-    for (const vmId of [...this.#graceTimers.keys()]) this.#cancelGrace(vmId);
+    this.#grace.close();
   }
 
   /** Hands over what this VM no longer coordinates, without waiting. */
@@ -146,33 +149,13 @@
     };
   }
 
-  /**
-   * Waits for the peer to reconnect, as the connection may only have been
-   * reset. Until then its jobs here and this VM's graphs there keep running.
-   */
-  #startGrace(vmId: VmId): void {
-    const resubmitTimer = setTimeout(() => {
-      this.#resubmitFrom(vmId);
-    }, RECONNECT_GRACE_MS);
-    const cancelTimer = setTimeout(() => {
-      this.#options.coordinator.cancelOwnedBy(vmId);
-    }, OWNER_GRACE_MS);
-    this.#cancelGrace(vmId);
-    this.#graceTimers.set(vmId, [resubmitTimer, cancelTimer]);
-  }
-
-  #cancelGrace(vmId: VmId): void {
-    for (const timer of this.#graceTimers.get(vmId) ?? []) clearTimeout(timer);
-    this.#graceTimers.delete(vmId);
-  }
-
   /**
    * Resends the unfinished graphs, as their outcomes may have been lost. If the
    * peer's process was restarted, cancels the jobs of the earlier process.
    */
   #handleReconnect(peer: PeerIdentity): void {
     const { network, coordinator } = this.#options;
-    this.#cancelGrace(peer.vmId);
+    this.#grace.cancel(peer.vmId);
     const knownIncarnation = this.#incarnations.get(peer.vmId);
     if (
       knownIncarnation !== undefined && knownIncarnation !== peer.incarnation
@@ -258,18 +241,13 @@
    * connection or its heartbeats tell.
    */
   #resubmitFromSilentCoordinators(nowMs: number): void {
-    const silent = new Set<VmId>();
-    for (const pending of this.#pending.values()) {
-      const { group, coordinator, isSettled, submittedAtMs } = pending;
-      if (isSettled || coordinator === this.#options.network.self.vmId) {
-        continue;
-      }
-      const listeningSinceMs = Math.max(submittedAtMs, this.#resumedAtMs);
-      const times = { listeningSinceMs, nowMs };
-      if (this.#selector.isSilent(group, coordinator, times)) {
-        silent.add(coordinator);
-      }
-    }
+    const silent = findSilentCoordinators({
+      graphs: this.#pending.values(),
+      selector: this.#selector,
+      self: this.#options.network.self.vmId,
+      resumedAtMs: this.#resumedAtMs,
+      nowMs,
+    });
     for (const vmId of silent) this.#resubmitFrom(vmId);
   }
 
