Send every heartbeat of a pool's owner

In a data centre of more than 16 VMs an owner of pools renews its leases by the replies to its heartbeats; with every fifth to most VMs its leases would lapse. Change: an owner's heartbeats all go to all VMs of its data centre, as before.

--- a/packages/daemon/src/peers/heartbeat_plan.ts
+++ b/packages/daemon/src/peers/heartbeat_plan.ts
@@ -26,8 +26,12 @@
 /** Limits how long a peer's statement can keep it from becoming silent. */
 const MAX_STATED_INTERVALS = 2 * REDUCED_HEARTBEAT_INTERVALS;
 
-/** A store watcher tells the VMs of its data centre what the store holds. */
-export type HeartbeatRole = "regular" | "storeWatcher";
+export type HeartbeatRole =
+  | "regular"
+  /** Tells the VMs of its data centre what the platform's store holds. */
+  | "storeWatcher"
+  /** Renews its leases by the replies of its data centre to each heartbeat. */
+  | "poolOwner";
 
 /**
  * Sets for each peer how many heartbeat intervals lie between the heartbeats
@@ -44,7 +48,9 @@
   role: HeartbeatRole,
 ): Map<PeerRecord, number> {
   const standing = peers.filter((peer) => peer.linkPolicy === "standing");
-  const frequent = standing.length <= MAX_FREQUENT_PEERS ? undefined : new Set(
+  const areAllFrequent = role === "poolOwner" ||
+    standing.length <= MAX_FREQUENT_PEERS;
+  const frequent = areAllFrequent ? undefined : new Set(
     rankByRendezvous(self.vmId, standing.map(({ vmId }) => vmId))
       .slice(0, FREQUENT_PEERS),
   );
--- a/packages/daemon/src/peers/heartbeat_plan_test.ts
+++ b/packages/daemon/src/peers/heartbeat_plan_test.ts
@@ -85,6 +85,13 @@
     expect(standing.every((peer) => plan.get(peer) === 1)).toEqual(true);
   });
 
+  it("sends every heartbeat of a pool's owner, which renews its leases", () => {
+    const peers = makePeers(195, "present");
+    const plan = planHeartbeats(SELF, peers, "poolOwner");
+    const standing = peers.filter((peer) => peer.linkPolicy === "standing");
+    expect(standing.every((peer) => plan.get(peer) === 1)).toEqual(true);
+  });
+
   it("lets a store watcher tell its followers twice within their patience", () => {
     const peers = makePeers(195, "present");
     const plan = planHeartbeats(SELF, peers, "storeWatcher");
--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { VmId } from "@sassafrasstage/protocol/ids";
+import type { PoolId, VmId } from "@sassafrasstage/protocol/ids";
 import type {
   HeartbeatMessage,
   HeartbeatReplyMessage,
@@ -19,7 +19,11 @@
   TakeBegunStreams,
   TakePoisonPartNews,
 } from "./heartbeat_content.js";
-import { isTurnOf, planHeartbeats } from "./heartbeat_plan.js";
+import {
+  type HeartbeatRole,
+  isTurnOf,
+  planHeartbeats,
+} from "./heartbeat_plan.js";
 import { REDUCED_HEARTBEAT_INTERVALS, silenceLimitMs } from "./member_state.js";
 import type { Membership } from "./membership.js";
 import { PeerError } from "./peer_error.js";
@@ -55,6 +59,14 @@
 
 const NO_NEWS: HeartbeatNews = { begunStreams: [], poisonParts: undefined };
 
+/** What the heartbeats of one interval carry, to some of the peers. */
+interface HeartbeatParts {
+  readonly news: HeartbeatNews;
+  /** Undefined unless this VM watches the store for others. */
+  readonly storeAgeMs: number | undefined;
+  readonly ownedPools: readonly PoolId[];
+}
+
 /** What distinguishes the frames that are sent in one interval. */
 interface FrameVariant {
   readonly withPools: boolean;
@@ -104,10 +116,13 @@
       begunStreams: this.takeBegunStreams(nowMs),
       poisonParts: this.takePoisonPartNews(nowMs),
     };
-    const storeAgeMs = this.storeAgeMs(nowMs);
-    const frameOf = this.#makeFrames({ news, storeAgeMs }, nowMs);
-    const role = storeAgeMs === undefined ? "regular" : "storeWatcher";
-    const plan = planHeartbeats(self, registry.all(), role);
+    const parts = {
+      news,
+      storeAgeMs: this.storeAgeMs(nowMs),
+      ownedPools: this.content.ownedPools(nowMs),
+    };
+    const frameOf = this.#makeFrames(parts);
+    const plan = planHeartbeats(self, registry.all(), roleOf(parts));
     for (const [peer, intervals] of plan) {
       if (peer.link === undefined) continue;
       const withNews = peer.linkPolicy === "standing" && !isEmpty(news);
@@ -125,15 +140,8 @@
   }
 
   /** Encodes each variant once, for all peers that get it. */
-  #makeFrames(
-    content: {
-      readonly news: HeartbeatNews;
-      readonly storeAgeMs: number | undefined;
-    },
-    nowMs: number,
-  ): (variant: FrameVariant) => Buffer {
-    const { news, storeAgeMs } = content;
-    const ownedPools = this.content.ownedPools(nowMs);
+  #makeFrames(parts: HeartbeatParts): (variant: FrameVariant) => Buffer {
+    const { news, storeAgeMs, ownedPools } = parts;
     const frames = new Map<string, Buffer>();
     return ({ withPools, withNews, intervals }) => {
       const key = `${withPools} ${withNews} ${intervals}`;
@@ -229,6 +237,11 @@
   }
 }
 
+function roleOf({ ownedPools, storeAgeMs }: HeartbeatParts): HeartbeatRole {
+  if (ownedPools.length > 0) return "poolOwner";
+  return storeAgeMs === undefined ? "regular" : "storeWatcher";
+}
+
 function isEmpty(news: HeartbeatNews): boolean {
   return news.begunStreams.length === 0 && news.poisonParts === undefined;
 }
