--- a/packages/daemon/src/deployment/store_watchers.ts
+++ b/packages/daemon/src/deployment/store_watchers.ts
@@ -14,6 +14,7 @@
 
 import type { VmId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
+import { listLiveLocalDaemons } from "../configuration/choose_watchers.js";
 import type { Logger } from "../observability/logger.js";
 import { isFullMesh } from "../peers/link_policy.js";
 import type { Member, PeerNetwork } from "../peers/peer_network.js";
@@ -126,7 +127,7 @@
   /** The VMs to which a watcher sends changes. */
   followers(nowMs: number): VmId[] {
     const { network } = this.#options;
-    return localMembers(network.view(nowMs).members)
+    return listLiveLocalDaemons(network.view(nowMs))
       .filter((member) => !member.isSelf && member.takesObjectChanges === true)
       .map(({ vmId }) => vmId);
   }
@@ -156,18 +157,9 @@
  * ```
  */
 export function chooseWatchers(members: readonly Member[]): VmId[] {
-  const vmIds = localMembers(members)
+  const vmIds = listLiveLocalDaemons({ members })
     .filter((member) => member.isSelf || member.takesObjectChanges === true)
     .map(({ vmId }) => vmId);
   return rankByRendezvous(RENDEZVOUS_KEY, vmIds)
     .slice(0, WATCHERS_PER_DATA_CENTRE);
 }
-
-/** The live VMs of this data centre, this one included. */
-function localMembers(members: readonly Member[]): Member[] {
-  const self = members.find((member) => member.isSelf);
-  return members.filter((member) =>
-    member.isSelf ||
-    (member.state === "live" && member.dataCentre === self?.dataCentre)
-  );
-}
