Keep one way of listening to a mirror's changes

An option and a method did the same; the list of entry VMs listens by the method now. No behaviour changes; tests of deployment and end_to_end pass (64).

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -144,9 +144,9 @@
       },
       onUpdated: () => undefined,
       onDeleted: () => undefined,
-      onChanged: () => {
-        this.#updateListedVms();
-      },
+    });
+    this.#entryVms.onChanges(() => {
+      this.#updateListedVms();
     });
     this.partBlocks = new StoredPartBlocks({
       ...options,
--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -26,8 +26,6 @@
 export interface MirrorOptions {
   readonly onUpdated: (object: StoredObject) => void;
   readonly onDeleted: (object: StoredObject) => void;
-  /** Called once after any number of objects was updated or deleted together. */
-  readonly onChanged?: (changes: ObjectChanges) => void;
   /**
    * The platform's store has come back from an older copy. Called before the
    * objects that it has now are reported.
@@ -105,7 +103,10 @@
     return entry?.era === this.#era ? entry.object : undefined;
   }
 
-  /** Adds a listener to all changes, whether from the platform or a peer. */
+  /**
+   * Adds a listener to changes from the platform or a peer. It is called once for
+   * any number of objects that were updated or deleted together.
+   */
   onChanges(listener: (changes: ObjectChanges) => void): void {
     this.#listeners.push(listener);
   }
@@ -206,7 +207,6 @@
       revision,
       events,
     };
-    this.#options.onChanged?.(changes);
     for (const listener of this.#listeners) listener(changes);
   }
 
