Bound how deeply the values of stored objects nest

Cause: JSON is parsed without recursion, but a value 3,000 levels deep exceeds the call stack when it is encoded for peers, decoded there, or compared after the store's return. The VM that holds it then sends no copies and no changes of any kind.

Ruled out: the parser and the schema; both get over 300,000 levels.

Change: the mirror, through which each object comes, drops a value of more than 32 levels; no format reads it, and peers get null.

--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -17,6 +17,7 @@
   type WatchEvent,
   type WatchResponse,
 } from "@sassafrasstage/protocol/platform_objects";
+import { boundNesting } from "./bound_nesting.js";
 
 export interface EraChange {
   readonly from: StoreEra;
@@ -262,7 +263,8 @@
     for (const object of objects) this.#update(object);
   }
 
-  #update(object: StoredObject): void {
+  #update(received: StoredObject): void {
+    const object = boundNesting(received);
     const known = this.#entries.get(object.key);
     const order = this.#compareGenerations(object, known?.object);
     const isKnownVersion = known?.era === this.#era &&
--- a/packages/daemon/src/deployment/object_mirror_test.ts
+++ b/packages/daemon/src/deployment/object_mirror_test.ts
@@ -1,6 +1,7 @@
 import { toStoreEra } from "@sassafrasstage/protocol/platform_objects";
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { encodeFrame } from "../peers/frame_codec.js";
 import { ObjectMirror } from "./object_mirror.js";
 
 function makeMirror(): {
@@ -22,6 +23,12 @@
   return { key: `servers/${name}`, version, value: {} };
 }
 
+function nest(depth: number): unknown {
+  let value: unknown = [];
+  for (let n = 0; n < depth; n++) value = [value];
+  return value;
+}
+
 const SECOND_ERA = toStoreEra(2);
 
 /** The value is the generation. */
@@ -161,4 +168,22 @@
     });
     expect(changes).toEqual(["servers/a@9"]);
   });
+
+  // Guards against one odd object keeping all others from being applied,
+  // compared or sent to peers.
+  it("takes a value that nests too deeply for none", () => {
+    const { mirror, changes } = makeMirror();
+    const deep = { ...object("a", 3), value: nest(100_000) };
+    mirror.applyListing({ revision: 5, objects: [deep, object("b", 4)] });
+    const era = SECOND_ERA;
+    mirror.applyListing({
+      era,
+      revision: 2,
+      objects: [{ ...deep, version: 1 }, object("b", 2)],
+    });
+    expect(changes).toEqual(["servers/a@3", "servers/b@4"]);
+    const copy = mirror.copy();
+    expect(copy?.objects.map(({ value }) => value)).toEqual([null, {}]);
+    expect(encodeFrame(copy).length < 1000).toEqual(true);
+  });
 });
