--- a/packages/daemon/src/server_reach/tcp_probe.ts
+++ b/packages/daemon/src/server_reach/tcp_probe.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { connect } from "node:net";
+import { Socket } from "node:net";
 import type { RegisteredServer } from "../register/server_register.js";
 
 /** Backend servers are a few milliseconds away. */
@@ -24,7 +24,7 @@
 export function probeConnection(server: RegisteredServer): Promise<boolean> {
   return new Promise((resolve) => {
     const { host, port } = server.address;
-    const socket = connect({ host, port });
+    const socket = new Socket();
     const timer = setTimeout(() => {
       finish(false);
     }, CONNECT_TIMEOUT_MS);
@@ -39,5 +39,11 @@
     socket.on("error", () => {
       finish(false);
     });
+    try {
+      socket.connect({ host, port });
+    } catch {
+      // The port is out of range.
+      finish(false);
+    }
   });
 }
