Don't guess where a stream began while out of step with the other VMs

Streams began at engines of a version that had just joined, broke, and were taken up at a VM that was cut off or had been paused meanwhile.

Cause: if no VM remembers a stream, it goes on at the only version that is known.

Ruled out: streams that a VM remembers, and VMs that hear the others; both find the right version, or refuse.

While the VMs answer, an outage of the store changes nothing, and no call is made.

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -23,6 +23,7 @@
 import type { DeploymentObjectFormat } from "./deployment_object_format.js";
 import { listEntryVm } from "./list_entry_vm.js";
 import { type EraChange, ObjectMirror } from "./object_mirror.js";
+import { ObjectsConfirmation } from "./objects_confirmation.js";
 import { ChangeSharing } from "./share_changes.js";
 import { ServerEntries } from "./server_entries.js";
 import { ObjectSharing } from "./share_objects.js";
@@ -77,6 +78,7 @@
   readonly #dataCentresOut: ObjectMirror;
   readonly #watches: ObjectWatch[];
   readonly #serversWatch: ObjectWatch;
+  readonly #serversConfirmation: ObjectsConfirmation;
   readonly #configurationWatch: ObjectWatch;
   readonly #sharing: ObjectSharing;
   readonly #watchers: StoreWatchers;
@@ -127,6 +129,10 @@
         this.#serverEntries.remove(object);
       },
     });
+    this.#serversConfirmation = new ObjectsConfirmation({
+      ...options,
+      mirror: servers,
+    });
     this.#dataCentresOut = new ObjectMirror(objectFormat.dataCentresOutPrefix, {
       onEraChanged: (change) => {
         this.#handleEraChange(this.#dataCentresOut, change);
@@ -234,6 +240,14 @@
     );
   }
 
+  /**
+   * Brings the register up to date with the store. Resolves with false if the
+   * store doesn't answer in time; never rejects.
+   */
+  confirmRegister(): Promise<boolean> {
+    return this.#serversConfirmation.confirm();
+  }
+
   /** The current routes; undefined until the first configuration is read. */
   get table(): RouteTable | undefined {
     return this.#table;
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -159,6 +159,7 @@
       network: new LinkedVm("vm-1"),
       register,
       served: NO_RECORDED_VERSIONS,
+      confirmRegister: () => Promise.resolve(true),
       clock,
       metrics,
       logger,
--- a/packages/daemon/src/forwarding/testing/simulated_stream.ts
+++ b/packages/daemon/src/forwarding/testing/simulated_stream.ts
@@ -178,6 +178,7 @@
           network: new LinkedVm("vm-1"),
           register,
           served: NO_RECORDED_VERSIONS,
+          confirmRegister: () => Promise.resolve(true),
           clock,
           metrics,
           logger,
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -133,6 +133,7 @@
       network,
       register: this.#deployment.register,
       served: this.#servedVersions,
+      confirmRegister: () => this.#deployment.confirmRegister(),
       clock,
       metrics,
       logger,
--- a/packages/daemon/src/stream_versions/origin_lookup.ts
+++ b/packages/daemon/src/stream_versions/origin_lookup.ts
@@ -28,13 +28,16 @@
 export interface OriginAnswers {
   /** The first origin that a VM knew. */
   readonly origin: StreamOrigin | undefined;
-  /** Of the VMs that answered in time. */
+  /** The VMs that answered in time. */
+  readonly answeredBy: readonly VmId[];
+  /** What they have observed. */
   readonly observations: readonly VersionObservation[];
 }
 
 interface PendingLookup {
   /** Number of VMs that haven't answered. */
   unanswered: number;
+  readonly answeredBy: VmId[];
   readonly observations: VersionObservation[];
   readonly finish: (origin: StreamOrigin | undefined) => void;
 }
@@ -46,8 +49,8 @@
 
   constructor(network: PeerNetwork) {
     this.#network = network;
-    network.messages.on("streamOriginReply", ({ message }) => {
-      this.#handleReply(message);
+    network.messages.on("streamOriginReply", ({ from, message }) => {
+      this.#handleReply(from.vmId, message);
     });
   }
 
@@ -65,9 +68,10 @@
         ...question,
       })
     );
+    const answeredBy: VmId[] = [];
     const observations: VersionObservation[] = [];
     if (asked.length === 0) {
-      return Promise.resolve({ origin: undefined, observations });
+      return Promise.resolve({ origin: undefined, answeredBy, observations });
     }
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
@@ -75,11 +79,12 @@
       }, LOOKUP_TIMEOUT_MS);
       this.#pending.set(requestNumber, {
         unanswered: asked.length,
+        answeredBy,
         observations,
         finish: (origin) => {
           clearTimeout(timer);
           this.#pending.delete(requestNumber);
-          resolve({ origin, observations });
+          resolve({ origin, answeredBy, observations });
         },
       });
     });
@@ -91,10 +96,11 @@
     this.#pending.get(requestNumber)?.finish(undefined);
   }
 
-  #handleReply(message: StreamOriginReplyMessage): void {
+  #handleReply(from: VmId, message: StreamOriginReplyMessage): void {
     const pending = this.#pending.get(message.requestNumber);
     if (pending === undefined) return;
     pending.unanswered -= 1;
+    pending.answeredBy.push(from);
     pending.observations.push(message.observation);
     if (message.origin !== undefined || pending.unanswered === 0) {
       pending.finish(message.origin);
--- a/packages/daemon/src/stream_versions/stream_versions.ts
+++ b/packages/daemon/src/stream_versions/stream_versions.ts
@@ -13,7 +13,6 @@
 import type {
   BegunStreams,
   StreamOrigin,
-  VersionObservation,
 } from "@sassafrasstage/protocol/stream_origin";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
@@ -46,6 +45,8 @@
   };
   readonly register: ServerRegister;
   readonly served: ServedVersionSource;
+  /** Brings the register up to date; false if the store doesn't answer. */
+  readonly confirmRegister: () => Promise<boolean>;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -131,7 +132,7 @@
     const question = { attemptId: resumedAttemptId, service };
     const answers = await this.#findOrigin(question);
     const origin = answers.origin ??
-      this.#inferOrigin(service, answers.observations);
+      await this.#inferOrigin(service, answers);
     const source = answers.origin === undefined ? "onlyVersion" : "remembered";
     const result = origin === undefined ? "unknown" : source;
     metrics.countEvent(`streamOrigin.${result}`);
@@ -152,13 +153,16 @@
     const own = attemptId === undefined
       ? undefined
       : this.#origins.get(attemptId, nowMs);
-    if (own !== undefined) return { origin: own, observations: [] };
+    if (own !== undefined) {
+      return { origin: own, answeredBy: [], observations: [] };
+    }
     const { near, far } = this.#chooseVmsToAsk(attemptId ?? service, nowMs);
     const nearAnswers = await this.#lookup.ask(near, question);
     if (nearAnswers.origin !== undefined) return nearAnswers;
     const farAnswers = await this.#lookup.ask(far, question);
     return {
       origin: farAnswers.origin,
+      answeredBy: [...nearAnswers.answeredBy, ...farAnswers.answeredBy],
       observations: [...nearAnswers.observations, ...farAnswers.observations],
     };
   }
@@ -185,17 +189,34 @@
    * No VM remembers the stream, or the client doesn't name it: only the versions
    * can tell where it began.
    */
-  #inferOrigin(
+  async #inferOrigin(
     service: ServiceName,
-    observations: readonly VersionObservation[],
-  ): StreamOrigin | undefined {
-    const own = this.#history.observe(service, this.#options.clock.nowMs());
+    { answeredBy, observations }: OriginAnswers,
+  ): Promise<StreamOrigin | undefined> {
+    const { confirmRegister, clock } = this.#options;
+    const isUpToDate = this.#haveAllDataCentresAnswered(answeredBy) ||
+      await confirmRegister();
+    if (!isUpToDate) return undefined;
+    const own = this.#history.observe(service, clock.nowMs());
     const softwareVersion = findOnlyVersion([own, ...observations]);
     return softwareVersion === undefined
       ? undefined
       : { service, softwareVersion };
   }
 
+  /**
+   * Otherwise this VM may be cut off, and the stream may have begun elsewhere at
+   * a version that has joined since. Ended VMs count too: they can't be told from
+   * VMs beyond a cut that refuses connections.
+   */
+  #haveAllDataCentresAnswered(answeredBy: readonly VmId[]): boolean {
+    const { network, clock } = this.#options;
+    const others = network.view(clock.nowMs()).members
+      .filter(({ isSelf }) => !isSelf);
+    return [...groupByDataCentre(others).values()]
+      .every((vmIds) => vmIds.some((vmId) => answeredBy.includes(vmId)));
+  }
+
   #remember(begunStreams: readonly BegunStreams[]): void {
     const nowMs = this.#options.clock.nowMs();
     for (const { origin, attemptIds } of begunStreams) {
--- a/packages/daemon/src/stream_versions/stream_versions_test.ts
+++ b/packages/daemon/src/stream_versions/stream_versions_test.ts
@@ -36,16 +36,24 @@
   readonly versions: StreamVersions[] = [];
   /** What earlier processes recorded on the platform. */
   recorded: VersionObservation = { versions: [], isComplete: false };
+  /** Whether the VMs reach the store. */
+  isStoreReached = true;
+  storeCalls = 0;
 
   constructor(vmCount: number) {
     for (let n = 0; n < vmCount; n++) this.restart(n);
   }
 
-  restart(index: number): void {
+  /** @param register The VM's own, if it differs from that of the others */
+  restart(index: number, register = this.register): void {
     this.versions[index] = new StreamVersions({
       network: this.network.startVm(index),
-      register: this.register,
+      register,
       served: { recorded: () => this.recorded },
+      confirmRegister: () => {
+        this.storeCalls += 1;
+        return Promise.resolve(this.isStoreReached);
+      },
       clock: { nowMs: () => this.network.nowMs },
       metrics: new Metrics(),
       logger: createLogger("error", {}),
@@ -221,3 +229,80 @@
     });
   }
 });
+
+// Guards against a VM that was out of step taking a stream up at the only
+// version it knows, while engines of another version joined and began it.
+describe("the origin of a stream that began while a VM was out of step", () => {
+  const id = toId<AttemptId>("begun-elsewhere");
+  const outOfStep = 1;
+
+  /** Lets the VM miss a version that all others have observed. */
+  async function withVmOutOfStep(
+    test: (fleet: StreamFleet) => Promise<void>,
+  ): Promise<void> {
+    await withFleet(6, async (fleet) => {
+      const own = new ServerRegister(() => undefined);
+      fleet.restart(outOfStep, own);
+      for (const register of [own, fleet.register]) {
+        register.apply(makeReport("a"), 0);
+      }
+      fleet.network.nowMs += ORIGIN_RETENTION_MS;
+      await fleet.run(HEARTBEAT_INTERVAL_MS);
+      const [, vm] = fleet.network.vms;
+      if (vm !== undefined) vm.partition = 1;
+      fleet.isStoreReached = false;
+      const joined = makeReport("b", {
+        softwareVersion: toId<SoftwareVersion>("v2"),
+      });
+      fleet.register.apply(joined, 0);
+      await test(fleet);
+    });
+  }
+
+  for (const attemptId of [id, undefined]) {
+    const name = attemptId === undefined ? "unnamed" : "named";
+    for (const cutMs of [0, 500, 1500, 5000]) {
+      it(`isn't guessed after a cut of ${cutMs} ms (${name})`, async () => {
+        await withVmOutOfStep(async (fleet) => {
+          await fleet.run(cutMs);
+          const origin = await fleet.find(fleet.vm(outOfStep), attemptId);
+          expect(origin).toEqual(undefined);
+        });
+      });
+    }
+
+    it(`isn't guessed right after the VM is back (${name})`, async () => {
+      await withVmOutOfStep(async (fleet) => {
+        await fleet.run(5000);
+        const [, vm] = fleet.network.vms;
+        if (vm !== undefined) vm.partition = 0;
+        const origin = await fleet.find(fleet.vm(outOfStep), attemptId);
+        expect(origin).toEqual(undefined);
+      });
+    });
+
+    it(`is found by a VM that reaches the store only (${name})`, async () => {
+      await withFleet(6, async (fleet) => {
+        fleet.register.apply(makeReport("a"), 0);
+        fleet.network.nowMs += ORIGIN_RETENTION_MS;
+        await fleet.run(HEARTBEAT_INTERVAL_MS);
+        const [, vm] = fleet.network.vms;
+        if (vm !== undefined) vm.partition = 1;
+        const origin = await fleet.find(fleet.vm(outOfStep), attemptId);
+        expect(origin).toEqual(ORIGIN);
+      });
+    });
+
+    it(`is found without the store while all VMs answer (${name})`, async () => {
+      await withFleet(6, async (fleet) => {
+        fleet.register.apply(makeReport("a"), 0);
+        fleet.isStoreReached = false;
+        fleet.network.nowMs += ORIGIN_RETENTION_MS;
+        await fleet.run(HEARTBEAT_INTERVAL_MS);
+        const origin = await fleet.find(fleet.vm(outOfStep), attemptId);
+        expect(origin).toEqual(ORIGIN);
+        expect(fleet.storeCalls).toEqual(0);
+      });
+    });
+  }
+});
