--- a/packages/daemon/src/deployment/object_mirror_test.ts
+++ b/packages/daemon/src/deployment/object_mirror_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { encodeFrame } from "../peers/frame_codec.js";
+import { nestedValue } from "../testing/nested_value.js";
 import { ObjectMirror } from "./object_mirror.js";
 
 function makeMirror(): {
@@ -23,12 +24,6 @@
   return { key: `servers/${name}`, version, value: {} };
 }
 
-function nest(depth: number): unknown {
-  let value: unknown = [];
-  for (let n = 0; n < depth; n++) value = [value];
-  return value;
-}
-
 const SECOND_ERA = toStoreEra(2);
 
 /** The value is the generation. */
@@ -173,7 +168,7 @@
   // compared or sent to peers.
   it("takes a value that nests too deeply for none", () => {
     const { mirror, changes } = makeMirror();
-    const deep = { ...object("a", 3), value: nest(100_000) };
+    const deep = { ...object("a", 3), value: nestedValue(100_000) };
     mirror.applyListing({ revision: 5, objects: [deep, object("b", 4)] });
     const era = SECOND_ERA;
     mirror.applyListing({
