--- a/packages/daemon/src/memory/buffer_account.ts
+++ b/packages/daemon/src/memory/buffer_account.ts
@@ -67,6 +67,7 @@
   readonly #waiting = new Set<() => void>();
   #heldBytes = 0;
   #isEvicting = false;
+  #isMemoryCritical = false;
 
   constructor(options: BufferAccountOptions) {
     this.#options = options;
@@ -80,7 +81,14 @@
     return this.#options.maxBytes;
   }
 
+  /** Refuses work while the memory of the process is nearly used up. */
+  setMemoryCritical(isCritical: boolean): void {
+    this.#isMemoryCritical = isCritical;
+    if (!isCritical) this.#notifyRelieved();
+  }
+
   get pressure(): BufferPressure {
+    if (this.#isMemoryCritical) return "refuseWork";
     const share = this.#heldBytes / this.#options.maxBytes;
     if (share >= REFUSE_SHARE) return "refuseWork";
     return share >= PAUSE_SHARE ? "pauseReading" : "none";
--- a/packages/daemon/src/memory/buffer_account_test.ts
+++ b/packages/daemon/src/memory/buffer_account_test.ts
@@ -81,6 +81,13 @@
     expect(evictions.map(({ bytes }) => bytes)).toEqual([1 * MB, 60 * MB]);
   });
 
+  it("refuses work while the process is short of memory", () => {
+    account.setMemoryCritical(true);
+    expect(account.pressure).toEqual("refuseWork");
+    account.setMemoryCritical(false);
+    expect(account.pressure).toEqual("none");
+  });
+
   it("tells those that wait once the pressure is gone", () => {
     const first = open("requestBodies", 40 * MB);
     const second = open("requestBodies", 40 * MB);
