Bound the memory of latency records by the routes in use

Operators see: /metrics and the memory of each process grow with every route that there ever was. Both kinds of records now forget the route that was used least recently. latency_records_test fails before (4.3 MB of text).

--- a/packages/daemon/src/forwarding/route_statistics.ts
+++ b/packages/daemon/src/forwarding/route_statistics.ts
@@ -5,8 +5,11 @@
  * @module
  */
 
+import { RecentMap } from "../memory/recent_map.js";
 import type { PromptShape } from "./routed_request.js";
 
+/** Exceeds the number of routes that one configuration can hold. */
+const MAX_ROUTES = 10_000;
 /** Cost of an output token relative to an input token. */
 const OUTPUT_TOKEN_WEIGHT = 10;
 const EWMA_WEIGHT = 0.05;
@@ -17,9 +20,9 @@
 const FIRST_BYTE_EWMA_WEIGHT = 0.2;
 
 export class RouteStatistics {
-  readonly #meanSizes = new Map<string, number>();
-  readonly #meanDurationsMs = new Map<string, number>();
-  readonly #meanFirstBytesMs = new Map<string, number>();
+  readonly #meanSizes = new RecentMap<string, number>(MAX_ROUTES);
+  readonly #meanDurationsMs = new RecentMap<string, number>(MAX_ROUTES);
+  readonly #meanFirstBytesMs = new RecentMap<string, number>(MAX_ROUTES);
 
   /**
    * Size of the request relative to the mean of its route. Also adds the request
--- a/packages/daemon/src/observability/latency_records.ts
+++ b/packages/daemon/src/observability/latency_records.ts
@@ -1,12 +1,15 @@
 /**
- * Records duration, overhead and token count per pipeline stage since process
- * start, for `/metrics`.
+ * Records duration, overhead and token count of the pipeline stages in use, for
+ * `/metrics`.
  *
  * @module
  */
 
 import { build, type Histogram } from "hdr-histogram-js";
+import { RecentMap } from "../memory/recent_map.js";
 
+/** Routes come and go with the configuration; a record takes some 24 kB. */
+const MAX_RECORDS = 128;
 const MAX_TRACKED_MICROSECONDS = 600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const MICROSECONDS_PER_MS = 1000;
@@ -45,7 +48,12 @@
  * ```
  */
 export class LatencyRecords {
-  readonly #records = new Map<string, LatencyRecord>();
+  readonly #records = new RecentMap<string, LatencyRecord>(MAX_RECORDS);
+
+  /** Number of pipeline stages that were used most recently. */
+  get size(): number {
+    return this.#records.size;
+  }
 
   record(sample: LatencySample): void {
     const key = `${sample.pipeline}/${sample.stage}`;
