--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -19,9 +19,10 @@
 } from "./daemon_parts.js";
 import { readPendingRequests } from "./http/read_pending_requests.js";
 import { sendProblem } from "./http/send_problem.js";
+import { listenOn } from "./net/listen_on.js";
 import { addProbeRoutes } from "./observability/probe_routes.js";
 import { addOperatorRoutes } from "./operators/operator_routes.js";
-import type { Address, Settings } from "./settings/settings.js";
+import type { Settings } from "./settings/settings.js";
 
 const CLAIM_FLUSH_TIMEOUT_MS = 10_000;
 /**
@@ -56,7 +57,12 @@
   static async start(settings: Settings): Promise<Daemon> {
     const parts = await startParts(settings);
     const daemon = new Daemon(parts);
-    await listen(daemon.#server, settings.listen.http);
+    await listenOn(daemon.#server, {
+      address: settings.listen.http,
+      purpose: "clients",
+      maxWaitMs: settings.listen.port_wait_ms,
+      logger: parts.logger,
+    });
     parts.logger.info("started", {
       http: formatAddress(daemon.#server),
       peers: `${parts.network.address.host}:${parts.network.address.port}`,
@@ -179,16 +185,6 @@
   }
 }
 
-function listen(server: Server, address: Address): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, () => {
-      server.off("error", reject);
-      resolve();
-    });
-  });
-}
-
 function formatAddress(server: Server): string {
   const address = server.address();
   if (address === null || typeof address === "string") return String(address);
--- a/packages/daemon/src/peers/peer_acceptor.ts
+++ b/packages/daemon/src/peers/peer_acceptor.ts
@@ -8,6 +8,8 @@
 import { once } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
 import type { Clock } from "../clock.js";
+import { listenOn } from "../net/listen_on.js";
+import type { Logger } from "../observability/logger.js";
 import type { Address } from "../settings/settings.js";
 import { FrameChannel, MAX_BUFFERED_BYTES } from "./frame_channel.js";
 import { acceptHandshake, type HandshakeOptions } from "./handshake.js";
@@ -22,6 +24,9 @@
 
 export interface PeerAcceptorOptions {
   readonly address: Address;
+  /** Longest wait for a port that is held. */
+  readonly portWaitMs: number;
+  readonly logger: Logger;
   readonly links: PeerLinks;
   readonly clock: Clock;
   readonly handshakeTimeoutMs: number;
@@ -45,14 +50,18 @@
 
   /** Starts listening and returns the bound address. */
   async listen(): Promise<Address> {
-    const { host, port } = this.#options.address;
-    this.#server.listen({ host, port });
-    await once(this.#server, "listening");
+    const { address, portWaitMs, logger } = this.#options;
+    await listenOn(this.#server, {
+      address,
+      purpose: "peers",
+      maxWaitMs: portWaitMs,
+      logger,
+    });
     const bound = this.#server.address();
     if (bound === null || typeof bound === "string") {
       throw new TypeError("The peer listener has no TCP address");
     }
-    return { host, port: bound.port };
+    return { host: address.host, port: bound.port };
   }
 
   async close(): Promise<void> {
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -244,6 +244,8 @@
     const { settings, clock, metrics, logger } = this.#options;
     return new PeerAcceptor({
       address: settings.listen.peers,
+      portWaitMs: settings.listen.port_wait_ms,
+      logger,
       links: this.#links,
       clock,
       handshakeTimeoutMs: this.#heartbeatTimeoutMs,
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -78,6 +78,8 @@
     http: addressSchema,
     /** Address for connections from other daemons. */
     peers: addressSchema,
+    /** Longest wait at the start for a port that is held. */
+    port_wait_ms: wholeNumber(0, 600_000).default(15_000),
   }),
   peers: z.strictObject({
     /** Authenticates this daemon to other daemons of the system. */
