--- a/packages/daemon/src/observability/memory_monitor.ts
+++ b/packages/daemon/src/observability/memory_monitor.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import { getHeapStatistics } from "node:v8";
+import { getHeapSpaceStatistics, getHeapStatistics } from "node:v8";
 import type { Logger } from "./logger.js";
 import type { Metrics } from "./metrics.js";
 
@@ -17,11 +17,17 @@
 const CRITICAL_SHARE = 0.85;
 const NORMAL_SHARE = 0.75;
 
+const BYTES_PER_MB = 1024 * 1024;
+const SEMI_SPACE_COUNT = 3;
+const SEMI_SPACE_OPTION = /^--max[-_]semi[-_]space[-_]size=(\d+)$/;
+/** Of V8 on 64-bit processors. */
+const DEFAULT_SEMI_SPACE_MB = 16;
+
 /** Present use of memory, in bytes. */
 export interface MemoryUse {
-  /** Objects of the runtime. */
+  /** Objects of the runtime that have survived collections. */
   readonly heapBytes: number;
-  /** The runtime ends the process when its objects exceed this. */
+  /** The runtime ends the process when they exceed this. */
   readonly maxHeapBytes: number;
   /** Buffers outside the heap. */
   readonly externalBytes: number;
@@ -94,11 +100,27 @@
   }
 }
 
+/**
+ * The runtime ends the process when the old generation exceeds its own limit.
+ * `heap_size_limit` includes the young generation: a semi-space and its copies.
+ */
 function readMemoryUse(): MemoryUse {
-  const statistics = getHeapStatistics();
+  const { heap_size_limit: maxTotalBytes, external_memory: externalBytes } =
+    getHeapStatistics();
+  const maxYoungBytes = SEMI_SPACE_COUNT * maxSemiSpaceBytes(process.execArgv);
+  const heapBytes = getHeapSpaceStatistics()
+    .filter(({ space_name: name }) => !name.startsWith("new_"))
+    .reduce((sum, { space_used_size: bytes }) => sum + bytes, 0);
   return {
-    heapBytes: statistics.used_heap_size,
-    maxHeapBytes: statistics.heap_size_limit,
-    externalBytes: statistics.external_memory,
+    heapBytes,
+    maxHeapBytes: maxTotalBytes - maxYoungBytes,
+    externalBytes,
   };
 }
+
+function maxSemiSpaceBytes(nodeArguments: readonly string[]): number {
+  const option = nodeArguments.map((text) => SEMI_SPACE_OPTION.exec(text)?.[1])
+    .findLast((value) => value !== undefined);
+  const megabytes = Number(option ?? DEFAULT_SEMI_SPACE_MB);
+  return megabytes * BYTES_PER_MB;
+}
