Refuse requests whose stages have more items than can be served

Seen: one request with X-Pieces: 5000000 ended the VM that took it and each VM that coordinated its stages (3 of 3 processes); 1e9, +1, 0x1 and 1.0 counted as numbers.

Cause: headers were read with Number(), and the scheduler made one object for each item of a stated number.

The coordinator refuses graphs, of any VM, that break the graph's rules or that its servers can't hold or make in time, before it stores anything for them. The time estimate visits each stage once; it visited each path, 2^24 of them for 26 stages that each need all before them.

--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -32,6 +32,8 @@
   readonly serverNotices: ServerNotices;
   readonly routeStatistics: RouteStatistics;
   readonly dataCentre: DataCentreName;
+  /** Maximum number of items of all stages of one request. */
+  readonly maxStageItems: number;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
--- a/packages/daemon/src/forwarding/prepare_inputs.ts
+++ b/packages/daemon/src/forwarding/prepare_inputs.ts
@@ -137,6 +137,8 @@
     kind: "refused",
     reason: outcome.reason === "overloaded" ? "overloaded" : "outOfTime",
     retryAfterMs: Math.max(0, Math.min(outcome.retryAfterMs, maxRetryAfterMs)),
-    detail: `The stages can't be done in time: ${outcome.reason}`,
+    detail: outcome.reason === "tooManyItems"
+      ? "The stages have more items than their servers can take"
+      : `The stages can't be done in time: ${outcome.reason}`,
   };
 }
--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -4,7 +4,10 @@
  * @module
  */
 
-import { findGraphFault } from "@sassafrasstage/protocol/stage_graph";
+import {
+  countItems,
+  findGraphFault,
+} from "@sassafrasstage/protocol/stage_graph";
 import { pollSockets } from "../http/poll_sockets.js";
 import type { RouteTable } from "../routing/route_table.js";
 import { chooseService } from "../routing/route_table.js";
@@ -307,5 +310,11 @@
   if (items.length !== route.stages.length) {
     return `Expected ${route.stages.length} numbers of stage items`;
   }
-  return findGraphFault(graphStagesOf(context));
+  const { maxStageItems } = context.environment;
+  const stages = graphStagesOf(context);
+  const itemCount = countItems(stages);
+  if (itemCount > maxStageItems) {
+    return `The stages have ${itemCount} items, more than ${maxStageItems}`;
+  }
+  return findGraphFault(stages);
 }
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -154,6 +154,7 @@
     serverCaller: { start: () => NO_CALL },
     // Not used by routes without stages.
     graphs: undefined as never,
+    maxStageItems: 1000,
     rateLimits,
     streamVersions: new StreamVersions({
       network: new LinkedVm("vm-1"),
--- a/packages/daemon/src/forwarding/testing/simulated_stream.ts
+++ b/packages/daemon/src/forwarding/testing/simulated_stream.ts
@@ -162,6 +162,7 @@
     const { metrics, clock } = this;
     return {
       environment: {
+        maxStageItems: 1000,
         directory: this.#directory,
         serverCaller: {
           start: (serverCall, listener) => {
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -109,7 +109,7 @@
   service: isShortString,
   after: arrayOf(isNonNegativeInteger),
   itemCount: isNonNegativeInteger,
-  resultBytes: isFiniteNumber,
+  resultBytes: isNonNegativeNumber,
 });
 
 const isStageGraph = shape({
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -52,6 +52,8 @@
   readonly limits: () => SharedLimits;
   /** Processor capacity of this VM, in cores. */
   readonly processorCores: number;
+  /** Maximum number of items of all stages of one request. */
+  readonly maxStageItems?: number;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
   readonly logger: Logger;
@@ -61,6 +63,7 @@
   readonly onServerCutOff: (server: RegisteredServer) => void;
 }
 
+const DEFAULT_MAX_STAGE_ITEMS = 4096;
 /** Time during which new connections may still arrive after readiness ends. */
 const ACCEPT_CONNECTIONS_MS = 3500;
 const DRAIN_POLL_INTERVAL_MS = 50;
@@ -199,6 +202,7 @@
         serverNotices: this.#serverNotices,
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
+        maxStageItems: options.maxStageItems ?? DEFAULT_MAX_STAGE_ITEMS,
         clock,
         metrics,
         latencies,
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -27,6 +27,7 @@
   planBatches,
   type PlannedBatch,
 } from "./plan_batches.js";
+import { findGraphRefusal } from "./graph_admission.js";
 import { HeldResults } from "./held_results.js";
 import { JobIndex } from "./job_index.js";
 import type {
@@ -51,6 +52,8 @@
 const MAX_ITEM_SENDS = 4;
 /** A result is treated as expired this long before its server drops it. */
 const EXPIRY_MARGIN_MS = 150;
+/** Servers may have been added by then. */
+const UNSERVABLE_RETRY_AFTER_MS = 1000;
 
 export class BatchScheduler {
   readonly #options: BatchSchedulerOptions;
@@ -85,8 +88,8 @@
   }
 
   /**
-   * Accepts a job, or refuses it at once if it can't be done in time even if
-   * nothing else is queued; `tick` refuses it if the queue is too long. If a job
+   * Accepts a job, or refuses it at once if it can't be done, or not in time even
+   * if nothing else is queued; `tick` refuses it if the queue is too long. If a job
    * with this id has completed already, its outcome is reported again.
    */
   submit(options: StageJobOptions): void {
@@ -96,6 +99,17 @@
       this.#reportCompleted(completed);
       return;
     }
+    const reason = findGraphRefusal({
+      graph: options.graph,
+      serversOf: ({ service }) => this.#servers.usable(service),
+    });
+    if (reason !== undefined) {
+      this.#options.onEnded(
+        { ...options, acceptedAtMs: options.nowMs },
+        { kind: "refused", reason, retryAfterMs: UNSERVABLE_RETRY_AFTER_MS },
+      );
+      return;
+    }
     const job = new StageJob(options);
     this.#jobs.add(job);
     for (const service of job.services) {
--- a/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
@@ -33,13 +33,16 @@
   useReservation(id: BackendServerId): void;
 }
 
+/** A job that is over, or that was refused before anything was stored for it. */
+export type EndedJob = Pick<StageJob, "id" | "graph" | "acceptedAtMs">;
+
 export interface BatchSchedulerOptions {
   readonly register: ServerRegister;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
   readonly rateLimits: CallRateLimits;
   /** Limits how many items are sent again. */
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
-  readonly onEnded: (job: StageJob, outcome: StageGraphOutcome) => void;
+  readonly onEnded: (job: EndedJob, outcome: StageGraphOutcome) => void;
   /** Planner for calls; tests replace it to compare the default with others. */
   readonly plan?: typeof planBatches;
   /** Called with results at one server that are no longer needed. */
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -20,6 +20,7 @@
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
 import { BatchScheduler } from "./batch_scheduler.js";
+import type { EndedJob } from "./batch_scheduler_options.js";
 import type { BatchEntry } from "./plan_batches.js";
 import type {
   ResultReference,
@@ -27,7 +28,6 @@
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
 import type { StageCall, StageCallOutcome } from "./stage_call.js";
-import type { StageJob } from "./stage_job.js";
 
 export interface StageCoordinatorOptions {
   readonly register: ServerRegister;
@@ -246,7 +246,7 @@
     });
   }
 
-  #reportOutcome(job: StageJob, outcome: StageGraphOutcome): void {
+  #reportOutcome(job: EndedJob, outcome: StageGraphOutcome): void {
     const onEnded = this.#onEnded.get(job.id);
     this.#onEnded.delete(job.id);
     const { metrics, logger, clock } = this.#options;
--- a/packages/daemon/src/stage_graphs/work_estimates.ts
+++ b/packages/daemon/src/stage_graphs/work_estimates.ts
@@ -48,28 +48,33 @@
 
   /** Expected time from the end of this stage to the end of the last one. */
   pathAfterMs(job: StageJob, position: number): number {
-    let longestMs = 0;
-    for (const follower of job.followersOf(position)) {
-      longestMs = Math.max(longestMs, this.pathFromMs(job, follower));
-    }
-    return longestMs;
+    const pathsMs = this.#pathsMs(job, position + 1);
+    return longestPathMs(pathsMs, job.followersOf(position));
   }
 
   /** Expected time from the start of this stage to the end of the last one. */
   pathFromMs(job: StageJob, position: number): number {
-    const ownMs = job.isStageDone(position)
-      ? 0
-      : this.expectedCallMs(job.stage(position).service);
-    return ownMs + this.pathAfterMs(job, position);
+    return this.#pathsMs(job, position)[position] ?? 0;
   }
 
   /** Expected time until all stages are done, without queueing. */
   remainingPathMs(job: StageJob): number {
-    let longestMs = 0;
-    for (const position of job.rootStages) {
-      longestMs = Math.max(longestMs, this.pathFromMs(job, position));
+    return longestPathMs(this.#pathsMs(job, 0), job.rootStages);
+  }
+
+  /**
+   * The paths from each stage, starting with the given one. Computed from the
+   * last stage on, so that each one is visited once in a graph of many paths.
+   */
+  #pathsMs(job: StageJob, firstPosition: number): readonly number[] {
+    const pathsMs = new Array<number>(job.graph.stages.length).fill(0);
+    for (let at = pathsMs.length - 1; at >= firstPosition; at--) {
+      const ownMs = job.isStageDone(at)
+        ? 0
+        : this.expectedCallMs(job.stage(at).service);
+      pathsMs[at] = ownMs + longestPathMs(pathsMs, job.followersOf(at));
     }
-    return longestMs;
+    return pathsMs;
   }
 
   /** Server time that the waiting items of a stage need. */
@@ -90,6 +95,17 @@
   }
 }
 
+function longestPathMs(
+  pathsMs: readonly number[],
+  positions: readonly number[],
+): number {
+  let longestMs = 0;
+  for (const position of positions) {
+    longestMs = Math.max(longestMs, pathsMs[position] ?? 0);
+  }
+  return longestMs;
+}
+
 function worthOf(job: StageJob): number {
   const { priority, relativeSize } = job.graph;
   const size = MIN_SIZE_WEIGHT + (1 - MIN_SIZE_WEIGHT) * relativeSize;
--- a/packages/protocol/src/stage_graph.ts
+++ b/packages/protocol/src/stage_graph.ts
@@ -11,6 +11,11 @@
   ServiceName,
 } from "./ids.js";
 
+/** Maximum number of stages of one request. */
+export const MAX_GRAPH_STAGES = 256;
+/** Maximum number of items of all stages of one request. */
+export const MAX_GRAPH_ITEMS = 16_384;
+
 /** Refers to a result that is stored on the backend server that produced it. */
 export interface ResultReference {
   readonly reference: string;
@@ -58,10 +63,18 @@
   | { readonly kind: "moved" }
   | {
     readonly kind: "refused";
-    readonly reason: "overloaded" | "outOfTime" | "noServer";
+    readonly reason: StageRefusalReason;
     readonly retryAfterMs: number;
   };
 
+export type StageRefusalReason =
+  | "overloaded"
+  | "outOfTime"
+  | "noServer"
+  /** The servers can't hold, or make in time, as many results. */
+  | "tooManyItems"
+  | "invalidGraph";
+
 /**
  * Returns the positions of the stages that need the results of the given stage.
  *
@@ -78,11 +91,22 @@
     .filter((other) => stages[other]?.after.includes(position) === true);
 }
 
+/** Number of items of all stages. */
+export function countItems(stages: readonly GraphStage[]): number {
+  return stages.reduce((sum, stage) => sum + stage.itemCount, 0);
+}
+
 /** Returns why a graph is invalid, or undefined if it is valid. */
 export function findGraphFault(
   stages: readonly GraphStage[],
 ): string | undefined {
+  if (stages.length > MAX_GRAPH_STAGES) {
+    return `More than ${MAX_GRAPH_STAGES} stages`;
+  }
   for (const [position, stage] of stages.entries()) {
+    if (stage.after.length > position) {
+      return `Stage ${position} needs a later stage or one twice`;
+    }
     for (const needed of stage.after) {
       if (needed >= position) return `Stage ${position} needs a later stage`;
       if (stage.itemCount > 0 && stages[needed]?.itemCount === 0) {
