--- a/packages/daemon/src/http/small_chunk_limiter.ts
+++ b/packages/daemon/src/http/small_chunk_limiter.ts
@@ -92,6 +92,15 @@
     return this.#options.nowMs();
   }
 
+  /** Whether no connection should be read before the next turn. */
+  get isTurnUsedUp(): boolean {
+    return this.#chunksInTurn >= MAX_CHUNKS_PER_TURN;
+  }
+
+  onNextTurn(callback: () => void): void {
+    this.#options.nextTurn(callback);
+  }
+
   makeBucket(): TokenBucket {
     return new TokenBucket({
       perSecond: CONNECTION_CHUNKS_PER_S,
