Account for the stage state of all requests

Seen: 250 requests a second with 4,096 stage items each, all within their bound, brought the VM that coordinates them to 290 MB of 350 MB.

Cause: each request was bounded, all of them together weren't.

--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -15,6 +15,7 @@
 import { RouteStatistics } from "./forwarding/route_statistics.js";
 import type { ServerCaller } from "./forwarding/server_caller.js";
 import type { Shutdown } from "./forwarding/shutdown_admission.js";
+import type { BufferAccount } from "./memory/buffer_account.js";
 import { EventLoopMonitor } from "./observability/event_loop_monitor.js";
 import type { LatencyRecords } from "./observability/latency_records.js";
 import type { Logger } from "./observability/logger.js";
@@ -54,6 +55,8 @@
   readonly processorCores: number;
   /** Maximum number of items of all stages of one request. */
   readonly maxStageItems?: number;
+  /** Bounds the memory of the stages of all requests. */
+  readonly buffers?: BufferAccount;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
   readonly logger: Logger;
@@ -179,6 +182,7 @@
       serverNotices: this.#serverNotices,
       limitsOf: (name) => findService(name)?.batches,
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
+      buffers: options.buffers,
       clock,
       metrics,
       latencies,
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -33,11 +33,14 @@
 import { JobIndex } from "./job_index.js";
 import type {
   ResultReference,
+  StageGraph,
   StageGraphOutcome,
+  StageRefusalReason,
 } from "@sassafrasstage/protocol/stage_graph";
 import {
   handleNotRun,
   type InFlightCall,
+  makeInFlightCall,
   requeueIfOverdue,
 } from "./in_flight_call.js";
 import type {
@@ -47,6 +50,7 @@
   StageCallOutcome,
 } from "./stage_call.js";
 import { StageJob, type StageJobOptions } from "./stage_job.js";
+import { StageStateMemory } from "./stage_state_memory.js";
 import { WorkEstimates } from "./work_estimates.js";
 
 /** Maximum number of times that one item is sent before its job is refused. */
@@ -65,6 +69,7 @@
   readonly #calls = new Map<number, InFlightCall>();
   readonly #heldResults = new HeldResults();
   readonly #estimates: WorkEstimates;
+  readonly #memory: StageStateMemory;
   readonly #changedServices = new ChangedServices();
   #lastCallId = 0;
 
@@ -72,6 +77,7 @@
     this.#options = options;
     this.#servers = new BatchServers(options);
     this.#estimates = new WorkEstimates(options.limitsOf);
+    this.#memory = new StageStateMemory(options.buffers);
   }
 
   get jobCount(): number {
@@ -100,10 +106,7 @@
       this.#reportCompleted(completed);
       return;
     }
-    const reason = findGraphRefusal({
-      graph: options.graph,
-      serversOf: ({ service }) => this.#servers.usable(service),
-    });
+    const reason = this.#findRefusal(options.graph);
     if (reason !== undefined) {
       this.#options.onEnded(
         { ...options, acceptedAtMs: options.nowMs },
@@ -113,6 +116,10 @@
     }
     const job = new StageJob(options);
     this.#jobs.add(job);
+    this.#memory.add(job, () => {
+      this.#evict(job);
+    });
+    if (job.isEnded) return;
     for (const service of job.services) {
       this.#options.retryBudgetOf(service).recordRequest(options.nowMs);
     }
@@ -121,6 +128,28 @@
     this.#changedServices.addReadyStages([job]);
   }
 
+  #findRefusal(graph: StageGraph): StageRefusalReason | undefined {
+    const reason = findGraphRefusal({
+      graph,
+      serversOf: ({ service }) => this.#servers.usable(service),
+    });
+    if (reason !== undefined) return reason;
+    return this.#memory.hasRoomFor(graph) ? undefined : "overloaded";
+  }
+
+  /** Ends a job to free its memory. */
+  #evict(job: StageJob): void {
+    if (job.isEnded) {
+      this.#removeJob(job);
+      return;
+    }
+    this.#refuse(job, {
+      kind: "refused",
+      reason: "overloaded",
+      retryAfterMs: UNSERVABLE_RETRY_AFTER_MS,
+    });
+  }
+
   /** Removes a job whose results are no longer needed or that was canceled. */
   release(jobId: string): void {
     const job = this.#jobs.get(jobId) ?? this.#completed.get(jobId);
@@ -219,26 +248,12 @@
   }
 
   #planService(service: ServiceName, nowMs: number): StageCall[] {
-    const servers = this.#servers.reachable(service, nowMs);
-    const idle = servers.filter((server) => server.canStartCall(nowMs));
-    const { rateLimits } = this.#options;
-    const available = idle.filter(({ server }) =>
-      rateLimits.reserve(server.id, nowMs)
-    );
-    if (available.length === 0) return [];
-    const busy = servers.filter((server) => !idle.includes(server));
-    const nextFreeAtMs = busy.length === 0
-      ? undefined
-      : Math.min(...busy.map((server) => server.expectedFreeAtMs));
+    const servers = this.#servers.planView(service, nowMs);
+    if (servers.idle.length === 0) return [];
     const { plan = planBatches } = this.#options;
     return plan({
+      ...servers,
       service,
-      idle: available,
-      dataCentres: new Set(
-        servers.filter((server) => server.isHealthy(nowMs))
-          .map(({ server }) => server.dataCentre),
-      ),
-      nextFreeAtMs,
       jobs: this.#jobs.usersOf(service),
       estimates: this.#estimates,
       nowMs,
@@ -256,16 +271,7 @@
     if (entries.length === 0) return [];
     this.#lastCallId += 1;
     const id = this.#lastCallId;
-    const call: InFlightCall = {
-      id,
-      service,
-      server: batch.server.server,
-      entries,
-      startedAtMs: nowMs,
-      batchServer: batch.server,
-      overdueAtMs: nowMs + batch.server.overdueAfterMs(entries.length, nowMs),
-      isOverdue: false,
-    };
+    const call = makeInFlightCall({ id, service, entries, batch, nowMs });
     for (const { item } of entries) {
       item.state = { kind: "running", callId: id };
       item.sendCount += 1;
@@ -407,6 +413,7 @@
     job.isEnded = true;
     this.#jobs.remove(job);
     this.#completed.delete(job.id);
+    this.#memory.remove(job);
     this.#freeResults(
       [...job.graph.stages.keys()].flatMap((stage) => job.resultsOf(stage)),
     );
--- a/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
@@ -12,6 +12,7 @@
   ResultReference,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type { BufferAccount } from "../memory/buffer_account.js";
 import type { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
 import type {
   RegisteredServer,
@@ -42,6 +43,8 @@
   readonly rateLimits: CallRateLimits;
   /** Limits how many items are sent again. */
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
+  /** Bounds the memory of all jobs; without it, it isn't bounded. */
+  readonly buffers?: BufferAccount | undefined;
   readonly onEnded: (job: EndedJob, outcome: StageGraphOutcome) => void;
   /** Planner for calls; tests replace it to compare the default with others. */
   readonly plan?: typeof planBatches;
--- a/packages/daemon/src/stage_graphs/batch_servers.ts
+++ b/packages/daemon/src/stage_graphs/batch_servers.ts
@@ -12,6 +12,7 @@
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { CallRateLimits } from "./batch_scheduler_options.js";
 import { BatchServer, nominalCallMs } from "./batch_server.js";
+import type { BatchPlanInput } from "./plan_batches.js";
 
 const MS_PER_SECOND = 1000;
 
@@ -21,6 +22,11 @@
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
 }
 
+export type ServersToPlan = Pick<
+  BatchPlanInput,
+  "idle" | "dataCentres" | "nextFreeAtMs"
+>;
+
 export class BatchServers {
   readonly #options: BatchServersOptions;
   readonly #servers = new Map<BackendServerId, BatchServer>();
@@ -67,6 +73,24 @@
     return reachable.length > 0 ? reachable : usable;
   }
 
+  /** The servers among which the next calls of the service are planned. */
+  planView(service: ServiceName, nowMs: number): ServersToPlan {
+    const { rateLimits } = this.#options;
+    const servers = this.reachable(service, nowMs);
+    const idle = servers.filter((server) => server.canStartCall(nowMs));
+    const busy = servers.filter((server) => !idle.includes(server));
+    return {
+      idle: idle.filter(({ server }) => rateLimits.reserve(server.id, nowMs)),
+      dataCentres: new Set(
+        servers.filter((server) => server.isHealthy(nowMs))
+          .map(({ server }) => server.dataCentre),
+      ),
+      nextFreeAtMs: busy.length === 0
+        ? undefined
+        : Math.min(...busy.map((server) => server.expectedFreeAtMs)),
+    };
+  }
+
   /** Capacity of the reachable servers, in concurrent calls of nominal speed. */
   capacityOf(service: ServiceName, nowMs: number): number {
     let capacity = 0;
--- a/packages/daemon/src/stage_graphs/in_flight_call.ts
+++ b/packages/daemon/src/stage_graphs/in_flight_call.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+import type { ServiceName } from "@sassafrasstage/protocol/ids";
 import type { BatchServer } from "./batch_server.js";
+import type { BatchEntry, PlannedBatch } from "./plan_batches.js";
 import { requeueItem } from "./batch_entries.js";
 import type { NotRunReason, StageCall } from "./stage_call.js";
 
@@ -14,6 +16,29 @@
   isOverdue: boolean;
 }
 
+export interface NewCall {
+  readonly id: number;
+  readonly service: ServiceName;
+  readonly entries: readonly BatchEntry[];
+  readonly batch: PlannedBatch;
+  readonly nowMs: number;
+}
+
+export function makeInFlightCall(call: NewCall): InFlightCall {
+  const { id, service, entries, nowMs } = call;
+  const batchServer = call.batch.server;
+  return {
+    id,
+    service,
+    server: batchServer.server,
+    entries,
+    startedAtMs: nowMs,
+    batchServer,
+    overdueAtMs: nowMs + batchServer.overdueAfterMs(entries.length, nowMs),
+    isOverdue: false,
+  };
+}
+
 /** Makes the items of an overdue call available to other servers, once. */
 export function requeueIfOverdue(call: InFlightCall, nowMs: number): void {
   if (call.isOverdue || nowMs < call.overdueAtMs) return;
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -7,6 +7,7 @@
 
 import type { ServiceName, VmId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
+import type { BufferAccount } from "../memory/buffer_account.js";
 import type { LatencyRecords } from "../observability/latency_records.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -36,6 +37,7 @@
   readonly rateLimits: ServerRateLimits;
   readonly serverNotices: ServerNotices;
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
+  readonly buffers?: BufferAccount | undefined;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
@@ -74,6 +76,7 @@
       limitsOf: options.limitsOf,
       rateLimits: options.rateLimits,
       retryBudgetOf: options.retryBudgetOf,
+      buffers: options.buffers,
       onEnded: (job, outcome) => {
         this.#reportOutcome(job, outcome);
       },
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -11,6 +11,7 @@
   StageGraph,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type { BufferAccount } from "../../memory/buffer_account.js";
 import { SlidingRetryBudget } from "../../placement/sliding_retry_budget.js";
 import {
   type RegisteredServer,
@@ -47,6 +48,7 @@
     server: RegisteredServer,
     nowMs: number,
   ) => NotRunReason | undefined;
+  readonly buffers?: BufferAccount;
   /** Time from the last result until the request releases its results. */
   readonly resultUseMs?: number;
 }
@@ -97,6 +99,7 @@
       },
       limitsOf: (service) => options.limits.get(service),
       retryBudgetOf: () => budget,
+      buffers: options.buffers,
       ...(options.plan === undefined ? {} : { plan: options.plan }),
       onEnded: (job, outcome) => {
         this.#recordOutcome(job.id, job.graph, outcome);
