Wait for stage results that open calls may still bring

Callers saw: a request was refused while a call with its items was in progress: because its server's entry was removed (the result came 120 ms later), because no retry was left when the call was overdue, or because it was too late for another call (refused at 960 ms, the call ended in time at 1,100 ms).

Cause: the items of such a call went back to the queue, and a queued item that can't be sent counted as lost. Each item now knows its open calls. A job is kept while one of them may bring a result; an item that can't be sent again waits for its newest open call instead of taking a place in others. Calls of a server whose entry was removed keep running, as it may go on serving; those of a server that was started again are lost at once, and so is what a failed call leaves behind.

--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -188,6 +188,7 @@
     if (call === undefined) return;
     this.#calls.delete(callId);
     call.batchServer.endCall();
+    for (const { item } of call.entries) item.endCall(callId);
     this.#changedServices.add(call.service);
     switch (outcome.kind) {
       case "answered":
@@ -220,7 +221,11 @@
     this.#changedServices.addAll(this.#jobs.services());
   }
 
-  /** Handles the end of a server: its results and running calls are lost. */
+  /**
+   * Handles the end of a server: its results are lost. A server whose entry was
+   * removed may go on serving, so its calls keep running, and other servers get
+   * their items as well. Those of a server that was started again are lost.
+   */
   handleServerEnded(id: BackendServerId, nowMs: number): void {
     const lost = this.#heldResults.takeAllFromMaker(id).map((held) =>
       held.result
@@ -228,7 +233,9 @@
     this.#invalidateResults(lost);
     for (const call of [...this.#calls.values()]) {
       if (call.server.id !== id) continue;
-      this.endCall(call.id, { kind: "unknown", detail: "ended" }, nowMs);
+      if (this.#options.register.get(id) === undefined) {
+        for (const { item } of call.entries) requeueItem(call, item);
+      } else this.endCall(call.id, { kind: "unknown", detail: "ended" }, nowMs);
     }
     this.#servers.forget(id);
     this.#changedServices.addAll(this.#jobs.services());
@@ -273,8 +280,7 @@
     const id = this.#lastCallId;
     const call = makeInFlightCall({ id, service, entries, batch, nowMs });
     for (const { item } of entries) {
-      item.state = { kind: "running", callId: id };
-      item.sendCount += 1;
+      item.startCall(id);
     }
     this.#options.rateLimits.useReservation(call.server.id);
     batch.server.startCall(entries.length, totalResultBytes(entries), nowMs);
@@ -289,6 +295,10 @@
     if (entry.item.sendCount < MAX_ITEM_SENDS && budget.tryRetry(nowMs)) {
       return true;
     }
+    if (entry.item.isCalled) {
+      entry.item.waitForOpenCall();
+      return false;
+    }
     this.#refuse(entry.job, {
       kind: "refused",
       reason: "noServer",
--- a/packages/daemon/src/stage_graphs/overdue_call_test.ts
+++ b/packages/daemon/src/stage_graphs/overdue_call_test.ts
@@ -59,6 +59,29 @@
     expect(outcomes).toEqual(["completed"]);
   });
 
+  it("keeps no server from other work while it is waited for", () => {
+    const stages = new SimulatedStages({
+      limits: LIMITS,
+      slowdownOf: (server) => server.id === makeReport("e1").id ? 20 : 1,
+      retries: 0,
+    });
+    stages.register.apply(makeReport("e1"), 0);
+    stages.submit([{ atMs: 0, graph: makeGraph() }]);
+    stages.at(100, () => {
+      stages.register.apply(makeReport("e2"), 100);
+    });
+    const laterTimesMs = [1000, 1400, 1800];
+    stages.submit(laterTimesMs.map((atMs) => ({ atMs, graph: makeGraph() })));
+    stages.runUntil(6000);
+    expect(stages.reports.map(({ outcome }) => outcome.kind))
+      .toEqual(new Array<"completed">(4).fill("completed"));
+    expect(
+      stages.reports.map(({ arrivedAtMs, endedAtMs }) =>
+        endedAtMs - arrivedAtMs
+      ),
+    ).toEqual([220, 220, 220, 4400]);
+  });
+
   it("isn't given up when it is too late for another one", () => {
     const stages = new SimulatedStages({
       limits: LIMITS,
--- a/packages/daemon/src/stage_graphs/stage_item.ts
+++ b/packages/daemon/src/stage_graphs/stage_item.ts
@@ -20,6 +20,8 @@
 /** Number of items of one stage in each state. */
 export type ItemCounts = Record<ItemState["kind"], number>;
 
+const NO_CALLS: readonly number[] = [];
+
 export interface StageItemOptions {
   readonly stage: number;
   readonly index: number;
@@ -32,6 +34,8 @@
   readonly index: number;
   /** Number of times that the item was sent to a backend server. */
   sendCount = 0;
+  /** Calls without an outcome that include the item, the newest one last. */
+  #openCalls: readonly number[] = NO_CALLS;
   readonly #counts: ItemCounts;
   #state: ItemState = { kind: "waiting" };
 
@@ -42,6 +46,28 @@
     this.#counts.waiting += 1;
   }
 
+  /** Whether a result may still come from a call. */
+  get isCalled(): boolean {
+    return this.#openCalls.length > 0;
+  }
+
+  startCall(callId: number): void {
+    this.#openCalls = [...this.#openCalls, callId];
+    this.state = { kind: "running", callId };
+    this.sendCount += 1;
+  }
+
+  endCall(callId: number): void {
+    const openCalls = this.#openCalls.filter((openCall) => openCall !== callId);
+    this.#openCalls = openCalls.length === 0 ? NO_CALLS : openCalls;
+  }
+
+  /** Waits for the newest call that includes the item, instead of another one. */
+  waitForOpenCall(): void {
+    const callId = this.#openCalls.at(-1);
+    if (callId !== undefined) this.state = { kind: "running", callId };
+  }
+
   get state(): ItemState {
     return this.#state;
   }
--- a/packages/daemon/src/stage_graphs/stage_job.ts
+++ b/packages/daemon/src/stage_graphs/stage_job.ts
@@ -157,9 +157,11 @@
     return this.#counts.reduce((sum, counts) => sum + counts.waiting, 0);
   }
 
-  /** Whether any item is part of a call. */
+  /** Whether a call may still bring a result that the job has not got. */
   get isRunning(): boolean {
-    return this.#counts.some((counts) => counts.running > 0);
+    return this.items.some((items) =>
+      items.some((item) => item.state.kind !== "done" && item.isCalled)
+    );
   }
 
   /** Requeues the items whose lost results are still needed. */
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -49,6 +49,8 @@
     nowMs: number,
   ) => NotRunReason | undefined;
   readonly buffers?: BufferAccount;
+  /** Items that may be sent again within 10 s. */
+  readonly retries?: number;
   /** Time from the last result until the request releases its results. */
   readonly resultUseMs?: number;
 }
@@ -87,7 +89,11 @@
   constructor(options: SimulationOptions) {
     this.#options = options;
     const budget = new SlidingRetryBudget(
-      () => ({ windowMs: 10_000, ratio: 0.2, slack: 50 }),
+      () => ({
+        windowMs: 10_000,
+        ratio: options.retries === undefined ? 0.2 : 0,
+        slack: options.retries ?? 50,
+      }),
       () => 1,
     );
     this.scheduler = new BatchScheduler({
