--- a/packages/daemon/src/http/connection_resets.ts
+++ b/packages/daemon/src/http/connection_resets.ts
@@ -87,6 +87,22 @@
   return result === 0 && error[0] !== 0;
 }
 
+/**
+ * Reads a socket option into words of 32 bits. False if it can't be read, or
+ * the connection is closed.
+ */
+export function readSocketOption(
+  socket: Socket,
+  option: { readonly level: number; readonly name: number },
+  value: Int32Array,
+): boolean {
+  const descriptor = descriptorOf(socket);
+  const options = socketOptions();
+  if (options === undefined || descriptor === undefined) return false;
+  const bytes = new Uint32Array([value.byteLength]);
+  return options.get(descriptor, option.level, option.name, value, bytes) === 0;
+}
+
 function setLinger(socket: Socket, value: Int32Array): boolean {
   const descriptor = descriptorOf(socket);
   const options = socketOptions();
