--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -8,6 +8,12 @@
 import { readFile } from "node:fs/promises";
 import { Command } from "commander";
 import { Daemon } from "./daemon.js";
+import { createLogger, flushLogs } from "./observability/logger.js";
+import {
+  describeUnexpectedError,
+  exitProcess,
+  handleProcessEvents,
+} from "./process/early_handlers.js";
 import { formatSettingsFault, loadSettings } from "./settings/load_settings.js";
 import type { Settings } from "./settings/settings.js";
 
@@ -74,13 +80,19 @@
   } catch (error) {
     const detail = error instanceof Error ? error.message : String(error);
     process.stderr.write(`Can't start: ${detail}\n`);
-    process.exit(EXIT_START_FAILED);
-  }
-  for (const signal of ["SIGTERM", "SIGINT"] as const) {
-    process.on(signal, () => {
-      void daemon.shutDown().then(() => {
-        process.exit(0);
-      });
-    });
+    exitProcess("startFailed", EXIT_START_FAILED);
   }
+  const logger = createLogger(settings.log.level, { vm: settings.vm.id });
+  handleProcessEvents({
+    onStop: (signal) => {
+      void daemon.shutDown().then(() => exitProcess(signal, 0));
+    },
+    onReload: () => {
+      logger.warn("reloadNotSupported");
+    },
+    onUnexpectedError: (origin, error) => {
+      logger.error(origin, describeUnexpectedError(error));
+    },
+    flushLogs,
+  });
 }
