--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -13,6 +13,7 @@
   describeUnexpectedError,
   exitProcess,
   handleProcessEvents,
+  logStart,
 } from "./process/early_handlers.js";
 import { formatSettingsFault, loadSettings } from "./settings/load_settings.js";
 import type { Settings } from "./settings/settings.js";
@@ -74,6 +75,7 @@
 }
 
 async function runDaemon(settings: Settings): Promise<void> {
+  logStart();
   let daemon: Daemon;
   try {
     daemon = await Daemon.start(settings);
--- a/packages/daemon/src/process/early_handlers.ts
+++ b/packages/daemon/src/process/early_handlers.ts
@@ -32,9 +32,10 @@
 let running: ProcessHandlers | undefined;
 let isReloadPending = false;
 let exitReason = "exit";
+let isStartLogged = false;
 
 /**
- * Installs the handlers, and logs `starting` once they are in force.
+ * Installs the handlers.
  *
  * Until `handleProcessEvents`, a signal to stop ends the process at once with
  * code 0, as it has accepted no work; one to reload is kept; and an error that
@@ -54,8 +55,14 @@
   process.on("uncaughtException", handleUnexpectedError);
   process.on("exit", (code) => {
     running?.flushLogs();
+    if (!isStartLogged) return;
     writeLine("info", `event=stopped reason=${exitReason} code=${code}`);
   });
+}
+
+/** Logs that the handlers are in force. The end of the process is then logged. */
+export function logStart(): void {
+  isStartLogged = true;
   writeLine("info", `event=starting pid=${process.pid}`);
 }
 
