Report calls handed over before a link exactly

Seen in a simulation of two VMs of a large fleet without a link between them: a call handed over to the peer was reported as broken (peerDisconnected) when the link came up, though its frame was then sent and the peer made the call; if the link couldn't be made, the call was never reported at all.

Cause: calls of a peer failed on its 'connected' event, which follows the queueing of frames on demand; frames dropped after a failed dial were dropped silently. Calls fail on 'disconnected' only, which precedes each new link, and a queued message tells its sender when it is dropped: the call is then certainly not sent.

--- a/packages/daemon/src/peers/peer_links.ts
+++ b/packages/daemon/src/peers/peer_links.ts
@@ -17,7 +17,7 @@
 import { isPeerMessage } from "./message_check.js";
 import { PeerError } from "./peer_error.js";
 import type { PeerIdentity } from "./peer_network.js";
-import type { PeerLink, PeerRecord } from "./peer_record.js";
+import type { PeerLink, PeerRecord, PendingFrame } from "./peer_record.js";
 import type { PeerRegistry } from "./peer_registry.js";
 
 /** Limit of frames queued per peer while an on-demand connection is made. */
@@ -77,10 +77,10 @@
   /**
    * Sends a message; returns false if it was neither sent nor queued. If the
    * peer is connected on demand, this requests the connection and queues the
-   * frame. Queued frames are lost if the connection can't be made.
+   * frame. Queued frames are dropped if the connection can't be made.
    */
-  send(to: VmId, message: PeerMessage): boolean {
-    return this.#sendEncoded(to, encodeFrame(message));
+  send(to: VmId, message: PeerMessage, onDropped?: () => void): boolean {
+    return this.#sendEncoded(to, encodeFrame(message), onDropped);
   }
 
   /** Encodes the message once for all receivers. */
@@ -90,14 +90,14 @@
     for (const vmId of to) this.#sendEncoded(vmId, frame);
   }
 
-  #sendEncoded(to: VmId, frame: Buffer): boolean {
+  #sendEncoded(to: VmId, frame: Buffer, onDropped?: () => void): boolean {
     const peer = this.#options.registry.get(to);
     if (peer === undefined) return false;
     if (peer.link !== undefined) {
       peer.link.lastUsedAtMs = this.#options.clock.nowMs();
       return this.sendFrame(peer.link, frame);
     }
-    return this.#sendOnDemand(peer, frame);
+    return this.#sendOnDemand(peer, { frame, onDropped });
   }
 
   sendFrame(link: PeerLink, frame: Buffer): boolean {
@@ -127,10 +127,10 @@
     for (const link of this.#openLinks) link.channel.destroy(reason);
   }
 
-  #sendOnDemand(peer: PeerRecord, frame: Buffer): boolean {
+  #sendOnDemand(peer: PeerRecord, pending: PendingFrame): boolean {
     if (!isPresumedLive(peer) || peer.address === undefined) return false;
     if (peer.pendingFrames.length >= MAX_PENDING_FRAMES) return false;
-    peer.pendingFrames.push(frame);
+    peer.pendingFrames.push(pending);
     peer.notifyTask();
     return true;
   }
@@ -197,7 +197,7 @@
     peer.dataCentre = identity.dataCentre;
     peer.link = link;
     this.#options.onConnected(identity);
-    for (const frame of peer.pendingFrames) this.sendFrame(link, frame);
+    for (const { frame } of peer.pendingFrames) this.sendFrame(link, frame);
     peer.pendingFrames = [];
     peer.notifyTask();
   }
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -91,8 +91,12 @@
   readonly self: PeerIdentity;
   readonly messages: Emittery<PeerMessageEvents>;
   readonly lifecycle: Emittery<PeerLifecycleEvents>;
-  /** Returns false if the message was neither sent nor queued. */
-  send(to: VmId, message: PeerMessage): boolean;
+  /**
+   * Returns false if the message was neither sent nor queued.
+   *
+   * @param onDropped Called if the message was queued and won't be sent
+   */
+  send(to: VmId, message: PeerMessage, onDropped?: () => void): boolean;
   /** Encodes the message once; VMs to which it can't be sent are skipped. */
   sendToAll(to: readonly VmId[], message: PeerMessage): void;
   view(nowMs: number): MembershipView;
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -132,8 +132,8 @@
     }, settings.peers.heartbeat_interval_ms);
   }
 
-  send(to: VmId, message: PeerMessage): boolean {
-    return this.#links.send(to, message);
+  send(to: VmId, message: PeerMessage, onDropped?: () => void): boolean {
+    return this.#links.send(to, message, onDropped);
   }
 
   sendToAll(to: readonly VmId[], message: PeerMessage): void {
@@ -306,7 +306,9 @@
   }
 
   #recordFailedDial(peer: PeerRecord, error: PeerError | undefined): void {
+    const dropped = peer.pendingFrames;
     peer.pendingFrames = [];
+    for (const { onDropped } of dropped) onDropped?.();
     if (peer.link !== undefined || error === undefined) return;
     peer.isSuspect = true;
     peer.isRefused = isConnectionRefused(error);
--- a/packages/daemon/src/peers/peer_record.ts
+++ b/packages/daemon/src/peers/peer_record.ts
@@ -53,6 +53,13 @@
 const MAX_RETIRED_INCARNATIONS = 16;
 
 /** The mutable state of one peer; used only by the modules in this folder. */
+/** A frame that waits for an on-demand connection. */
+export interface PendingFrame {
+  readonly frame: Buffer;
+  /** Called if the connection can't be made. */
+  readonly onDropped: (() => void) | undefined;
+}
+
 export class PeerRecord {
   readonly vmId: VmId;
   readonly isSeed: boolean;
@@ -95,7 +102,7 @@
   /** Processor capacity in the platform's list. */
   processorCores: number | undefined;
   /** Frames queued until an on-demand connection is made. */
-  pendingFrames: Buffer[] = [];
+  pendingFrames: PendingFrame[] = [];
   readonly #retired: Incarnation[] = [];
 
   constructor(options: PeerRecordOptions) {
--- a/packages/daemon/src/server_reach/relayed_call_client.ts
+++ b/packages/daemon/src/server_reach/relayed_call_client.ts
@@ -40,6 +40,13 @@
   readonly listener: RelayListener;
 }
 
+const PEER_NOT_CONNECTED: RelayFailure = {
+  kind: "notSent",
+  detail: "peerNotConnected",
+  isConnectionFailure: false,
+  isPeerFailure: true,
+};
+
 export class RelayedCallClient {
   readonly #options: RelayedCallClientOptions;
   readonly #calls = new Map<number, OpenCall>();
@@ -51,12 +58,10 @@
     network.messages.on("serverCallEvent", ({ from, message }) => {
       this.#handleEvent(from.vmId, message);
     });
-    // What was sent on an earlier connection may be lost.
-    for (const event of ["connected", "disconnected"] as const) {
-      network.lifecycle.on(event, ({ vmId }) => {
-        this.#failCallsOf(vmId);
-      });
-    }
+    // A call that waits for a connection is sent once there is one.
+    network.lifecycle.on("disconnected", ({ vmId }) => {
+      this.#failCallsOf(vmId);
+    });
     metrics.registerGauge("callsThroughPeers", () => this.#calls.size);
   }
 
@@ -82,19 +87,15 @@
     });
     this.#calls.set(callNumber, { peer, listener });
     peers.recordStart(peer);
-    const isSent = network.send(peer, {
-      type: "serverCall",
-      callNumber,
-      call: toRelayedCall(call),
-    });
-    if (!isSent) {
-      this.#fail(callNumber, {
-        kind: "notSent",
-        detail: "peerNotConnected",
-        isConnectionFailure: false,
-        isPeerFailure: true,
-      });
-    }
+    const failAsNotSent = (): void => {
+      this.#fail(callNumber, PEER_NOT_CONNECTED);
+    };
+    const isSent = network.send(
+      peer,
+      { type: "serverCall", callNumber, call: toRelayedCall(call) },
+      failAsNotSent,
+    );
+    if (!isSent) failAsNotSent();
     for (const data of isSent ? splitChunk(call.request.body) : []) {
       network.send(peer, { type: "serverCallBody", callNumber, data });
     }
