--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -15,6 +15,7 @@
 import { RouteStatistics } from "./forwarding/route_statistics.js";
 import type { ServerCaller } from "./forwarding/server_caller.js";
 import type { Shutdown } from "./forwarding/shutdown_admission.js";
+import type { BufferAccount } from "./memory/buffer_account.js";
 import { EventLoopMonitor } from "./observability/event_loop_monitor.js";
 import type { LatencyRecords } from "./observability/latency_records.js";
 import type { Logger } from "./observability/logger.js";
@@ -52,6 +53,10 @@
   readonly limits: () => SharedLimits;
   /** Processor capacity of this VM, in cores. */
   readonly processorCores: number;
+  /** Maximum number of items of all stages of one request. */
+  readonly maxStageItems?: number;
+  /** Bounds the memory of the stages of all requests. */
+  readonly buffers?: BufferAccount;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
   readonly logger: Logger;
@@ -61,6 +66,7 @@
   readonly onServerCutOff: (server: RegisteredServer) => void;
 }
 
+const DEFAULT_MAX_STAGE_ITEMS = 4096;
 /** Time during which new connections may still arrive after readiness ends. */
 const ACCEPT_CONNECTIONS_MS = 3500;
 const DRAIN_POLL_INTERVAL_MS = 50;
@@ -176,6 +182,7 @@
       serverNotices: this.#serverNotices,
       limitsOf: (name) => findService(name)?.batches,
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
+      buffers: options.buffers,
       clock,
       metrics,
       latencies,
@@ -199,6 +206,7 @@
         serverNotices: this.#serverNotices,
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
+        maxStageItems: options.maxStageItems ?? DEFAULT_MAX_STAGE_ITEMS,
         clock,
         metrics,
         latencies,
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -17,6 +17,7 @@
   isNoRoomFailure,
   requeueItem,
   totalResultBytes,
+  toUsableOutcome,
 } from "./batch_entries.js";
 import { BatchServers } from "./batch_servers.js";
 import type { BatchSchedulerOptions } from "./batch_scheduler_options.js";
@@ -27,15 +28,19 @@
   planBatches,
   type PlannedBatch,
 } from "./plan_batches.js";
+import { findGraphRefusal } from "./graph_admission.js";
 import { HeldResults } from "./held_results.js";
 import { JobIndex } from "./job_index.js";
 import type {
   ResultReference,
+  StageGraph,
   StageGraphOutcome,
+  StageRefusalReason,
 } from "@sassafrasstage/protocol/stage_graph";
 import {
   handleNotRun,
   type InFlightCall,
+  makeInFlightCall,
   requeueIfOverdue,
 } from "./in_flight_call.js";
 import type {
@@ -45,12 +50,15 @@
   StageCallOutcome,
 } from "./stage_call.js";
 import { StageJob, type StageJobOptions } from "./stage_job.js";
+import { StageStateMemory } from "./stage_state_memory.js";
 import { WorkEstimates } from "./work_estimates.js";
 
 /** Maximum number of times that one item is sent before its job is refused. */
 const MAX_ITEM_SENDS = 4;
 /** A result is treated as expired this long before its server drops it. */
 const EXPIRY_MARGIN_MS = 150;
+/** Servers may have been added by then. */
+const UNSERVABLE_RETRY_AFTER_MS = 1000;
 
 export class BatchScheduler {
   readonly #options: BatchSchedulerOptions;
@@ -61,6 +69,7 @@
   readonly #calls = new Map<number, InFlightCall>();
   readonly #heldResults = new HeldResults();
   readonly #estimates: WorkEstimates;
+  readonly #memory: StageStateMemory;
   readonly #changedServices = new ChangedServices();
   #lastCallId = 0;
 
@@ -68,6 +77,7 @@
     this.#options = options;
     this.#servers = new BatchServers(options);
     this.#estimates = new WorkEstimates(options.limitsOf);
+    this.#memory = new StageStateMemory(options.buffers);
   }
 
   get jobCount(): number {
@@ -85,8 +95,8 @@
   }
 
   /**
-   * Accepts a job, or refuses it at once if it can't be done in time even if
-   * nothing else is queued; `tick` refuses it if the queue is too long. If a job
+   * Accepts a job, or refuses it at once if it can't be done, or not in time even
+   * if nothing else is queued; `tick` refuses it if the queue is too long. If a job
    * with this id has completed already, its outcome is reported again.
    */
   submit(options: StageJobOptions): void {
@@ -96,8 +106,20 @@
       this.#reportCompleted(completed);
       return;
     }
+    const reason = this.#findRefusal(options.graph);
+    if (reason !== undefined) {
+      this.#options.onEnded(
+        { ...options, acceptedAtMs: options.nowMs },
+        { kind: "refused", reason, retryAfterMs: UNSERVABLE_RETRY_AFTER_MS },
+      );
+      return;
+    }
     const job = new StageJob(options);
     this.#jobs.add(job);
+    this.#memory.add(job, () => {
+      this.#evict(job);
+    });
+    if (job.isEnded) return;
     for (const service of job.services) {
       this.#options.retryBudgetOf(service).recordRequest(options.nowMs);
     }
@@ -106,6 +128,28 @@
     this.#changedServices.addReadyStages([job]);
   }
 
+  #findRefusal(graph: StageGraph): StageRefusalReason | undefined {
+    const reason = findGraphRefusal({
+      graph,
+      serversOf: ({ service }) => this.#servers.usable(service),
+    });
+    if (reason !== undefined) return reason;
+    return this.#memory.hasRoomFor(graph) ? undefined : "overloaded";
+  }
+
+  /** Ends a job to free its memory. */
+  #evict(job: StageJob): void {
+    if (job.isEnded) {
+      this.#removeJob(job);
+      return;
+    }
+    this.#refuse(job, {
+      kind: "refused",
+      reason: "overloaded",
+      retryAfterMs: UNSERVABLE_RETRY_AFTER_MS,
+    });
+  }
+
   /** Removes a job whose results are no longer needed or that was canceled. */
   release(jobId: string): void {
     const job = this.#jobs.get(jobId) ?? this.#completed.get(jobId);
@@ -144,6 +188,7 @@
     if (call === undefined) return;
     this.#calls.delete(callId);
     call.batchServer.endCall();
+    for (const { item } of call.entries) item.endCall(callId);
     this.#changedServices.add(call.service);
     switch (outcome.kind) {
       case "answered":
@@ -176,7 +221,11 @@
     this.#changedServices.addAll(this.#jobs.services());
   }
 
-  /** Handles the end of a server: its results and running calls are lost. */
+  /**
+   * Handles the end of a server: its results are lost. A server whose entry was
+   * removed may go on serving, so its calls keep running, and other servers get
+   * their items as well. Those of a server that was started again are lost.
+   */
   handleServerEnded(id: BackendServerId, nowMs: number): void {
     const lost = this.#heldResults.takeAllFromMaker(id).map((held) =>
       held.result
@@ -184,7 +233,9 @@
     this.#invalidateResults(lost);
     for (const call of [...this.#calls.values()]) {
       if (call.server.id !== id) continue;
-      this.endCall(call.id, { kind: "unknown", detail: "ended" }, nowMs);
+      if (this.#options.register.get(id) === undefined) {
+        for (const { item } of call.entries) requeueItem(call, item);
+      } else this.endCall(call.id, { kind: "unknown", detail: "ended" }, nowMs);
     }
     this.#servers.forget(id);
     this.#changedServices.addAll(this.#jobs.services());
@@ -204,26 +255,12 @@
   }
 
   #planService(service: ServiceName, nowMs: number): StageCall[] {
-    const servers = this.#servers.reachable(service, nowMs);
-    const idle = servers.filter((server) => server.canStartCall(nowMs));
-    const { rateLimits } = this.#options;
-    const available = idle.filter(({ server }) =>
-      rateLimits.reserve(server.id, nowMs)
-    );
-    if (available.length === 0) return [];
-    const busy = servers.filter((server) => !idle.includes(server));
-    const nextFreeAtMs = busy.length === 0
-      ? undefined
-      : Math.min(...busy.map((server) => server.expectedFreeAtMs));
+    const servers = this.#servers.planView(service, nowMs);
+    if (servers.idle.length === 0) return [];
     const { plan = planBatches } = this.#options;
     return plan({
+      ...servers,
       service,
-      idle: available,
-      dataCentres: new Set(
-        servers.filter((server) => server.isHealthy(nowMs))
-          .map(({ server }) => server.dataCentre),
-      ),
-      nextFreeAtMs,
       jobs: this.#jobs.usersOf(service),
       estimates: this.#estimates,
       nowMs,
@@ -241,19 +278,9 @@
     if (entries.length === 0) return [];
     this.#lastCallId += 1;
     const id = this.#lastCallId;
-    const call: InFlightCall = {
-      id,
-      service,
-      server: batch.server.server,
-      entries,
-      startedAtMs: nowMs,
-      batchServer: batch.server,
-      overdueAtMs: nowMs + batch.server.overdueAfterMs(entries.length, nowMs),
-      isOverdue: false,
-    };
+    const call = makeInFlightCall({ id, service, entries, batch, nowMs });
     for (const { item } of entries) {
-      item.state = { kind: "running", callId: id };
-      item.sendCount += 1;
+      item.startCall(id);
     }
     this.#options.rateLimits.useReservation(call.server.id);
     batch.server.startCall(entries.length, totalResultBytes(entries), nowMs);
@@ -268,6 +295,10 @@
     if (entry.item.sendCount < MAX_ITEM_SENDS && budget.tryRetry(nowMs)) {
       return true;
     }
+    if (entry.item.isCalled) {
+      entry.item.waitForOpenCall();
+      return false;
+    }
     this.#refuse(entry.job, {
       kind: "refused",
       reason: "noServer",
@@ -290,8 +321,7 @@
     const unused: ResultReference[] = [];
     const expiresAtMs = nowMs + call.batchServer.limits.resultRetentionMs;
     for (const [index, entry] of call.entries.entries()) {
-      const outcome = outcomes[index] ??
-        { kind: "failed", reason: "error" };
+      const outcome = toUsableOutcome(outcomes[index]);
       if (outcome.kind === "made") {
         const result = {
           reference: outcome.reference,
@@ -393,6 +423,7 @@
     job.isEnded = true;
     this.#jobs.remove(job);
     this.#completed.delete(job.id);
+    this.#memory.remove(job);
     this.#freeResults(
       [...job.graph.stages.keys()].flatMap((stage) => job.resultsOf(stage)),
     );
--- a/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
@@ -12,6 +12,7 @@
   ResultReference,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type { BufferAccount } from "../memory/buffer_account.js";
 import type { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
 import type {
   RegisteredServer,
@@ -33,13 +34,18 @@
   useReservation(id: BackendServerId): void;
 }
 
+/** A job that is over, or that was refused before anything was stored for it. */
+export type EndedJob = Pick<StageJob, "id" | "graph" | "acceptedAtMs">;
+
 export interface BatchSchedulerOptions {
   readonly register: ServerRegister;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
   readonly rateLimits: CallRateLimits;
   /** Limits how many items are sent again. */
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
-  readonly onEnded: (job: StageJob, outcome: StageGraphOutcome) => void;
+  /** Bounds the memory of all jobs; without it, it isn't bounded. */
+  readonly buffers?: BufferAccount | undefined;
+  readonly onEnded: (job: EndedJob, outcome: StageGraphOutcome) => void;
   /** Planner for calls; tests replace it to compare the default with others. */
   readonly plan?: typeof planBatches;
   /** Called with results at one server that are no longer needed. */
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -7,6 +7,7 @@
 
 import type { ServiceName, VmId } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
+import type { BufferAccount } from "../memory/buffer_account.js";
 import type { LatencyRecords } from "../observability/latency_records.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -20,6 +21,7 @@
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
 import { BatchScheduler } from "./batch_scheduler.js";
+import type { EndedJob } from "./batch_scheduler_options.js";
 import type { BatchEntry } from "./plan_batches.js";
 import type {
   ResultReference,
@@ -27,7 +29,6 @@
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
 import type { StageCall, StageCallOutcome } from "./stage_call.js";
-import type { StageJob } from "./stage_job.js";
 
 export interface StageCoordinatorOptions {
   readonly register: ServerRegister;
@@ -36,6 +37,7 @@
   readonly rateLimits: ServerRateLimits;
   readonly serverNotices: ServerNotices;
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
+  readonly buffers?: BufferAccount | undefined;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
@@ -74,6 +76,7 @@
       limitsOf: options.limitsOf,
       rateLimits: options.rateLimits,
       retryBudgetOf: options.retryBudgetOf,
+      buffers: options.buffers,
       onEnded: (job, outcome) => {
         this.#reportOutcome(job, outcome);
       },
@@ -246,7 +249,7 @@
     });
   }
 
-  #reportOutcome(job: StageJob, outcome: StageGraphOutcome): void {
+  #reportOutcome(job: EndedJob, outcome: StageGraphOutcome): void {
     const onEnded = this.#onEnded.get(job.id);
     this.#onEnded.delete(job.id);
     const { metrics, logger, clock } = this.#options;
