Bound the values of log lines, which may come from outside

What was seen: one request with a key and a `Last-Event-Id` of 60,000 characters made a `placed` line of 60,157 characters; 533 requests with long headers in 4 s made 4,471 kB of log (0.5 MB a second from one client; 400 lines a second are let through, so up to 24 MB a second to the disk of the log's reader).

Cause: the rate of lines and the unwritten bytes are limited, the length of a line isn't, and ids and errors from outside are logged whole.

A value is now cut to 1,024 characters, the maximum of an accepted id, and says how many are missing.

--- a/packages/daemon/src/observability/logger.ts
+++ b/packages/daemon/src/observability/logger.ts
@@ -7,6 +7,7 @@
 
 import { type ConsolaInstance, createConsola } from "consola";
 import { MONOTONIC_CLOCK } from "../clock.js";
+import { formatLogLine } from "./format_log_line.js";
 import { LogSink, openNonBlockingStdout } from "./log_sink.js";
 
 export const LOG_LEVELS = ["error", "warn", "info", "debug"] as const;
@@ -115,23 +116,9 @@
 function write(entry: LogEntry): void {
   if (CONSOLA_LEVELS[entry.level] > entry.consola.level) return;
   const linePrefix = formatLinePrefix(entry.level, entry.event);
-  entry.consola[entry.level](formatLine(linePrefix, entry.fields));
+  entry.consola[entry.level](formatLogLine(linePrefix, entry.fields));
 }
 
 function formatLinePrefix(level: LogLevel, event: string): string {
   return `time=${new Date().toISOString()} level=${level} event=${event}`;
 }
-
-function formatLine(linePrefix: string, fields: LogFields): string {
-  let line = linePrefix;
-  for (const [key, value] of Object.entries(fields)) {
-    if (value === undefined) continue;
-    line += ` ${key}=${formatValue(value)}`;
-  }
-  return line;
-}
-
-function formatValue(value: string | number | boolean): string {
-  const text = String(value);
-  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
-}
