--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -11,6 +11,7 @@
   StageGraph,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type { BufferAccount } from "../../memory/buffer_account.js";
 import { SlidingRetryBudget } from "../../placement/sliding_retry_budget.js";
 import {
   type RegisteredServer,
@@ -47,6 +48,9 @@
     server: RegisteredServer,
     nowMs: number,
   ) => NotRunReason | undefined;
+  readonly buffers?: BufferAccount;
+  /** Items that may be sent again within 10 s. */
+  readonly retries?: number;
   /** Time from the last result until the request releases its results. */
   readonly resultUseMs?: number;
 }
@@ -85,7 +89,11 @@
   constructor(options: SimulationOptions) {
     this.#options = options;
     const budget = new SlidingRetryBudget(
-      () => ({ windowMs: 10_000, ratio: 0.2, slack: 50 }),
+      () => ({
+        windowMs: 10_000,
+        ratio: options.retries === undefined ? 0.2 : 0,
+        slack: options.retries ?? 50,
+      }),
       () => 1,
     );
     this.scheduler = new BatchScheduler({
@@ -97,6 +105,7 @@
       },
       limitsOf: (service) => options.limits.get(service),
       retryBudgetOf: () => budget,
+      buffers: options.buffers,
       ...(options.plan === undefined ? {} : { plan: options.plan }),
       onEnded: (job, outcome) => {
         this.#recordOutcome(job.id, job.graph, outcome);
