Bound what probes, scrapes and the daemon's own request bodies may cost

Cause as for client requests: `for await` queued an object for each chunk in readBody, and the probe and metrics listeners had no limit on bodies, requests in flight on a connection or time.

The receive buffer of these connections is 8 kB, which bounds what is parsed at once. readBody collects chunks in one block and pauses senders of small chunks.

--- a/packages/daemon/src/http/connection_resets.ts
+++ b/packages/daemon/src/http/connection_resets.ts
@@ -11,11 +11,12 @@
  */
 
 import koffi from "koffi";
-import type { Socket } from "node:net";
+import type { Server, Socket } from "node:net";
 
 /** Of Linux, on all processors that Node.js supports there. */
 const SOL_SOCKET = 1;
 const SO_ERROR = 4;
+const SO_RCVBUF = 8;
 const SO_LINGER = 13;
 
 /** `struct linger`: whether it is on, and the time to linger in seconds. */
@@ -103,6 +104,21 @@
   return options.get(descriptor, option.level, option.name, value, bytes) === 0;
 }
 
+/**
+ * Limits how many bytes the kernel holds for each connection that the server
+ * accepts from now on, and so how many are read at once. Returns whether the
+ * kernel accepted that.
+ */
+export function limitReceiveBuffer(server: Server, bytes: number): boolean {
+  const descriptor = descriptorOf(server);
+  const options = socketOptions();
+  if (options === undefined || descriptor === undefined) return false;
+  const value = new Int32Array([bytes]);
+  const { byteLength } = value;
+  return options.set(descriptor, SOL_SOCKET, SO_RCVBUF, value, byteLength) ===
+    0;
+}
+
 function setLinger(socket: Socket, value: Int32Array): boolean {
   const descriptor = descriptorOf(socket);
   const options = socketOptions();
@@ -138,7 +154,7 @@
 }
 
 /** Undefined once the connection is closed. */
-function descriptorOf(socket: Socket): number | undefined {
+function descriptorOf(socket: Socket | Server): number | undefined {
   const { _handle: handle } = socket as unknown as {
     readonly _handle: { readonly fd: number } | null;
   };
--- a/platform/src/pipelined_requests.ts
+++ b/packages/daemon/src/http/pipelined_requests.ts
@@ -8,22 +8,28 @@
  * @module
  */
 
-import type { ConnectionRead } from "@sassafrasstage/daemon/http/connection_reads";
-import { readTcpState } from "@sassafrasstage/daemon/http/tcp_state";
+import type { ConnectionRead } from "./connection_reads.js";
+import { readTcpState } from "./tcp_state.js";
 import type { Socket } from "node:net";
 
-/** Requests of one connection that are handled at a time. */
-const MAX_HANDLED = 4;
+/** Requests of one connection that are handled at a time by default. */
+const DEFAULT_MAX_HANDLED = 4;
 
 /** The requests of one connection, in the order of their arrival. */
 export class PipelinedRequests {
   readonly #socket: Socket;
   readonly #connection: ConnectionRead;
+  readonly #maxHandled: number;
   readonly #waiting: (() => void)[] = [];
   #handled = 0;
   #requestCount = 0;
 
-  constructor(socket: Socket, connection: ConnectionRead) {
+  constructor(
+    socket: Socket,
+    connection: ConnectionRead,
+    options: { readonly maxHandled?: number } = {},
+  ) {
+    this.#maxHandled = options.maxHandled ?? DEFAULT_MAX_HANDLED;
     this.#socket = socket;
     this.#connection = connection;
     // What waits for a client that is gone is never started.
@@ -51,7 +57,7 @@
   /** Starts the request in its turn. Nothing more is read while one waits. */
   add(start: () => void): void {
     this.#requestCount += 1;
-    if (this.#handled < MAX_HANDLED) {
+    if (this.#handled < this.#maxHandled) {
       this.#handled += 1;
       start();
       return;
--- a/packages/daemon/src/http/read_body.ts
+++ b/packages/daemon/src/http/read_body.ts
@@ -5,6 +5,9 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import { GrowingBuffer } from "../memory/growing_buffer.js";
+import { ConnectionReads } from "./connection_reads.js";
+import { createSmallChunkLimiter } from "./small_chunk_limiter.js";
 
 export type BodyResult =
   | { readonly kind: "read"; readonly text: string }
@@ -12,29 +15,46 @@
   /** The client disconnected before the end of the body. */
   | { readonly kind: "broken" };
 
+/** Of the connections that send bodies to the daemon's own interfaces. */
+const READS = new ConnectionReads(
+  createSmallChunkLimiter(() => performance.now()),
+);
+
 /**
  * @example
  * ```ts
  * const body = await readBody(request, 1_000_000);
  * ```
  */
-export async function readBody(
+export function readBody(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<BodyResult> {
   const declaredBytes = Number(request.headers["content-length"] ?? 0);
-  if (declaredBytes > maxBytes) return { kind: "tooLarge" };
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of request) {
-      const buffer = chunk as Buffer;
-      bytes += buffer.byteLength;
-      if (bytes > maxBytes) return { kind: "tooLarge" };
-      chunks.push(buffer);
+  if (declaredBytes > maxBytes) return Promise.resolve({ kind: "tooLarge" });
+  const connection = READS.of(request.socket);
+  const body = new GrowingBuffer(declaredBytes > 0 ? declaredBytes : maxBytes);
+  return new Promise((resolve) => {
+    let isSettled = false;
+    function settle(result: BodyResult): void {
+      isSettled = true;
+      body.take();
+      resolve(result);
     }
-  } catch {
-    return { kind: "broken" };
-  }
-  return { kind: "read", text: Buffer.concat(chunks).toString("utf8") };
+    request.on("data", (chunk: Buffer) => {
+      connection.countChunk(chunk.length);
+      if (isSettled) return;
+      if (body.length + chunk.length > maxBytes) settle({ kind: "tooLarge" });
+      else body.append(chunk);
+    });
+    request.once("end", () => {
+      settle({ kind: "read", text: body.take().toString("utf8") });
+    });
+    request.on("error", () => {
+      settle({ kind: "broken" });
+    });
+    request.once("close", () => {
+      settle({ kind: "broken" });
+    });
+  });
 }
