--- a/packages/daemon/src/http/connection_reads.ts
+++ b/packages/daemon/src/http/connection_reads.ts
@@ -27,11 +27,15 @@
   /** Requests that were read before wait for their turn. */
   | "pipelining";
 
+/** Called once for each connection and reason. */
+export type PauseListener = (reason: PauseReason, socket: Socket) => void;
+
 /** One connection. Read while there is no reason to pause. */
 export class ConnectionRead {
   readonly #socket: Socket;
   readonly #reads: ConnectionReads;
   readonly #reasons = new Set<PauseReason>();
+  readonly #reported = new Set<PauseReason>();
   #limiter: ConnectionChunkLimiter | undefined;
 
   constructor(socket: Socket, reads: ConnectionReads) {
@@ -51,6 +55,10 @@
     if (this.#reasons.has(reason)) return;
     this.#reasons.add(reason);
     if (this.#reasons.size === 1) this.#socket.pause();
+    // The turn is over for all alike, and says nothing of this connection.
+    if (reason === "turn" || this.#reported.has(reason)) return;
+    this.#reported.add(reason);
+    this.#reads.onPaused(reason, this.#socket);
   }
 
   resume(reason: PauseReason): void {
@@ -72,11 +80,16 @@
 /** All connections that share a limiter of small chunks. */
 export class ConnectionReads {
   readonly limiter: SmallChunkLimiter;
+  readonly onPaused: PauseListener;
   readonly #connections = new Map<Socket, ConnectionRead>();
   #isTurnUsedUp = false;
 
-  constructor(limiter: SmallChunkLimiter) {
+  constructor(
+    limiter: SmallChunkLimiter,
+    onPaused: PauseListener = () => undefined,
+  ) {
     this.limiter = limiter;
+    this.onPaused = onPaused;
   }
 
   /** Includes the connections that the server accepts from now on. */
