--- a/packages/daemon/src/memory/growing_buffer.ts
+++ b/packages/daemon/src/memory/growing_buffer.ts
@@ -5,6 +5,7 @@
  */
 
 const INITIAL_BYTES = 1024;
+const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /**
  * Copies the chunks, so that what it holds follows their bytes, however many
@@ -19,7 +20,7 @@
  */
 export class GrowingBuffer {
   readonly #maxBytes: number;
-  #data = Buffer.alloc(0);
+  #data = NO_BYTES;
   #length = 0;
 
   /** @param maxBytes Known size of the whole, if it is known */
@@ -43,10 +44,15 @@
     this.#length = length;
   }
 
+  /** What was collected; valid until the next change. */
+  view(): Buffer {
+    return this.#data.subarray(0, this.#length);
+  }
+
   /** Returns what was collected and starts anew. */
   take(): Buffer {
-    const data = this.#data.subarray(0, this.#length);
-    this.#data = Buffer.alloc(0);
+    const data = this.view();
+    this.#data = NO_BYTES;
     this.#length = 0;
     return data;
   }
