Buffer responses of stage servers and the store at a cost by bytes

`exchangeBuffered` takes the library's events itself, copies the bytes into a growing buffer that is in the account ("serverResponses"), and has the limits of other responses: chunk limiter, mean chunk size, header fields, informational responses, size. A response that breaks one ends as broken, its connection closed first; a closed connection is logged and counted.

Also used by the project's own platform client.

Shown: store_client_test ends such a response as wasteful; before it was read until the call timed out. endless_chunks_test for stage servers and the store passes (1, 8 and 64 at once).

--- a/packages/daemon/src/http/bounded_connection.ts
+++ b/packages/daemon/src/http/bounded_connection.ts
@@ -5,12 +5,14 @@
  */
 
 import type { Socket } from "node:net";
-import { type buildConnector, Client, type Dispatcher } from "undici";
+import { type buildConnector, Client, type Dispatcher, errors } from "undici";
 
 /** Why a connection can't be used for another call. */
 export type ConnectionFault =
   /** A response belongs to another call, or it can't be told whether it does. */
   | "foreignResponse"
+  /** Nothing in the response says which call it belongs to. */
+  | "unattributedResponse"
   /** Handling the response costs more than its bytes are worth. */
   | "wastefulResponse"
   /** More informational responses than a server has reason to send. */
@@ -79,7 +81,8 @@
   closeFaulty(fault: ConnectionFault): void {
     const { socket } = this.#current;
     if (socket === undefined || socket.destroyed) return;
-    socket.destroy();
+    // Without an error, the library would take the end for the end of a body.
+    socket.destroy(new errors.InformationalError("The response is faulty"));
     this.#onFault(fault);
   }
 
--- a/packages/daemon/src/platform/create_platform_client.ts
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -10,6 +10,9 @@
   VmListing,
 } from "@sassafrasstage/protocol/platform_objects";
 import { Agent } from "undici";
+import type { ResponseLimits } from "../http/buffered_exchange.js";
+import { createSmallChunkLimiter } from "../http/small_chunk_limiter.js";
+import { BufferAccount } from "../memory/buffer_account.js";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -75,12 +78,13 @@
   return new HttpPlatformClient(options);
 }
 
-/** Exceeds a list of objects of the largest size. */
-const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+/** Of all responses that are being received. */
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
 class HttpPlatformClient implements PlatformClient {
   readonly #options: PlatformClientOptions;
   readonly #agent: Agent;
+  readonly #limits: ResponseLimits;
   readonly #limiter: CallLimiter;
   readonly #reachability = new Reachability();
   readonly #baseUrl: string;
@@ -93,8 +97,19 @@
       ...(vm.source_address === undefined
         ? {}
         : { localAddress: vm.source_address }),
-      maxResponseSize: MAX_RESPONSE_BYTES,
     });
+    const { clock } = options;
+    this.#limits = {
+      chunkLimiter: createSmallChunkLimiter(() => clock.nowMs()),
+      buffers: new BufferAccount({
+        maxBytes: MAX_BUFFERED_BYTES,
+        nowMs: () => clock.nowMs(),
+        onEvicted: (eviction) => {
+          options.metrics.countEvent("platformResponseEvicted");
+          options.logger.warn("platformResponseEvicted", { ...eviction });
+        },
+      }),
+    };
     this.#baseUrl = platform.url.replace(/\/+$/, "");
     this.#limiter = new CallLimiter({
       maxInFlight: platform.max_calls_in_flight,
@@ -215,7 +230,10 @@
     metrics.countEvent(`platformCall.${kind}`);
     let reply: PlatformReply;
     try {
-      reply = await sendCall(this.#agent, call);
+      reply = await sendCall({
+        dispatcher: this.#agent,
+        limits: this.#limits,
+      }, call);
     } catch (error) {
       if (call.signal?.aborted === true) throw error;
       this.#reachability.recordFailure(clock.nowMs());
--- a/packages/daemon/src/platform/platform_transport.ts
+++ b/packages/daemon/src/platform/platform_transport.ts
@@ -6,13 +6,19 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
-import { type Agent, request } from "undici";
+import type { Dispatcher } from "undici";
 import type { z } from "zod";
+import {
+  exchangeBuffered,
+  type ResponseLimits,
+} from "../http/buffered_exchange.js";
 import { PlatformError, type PlatformErrorKind } from "./platform_error.js";
 
 /** Status codes with which an overloaded platform refuses a call. */
 const OVERLOAD_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 const CONTENT_TOO_LARGE = 413;
+/** Exceeds a page of a list with its largest objects. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 /** Error codes of failures before the first byte of the request was sent. */
 const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
@@ -41,6 +47,11 @@
   readonly signal?: AbortSignal;
 }
 
+export interface PlatformTransport {
+  readonly dispatcher: Dispatcher;
+  readonly limits: ResponseLimits;
+}
+
 export interface PlatformReply {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
@@ -53,10 +64,10 @@
  * of overload.
  */
 export async function sendCall(
-  agent: Agent,
+  transport: PlatformTransport,
   call: PlatformCall,
 ): Promise<PlatformReply> {
-  const reply = await exchangeWithTimeout(agent, call);
+  const reply = await exchangeWithTimeout(transport, call);
   if (!OVERLOAD_STATUSES.has(reply.status)) return reply;
   throw refusalOf(reply);
 }
@@ -78,7 +89,7 @@
  * memory on a long-lived signal.
  */
 async function exchangeWithTimeout(
-  agent: Agent,
+  transport: PlatformTransport,
   call: PlatformCall,
 ): Promise<PlatformReply> {
   const abort = new AbortController();
@@ -93,7 +104,7 @@
   call.signal?.addEventListener("abort", cancel);
   if (call.signal?.aborted === true) cancel();
   try {
-    return await exchange(agent, { ...call, signal: abort.signal });
+    return await exchange(transport, { ...call, signal: abort.signal });
   } finally {
     clearTimeout(timer);
     call.signal?.removeEventListener("abort", cancel);
@@ -101,22 +112,20 @@
 }
 
 async function exchange(
-  agent: Agent,
+  transport: PlatformTransport,
   call: PlatformCall & { readonly signal: AbortSignal },
 ): Promise<PlatformReply> {
   try {
-    const response = await request(call.url, {
-      dispatcher: agent,
+    const url = new URL(call.url);
+    return await exchangeBuffered(transport.dispatcher, {
       method: call.method,
+      origin: url.origin,
+      path: url.pathname + url.search,
       signal: call.signal,
-      headers: { ...call.headers },
-      body: call.body ?? null,
-    });
-    return {
-      status: response.statusCode,
-      headers: response.headers,
-      text: await response.body.text(),
-    };
+      headers: call.headers ?? {},
+      body: call.body,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
+    }, transport.limits);
   } catch (cause) {
     throw new PlatformError(
       errorKindFor(call, cause),
