Collect partial events, buffered responses and frames in one block

An event of 100 kB that came in pieces of 4 bytes was copied whole for each of 25,001 pieces; a frame of 20 kB that came byte by byte kept 20,018 buffers until it was whole. Both are collected in a growing buffer now, and only the new bytes are searched for the end of an event. Responses that are buffered for a retry were kept as a list of chunks: the same.

Tests count the chunks that stay alive and the copies (25,001 and 20,018 before, below 10 and 0 after), and try all cuts of a stream of three events in three parts.

--- a/packages/daemon/src/forwarding/event_splitter.ts
+++ b/packages/daemon/src/forwarding/event_splitter.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import { GrowingBuffer } from "../memory/growing_buffer.js";
+
 export interface CompleteEvents {
   readonly bytes: Buffer;
   /** Id of the last event in `bytes` that has one. */
@@ -25,7 +27,7 @@
  * ```
  */
 export class EventSplitter {
-  #partialEvent: Buffer = NO_BYTES;
+  readonly #partialEvent = new GrowingBuffer();
 
   /** Size of the buffered event. */
   get partialEventBytes(): number {
@@ -33,19 +35,29 @@
   }
 
   push(chunk: Buffer): CompleteEvents {
-    const bytes = this.#partialEvent.length === 0
-      ? chunk
-      : Buffer.concat([this.#partialEvent, chunk]);
-    const end = endOfLastEvent(bytes);
-    this.#partialEvent = bytes.subarray(end);
+    const bufferedBytes = this.#partialEvent.length;
+    if (bufferedBytes === 0) return this.#splitAfterLastEvent(chunk, 0);
+    this.#partialEvent.append(chunk);
+    const end = endOfLastEvent(this.#partialEvent.view(), bufferedBytes);
+    if (end === 0) return { bytes: NO_BYTES, lastId: undefined };
+    return this.#splitAfterLastEvent(this.#partialEvent.take(), bufferedBytes);
+  }
+
+  #splitAfterLastEvent(bytes: Buffer, firstEnd: number): CompleteEvents {
+    const end = endOfLastEvent(bytes, firstEnd);
+    if (end < bytes.length) this.#partialEvent.append(bytes.subarray(end));
     const complete = bytes.subarray(0, end);
     return { bytes: complete, lastId: lastIdOf(complete) };
   }
 }
 
-/** Index just past the last blank line; 0 if there is none. */
-function endOfLastEvent(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index--) {
+/**
+ * Index just past the last blank line; 0 if there is none.
+ *
+ * @param from No blank line ends before this index
+ */
+function endOfLastEvent(bytes: Buffer, from: number): number {
+  for (let index = bytes.length - 1; index >= Math.max(from, 1); index--) {
     if (bytes[index] !== LINE_FEED) continue;
     if (bytes[index - 1] === LINE_FEED) return index + 1;
     const isCarriageReturn = bytes[index - 1] === 0x0d;
--- a/packages/daemon/src/forwarding/event_splitter_test.ts
+++ b/packages/daemon/src/forwarding/event_splitter_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
-import { describe, it } from "node:test";
+import { describe, it, mock } from "node:test";
+import { countRetainedChunks } from "../testing/count_retained.js";
 import { EventSplitter } from "./event_splitter.js";
 
 const STREAM = "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\nid: 3\n\n";
@@ -36,4 +37,38 @@
     expect(complete.lastId).toEqual("7");
     expect(splitter.partialEventBytes > 0).toEqual(true);
   });
+
+  it("doesn't keep an object for each chunk, nor copy all bytes for each", async () => {
+    const splitter = new EventSplitter();
+    const event = Buffer.from(`data: ${"x".repeat(100_000)}`);
+    const concat = mock.method(Buffer, "concat");
+    const retained = await countRetainedChunks(event, 4, (chunk) => {
+      splitter.push(chunk);
+    });
+    expect(concat.mock.callCount()).toEqual(0);
+    concat.mock.restore();
+    expect(retained).toBeLessThan(10);
+    const { bytes } = splitter.push(Buffer.from("\n\n"));
+    expect(bytes.toString()).toEqual(`${event.toString()}\n\n`);
+    expect(splitter.partialEventBytes).toEqual(0);
+  });
+
+  it("finds the end of an event that is cut anywhere", () => {
+    const stream = "data: a\r\n\r\ndata: b\n\ndata: c\r\n\r\n";
+    for (let at = 1; at < stream.length; at++) {
+      for (let next = at; next <= stream.length; next++) {
+        const splitter = new EventSplitter();
+        const parts = [
+          stream.slice(0, at),
+          stream.slice(at, next),
+          stream.slice(next),
+        ];
+        const emitted = parts.map((part) =>
+          splitter.push(Buffer.from(part)).bytes.toString()
+        );
+        expect(emitted.join("")).toEqual(stream);
+        expect(splitter.partialEventBytes).toEqual(0);
+      }
+    }
+  });
 });
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -6,6 +6,7 @@
 
 import { makeDeferred } from "../deferred.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
+import { GrowingBuffer } from "../memory/growing_buffer.js";
 import { observeCall } from "./observe_call.js";
 import type { ForwardContext } from "./forward_context.js";
 import { requestDigest } from "./request_digest.js";
@@ -217,20 +218,19 @@
 /** Calls the server and buffers its complete response. */
 export function runBufferedAttempt(input: AttemptInput): RunningAttempt {
   const result = makeDeferred<AttemptResult>();
-  const chunks: Buffer[] = [];
-  let bufferedBytes = 0;
+  const body = new GrowingBuffer();
   let head: ResponseHead | undefined;
   const call = startCall(input, {
     onHead: (newHead) => {
       head = newHead;
     },
     onBody: (chunk) => {
-      bufferedBytes += chunk.length;
-      if (bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) chunks.push(chunk);
-      else call.endOversized("bodyTooLarge");
+      if (body.length + chunk.length > MAX_BUFFERED_RESPONSE_BYTES) {
+        call.endOversized("bodyTooLarge");
+      } else body.append(chunk);
     },
     onEnd: () => {
-      result.resolve(classifyResponse(head, chunks));
+      result.resolve(classifyResponse(head, body));
     },
     onFailure: (failure) => {
       result.resolve(classifyFailure(head, failure));
@@ -248,14 +248,14 @@
 
 function classifyResponse(
   head: ResponseHead | undefined,
-  chunks: readonly Buffer[],
+  body: GrowingBuffer,
 ): AttemptResult {
   if (head === undefined) return { kind: "broken", detail: "noHead" };
   if (head.isNotRun) {
     return { kind: "notRun", isInputGone: head.isInputGone };
   }
   if (!head.isGenuine) return { kind: "broken", detail: "notGenuine" };
-  return { kind: "answered", response: { head, body: Buffer.concat(chunks) } };
+  return { kind: "answered", response: { head, body: body.take() } };
 }
 
 /** A head that says "not run" is conclusive even if the body is incomplete. */
--- a/packages/daemon/src/forwarding/stream_call.ts
+++ b/packages/daemon/src/forwarding/stream_call.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { GrowingBuffer } from "../memory/growing_buffer.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
 import { type CompleteEvents, EventSplitter } from "./event_splitter.js";
 import {
@@ -53,9 +54,8 @@
   readonly #attempt: AttemptInput;
   readonly #listener: StreamCallListener;
   readonly #splitter = new EventSplitter();
-  readonly #nonStreamBody: Buffer[] = [];
+  readonly #nonStreamBody = new GrowingBuffer();
   readonly #call: StartedCall;
-  #bufferedBytes = 0;
   #head: ResponseHead | undefined;
   #lastReceivedAtMs: number;
   #hasEvents = false;
@@ -146,10 +146,10 @@
 
   /** Buffers a response that isn't a stream. */
   #bufferBody(chunk: Buffer): void {
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
-      this.#nonStreamBody.push(chunk);
-    } else this.#call.endOversized("bodyTooLarge");
+    const bytes = this.#nonStreamBody.length + chunk.length;
+    if (bytes > MAX_BUFFERED_RESPONSE_BYTES) {
+      this.#call.endOversized("bodyTooLarge");
+    } else this.#nonStreamBody.append(chunk);
   }
 
   #classifyResponse(): StreamCallResult {
@@ -160,11 +160,7 @@
     }
     if (!head.isGenuine) return { kind: "broken", detail: "notGenuine" };
     if (!isStream(head)) {
-      return {
-        kind: "answered",
-        head,
-        body: Buffer.concat(this.#nonStreamBody),
-      };
+      return { kind: "answered", head, body: this.#nonStreamBody.take() };
     }
     if (this.#splitter.partialEventBytes === 0) {
       return { kind: "streamed", head };
--- a/packages/daemon/src/peers/frame_splitter.ts
+++ b/packages/daemon/src/peers/frame_splitter.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { GrowingBuffer } from "../memory/growing_buffer.js";
 import { FRAME_HEADER_BYTES } from "./frame_codec.js";
 import { PeerError } from "./peer_error.js";
 
@@ -21,10 +22,10 @@
   /** Maximum accepted payload size; may be changed between frames. */
   maxPayloadBytes: number;
   /**
-   * Chunks received after `#data`. They are joined to it only when there are
-   * enough bytes for the next header or frame.
+   * Received after `#data`. Joined to it only when there are enough bytes for
+   * the next header or frame.
    */
-  #chunks: Buffer[] = [];
+  readonly #rest = new GrowingBuffer();
   #data: Buffer = Buffer.alloc(0);
   #bufferedBytes = 0;
   #neededBytes = FRAME_HEADER_BYTES;
@@ -40,11 +41,9 @@
 
   push(chunk: Buffer): void {
     this.#bufferedBytes += chunk.length;
-    if (this.#data.length === 0 && this.#chunks.length === 0) {
+    if (this.#data.length === 0 && this.#rest.length === 0) {
       this.#data = chunk;
-    } else {
-      this.#chunks.push(chunk);
-    }
+    } else this.#rest.append(chunk);
   }
 
   /**
@@ -73,9 +72,11 @@
   }
 
   #joinChunks(): void {
-    if (this.#chunks.length === 0) return;
-    this.#data = Buffer.concat([this.#data, ...this.#chunks]);
-    this.#chunks = [];
+    if (this.#rest.length === 0) return;
+    const rest = this.#rest.take();
+    this.#data = this.#data.length === 0
+      ? rest
+      : Buffer.concat([this.#data, rest]);
   }
 
   #readPayloadBytes(): number {
--- a/packages/daemon/src/peers/frame_splitter_test.ts
+++ b/packages/daemon/src/peers/frame_splitter_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
+import { countRetainedChunks } from "../testing/count_retained.js";
 import { decodePayload, encodeFrame } from "./frame_codec.js";
 import { FrameSplitter } from "./frame_splitter.js";
 import { isPeerMessage } from "./message_check.js";
@@ -77,6 +78,18 @@
     );
   });
 
+  it("doesn't keep an object for each chunk of a frame", async () => {
+    const value = { type: "filler", text: "x".repeat(20_000) };
+    const frame = encodeFrame(value);
+    const splitter = new FrameSplitter(frame.length);
+    const start = frame.subarray(0, frame.length - 1);
+    const retained = await countRetainedChunks(start, 1, (chunk) => {
+      expect(splitAll(splitter, chunk)).toEqual([]);
+    });
+    expect(retained).toBeLessThan(10);
+    expect(splitAll(splitter, frame.subarray(-1))).toEqual([value]);
+  });
+
   it("rejects a truncated stream", () => {
     const frame = encodeFrame({ type: "leaving", vmId: "vm-a" });
     fc.assert(
