--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -87,6 +87,7 @@
   const startedAtMs = environment.clock.nowMs();
   let isFinished = false;
   let hasFirstEvent = false;
+  let isFailureOfHeadCounted = false;
   const observation = observeCall(input);
   function finish(): boolean {
     if (isFinished) return false;
@@ -101,7 +102,7 @@
       if (environment.directory.isUsable(server)) {
         health.recordUnreachable(nowMs);
       }
-    } else health.recordFailure(nowMs);
+    } else if (!isFailureOfHeadCounted) health.recordFailure(nowMs);
     const remainingConnections = failure.kind === "broken"
       ? failure.remainingConnections
       : "notChecked";
@@ -145,8 +146,10 @@
       const isPaused = head.notice.pause.kind === "requested";
       if (head.isNotRun) {
         if (!isPaused) health.recordOverload(nowMs);
-      } else if (!head.isGenuine) health.recordFailure(nowMs);
-      else {
+      } else if (!head.isGenuine) {
+        isFailureOfHeadCounted = true;
+        health.recordFailure(nowMs);
+      } else {
         health.recordResponse(nowMs - startedAtMs);
         if (head.status >= 500) health.recordFailure(nowMs);
       }
