--- a/packages/daemon/src/stage_graphs/stage_job.ts
+++ b/packages/daemon/src/stage_graphs/stage_job.ts
@@ -13,6 +13,9 @@
 } from "@sassafrasstage/protocol/stage_graph";
 import { type ItemCounts, StageItem } from "./stage_item.js";
 
+/** Up to so many edges, a graph has 256 paths at most. */
+const MAX_EDGES_OF_FEW_PATHS = 16;
+
 export interface StageJobOptions {
   readonly id: string;
   /** The VM that owns the request. */
@@ -35,6 +38,8 @@
   readonly services: ReadonlySet<ServiceName>;
   /** Positions of the stages that depend on no other stage. */
   readonly rootStages: readonly number[];
+  /** Whether visiting each path through the stages would take long. */
+  readonly hasManyPaths: boolean;
   readonly #counts: readonly ItemCounts[];
   readonly #followers: readonly (readonly number[])[];
   /** Set once the job has completed, been refused, or been removed. */
@@ -66,6 +71,11 @@
     this.#followers = graph.stages.map((_, position) =>
       followersOf(graph.stages, position)
     );
+    const edgeCount = graph.stages.reduce(
+      (sum, { after }) => sum + after.length,
+      0,
+    );
+    this.hasManyPaths = edgeCount > MAX_EDGES_OF_FEW_PATHS;
   }
 
   stage(position: number): GraphStage {
--- a/packages/daemon/src/stage_graphs/work_estimates.ts
+++ b/packages/daemon/src/stage_graphs/work_estimates.ts
@@ -48,18 +48,35 @@
 
   /** Expected time from the end of this stage to the end of the last one. */
   pathAfterMs(job: StageJob, position: number): number {
-    const pathsMs = this.#pathsMs(job, position + 1);
-    return longestPathMs(pathsMs, job.followersOf(position));
+    if (job.hasManyPaths) {
+      const pathsMs = this.#pathsMs(job, position + 1);
+      return longestPathMs(pathsMs, job.followersOf(position));
+    }
+    let longestMs = 0;
+    for (const follower of job.followersOf(position)) {
+      longestMs = Math.max(longestMs, this.pathFromMs(job, follower));
+    }
+    return longestMs;
   }
 
   /** Expected time from the start of this stage to the end of the last one. */
   pathFromMs(job: StageJob, position: number): number {
-    return this.#pathsMs(job, position)[position] ?? 0;
+    const ownMs = job.isStageDone(position)
+      ? 0
+      : this.expectedCallMs(job.stage(position).service);
+    return ownMs + this.pathAfterMs(job, position);
   }
 
   /** Expected time until all stages are done, without queueing. */
   remainingPathMs(job: StageJob): number {
-    return longestPathMs(this.#pathsMs(job, 0), job.rootStages);
+    if (job.hasManyPaths) {
+      return longestPathMs(this.#pathsMs(job, 0), job.rootStages);
+    }
+    let longestMs = 0;
+    for (const position of job.rootStages) {
+      longestMs = Math.max(longestMs, this.pathFromMs(job, position));
+    }
+    return longestMs;
   }
 
   /**
