--- a/packages/daemon/src/http/connection_reads.ts
+++ b/packages/daemon/src/http/connection_reads.ts
@@ -27,9 +27,6 @@
   /** Requests that were read before wait for their turn. */
   | "pipelining";
 
-/** Longest time in which connections are accepted and not read. */
-const MAX_ACCEPT_MS = 100;
-
 /** One connection. Read while there is no reason to pause. */
 export class ConnectionRead {
   readonly #socket: Socket;
@@ -65,11 +62,6 @@
     if (!this.isPaused && !this.#socket.destroyed) this.#socket.resume();
   }
 
-  /** Whether it has sent something, and no small chunks. */
-  get isProven(): boolean {
-    return this.#limiter === undefined && this.#socket.bytesRead > 0;
-  }
-
   /** Counts a received chunk, or a message as a chunk of 0 bytes. */
   countChunk(bytes: number): void {
     this.#limiter ??= this.#reads.limiter.forConnection(() => {
@@ -86,7 +78,6 @@
   readonly limiter: SmallChunkLimiter;
   readonly #connections = new Map<Socket, ConnectionRead>();
   #isTurnUsedUp = false;
-  #hasAccepted = false;
 
   constructor(limiter: SmallChunkLimiter) {
     this.limiter = limiter;
@@ -95,7 +86,6 @@
   /** Includes the connections that the server accepts from now on. */
   watch(server: Server): void {
     server.on("connection", (socket: Socket) => {
-      this.#hasAccepted = true;
       this.of(socket);
     });
   }
@@ -120,36 +110,11 @@
     for (const connection of this.#connections.values()) {
       connection.pause("turn");
     }
-    this.#resumeAfterAccepting(this.limiter.nowMs + MAX_ACCEPT_MS);
-  }
-
-  /**
-   * One connection is accepted in a turn. If each is read at once, senders of
-   * small chunks keep those behind them from being accepted.
-   */
-  #resumeAfterAccepting(endsAtMs: number): void {
     this.limiter.onNextTurn(() => {
-      const isAccepting = this.#hasAccepted && this.limiter.nowMs < endsAtMs;
-      this.#hasAccepted = false;
-      if (isAccepting) {
-        this.#resumeAfterAccepting(endsAtMs);
-        return;
-      }
       this.#isTurnUsedUp = false;
-      this.#resumeAll();
+      for (const connection of this.#connections.values()) {
+        connection.resume("turn");
+      }
     });
   }
-
-  /**
-   * What is resumed first is read first, and one read can use up the turn. In the
-   * order of arrival, senders of small chunks would keep all that came later from
-   * being read.
-   */
-  #resumeAll(): void {
-    const newestFirst = [...this.#connections.values()].reverse();
-    for (const connection of newestFirst) {
-      if (connection.isProven) connection.resume("turn");
-    }
-    for (const connection of newestFirst) connection.resume("turn");
-  }
 }
