--- a/packages/daemon/src/http/small_chunk_limiter.ts
+++ b/packages/daemon/src/http/small_chunk_limiter.ts
@@ -31,25 +31,19 @@
   readonly nextTurn: (callback: () => void) => void;
 }
 
-interface TokenBucketLimits {
-  readonly perSecond: number;
-  readonly max: number;
-  /** Most tokens that are owed; what is taken beyond them is free. */
-  readonly maxOwed?: number;
-}
-
 /** Tokens that accrue at a steady rate up to a maximum; may be overdrawn. */
 class TokenBucket {
   readonly #perSecond: number;
   readonly #max: number;
-  readonly #min: number;
   #tokens: number;
   #updatedAtMs: number;
 
-  constructor(limits: TokenBucketLimits, nowMs: number) {
+  constructor(
+    limits: { readonly perSecond: number; readonly max: number },
+    nowMs: number,
+  ) {
     this.#perSecond = limits.perSecond;
     this.#max = limits.max;
-    this.#min = -(limits.maxOwed ?? Infinity);
     this.#tokens = limits.max;
     this.#updatedAtMs = nowMs;
   }
@@ -65,7 +59,7 @@
   }
 
   take(): void {
-    this.#tokens = Math.max(this.#min, this.#tokens - 1);
+    this.#tokens -= 1;
   }
 
   /** Time until there are this many tokens. */
@@ -83,13 +77,10 @@
 
   constructor(options: SmallChunkLimiterOptions) {
     this.#options = options;
-    // Each new connection may be handed a read at once, and the others would pay
-    // for those that are closed by then.
-    this.#total = new TokenBucket({
-      perSecond: TOTAL_CHUNKS_PER_S,
-      max: TOTAL_BURST_CHUNKS,
-      maxOwed: TOTAL_BURST_CHUNKS,
-    }, options.nowMs());
+    this.#total = new TokenBucket(
+      { perSecond: TOTAL_CHUNKS_PER_S, max: TOTAL_BURST_CHUNKS },
+      options.nowMs(),
+    );
   }
 
   /** @param resume Called when a connection that had to pause may go on */
