Bound the bytes of bodies and the waiting messages that one turn takes

What was seen: with 32 bodies of 2 MB readable in the same turn, 48.9 MB were taken in it (connection_reads_test.ts without the bound); 60 clients with 1,000 requests each delayed readiness by 389 ms beside load 30, as a message that waits counted as one small chunk but costs some 30 us to parse.

Now 4 MB of bodies end the turn for all connections, and a waiting message counts as eight small chunks.

--- a/packages/daemon/src/http/connection_reads.ts
+++ b/packages/daemon/src/http/connection_reads.ts
@@ -27,6 +27,11 @@
   /** Requests that were read before wait for their turn. */
   | "pipelining";
 
+/** Cost of parsing a message, in small chunks. */
+const MESSAGE_CHUNKS = 8;
+/** Of all connections together, in one turn of the event loop. */
+const MAX_BYTES_PER_TURN = 4 * 1024 * 1024;
+
 /** Called once for each connection and reason. */
 export type PauseListener = (reason: PauseReason, socket: Socket) => void;
 
@@ -66,8 +71,13 @@
     if (!this.isPaused && !this.#socket.destroyed) this.#socket.resume();
   }
 
-  /** Counts a received chunk, or a message as a chunk of 0 bytes. */
+  /** Counts a message that has to wait; its parsing costs as much as chunks do. */
+  countMessage(): void {
+    for (let n = 0; n < MESSAGE_CHUNKS; n++) this.countChunk(0);
+  }
+
   countChunk(bytes: number): void {
+    this.#reads.countBytes(bytes);
     this.#limiter ??= this.#reads.limiter.forConnection(() => {
       this.resume("smallChunks");
     });
@@ -83,6 +93,7 @@
   readonly onPaused: PauseListener;
   readonly #connections = new Map<Socket, ConnectionRead>();
   #isTurnUsedUp = false;
+  #bytesInTurn = 0;
 
   constructor(
     limiter: SmallChunkLimiter,
@@ -112,9 +123,25 @@
     return connection;
   }
 
+  /** Bounds the time in which large bodies are copied. */
+  countBytes(bytes: number): void {
+    if (bytes === 0) return;
+    if (this.#bytesInTurn === 0) {
+      this.limiter.onNextTurn(() => {
+        this.#bytesInTurn = 0;
+      });
+    }
+    this.#bytesInTurn += bytes;
+    if (this.#bytesInTurn >= MAX_BYTES_PER_TURN) this.#endTurn();
+  }
+
   /** Reads nothing more in this turn if the share of it is used up. */
   checkTurn(): void {
-    if (this.#isTurnUsedUp || !this.limiter.isTurnUsedUp) return;
+    if (this.limiter.isTurnUsedUp) this.#endTurn();
+  }
+
+  #endTurn(): void {
+    if (this.#isTurnUsedUp) return;
     this.#isTurnUsedUp = true;
     for (const connection of this.#connections.values()) {
       connection.pause("turn");
--- a/packages/daemon/src/http/connection_reads_test.ts
+++ b/packages/daemon/src/http/connection_reads_test.ts
@@ -3,13 +3,17 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { ConnectionReads } from "./connection_reads.js";
+import { type ConnectionRead, ConnectionReads } from "./connection_reads.js";
 import { createSmallChunkLimiter } from "./small_chunk_limiter.js";
 
 const HEAD = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 const FLOOD = "1\r\nx\r\n".repeat(20_000);
 /** One read of the HTTP library. */
 const MAX_READ_CHUNKS = 65_536 / 6;
+const MAX_READ_BYTES = 65_536;
+const MAX_TURN_BYTES = 4 * 1024 * 1024;
+const BODY_COUNT = 32;
+const BODY_BYTES = 2_000_000;
 const SETTLE_MS = 100;
 
 describe("ConnectionReads", () => {
@@ -109,4 +113,31 @@
     // A turn may hold the end of a connection's share and another's whole read.
     expect(Math.max(...turns)).toBeLessThanOrEqual(2 * MAX_READ_CHUNKS);
   });
+
+  it("takes a bounded number of bytes a turn, however many bodies arrive", async () => {
+    let bytesInTurn = 0;
+    let mostBytes = 0;
+    let received = 0;
+    const paused: ConnectionRead[] = [];
+    server.on("request", (message) => {
+      const connection = reads.of(message.socket);
+      connection.pause("memory");
+      paused.push(connection);
+      message.on("data", (chunk: Buffer) => {
+        if (bytesInTurn === 0) setImmediate(() => (bytesInTurn = 0));
+        bytesInTurn += chunk.length;
+        received += chunk.length;
+        mostBytes = Math.max(mostBytes, bytesInTurn);
+      });
+    });
+    const head =
+      `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${BODY_BYTES}\r\n\r\n`;
+    for (let n = 0; n < BODY_COUNT; n++) open(head + "x".repeat(BODY_BYTES));
+    while (paused.length < BODY_COUNT) await sleep(10);
+    // The bodies wait in the kernel, and become readable in the same turn.
+    await sleep(5 * SETTLE_MS);
+    for (const connection of paused) connection.resume("memory");
+    while (received < BODY_COUNT * BODY_BYTES) await sleep(10);
+    expect(mostBytes).toBeLessThanOrEqual(MAX_TURN_BYTES + MAX_READ_BYTES);
+  });
 });
--- a/packages/daemon/src/http/pipelined_requests.ts
+++ b/packages/daemon/src/http/pipelined_requests.ts
@@ -63,7 +63,7 @@
       return;
     }
     this.#waiting.push(start);
-    this.#connection.countChunk(0);
+    this.#connection.countMessage();
     this.#connection.pause("pipelining");
   }
 
