Account for responses that are being received

Buffered responses and partial events of all calls had a limit each (4 MB, 256 kB) but none for their sum. They are in the account as "serverResponses" now; where it is full, the call that holds most with the least progress ends as broken ("evicted"), those of requests that can't be repeated last.

--- a/packages/daemon/src/forwarding/event_splitter.ts
+++ b/packages/daemon/src/forwarding/event_splitter.ts
@@ -5,7 +5,8 @@
  * @module
  */
 
-import { GrowingBuffer } from "../memory/growing_buffer.js";
+import type { AccountedBuffer } from "../memory/accounted_buffer.js";
+import type { GrowingBuffer } from "../memory/growing_buffer.js";
 
 export interface CompleteEvents {
   readonly bytes: Buffer;
@@ -22,12 +23,16 @@
  *
  * @example
  * ```ts
- * const splitter = new EventSplitter();
+ * const splitter = new EventSplitter(new GrowingBuffer());
  * const { bytes, lastId } = splitter.push(chunk);
  * ```
  */
 export class EventSplitter {
-  readonly #partialEvent = new GrowingBuffer();
+  readonly #partialEvent: GrowingBuffer | AccountedBuffer;
+
+  constructor(partialEvent: GrowingBuffer | AccountedBuffer) {
+    this.#partialEvent = partialEvent;
+  }
 
   /** Size of the buffered event. */
   get partialEventBytes(): number {
--- a/packages/daemon/src/forwarding/event_splitter_test.ts
+++ b/packages/daemon/src/forwarding/event_splitter_test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { describe, it, mock } from "node:test";
 import { countRetainedChunks } from "../testing/count_retained.js";
+import { GrowingBuffer } from "../memory/growing_buffer.js";
 import { EventSplitter } from "./event_splitter.js";
 
 const STREAM = "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\nid: 3\n\n";
@@ -11,7 +12,7 @@
     fc.assert(fc.property(
       fc.array(fc.integer({ min: 1, max: 12 }), { minLength: 1 }),
       (sizes) => {
-        const splitter = new EventSplitter();
+        const splitter = new EventSplitter(new GrowingBuffer());
         let emitted = "";
         let lastId: string | undefined;
         let offset = 0;
@@ -31,7 +32,7 @@
   });
 
   it("buffers an incomplete event", () => {
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter(new GrowingBuffer());
     const complete = splitter.push(Buffer.from("id: 7\ndata: a\n\nid: 8\nda"));
     expect(complete.bytes.toString()).toEqual("id: 7\ndata: a\n\n");
     expect(complete.lastId).toEqual("7");
@@ -39,7 +40,7 @@
   });
 
   it("doesn't keep an object for each chunk, nor copy all bytes for each", async () => {
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter(new GrowingBuffer());
     const event = Buffer.from(`data: ${"x".repeat(100_000)}`);
     const concat = mock.method(Buffer, "concat");
     const retained = await countRetainedChunks(event, 4, (chunk) => {
@@ -57,7 +58,7 @@
     const stream = "data: a\r\n\r\ndata: b\n\ndata: c\r\n\r\n";
     for (let at = 1; at < stream.length; at++) {
       for (let next = at; next <= stream.length; next++) {
-        const splitter = new EventSplitter();
+        const splitter = new EventSplitter(new GrowingBuffer());
         const parts = [
           stream.slice(0, at),
           stream.slice(at, next),
--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -7,6 +7,7 @@
 import type { ClientAccount, Route } from "../routing/routing_configuration.js";
 import type { DataCentreName, ServiceName } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
+import type { BufferAccount } from "../memory/buffer_account.js";
 import type { LatencyRecords } from "../observability/latency_records.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
@@ -35,6 +36,8 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
+  /** Accounts for responses that are being received. */
+  readonly buffers: BufferAccount;
   readonly logger: Logger;
 }
 
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -6,7 +6,7 @@
 
 import { makeDeferred } from "../deferred.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
-import { GrowingBuffer } from "../memory/growing_buffer.js";
+import { AccountedBuffer } from "../memory/accounted_buffer.js";
 import { observeCall } from "./observe_call.js";
 import type { ForwardContext } from "./forward_context.js";
 import { requestDigest } from "./request_digest.js";
@@ -73,6 +73,8 @@
    * the server; the listener's `onFailure` is called.
    */
   endOversized(detail: string): void;
+  /** Ends a call to free memory; the listener's `onFailure` is called. */
+  evict(): void;
   /** Called for each event of a stream once it is complete. */
   recordEvent(): void;
 }
@@ -172,6 +174,15 @@
       call.cancel();
       fail({ kind: "broken", detail, remainingConnections: "notChecked" });
     },
+    evict: () => {
+      if (isFinished) return;
+      call.cancel();
+      fail({
+        kind: "broken",
+        detail: "evicted",
+        remainingConnections: "notChecked",
+      });
+    },
     recordEvent: () => {
       hasFirstEvent = true;
       observation.recordEvent();
@@ -210,6 +221,22 @@
   metrics.countEvent("sentToRateLimitedServer");
 }
 
+/** Opens a buffer for bytes of the response in the account of the process. */
+export function openResponseBuffer(
+  { context }: AttemptInput,
+  evict: () => void,
+): AccountedBuffer {
+  return new AccountedBuffer({
+    account: context.environment.buffers,
+    use: "serverResponses",
+    holder: {
+      isIrreplaceable: () =>
+        context.route.repeatability.kind === "nonIdempotent",
+      evict,
+    },
+  });
+}
+
 /** A call whose response is being buffered. */
 export interface RunningAttempt {
   readonly result: Promise<AttemptResult>;
@@ -221,7 +248,9 @@
 /** Calls the server and buffers its complete response. */
 export function runBufferedAttempt(input: AttemptInput): RunningAttempt {
   const result = makeDeferred<AttemptResult>();
-  const body = new GrowingBuffer();
+  const body = openResponseBuffer(input, () => {
+    call.evict();
+  });
   let head: ResponseHead | undefined;
   const call = startCall(input, {
     onHead: (newHead) => {
@@ -233,9 +262,10 @@
       } else body.append(chunk);
     },
     onEnd: () => {
-      result.resolve(classifyResponse(head, body));
+      result.resolve(classifyResponse(head, body.take()));
     },
     onFailure: (failure) => {
+      body.take();
       result.resolve(classifyFailure(head, failure));
     },
   });
@@ -243,6 +273,7 @@
     result: result.promise,
     cancel: () => {
       call.cancel();
+      body.take();
       result.resolve({ kind: "broken", detail: "canceled" });
     },
     cancelIfNotSent: () => call.cancelIfNotSent(),
@@ -251,14 +282,14 @@
 
 function classifyResponse(
   head: ResponseHead | undefined,
-  body: GrowingBuffer,
+  body: Buffer,
 ): AttemptResult {
   if (head === undefined) return { kind: "broken", detail: "noHead" };
   if (head.isNotRun) {
     return { kind: "notRun", isInputGone: head.isInputGone };
   }
   if (!head.isGenuine) return { kind: "broken", detail: "notGenuine" };
-  return { kind: "answered", response: { head, body: body.take() } };
+  return { kind: "answered", response: { head, body } };
 }
 
 /** A head that says "not run" is conclusive even if the body is incomplete. */
--- a/packages/daemon/src/forwarding/stream_call.ts
+++ b/packages/daemon/src/forwarding/stream_call.ts
@@ -4,13 +4,14 @@
  * @module
  */
 
-import { GrowingBuffer } from "../memory/growing_buffer.js";
+import type { AccountedBuffer } from "../memory/accounted_buffer.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
 import { type CompleteEvents, EventSplitter } from "./event_splitter.js";
 import {
   type AttemptInput,
   classifyFailure,
   MAX_BUFFERED_RESPONSE_BYTES,
+  openResponseBuffer,
   startCall,
   type StartedCall,
 } from "./run_attempt.js";
@@ -53,8 +54,9 @@
   readonly startedAtMs: number;
   readonly #attempt: AttemptInput;
   readonly #listener: StreamCallListener;
-  readonly #splitter = new EventSplitter();
-  readonly #nonStreamBody = new GrowingBuffer();
+  /** A partial event, or the body of a response that isn't a stream. */
+  readonly #buffer: AccountedBuffer;
+  readonly #splitter: EventSplitter;
   readonly #call: StartedCall;
   #head: ResponseHead | undefined;
   #lastReceivedAtMs: number;
@@ -65,6 +67,10 @@
   constructor(attempt: AttemptInput, listener: StreamCallListener) {
     this.#attempt = attempt;
     this.#listener = listener;
+    this.#buffer = openResponseBuffer(attempt, () => {
+      this.#call.evict();
+    });
+    this.#splitter = new EventSplitter(this.#buffer);
     this.startedAtMs = this.#nowMs();
     this.#lastReceivedAtMs = this.startedAtMs;
     this.#call = startCall(attempt, {
@@ -105,6 +111,7 @@
   }
 
   cancel(): void {
+    this.#buffer.take();
     this.#setSilent(false);
     this.#call.cancel();
   }
@@ -123,6 +130,7 @@
 
   #end(result: StreamCallResult): void {
     this.#isEnded = true;
+    this.#buffer.take();
     this.#setSilent(false);
     this.#listener.onResult(this, result);
   }
@@ -134,6 +142,8 @@
       return;
     }
     const events = this.#splitter.push(chunk);
+    // The call may have been ended to free memory.
+    if (this.#isEnded) return;
     if (events.bytes.length > 0) {
       this.#call.recordEvent();
       this.#listener.onEvents(this, head, events);
@@ -146,10 +156,10 @@
 
   /** Buffers a response that isn't a stream. */
   #bufferBody(chunk: Buffer): void {
-    const bytes = this.#nonStreamBody.length + chunk.length;
+    const bytes = this.#buffer.length + chunk.length;
     if (bytes > MAX_BUFFERED_RESPONSE_BYTES) {
       this.#call.endOversized("bodyTooLarge");
-    } else this.#nonStreamBody.append(chunk);
+    } else this.#buffer.append(chunk);
   }
 
   #classifyResponse(): StreamCallResult {
@@ -160,7 +170,7 @@
     }
     if (!head.isGenuine) return { kind: "broken", detail: "notGenuine" };
     if (!isStream(head)) {
-      return { kind: "answered", head, body: this.#nonStreamBody.take() };
+      return { kind: "answered", head, body: this.#buffer.take() };
     }
     if (this.#splitter.partialEventBytes === 0) {
       return { kind: "streamed", head };
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { BufferAccount } from "../../memory/buffer_account.js";
 import { NO_NOTICE } from "../../register/server_notice.js";
 import { ServerNotices } from "../../register/server_notices.js";
 import {
@@ -167,6 +168,11 @@
     poisonParts: makePoisonParts(),
     serverNotices: new ServerNotices({ register, clock, metrics, logger }),
     routeStatistics: new RouteStatistics(),
+    buffers: new BufferAccount({
+      maxBytes: Infinity,
+      nowMs: () => 0,
+      onEvicted: () => undefined,
+    }),
     dataCentre: toId<DataCentreName>("east"),
     clock,
     metrics,
--- a/packages/daemon/src/forwarding/testing/simulated_stream.ts
+++ b/packages/daemon/src/forwarding/testing/simulated_stream.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { BufferAccount } from "../../memory/buffer_account.js";
 import { ServerNotices } from "../../register/server_notices.js";
 import { NO_NOTICE } from "../../register/server_notice.js";
 import {
@@ -186,6 +187,11 @@
         poisonParts: this.#options.poisonParts ?? makePoisonParts(),
         serverNotices: new ServerNotices({ register, clock, metrics, logger }),
         routeStatistics: new RouteStatistics(),
+        buffers: new BufferAccount({
+          maxBytes: Infinity,
+          nowMs: () => 0,
+          onEvicted: () => undefined,
+        }),
         dataCentre: toId<DataCentreName>("east"),
         clock,
         metrics,
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -15,6 +15,7 @@
 import { RouteStatistics } from "./forwarding/route_statistics.js";
 import type { ServerCaller } from "./forwarding/server_caller.js";
 import type { Shutdown } from "./forwarding/shutdown_admission.js";
+import type { BufferAccount } from "./memory/buffer_account.js";
 import { EventLoopMonitor } from "./observability/event_loop_monitor.js";
 import type { LatencyRecords } from "./observability/latency_records.js";
 import type { Logger } from "./observability/logger.js";
@@ -54,6 +55,7 @@
   readonly processorCores: number;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
+  readonly buffers: BufferAccount;
   readonly logger: Logger;
   readonly onRoutes: (table: RouteTable) => void;
   readonly onServerEnded: (server: RegisteredServer) => void;
@@ -202,6 +204,7 @@
         clock,
         metrics,
         latencies,
+        buffers: options.buffers,
         logger,
       },
       table: () => this.#deployment.table,
