Bound what frames and calls through peers cost

Frames that arrived in one read were all handled in one turn (20,000 of 2 bytes in the test): after 256 the rest waits for the next turn. A relayed request's body is collected in one block, and no more of it is taken than was stated.

--- a/packages/daemon/src/peers/frame_channel.ts
+++ b/packages/daemon/src/peers/frame_channel.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { decodePayload } from "./frame_codec.js";
 import { FrameSplitter } from "./frame_splitter.js";
 import { PeerError } from "./peer_error.js";
@@ -13,6 +14,8 @@
 export const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 /** Above this many bytes of frames that wait, nothing more is read. */
 const MAX_UNREAD_BYTES = 256 * 1024;
+/** More frames that arrived together are handled in later turns. */
+const MAX_FRAMES_PER_TURN = 256;
 /** Maximum frame size until the peer is authenticated. */
 const MAX_HANDSHAKE_FRAME_BYTES = 4096;
 
@@ -39,6 +42,7 @@
   #wake: (() => void) | undefined;
   #end: "open" | "ended" | "failed" = "open";
   #failure: unknown;
+  #framesInTurn = 0;
   #isCorked = false;
   #closeReason: PeerError | undefined;
 
@@ -103,12 +107,16 @@
   async receive(): Promise<unknown> {
     for (;;) {
       const payload = this.#splitter.next();
-      if (payload !== undefined) return decodePayload(payload);
+      if (payload !== undefined) {
+        if (this.#usesUpTurn()) await nextTurn();
+        return decodePayload(payload);
+      }
       if (this.#end === "failed") throw this.#failureError();
       if (this.#end === "ended") {
         this.#splitter.finish();
         return undefined;
       }
+      this.#framesInTurn = 0;
       if (this.#socket.isPaused()) this.#socket.resume();
       await new Promise<void>((resolve) => {
         this.#wake = resolve;
@@ -117,6 +125,14 @@
     }
   }
 
+  /** Counts a frame; returns whether other work has to run before it. */
+  #usesUpTurn(): boolean {
+    this.#framesInTurn += 1;
+    if (this.#framesInTurn <= MAX_FRAMES_PER_TURN) return false;
+    this.#framesInTurn = 1;
+    return true;
+  }
+
   /** Sends the buffered data, then ends this side of the connection. */
   end(): void {
     this.#socket.end();
--- a/packages/daemon/src/peers/frame_channel_test.ts
+++ b/packages/daemon/src/peers/frame_channel_test.ts
@@ -37,4 +37,38 @@
     acceptedSocket.destroy();
     server.close();
   });
+
+  it("doesn't handle all frames of one read in the same turn", async () => {
+    const server = createServer();
+    server.listen({ host: "127.0.0.1", port: 0 });
+    await once(server, "listening");
+    const bound = server.address();
+    if (bound === null || typeof bound === "string") throw new TypeError();
+    const accepted = once(server, "connection");
+    const socket = connect({ host: "127.0.0.1", port: bound.port });
+    const [acceptedSocket] = await accepted as [Socket];
+    const channel = new FrameChannel(socket, {
+      maxBufferedBytes: MAX_BUFFERED_BYTES,
+    });
+    const frames = 20_000;
+    acceptedSocket.write(
+      Buffer.concat(Array.from({ length: frames }, () => encodeFrame(7))),
+    );
+    let turnFrames = 0;
+    let mostTurnFrames = 0;
+    for (let received = 0; received < frames; received++) {
+      expect(await channel.receive()).toEqual(7);
+      if (turnFrames === 0) {
+        setImmediate(() => {
+          turnFrames = 0;
+        });
+      }
+      turnFrames += 1;
+      mostTurnFrames = Math.max(mostTurnFrames, turnFrames);
+    }
+    expect(mostTurnFrames).toBeLessThan(1000);
+    socket.destroy();
+    acceptedSocket.destroy();
+    server.close();
+  });
 });
--- a/packages/daemon/src/server_reach/relayed_call_run.ts
+++ b/packages/daemon/src/server_reach/relayed_call_run.ts
@@ -15,7 +15,9 @@
   ServerCall,
   ServerCaller,
 } from "../forwarding/server_caller.js";
+import { GrowingBuffer } from "../memory/growing_buffer.js";
 import type { RegisteredServer } from "../register/server_register.js";
+import { PartQueue } from "./part_queue.js";
 import {
   MAX_RELAY_BACKLOG_BYTES,
   RELAY_WINDOW_BYTES,
@@ -43,20 +45,19 @@
   readonly #options: RelayedCallRunOptions;
   readonly #receivedAtMs: number;
   readonly #timer: NodeJS.Timeout;
-  #body: Buffer[] = [];
-  #bodyBytes = 0;
+  readonly #body: GrowingBuffer;
   #running: RunningServerCall | undefined;
   #isStarted = false;
   #isEnded = false;
   #creditBytes = RELAY_WINDOW_BYTES;
   /** Parts of the response for which there is no credit yet. */
-  #backlog: Buffer[] = [];
-  #backlogBytes = 0;
+  readonly #backlog = new PartQueue();
   /** Waits for the backlog to be sent. */
   #lastEvent: RelayedCallEvent | undefined;
 
   constructor(options: RelayedCallRunOptions) {
     this.#options = options;
+    this.#body = new GrowingBuffer(options.call.bodyBytes);
     this.#receivedAtMs = options.clock.nowMs();
     this.#timer = setTimeout(() => {
       this.cancel("timedOut");
@@ -69,15 +70,20 @@
 
   addBody(data: Buffer): void {
     if (this.#isStarted) return;
-    this.#body.push(data);
-    this.#bodyBytes += data.length;
+    // One that sends more than it stated isn't believed.
+    const { bodyBytes } = this.#options.call;
+    if (this.#body.length + data.length > bodyBytes) {
+      this.cancel("bodyTooLarge");
+      return;
+    }
+    this.#body.append(data);
     this.startIfComplete();
   }
 
   /** Starts the call once the request's body has arrived. */
   startIfComplete(): void {
     if (this.#isStarted || this.#isEnded) return;
-    if (this.#bodyBytes < this.#options.call.bodyBytes) return;
+    if (this.#body.length < this.#options.call.bodyBytes) return;
     this.#isStarted = true;
     const running = this.#options.caller.start(this.#toServerCall(), {
       onSend: () => {
@@ -118,11 +124,10 @@
 
   #addResponse(chunk: Buffer): void {
     if (this.#isEnded) return;
-    this.#backlog.push(...splitChunk(chunk));
-    this.#backlogBytes += chunk.length;
+    for (const part of splitChunk(chunk)) this.#backlog.push(part);
     this.#sendBacklog();
-    if (this.#backlogBytes <= MAX_RELAY_BACKLOG_BYTES) return;
-    this.#backlog = [];
+    if (this.#backlog.bytes <= MAX_RELAY_BACKLOG_BYTES) return;
+    this.#backlog.clear();
     this.#running?.cancel();
     this.#finish({
       kind: "broken",
@@ -136,10 +141,9 @@
       const data = this.#backlog.shift();
       if (data === undefined) break;
       this.#creditBytes -= data.length;
-      this.#backlogBytes -= data.length;
       this.#send({ kind: "data", data });
     }
-    if (this.#backlog.length > 0 || this.#lastEvent === undefined) return;
+    if (this.#backlog.blocks > 0 || this.#lastEvent === undefined) return;
     this.#send(this.#lastEvent);
     this.#end(this.#lastEvent.kind);
   }
@@ -173,7 +177,7 @@
         method: call.method,
         path: call.path,
         headers: call.headers,
-        body: Buffer.concat(this.#body),
+        body: this.#body.take(),
         key: undefined,
         deadlineInMs: undefined,
         prompt: undefined,
