Wait for the call in the test of accounted responses

It waited 20 ms for a call to start; beside load 26 the call hadn't started once (one failure of /issue/1 in a run with 3 test processes). It waits for the call; what it checks is the same.

--- a/packages/daemon/src/forwarding/response_memory_test.ts
+++ b/packages/daemon/src/forwarding/response_memory_test.ts
@@ -62,8 +62,9 @@
 
   async start(path: string): Promise<RecordingChannel> {
     const channel = new RecordingChannel();
+    const callCount = this.calls.length;
     void this.#forwarder.forward(makeRoutedRequest(path), channel);
-    await sleep(SETTLE_MS);
+    while (this.calls.length === callCount) await sleep(1);
     return channel;
   }
 
