--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -55,8 +55,8 @@
   readonly processorCores: number;
   /** Maximum number of items of all stages of one request. */
   readonly maxStageItems?: number;
-  /** Bounds the memory of the stages of all requests. */
-  readonly buffers?: BufferAccount;
+  /** All bytes that are buffered for others. */
+  readonly buffers: BufferAccount;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
   readonly logger: Logger;
@@ -210,6 +210,7 @@
         clock,
         metrics,
         latencies,
+        buffers: options.buffers,
         logger,
       },
       table: () => this.#deployment.table,
