Don't read connections that are paused as they are accepted

What was seen: 765 connections of 64 kB in chunks of one byte, opened within 4 s and closed again, kept all other clients from being served for more than 15 s, while the process was ready.

One cause: the HTTP library has scheduled a resumption of a new connection before it can be paused. When that comes, the socket counts as paused already, so pausing it again changes nothing, and the library reads it: each accepted connection used up a whole turn. The library is now told of the pause again.

The test pauses a connection as it is accepted; before, its request was read within 0.1 s.

--- a/packages/daemon/src/http/connection_reads.ts
+++ b/packages/daemon/src/http/connection_reads.ts
@@ -46,9 +46,13 @@
   constructor(socket: Socket, reads: ConnectionReads) {
     this.#socket = socket;
     this.#reads = reads;
-    // The HTTP library resumes the socket whenever it wants more of a message.
+    // The HTTP library resumes the socket whenever it wants more of a message. A
+    // resumption may also have been scheduled before the pause, as for each new
+    // connection: the socket then counts as paused, and yet the library reads it.
     socket.on("resume", () => {
-      if (this.isPaused) socket.pause();
+      if (!this.isPaused) return;
+      socket.pause();
+      socket.emit("pause");
     });
   }
 
--- a/packages/daemon/src/http/connection_reads_test.ts
+++ b/packages/daemon/src/http/connection_reads_test.ts
@@ -85,6 +85,26 @@
     expect(received).toEqual(0);
   });
 
+  it("reads nothing from a connection that is paused as it is accepted", async () => {
+    let requests = 0;
+    server.on("request", () => {
+      requests += 1;
+    });
+    server.once("connection", (socket) => {
+      const connection = reads.of(socket);
+      connection.pause("turn");
+      setTimeout(() => {
+        expect(requests).toEqual(0);
+        connection.resume("turn");
+      }, 2 * SETTLE_MS);
+    });
+    open(HEAD);
+    await sleep(SETTLE_MS);
+    expect(requests).toEqual(0);
+    await sleep(2 * SETTLE_MS);
+    expect(requests).toEqual(1);
+  });
+
   it("goes on with a connection once no reason to pause is left", async () => {
     let received = 0;
     server.once("request", (message) => {
