--- a/packages/daemon/src/stage_graphs/pending_graph.ts
+++ b/packages/daemon/src/stage_graphs/pending_graph.ts
@@ -10,7 +10,6 @@
   StageGraph,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
-import type { FormerCoordinators } from "./former_coordinators.js";
 import type { PeerIdentity } from "../peers/peer_network.js";
 
 /** Final outcome of a graph, whichever VM ran it. */
@@ -30,10 +29,6 @@
   /** To the present coordinator. */
   submittedAtMs: number;
   isSettled: boolean;
-  /** Lost coordinators that may still bring the outcome. */
-  readonly formers: FormerCoordinators;
-  /** Of the present coordinator, while a former one may bring the results. */
-  heldRefusal: GraphOutcome | undefined;
 }
 
 /** Includes the incarnation, as request numbers restart with the process. */
--- a/packages/daemon/src/stage_graphs/reconnect_grace.ts
+++ b/packages/daemon/src/stage_graphs/reconnect_grace.ts
@@ -21,8 +21,6 @@
 const RECONNECT_GRACE_MS = 500;
 /** Jobs of an owner that stays disconnected for longer are canceled. */
 const OWNER_GRACE_MS = 1500;
-/** How long a lost coordinator keeps a graph after it was submitted elsewhere. */
-export const JOB_LIFETIME_AFTER_LOSS_MS = OWNER_GRACE_MS - RECONNECT_GRACE_MS;
 
 export class ReconnectGrace {
   readonly #options: ReconnectGraceOptions;
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -21,8 +21,6 @@
 } from "../peers/peer_network.js";
 import { coordinatorCandidates, isCutOff } from "./coordinator_candidates.js";
 import { CoordinatorSelector } from "./coordinator_selector.js";
-import { FormerCoordinators } from "./former_coordinators.js";
-import { FormerOutcomes, releaseAt } from "./former_outcomes.js";
 import { findSilentCoordinators } from "./find_silent_coordinators.js";
 import {
   type GraphOutcome,
@@ -66,7 +64,6 @@
   readonly #pending = new Map<number, PendingGraph>();
   readonly #selector = new CoordinatorSelector();
   readonly #grace: ReconnectGrace;
-  readonly #former: FormerOutcomes;
   readonly #incarnations = new Map<VmId, Incarnation>();
   readonly #timer: NodeJS.Timeout;
   /** The coordinator chosen last for each group. */
@@ -87,12 +84,6 @@
         options.coordinator.cancelOwnedBy(vmId);
       },
     });
-    this.#former = new FormerOutcomes({
-      ...options,
-      settle: (pending, outcome) => {
-        this.#settle(pending, outcome);
-      },
-    });
     network.messages.on("stageGraphRun", (received) => {
       this.#handleRun(received);
     });
@@ -117,9 +108,6 @@
     });
     network.lifecycle.on("membershipChanged", () => {
       this.#resubmitFromSilentPeers();
-      for (const pending of this.#pending.values()) {
-        this.#former.settleHeld(pending);
-      }
     });
     this.#lastAnnounceAtMs = options.clock.nowMs();
     this.#timer = setInterval(() => {
@@ -150,8 +138,6 @@
       settle: outcome.resolve,
       coordinator: this.#options.network.self.vmId,
       isSettled: false,
-      formers: new FormerCoordinators(),
-      heldRefusal: undefined,
     };
     this.#pending.set(requestNumber, pending);
     this.#submit(pending);
@@ -177,11 +163,6 @@
       coordinator.cancelOwnedBy(peer.vmId);
     }
     this.#incarnations.set(peer.vmId, peer.incarnation);
-    const isSameProcess = knownIncarnation === undefined ||
-      knownIncarnation === peer.incarnation;
-    for (const pending of this.#pending.values()) {
-      this.#former.handleConnected(pending, peer.vmId, isSameProcess);
-    }
     for (const pending of this.#unfinishedAt(peer.vmId)) {
       network.send(
         peer.vmId,
@@ -199,7 +180,6 @@
   /** @param failedSends Earlier sends that failed as the link was down */
   #submit(pending: PendingGraph, failedSends = 0): void {
     const { network, coordinator } = this.#options;
-    pending.heldRefusal = undefined;
     pending.coordinator = this.#chooseCoordinator(pending.group);
     pending.submittedAtMs = this.#options.clock.nowMs();
     const isLocal = pending.coordinator === network.self.vmId;
@@ -209,10 +189,7 @@
           pending.coordinator,
           toRunMessage(pending, this.#options.clock.nowMs()),
         )
-      ) {
-        pending.formers.remove(pending.coordinator);
-        return;
-      }
+      ) return;
       if (failedSends < MAX_SEND_RETRIES) {
         this.#submitLater(pending, failedSends + 1);
         return;
@@ -355,9 +332,6 @@
       this.#settle(pending, message.outcome);
       return;
     }
-    if (pending !== undefined && this.#former.take(pending, received)) {
-      return;
-    }
     // Outcome from a former coordinator; its results are not needed.
     this.#options.metrics.countDrop("lateResult");
     this.#options.network.send(from.vmId, {
@@ -372,9 +346,6 @@
       this.#resubmitSoon(pending);
       return;
     }
-    if (outcome.kind === "refused" && this.#former.hold(pending, outcome)) {
-      return;
-    }
     pending.isSettled = true;
     if (outcome.kind === "refused") this.#pending.delete(pending.requestNumber);
     pending.settle(outcome);
@@ -394,9 +365,16 @@
   #release(pending: PendingGraph): void {
     if (!this.#pending.delete(pending.requestNumber)) return;
     pending.isSettled = true;
-    for (const vmId of [pending.coordinator, ...pending.formers.all()]) {
-      releaseAt(this.#options, vmId, pending.requestNumber);
+    const { network, coordinator } = this.#options;
+    const { requestNumber } = pending;
+    if (pending.coordinator === network.self.vmId) {
+      coordinator.release(jobId(network.self, requestNumber));
+      return;
     }
+    network.send(pending.coordinator, {
+      type: "stageGraphRelease",
+      requestNumber,
+    });
   }
 
   #resubmitFromSilentPeers(): void {
@@ -420,10 +398,6 @@
       "stageGraphResubmitted",
       unfinished.length,
     );
-    const nowMs = this.#options.clock.nowMs();
-    for (const pending of unfinished) {
-      pending.formers.add(vmId, nowMs);
-      this.#submit(pending);
-    }
+    for (const pending of unfinished) this.#submit(pending);
   }
 }
