--- a/packages/daemon/src/deployment/deployment_object_format.ts
+++ b/packages/daemon/src/deployment/deployment_object_format.ts
@@ -18,11 +18,7 @@
 import type { RoutingConfiguration } from "../routing/routing_configuration.js";
 import type { ServedVersionFormat } from "../stream_versions/served_versions.js";
 import type { ServerReport } from "../register/server_register.js";
-
-/** The value of an object, or the reason why it can't be read. */
-export type ReadResult<Value> =
-  | { readonly kind: "value"; readonly value: Value }
-  | { readonly kind: "unreadable"; readonly detail: string };
+import type { ReadResult } from "./read_result.js";
 
 export interface DeploymentObjectFormat extends ServedVersionFormat {
   readonly configurationPrefix: string;
--- a/packages/daemon/src/forwarding/observe_call.ts
+++ b/packages/daemon/src/forwarding/observe_call.ts
@@ -5,7 +5,7 @@
  */
 
 import type { CallObservation } from "../poison_parts/call_observation.js";
-import type { AttemptInput } from "./run_attempt.js";
+import type { AttemptInput } from "./attempt_input.js";
 import type { ResponseHead, ServerCallFailure } from "./server_caller.js";
 import { suspectsOf } from "./suspects_of.js";
 
--- a/packages/daemon/src/forwarding/replacement_placer.ts
+++ b/packages/daemon/src/forwarding/replacement_placer.ts
@@ -13,7 +13,7 @@
   type ReplacementDecision,
 } from "./replacement_policy.js";
 import { mayRetryAfterCrash, refusePoisonPart } from "./refuse_poison_part.js";
-import type { AttemptInput } from "./run_attempt.js";
+import type { AttemptInput } from "./attempt_input.js";
 import type { ReplacementSource } from "./stream_relay.js";
 import {
   beginRun,
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -5,10 +5,9 @@
  */
 
 import { makeDeferred } from "../deferred.js";
-import type { ServerCandidate } from "../placement/choose_server.js";
 import { AccountedBuffer } from "../memory/accounted_buffer.js";
+import type { AttemptInput } from "./attempt_input.js";
 import { observeCall } from "./observe_call.js";
-import type { ForwardContext } from "./forward_context.js";
 import { requestDigest } from "./request_digest.js";
 import { formatPromptParts } from "./format_prompt_parts.js";
 import type {
@@ -39,15 +38,6 @@
   /** It may have run, but the response is missing or not authentic. */
   | { readonly kind: "broken"; readonly detail: string };
 
-export interface AttemptInput {
-  readonly context: ForwardContext;
-  readonly candidate: ServerCandidate;
-  readonly inputs: readonly string[] | undefined;
-  readonly resumeAfter: string | undefined;
-  /** Called before the listener's `onFailure` if the server has crashed. */
-  readonly onServerCrash?: () => void;
-}
-
 /** Converts the attempt into a call for the backend server adapter. */
 export function toServerCall(input: AttemptInput): ServerCall {
   const { context, candidate, inputs, resumeAfter } = input;
--- a/packages/daemon/src/forwarding/stream_call.ts
+++ b/packages/daemon/src/forwarding/stream_call.ts
@@ -6,9 +6,9 @@
 
 import type { AccountedBuffer } from "../memory/accounted_buffer.js";
 import type { ServerCandidate } from "../placement/choose_server.js";
+import type { AttemptInput } from "./attempt_input.js";
 import { type CompleteEvents, EventSplitter } from "./event_splitter.js";
 import {
-  type AttemptInput,
   classifyFailure,
   MAX_BUFFERED_RESPONSE_BYTES,
   openResponseBuffer,
--- a/packages/daemon/src/forwarding/stream_call_log.ts
+++ b/packages/daemon/src/forwarding/stream_call_log.ts
@@ -4,10 +4,10 @@
  * @module
  */
 
-import type { LogFields } from "../observability/logger.js";
+import type { LogFields } from "../observability/log_fields.js";
 import type { ForwardContext } from "./forward_context.js";
 import type { ReplacementDecision } from "./replacement_policy.js";
-import type { AttemptInput } from "./run_attempt.js";
+import type { AttemptInput } from "./attempt_input.js";
 import type { DropCause, StreamCall } from "./stream_call.js";
 
 export interface SilenceReport {
--- a/packages/daemon/src/forwarding/stream_relay.ts
+++ b/packages/daemon/src/forwarding/stream_relay.ts
@@ -17,7 +17,7 @@
   type ReplacementDecision,
   SILENCE_LIMIT_MS,
 } from "./replacement_policy.js";
-import type { AttemptInput } from "./run_attempt.js";
+import type { AttemptInput } from "./attempt_input.js";
 import type { ResponseHead } from "./server_caller.js";
 import {
   type DropCause,
--- a/packages/daemon/src/forwarding/stream_state.ts
+++ b/packages/daemon/src/forwarding/stream_state.ts
@@ -15,7 +15,7 @@
 import type { ForwardContext } from "./forward_context.js";
 import { placementRequestOf } from "./placement_request.js";
 import type { PreparedInputs } from "./prepare_inputs.js";
-import type { AttemptInput } from "./run_attempt.js";
+import type { AttemptInput } from "./attempt_input.js";
 import type { DropCause } from "./stream_call.js";
 import type { StreamProgress } from "./stream_relay.js";
 
--- a/packages/daemon/src/forwarding/testing/sample_forwarding.ts
+++ b/packages/daemon/src/forwarding/testing/sample_forwarding.ts
@@ -16,7 +16,8 @@
 } from "@sassafrasstage/protocol/ids";
 import { MONOTONIC_CLOCK } from "../../clock.js";
 import { LatencyRecords } from "../../observability/latency_records.js";
-import type { LogFields, Logger } from "../../observability/logger.js";
+import type { LogFields } from "../../observability/log_fields.js";
+import type { Logger } from "../../observability/logger.js";
 import { Metrics } from "../../observability/metrics.js";
 import { ServerDirectory } from "../../placement/server_directory.js";
 import { makeRateLimits } from "../../rate_limits/testing/make_rate_limits.js";
--- a/packages/daemon/src/observability/event_loop_monitor_test.ts
+++ b/packages/daemon/src/observability/event_loop_monitor_test.ts
@@ -1,7 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { EventLoopMonitor } from "./event_loop_monitor.js";
-import type { LogFields, Logger } from "./logger.js";
+import type { LogFields } from "./log_fields.js";
+import type { Logger } from "./logger.js";
 import { Metrics } from "./metrics.js";
 
 class RecordingLogger implements Logger {
--- a/packages/daemon/src/observability/format_log_line.ts
+++ b/packages/daemon/src/observability/format_log_line.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { LogFields } from "./logger.js";
+import type { LogFields } from "./log_fields.js";
 
 /** Values may come from outside; ids of this length are logged whole. */
 const MAX_VALUE_LENGTH = 1024;
--- a/packages/daemon/src/observability/logger.ts
+++ b/packages/daemon/src/observability/logger.ts
@@ -8,6 +8,7 @@
 import { type ConsolaInstance, createConsola } from "consola";
 import { MONOTONIC_CLOCK } from "../clock.js";
 import { formatLogLine } from "./format_log_line.js";
+import type { LogFields } from "./log_fields.js";
 import { LogSink, openNonBlockingStdout } from "./log_sink.js";
 
 export const LOG_LEVELS = ["error", "warn", "info", "debug"] as const;
@@ -20,9 +21,6 @@
   debug: 4,
 };
 
-export type LogValue = string | number | boolean | undefined;
-export type LogFields = Readonly<Record<string, LogValue>>;
-
 export interface Logger {
   error(event: string, fields?: LogFields): void;
   warn(event: string, fields?: LogFields): void;
--- a/packages/daemon/src/pools/state_change.ts
+++ b/packages/daemon/src/pools/state_change.ts
@@ -6,7 +6,7 @@
  */
 
 import type { BackendServerId } from "@sassafrasstage/protocol/ids";
-import type { LogFields } from "../observability/logger.js";
+import type { LogFields } from "../observability/log_fields.js";
 import type { CallReport, ServerState } from "./backend_server_state.js";
 import type { PooledServer } from "./pooled_server.js";
 
--- a/packages/daemon/src/stream_versions/served_versions.ts
+++ b/packages/daemon/src/stream_versions/served_versions.ts
@@ -16,7 +16,7 @@
   VersionObservation,
 } from "@sassafrasstage/protocol/stream_origin";
 import type { Clock } from "../clock.js";
-import type { ReadResult } from "../deployment/deployment_object_format.js";
+import type { ReadResult } from "../deployment/read_result.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { PeerNetwork } from "../peers/peer_network.js";
