Leave the storing of served versions to three VMs

The three VMs that rank first are enough; a VM considers it again when its view changes.

served_versions_test: 8 of 8; on the former code the new case fails, as the last VM reads too.

--- a/packages/daemon/src/stream_versions/served_versions.ts
+++ b/packages/daemon/src/stream_versions/served_versions.ts
@@ -19,7 +19,7 @@
 import type { ReadResult } from "../deployment/read_result.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
-import type { PeerNetwork } from "../peers/peer_network.js";
+import type { MembershipView, PeerNetwork } from "../peers/peer_network.js";
 import { rankByRendezvous } from "../peers/rendezvous.js";
 import type { ObjectStore } from "../platform/object_store.js";
 import type { ServerRegister } from "../register/server_register.js";
@@ -58,12 +58,19 @@
   isStored: boolean;
   /** Since when no server of the version has been registered. */
   absentSinceMs: number | undefined;
+  /** The view by which this VM leaves storing the version to others. */
+  leftToOthersIn: MembershipView | undefined;
 }
 
 const CHECK_INTERVAL_MS = 250;
 /** Time that the VM that ranks first has for storing a version. */
 const OTHER_VM_DELAY_MS = 2000;
 const OTHER_VM_SPREAD_MS = 3000;
+/**
+ * VMs that check that a version is stored. If all VMs did, each of them would
+ * read every version once after its start.
+ */
+const STORING_VM_COUNT = 3;
 const RETRY_DELAY_MS = 1000;
 
 export class ServedVersions implements ServedVersionSource {
@@ -144,7 +151,12 @@
   ): void {
     const name = nameOf(version);
     if (this.#entries.has(name)) return;
-    this.#entries.set(name, { version, isStored, absentSinceMs: undefined });
+    this.#entries.set(name, {
+      version,
+      isStored,
+      absentSinceMs: undefined,
+      leftToOthersIn: undefined,
+    });
   }
 
   #check(): void {
@@ -163,10 +175,21 @@
       const isOver = entry.absentSinceMs !== undefined &&
         nowMs - entry.absentSinceMs >= ORIGIN_RETENTION_MS;
       if (isOver) this.#remove(name, entry);
-      else if (!entry.isStored) void this.#store(name, entry);
+      else if (this.#hasToStore(name, entry)) void this.#store(name, entry);
     }
   }
 
+  #hasToStore(name: string, entry: Entry): boolean {
+    if (entry.isStored) return false;
+    const { network, clock } = this.#options;
+    const view = network.view(clock.nowMs());
+    // The view is replaced when a member changes, so others may rank first then.
+    if (entry.leftToOthersIn === view) return false;
+    if (this.#rankOf(name) < STORING_VM_COUNT) return true;
+    entry.leftToOthersIn = view;
+    return false;
+  }
+
   /** Stores the version unless another VM does. */
   async #store(name: string, entry: Entry): Promise<void> {
     if (this.#writing.has(name)) return;
@@ -174,7 +197,7 @@
     const { store, objectFormat, metrics, logger } = this.#options;
     const key = objectFormat.servedVersionKey(entry.version);
     try {
-      const isFirst = this.#ranksFirst(name);
+      const isFirst = this.#rankOf(name) === 0;
       if (!isFirst) {
         const delayMs = OTHER_VM_DELAY_MS + OTHER_VM_SPREAD_MS * Math.random();
         await sleep(delayMs, undefined, { ref: false });
@@ -200,7 +223,7 @@
 
   #remove(name: string, entry: Entry): void {
     this.#entries.delete(name);
-    if (entry.isStored && this.#ranksFirst(name)) {
+    if (entry.isStored && this.#rankOf(name) === 0) {
       void this.#removeStored(entry.version);
     }
   }
@@ -225,12 +248,13 @@
     }
   }
 
-  #ranksFirst(name: string): boolean {
+  /** Position of this VM among the live ones that may store the version. */
+  #rankOf(name: string): number {
     const { network, clock } = this.#options;
     const live = network.view(clock.nowMs()).members
       .filter(({ state }) => state === "live")
       .map(({ vmId }) => vmId);
-    return rankByRendezvous(name, live)[0] === network.self.vmId;
+    return rankByRendezvous(name, live).indexOf(network.self.vmId);
   }
 }
 
--- a/packages/daemon/src/stream_versions/served_versions_test.ts
+++ b/packages/daemon/src/stream_versions/served_versions_test.ts
@@ -7,6 +7,8 @@
 import { Metrics } from "../observability/metrics.js";
 import { MemoryObjectStore } from "../platform/testing/memory_object_store.js";
 import { ServerRegister } from "../register/server_register.js";
+import type { MembershipView } from "../peers/peer_network.js";
+import { rankByRendezvous } from "../peers/rendezvous.js";
 import { LinkedVm } from "../stage_graphs/testing/linked_vms.js";
 import { ENCODER, makeReport, RERANKER } from "../testing/stage_samples.js";
 import { ServedVersions } from "./served_versions.js";
@@ -17,6 +19,8 @@
 const CHECKED_MS = 400;
 /** Longer than the delay of a retry. */
 const RETRIED_MS = 1500;
+/** Longer than any VM waits before it looks for a version. */
+const LOOKED_UP_MS = 5400;
 const V1 = toId<SoftwareVersion>("v1");
 const V2 = toId<SoftwareVersion>("v2");
 
@@ -37,7 +41,7 @@
     for (const served of started) served.close();
   });
 
-  function start(): ServedVersions {
+  function start(network = new LinkedVm("vm-1")): ServedVersions {
     const served = new ServedVersions({
       store: store.connect(),
       objectFormat: {
@@ -50,7 +54,7 @@
             ? { kind: "value", value: value as StreamOrigin }
             : { kind: "unreadable", detail: "not an object" },
       },
-      network: new LinkedVm("vm-1"),
+      network,
       register,
       clock: { nowMs: () => nowMs },
       metrics: new Metrics(),
@@ -138,4 +142,40 @@
       isComplete: false,
     });
   });
+
+  /** Each VM of a large fleet once read every version after its start. */
+  it("is left to the VMs that rank first while these live", async () => {
+    register.apply(makeReport("a"), 0);
+    const name = `${ENCODER}--${V1}`;
+    const fleet = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
+    const [last = ""] = rankByRendezvous(name, fleet).slice(-1);
+    const network = new FleetMember(last, fleet);
+    start(network);
+    await sleep(LOOKED_UP_MS);
+    expect(store.calls.get("read") ?? 0).toEqual(0);
+    expect(store.objects.size).toEqual(0);
+    network.setFleet([last]);
+    await sleep(CHECKED_MS);
+    expect(store.objects.size).toEqual(1);
+  });
 });
+
+/** A VM whose view lists a fleet of live VMs. */
+class FleetMember extends LinkedVm {
+  #view: MembershipView = { members: [] };
+
+  constructor(name: string, fleet: readonly string[]) {
+    super(name);
+    this.setFleet(fleet);
+  }
+
+  setFleet(names: readonly string[]): void {
+    this.#view = {
+      members: names.flatMap((name) => new LinkedVm(name).view().members),
+    };
+  }
+
+  override view(): MembershipView {
+    return this.#view;
+  }
+}
