Parse the load that servers state in their responses

X-Server-Load is parsed strictly, within bounds, and passed on with the response head and the result of a stage call, also for calls that a peer makes (optional field, so that older builds interoperate). Nothing uses it yet.

--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -9,6 +9,7 @@
 import type { RateLimitStatement } from "../rate_limits/rate_limit_statement.js";
 import type { ServerNotice } from "../register/server_notice.js";
 import type { RegisteredServer } from "../register/server_register.js";
+import type { LoadStatement } from "../server_load/server_load.js";
 import type { HeaderList, RoutedRequest } from "./routed_request.js";
 
 export interface ServerCall {
@@ -46,6 +47,8 @@
   readonly isGenuine: boolean;
   readonly rateLimit: RateLimitStatement;
   readonly notice: ServerNotice;
+  /** Absent in responses that a peer of an older build passes on. */
+  readonly load?: LoadStatement | undefined;
 }
 
 export type ServerCallFailure =
--- a/packages/daemon/src/peers/relayed_call_check.ts
+++ b/packages/daemon/src/peers/relayed_call_check.ts
@@ -59,6 +59,18 @@
       invalid: shape({ text: isString }),
     }),
   }),
+  load: optional(variant("kind", {
+    stated: shape({
+      load: shape({
+        running: isNonNegativeNumber,
+        waiting: isNonNegativeNumber,
+        slots: isNonNegativeNumber,
+        slowdown: optional(isNonNegativeNumber),
+      }),
+    }),
+    none: shape({}),
+    invalid: shape({ text: isString }),
+  })),
 });
 
 /** Whether a value is an event of such a call. */
--- a/packages/daemon/src/server_reach/relaying_server_caller_test.ts
+++ b/packages/daemon/src/server_reach/relaying_server_caller_test.ts
@@ -320,6 +320,17 @@
       .toEqual(true);
   });
 
+  it("takes the load that a response states at the owner too", async () => {
+    const made = await startAtPeer();
+    const load = {
+      kind: "stated" as const,
+      load: { running: 3, waiting: 1, slots: 4, slowdown: 1.5 },
+    };
+    made.listener.onHead({ ...HEAD, load });
+    await sleep(SETTLE_MS);
+    expect(listener.heads[0]?.load).toEqual(load);
+  });
+
   it("refuses calls beyond the limit of a VM at once", async () => {
     cutOff(owner);
     for (let n = 0; n <= MAX_RELAYED_CALLS_PER_VM; n++) {
--- a/packages/daemon/src/stage_graphs/batch_caller.ts
+++ b/packages/daemon/src/stage_graphs/batch_caller.ts
@@ -8,6 +8,7 @@
 import type { RateLimitStatement } from "../rate_limits/rate_limit_statement.js";
 import type { ServerNotice } from "../register/server_notice.js";
 import type { RegisteredServer } from "../register/server_register.js";
+import type { LoadStatement } from "../server_load/server_load.js";
 import type { StageCallOutcome } from "./stage_call.js";
 
 export type BatchItemInput =
@@ -39,6 +40,7 @@
   /** What the response states; "unknown" without a response. */
   readonly rateLimit: RateLimitStatement;
   readonly notice: ServerNotice;
+  readonly load?: LoadStatement | undefined;
 }
 
 export interface BatchCaller {
--- a/packages/protocol/src/server_calls.ts
+++ b/packages/protocol/src/server_calls.ts
@@ -43,6 +43,20 @@
   | { readonly kind: "requested"; readonly durationMs: number }
   | { readonly kind: "invalid"; readonly text: string };
 
+/** What the response states about the server's load. */
+export type RelayedLoad =
+  | {
+    readonly kind: "stated";
+    readonly load: {
+      readonly running: number;
+      readonly waiting: number;
+      readonly slots: number;
+      readonly slowdown?: number | undefined;
+    };
+  }
+  | { readonly kind: "none" }
+  | { readonly kind: "invalid"; readonly text: string };
+
 /** The head of a response as classified by the VM that made the call. */
 export interface RelayedResponseHead {
   readonly status: number;
@@ -56,6 +70,7 @@
     readonly isLeaving: boolean;
     readonly pause: RelayedPause;
   };
+  readonly load?: RelayedLoad | undefined;
 }
 
 export type RelayedCallEvent =
