Expect stage calls to take as long as their servers state

A coordinator learned another coordinator's calls as slowness of the server. Once a server has stated how long work takes, the expected duration of a call is its learned speed times that, and the calls of other coordinators that it stated are waited for instead: they count in the expected duration, the choice of an idle server, the overdue limit and the capacity, but not as slowness. A call that nothing explains counts as slowness once the next one confirms it. Servers that state three figures are treated as before.

--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -51,6 +51,7 @@
 } from "./stage_call.js";
 import { StageJob, type StageJobOptions } from "./stage_job.js";
 import { StageStateMemory } from "./stage_state_memory.js";
+import type { LoadStatement } from "../server_load/server_load.js";
 import { WorkEstimates } from "./work_estimates.js";
 
 /** Maximum number of times that one item is sent before its job is refused. */
@@ -183,11 +184,17 @@
     );
   }
 
+  /** Records what the response to a call states; precedes `endCall`. */
+  recordLoad(callId: number, statement: LoadStatement, nowMs: number): void {
+    if (statement.kind !== "stated") return;
+    this.#calls.get(callId)?.batchServer.recordLoad(statement.load, nowMs);
+  }
+
   endCall(callId: number, outcome: StageCallOutcome, nowMs: number): void {
     const call = this.#calls.get(callId);
     if (call === undefined) return;
     this.#calls.delete(callId);
-    call.batchServer.endCall();
+    call.batchServer.endCall(call.entries.length);
     for (const { item } of call.entries) item.endCall(callId);
     this.#changedServices.add(call.service);
     switch (outcome.kind) {
--- a/packages/daemon/src/stage_graphs/batch_servers.ts
+++ b/packages/daemon/src/stage_graphs/batch_servers.ts
@@ -12,6 +12,7 @@
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { CallRateLimits } from "./batch_scheduler_options.js";
 import { BatchServer, nominalCallMs } from "./batch_server.js";
+import { ServerSpeed, ServiceSpeed } from "../server_load/server_speed.js";
 import type { BatchPlanInput } from "./plan_batches.js";
 
 const MS_PER_SECOND = 1000;
@@ -30,6 +31,7 @@
 export class BatchServers {
   readonly #options: BatchServersOptions;
   readonly #servers = new Map<BackendServerId, BatchServer>();
+  readonly #speeds = new Map<ServiceName, ServiceSpeed>();
 
   constructor(options: BatchServersOptions) {
     this.#options = options;
@@ -54,12 +56,25 @@
         existing.limits = limits;
         return existing;
       }
-      const added = new BatchServer(server, limits);
+      const added = new BatchServer(
+        server,
+        limits,
+        new ServerSpeed(this.#speedOf(service)),
+      );
       this.#servers.set(server.id, added);
       return added;
     });
   }
 
+  #speedOf(service: ServiceName): ServiceSpeed {
+    let speed = this.#speeds.get(service);
+    if (speed === undefined) {
+      speed = new ServiceSpeed();
+      this.#speeds.set(service, speed);
+    }
+    return speed;
+  }
+
   /**
    * The usable servers that are reachable, or all usable ones if none is.
    *
@@ -96,7 +111,8 @@
     let capacity = 0;
     for (const server of this.reachable(service, nowMs)) {
       capacity += Math.min(
-        server.limits.maxConcurrentCalls / server.slowdown(nowMs),
+        server.limits.maxConcurrentCalls /
+          (server.slowdown(nowMs) * (1 + server.othersCalls(nowMs))),
         this.#rateCapacity(server),
       );
     }
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -18,6 +18,7 @@
 } from "../register/server_register.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
 import type { ServerNotices } from "../register/server_notices.js";
+import type { LoadStatement } from "../server_load/server_load.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
 import { BatchScheduler } from "./batch_scheduler.js";
@@ -195,7 +196,7 @@
 
   async #runCall(call: StageCall): Promise<void> {
     const { clock, caller, rateLimits, serverNotices } = this.#options;
-    const { outcome, rateLimit, notice } = await caller.runItems({
+    const { outcome, rateLimit, notice, load } = await caller.runItems({
       server: call.server,
       items: call.entries.map((entry) => toBatchItem(entry, call.startedAtMs)),
       timeoutMs: CALL_TIMEOUT_MS,
@@ -208,10 +209,22 @@
     });
     serverNotices.record(call.server, notice, request ?? "");
     this.#recordCall(call, outcome);
+    this.#recordLoad(call, load);
     this.#scheduler.endCall(call.id, outcome, clock.nowMs());
     this.#schedulePlan();
   }
 
+  #recordLoad(call: StageCall, load: LoadStatement | undefined): void {
+    if (load === undefined || load.kind === "none") return;
+    this.#scheduler.recordLoad(call.id, load, this.#options.clock.nowMs());
+    if (load.kind !== "invalid") return;
+    this.#options.metrics.countEvent("serverLoadInvalid");
+    this.#options.logger.debug("serverLoadInvalid", {
+      server: call.server.id,
+      text: load.text,
+    });
+  }
+
   #recordCall(call: StageCall, outcome: StageCallOutcome): void {
     const { metrics, logger, clock } = this.#options;
     metrics.countEvent("stageCall");
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -23,6 +23,7 @@
 import { BatchScheduler } from "../batch_scheduler.js";
 import type { BatchSchedulerOptions } from "../batch_scheduler_options.js";
 import type { NotRunReason, StageCall } from "../stage_call.js";
+import type { SharedStageServers } from "./shared_stage_servers.js";
 
 export interface Arrival {
   readonly atMs: number;
@@ -43,6 +44,8 @@
   readonly plan?: NonNullable<BatchSchedulerOptions["plan"]>;
   /** Factor by which the server's calls take longer than nominal. */
   readonly slowdownOf?: (server: RegisteredServer, nowMs: number) => number;
+  /** Servers that differ in speed and are used by others too. */
+  readonly servers?: SharedStageServers;
   /** Reason why a server refuses calls now; undefined if it accepts them. */
   readonly refusalOf?: (
     server: RegisteredServer,
@@ -179,7 +182,14 @@
     }
     const slowdown = this.#options.slowdownOf?.(call.server, this.nowMs) ?? 1;
     const durationMs = nominalCallMs(limits, call.entries.length) * slowdown;
-    this.at(this.nowMs + durationMs, () => {
+    const { servers } = this.#options;
+    const endsAtMs = servers?.beginCall(call.server, durationMs, this.nowMs) ??
+      this.nowMs + durationMs;
+    this.at(endsAtMs, () => {
+      if (servers !== undefined) {
+        const statement = servers.statementOf(call.server, this.nowMs);
+        this.scheduler.recordLoad(call.id, statement, this.nowMs);
+      }
       const items = call.entries.map((_, index) => {
         const reference = `${call.server.id}/${call.id}.${index}`;
         this.made.push(reference);
