--- /dev/null
+++ b/packages/daemon/src/rollouts/rollout_observations.ts
@@ -0,0 +1,141 @@
+/**
+ * Counters of the calls to both versions of a service during a rollout.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  DataCentreName,
+} from "@sassafrasstage/protocol/ids";
+
+export type VersionSide = "current" | "candidate";
+
+/** Cumulative counts of one VM's calls on one route to one side. */
+export interface CallCounts {
+  readonly route: string;
+  readonly side: VersionSide;
+  /** Only for the candidate; the current version is counted as a whole. */
+  readonly server: BackendServerId | undefined;
+  /** Data centre of the server, if calls are counted by data centre. */
+  readonly dataCentre?: DataCentreName;
+  /** All calls, including those in flight and those that never arrived. */
+  readonly sent: number;
+  /** Calls with a response that isn't a failure, also of cold servers. */
+  readonly answered: number;
+  /**
+   * Calls that the server itself failed. Calls that never reached the server,
+   * that it refused as not run, or whose link broke, aren't counted.
+   */
+  readonly failed: number;
+  /** Responses of servers that were not cold, by duration; see bucketOf. */
+  readonly durations: readonly number[];
+  /**
+   * Calls in flight to servers that aren't cold, by the time for which they
+   * have been without a first event. A snapshot, not cumulative.
+   */
+  readonly waiting?: readonly number[];
+  /** Streams of servers that weren't cold, by their longest pause. */
+  readonly pauses?: readonly number[];
+}
+
+export const DURATION_BUCKETS = 32;
+const LONGEST_DURATION_MS = 120_000;
+/** Buckets for each factor of e: the first starts at 1 ms, the last at 120 s. */
+const BUCKETS_PER_E = (DURATION_BUCKETS - 1) / Math.log(LONGEST_DURATION_MS);
+
+/**
+ * Index of the log-spaced bucket of a duration, from 0 to 31. A bucket is 1.46
+ * times as long as the one before it.
+ *
+ * @example
+ * ```ts
+ * durations[bucketOf(350)] += 1;
+ * ```
+ */
+export function bucketOf(durationMs: number): number {
+  if (!(durationMs > 1)) return 0;
+  const index = Math.floor(Math.log(durationMs) * BUCKETS_PER_E);
+  return Math.min(DURATION_BUCKETS - 1, index);
+}
+
+/** Number of buckets by which a duration moves when it is multiplied. */
+export function bucketsOfFactor(factor: number): number {
+  return Math.log(factor) * BUCKETS_PER_E;
+}
+
+export function emptyHistogram(): number[] {
+  return new Array<number>(DURATION_BUCKETS).fill(0);
+}
+
+/** Identifies what is counted together. */
+export function countsKey(counts: CallCounts): string {
+  const { route, side, server, dataCentre } = counts;
+  return JSON.stringify([route, side, server ?? "", dataCentre ?? ""]);
+}
+
+/** Adds up counters of the same route, side, server and data centre. */
+export function addCounts(
+  a: readonly CallCounts[],
+  b: readonly CallCounts[],
+): CallCounts[] {
+  const sums = new Map<string, CallCounts>();
+  for (const counts of [...a, ...b]) {
+    const key = countsKey(counts);
+    const sum = sums.get(key);
+    sums.set(key, sum === undefined ? counts : combine(sum, counts, 1));
+  }
+  return [...sums.values()];
+}
+
+/**
+ * What was counted after `earlier`, which are counters of the same VMs. Calls
+ * in flight are those of `later`.
+ */
+export function subtractCounts(
+  later: readonly CallCounts[],
+  earlier: readonly CallCounts[],
+): CallCounts[] {
+  const before = new Map(earlier.map((counts) => [countsKey(counts), counts]));
+  return later.map((counts) => {
+    const former = before.get(countsKey(counts));
+    if (former === undefined) return counts;
+    const difference = combine(counts, former, -1);
+    return counts.waiting === undefined
+      ? difference
+      : { ...difference, waiting: counts.waiting };
+  });
+}
+
+function combine(a: CallCounts, b: CallCounts, sign: 1 | -1): CallCounts {
+  return {
+    ...a,
+    sent: combineNumber(a.sent, b.sent, sign),
+    answered: combineNumber(a.answered, b.answered, sign),
+    failed: combineNumber(a.failed, b.failed, sign),
+    durations: combineHistograms(a.durations, b.durations, sign),
+    ...(a.waiting === undefined && b.waiting === undefined
+      ? {}
+      : { waiting: combineHistograms(a.waiting, b.waiting, sign) }),
+    ...(a.pauses === undefined && b.pauses === undefined
+      ? {}
+      : { pauses: combineHistograms(a.pauses, b.pauses, sign) }),
+  };
+}
+
+/** A VM that was removed or restarted makes totals smaller than before. */
+function combineNumber(a: number, b: number, sign: 1 | -1): number {
+  return Math.max(0, a + sign * b);
+}
+
+function combineHistograms(
+  a: readonly number[] | undefined,
+  b: readonly number[] | undefined,
+  sign: 1 | -1,
+): number[] {
+  const length = Math.max(a?.length ?? 0, b?.length ?? 0);
+  return Array.from(
+    { length },
+    (_, index) => combineNumber(a?.[index] ?? 0, b?.[index] ?? 0, sign),
+  );
+}
