Read rollout requests, write their status, and define the rollout messages

Cause: the operator requests a rollout by an object whose status the system has to write, and the VMs have to agree on its phase.

--- a/packages/daemon/src/deployment/bound_nesting.ts
+++ b/packages/daemon/src/deployment/bound_nesting.ts
@@ -20,7 +20,9 @@
  * ```
  */
 export function boundNesting(object: StoredObject): StoredObject {
-  return isBounded(object.value) ? object : { ...object, value: null };
+  return isBounded(object.value) && isBounded(object.status)
+    ? object
+    : { ...object, value: null, status: null };
 }
 
 function isBounded(value: unknown): boolean {
--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -6,9 +6,10 @@
  */
 
 import type { DataCentreName } from "@sassafrasstage/protocol/ids";
-import type {
-  ListedVm,
-  StoredObject,
+import {
+  FIRST_STORE_ERA,
+  type ListedVm,
+  type StoredObject,
 } from "@sassafrasstage/protocol/platform_objects";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
@@ -25,6 +26,7 @@
 import { type EraChange, ObjectMirror } from "./object_mirror.js";
 import { ObjectsConfirmation } from "./objects_confirmation.js";
 import { ChangeSharing } from "./share_changes.js";
+import { makeRolloutMirror, type RolloutListener } from "./rollout_mirror.js";
 import { ServerEntries } from "./server_entries.js";
 import { ObjectSharing } from "./share_objects.js";
 import { MAX_STORE_AGE_MS, StoreWatchers } from "./store_watchers.js";
@@ -42,6 +44,8 @@
   readonly logger: Logger;
   readonly onServerChange: (change: RegisterChange) => void;
   readonly onRoutes: (table: RouteTable) => void;
+  /** Undefined where rollouts aren't supervised; their objects aren't read then. */
+  readonly rollouts?: RolloutListener | undefined;
 }
 
 /** The longest time for which a watch call waits for events. */
@@ -82,6 +86,7 @@
   readonly #configurationWatch: ObjectWatch;
   readonly #sharing: ObjectSharing;
   readonly #watchers: StoreWatchers;
+  readonly #rollouts: ObjectMirror | undefined;
   readonly #roleTimer: NodeJS.Timeout;
   /** When the latest outage ended that a watcher of the store has seen. */
   #toldRecoveredAtMs = -Infinity;
@@ -161,6 +166,9 @@
         void this.partBlocks.restoreUnconfirmed();
       },
     });
+    this.#rollouts = makeRolloutMirror(options, (mirror, change) => {
+      this.#handleEraChange(mirror, change);
+    });
     this.#watchers = new StoreWatchers(options);
     this.#serversWatch = this.#startWatch(servers, {
       waitMs: WATCH_WAIT_MS,
@@ -196,14 +204,24 @@
       this.#startWatch(this.partBlocks.mirror, {
         waitMs: WATCH_WAIT_MS,
       }),
+      ...(this.#rollouts === undefined ? [] : [
+        // Watchers of older builds don't tell of rollouts.
+        this.#startWatch(this.#rollouts, {
+          waitMs: WATCH_WAIT_MS,
+          isFollowing: (nowMs) =>
+            this.#needsNoWatch(nowMs) && this.#watchers.knowRollouts(nowMs),
+        }),
+      ]),
     ];
-    // All VMs list the kinds in this order.
+    // All VMs list the kinds in this order. Those of older builds, and those that
+    // don't supervise rollouts, don't have the last one.
     const mirrors = [
       configuration,
       servers,
       this.#dataCentresOut,
       this.#entryVms,
       this.partBlocks.mirror,
+      ...(this.#rollouts === undefined ? [] : [this.#rollouts]),
     ];
     this.#sharing = new ObjectSharing({
       ...options,
@@ -288,16 +306,24 @@
 
   #startWatch(
     mirror: ObjectMirror,
-    options: Pick<ObjectWatchOptions, "waitMs" | "minIntervalMs" | "onListed">,
+    options: Pick<
+      ObjectWatchOptions,
+      "waitMs" | "minIntervalMs" | "onListed" | "isFollowing"
+    >,
   ): ObjectWatch {
     return new ObjectWatch({
+      isFollowing: (nowMs) => this.#needsNoWatch(nowMs),
       ...this.#options,
       ...options,
       mirror,
-      isFollowing: (nowMs) => this.#needsNoWatch(nowMs),
     });
   }
 
+  /** The era of the store to which the known rollout requests belong. */
+  get rolloutEra(): number {
+    return this.#rollouts?.era ?? FIRST_STORE_ERA;
+  }
+
   /**
    * While the store answers nobody, only the watch of the configuration finds out
    * when it is back.
--- a/packages/daemon/src/deployment/deployment_object_format.ts
+++ b/packages/daemon/src/deployment/deployment_object_format.ts
@@ -15,12 +15,14 @@
   StoredObject,
 } from "@sassafrasstage/protocol/platform_objects";
 import type { PartBlock } from "../poison_parts/part_blocks.js";
+import type { RolloutObjectFormat } from "../rollouts/rollout_request.js";
 import type { RoutingConfiguration } from "../routing/routing_configuration.js";
 import type { ServedVersionFormat } from "../stream_versions/served_versions.js";
 import type { ServerReport } from "../register/server_register.js";
 import type { ReadResult } from "./read_result.js";
 
-export interface DeploymentObjectFormat extends ServedVersionFormat {
+export interface DeploymentObjectFormat
+  extends ServedVersionFormat, RolloutObjectFormat {
   readonly configurationPrefix: string;
   readonly serversPrefix: string;
   readonly dataCentresOutPrefix: string;
--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -275,7 +275,7 @@
       this.#entries.set(object.key, { object, era: this.#era });
     }
     const isRewritten = known !== undefined && known.era !== this.#era &&
-      isDeepStrictEqual(known.object.value, object.value);
+      hasSameContent(known.object, object);
     if (isRewritten) return;
     this.#changes.push({ kind: "updated", object });
     this.#options.onUpdated(object);
@@ -289,7 +289,7 @@
     const { generationOf } = this.#options;
     if (generationOf === undefined || known === undefined) return 0;
     const isSame = known.version === object.version &&
-      isDeepStrictEqual(known.value, object.value);
+      hasSameContent(known, object);
     if (isSame) return 0;
     return (generationOf(object) ?? -1) - (generationOf(known) ?? -1);
   }
@@ -315,6 +315,11 @@
   }
 }
 
+function hasSameContent(a: StoredObject, b: StoredObject): boolean {
+  return isDeepStrictEqual(a.value, b.value) &&
+    isDeepStrictEqual(a.status, b.status) && a.creation === b.creation;
+}
+
 function versionOf(event: WatchEvent): number {
   return event.kind === "updated" ? event.object.version : event.version;
 }
--- a/packages/daemon/src/deployment/store_watchers.ts
+++ b/packages/daemon/src/deployment/store_watchers.ts
@@ -39,6 +39,8 @@
   readonly heardAtMs: number;
   /** When the store answered it last. */
   readonly respondedAtMs: number;
+  /** Whether it watches rollout requests too. */
+  readonly knowsRollouts: boolean;
 }
 
 export type StoreRole =
@@ -57,7 +59,7 @@
     this.#options = options;
     const { network, clock } = options;
     network.messages.on("heartbeat", ({ from, message }) => {
-      const { storeAgeMs } = message;
+      const { storeAgeMs, knowsRollouts = false } = message;
       const isWatcher = storeAgeMs !== undefined &&
         from.dataCentre === network.self.dataCentre;
       if (!isWatcher) {
@@ -66,7 +68,11 @@
       }
       const heardAtMs = clock.nowMs();
       const respondedAtMs = heardAtMs - storeAgeMs;
-      this.#heard.set(from.vmId, { heardAtMs, respondedAtMs });
+      this.#heard.set(from.vmId, {
+        heardAtMs,
+        respondedAtMs,
+        knowsRollouts,
+      });
     });
     network.lifecycle.on("disconnected", ({ vmId }) => {
       this.#heard.delete(vmId);
@@ -86,6 +92,13 @@
     );
   }
 
+  /** Whether a watcher is heard that tells of rollout requests. */
+  knowRollouts(nowMs: number): boolean {
+    return [...this.#heard.values()].some((watcher) =>
+      watcher.knowsRollouts && nowMs - watcher.heardAtMs <= WATCHER_SILENCE_MS
+    );
+  }
+
   /** Whether a watcher is heard, though the store may not answer it. */
   hasLiveWatcher(nowMs: number): boolean {
     return this.#role === "follower" && [...this.#heard.values()].some(
--- a/packages/daemon/src/peers/heartbeats.ts
+++ b/packages/daemon/src/peers/heartbeats.ts
@@ -221,6 +221,7 @@
       ...(poisonParts !== undefined && { poisonParts }),
       ...(membership.ownRelaysCalls && { relaysCalls: true }),
       ...(membership.ownTakesObjectChanges && { takesObjectChanges: true }),
+      ...(membership.ownKnowsRollouts && { knowsRollouts: true }),
       ...(storeAgeMs !== undefined && { storeAgeMs }),
       ...(membership.ownCutOffServices.length > 0 &&
         { cutOffServices: membership.ownCutOffServices }),
--- a/packages/daemon/src/peers/membership.ts
+++ b/packages/daemon/src/peers/membership.ts
@@ -43,6 +43,7 @@
   ownNewsEras: readonly StoreEra[] = [];
   ownRelaysCalls = false;
   ownTakesObjectChanges = false;
+  ownKnowsRollouts = false;
   ownCutOffServices: readonly ServiceName[] = [];
   /** Whether this VM has announced that it is shutting down. */
   isLeaving = false;
@@ -126,6 +127,8 @@
       newsEras: peer.newsEras,
       relaysCalls: peer.relaysCalls,
       takesObjectChanges: peer.takesObjectChanges,
+      ...(peer.knowsRollouts !== undefined &&
+        { knowsRollouts: peer.knowsRollouts }),
       cutOffServices: peer.cutOffServices,
       processorCores: peer.processorCores,
     };
@@ -145,6 +148,7 @@
       newsEras: this.ownNewsEras,
       relaysCalls: this.ownRelaysCalls,
       takesObjectChanges: this.ownTakesObjectChanges,
+      knowsRollouts: this.ownKnowsRollouts,
       cutOffServices: this.ownCutOffServices,
       processorCores: registry.selfProcessorCores,
     };
@@ -161,6 +165,7 @@
     known.newsEras === member.newsEras &&
     known.relaysCalls === member.relaysCalls &&
     known.takesObjectChanges === member.takesObjectChanges &&
+    known.knowsRollouts === member.knowsRollouts &&
     known.cutOffServices === member.cutOffServices &&
     known.processorCores === member.processorCores;
   return isSame ? "none" : "details";
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -26,6 +26,11 @@
   variant,
 } from "./message_shape.js";
 import { isRelayedCall, isRelayedCallEvent } from "./relayed_call_check.js";
+import {
+  isRolloutPermits,
+  isRolloutPhaseNews,
+  isRolloutReport,
+} from "./rollout_check.js";
 
 const isPool = shape({ service: isShortString, dataCentre: isShortString });
 
@@ -182,6 +187,7 @@
     relaysCalls: optional(isBoolean),
     cutOffServices: optional(arrayOf(isShortString)),
     takesObjectChanges: optional(isBoolean),
+    knowsRollouts: optional(isBoolean),
     storeAgeMs: optional(isNonNegativeNumber),
   }),
   heartbeatReply: shape({
@@ -342,6 +348,13 @@
     requestNumber: isNonNegativeInteger,
     isReached: isBoolean,
   }),
+  rolloutReport: shape({ service: isShortString, report: isRolloutReport }),
+  rolloutPermits: shape({ service: isShortString, permits: isRolloutPermits }),
+  rolloutPhase: shape({
+    service: isShortString,
+    news: isRolloutPhaseNews,
+    relay: isBoolean,
+  }),
   leaving: shape({ vmId: isShortString }),
 };
 
--- a/packages/daemon/src/peers/message_handler.ts
+++ b/packages/daemon/src/peers/message_handler.ts
@@ -98,15 +98,18 @@
     const {
       relaysCalls = false,
       takesObjectChanges = false,
+      knowsRollouts = false,
       cutOffServices = [],
     } = message;
     if (
       relaysCalls === peer.relaysCalls &&
       takesObjectChanges === peer.takesObjectChanges &&
+      knowsRollouts === peer.knowsRollouts &&
       isSameList(cutOffServices, peer.cutOffServices)
     ) return;
     peer.relaysCalls = relaysCalls;
     peer.takesObjectChanges = takesObjectChanges;
+    peer.knowsRollouts = knowsRollouts;
     peer.cutOffServices = cutOffServices;
     this.#options.membership.invalidate();
   }
--- a/packages/daemon/src/peers/peer_links.ts
+++ b/packages/daemon/src/peers/peer_links.ts
@@ -181,6 +181,7 @@
       peer.newsEras = [];
       peer.relaysCalls = false;
       peer.takesObjectChanges = false;
+      peer.knowsRollouts = undefined;
       peer.statedIntervals = undefined;
       peer.cutOffServices = [];
       peer.replyRequiredAfterSequence = undefined;
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -57,6 +57,11 @@
   readonly relaysCalls?: boolean;
   /** Whether it takes changes of objects from other VMs. */
   readonly takesObjectChanges?: boolean;
+  /**
+   * Whether it takes part in rollouts of software versions; absent before its
+   * first heartbeat.
+   */
+  readonly knowsRollouts?: boolean;
   /** Services of which it reaches no server, but other VMs do. */
   readonly cutOffServices?: readonly ServiceName[];
   /** Processor capacity in cores; undefined or absent if it isn't known. */
--- a/packages/daemon/src/peers/peer_network_driver.ts
+++ b/packages/daemon/src/peers/peer_network_driver.ts
@@ -180,6 +180,11 @@
     this.#membership.invalidate();
   }
 
+  setKnowsRollouts(): void {
+    this.#membership.ownKnowsRollouts = true;
+    this.#membership.invalidate();
+  }
+
   setStoreAge(read: ReadStoreAge): void {
     this.#heartbeats.storeAgeMs = read;
   }
--- a/packages/daemon/src/peers/peer_record.ts
+++ b/packages/daemon/src/peers/peer_record.ts
@@ -98,6 +98,8 @@
   sentIntervals = 1;
   relaysCalls = false;
   takesObjectChanges = false;
+  /** Undefined before the first heartbeat. */
+  knowsRollouts: boolean | undefined = undefined;
   cutOffServices: readonly ServiceName[] = [];
   /** Processor capacity in the platform's list. */
   processorCores: number | undefined;
--- a/packages/daemon/src/peers/relayed_call_check.ts
+++ b/packages/daemon/src/peers/relayed_call_check.ts
@@ -37,6 +37,7 @@
   clientAccountId: optional(isShortString),
   inputs: optional(arrayOf(isString)),
   resumeAfter: optional(isString),
+  hasRolloutPermit: optional(isBoolean),
 });
 
 const isRelayedResponseHead = shape({
--- a/packages/daemon/src/peers/running_peer_network.ts
+++ b/packages/daemon/src/peers/running_peer_network.ts
@@ -45,6 +45,8 @@
   setRelaysCalls(): void;
   /** Tells peers that this daemon knows the `objectChanges` message. */
   setTakesObjectChanges(): void;
+  /** Tells peers that this daemon takes part in rollouts of versions. */
+  setKnowsRollouts(): void;
   /** Sets what heartbeats tell the VMs that don't watch the store themselves. */
   setStoreAge(read: ReadStoreAge): void;
   /** Sets the services that heartbeats name as cut off from this VM. */
--- a/packages/daemon/src/platform/object_store.ts
+++ b/packages/daemon/src/platform/object_store.ts
@@ -21,6 +21,11 @@
   /** The precondition failed, as after a concurrent update; nothing changed. */
   | { readonly kind: "conflict" };
 
+export type StatusUpdateResult =
+  | { readonly kind: "updated"; readonly object: StoredObject }
+  /** The object has another version, or is absent; nothing changed. */
+  | { readonly kind: "conflict"; readonly object: StoredObject | undefined };
+
 export type WatchResult =
   | { readonly kind: "events"; readonly answer: WatchResponse }
   /** The platform no longer has events from this revision on: list again. */
@@ -48,6 +53,19 @@
   listVms(): Promise<VmListing>;
 }
 
+/** A store whose objects have a status that is written apart from the value. */
+export interface StatusStore extends ObjectStore {
+  /**
+   * Writes the object's status if the object has this version. After
+   * `outcomeUnknown` the caller has to read the object, as after an update.
+   */
+  updateStatus(
+    key: string,
+    status: unknown,
+    version: number,
+  ): Promise<StatusUpdateResult>;
+}
+
 export interface WatchRequest {
   readonly prefix: string;
   readonly afterRevision: number;
--- a/packages/daemon/src/platform/testing/memory_object_store.ts
+++ b/packages/daemon/src/platform/testing/memory_object_store.ts
@@ -14,7 +14,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type {
   ExpectedVersion,
-  ObjectStore,
+  StatusStore,
+  StatusUpdateResult,
   UpdateResult,
   WatchRequest,
   WatchResult,
@@ -51,12 +52,33 @@
   put(key: string, value: unknown): number {
     this.revision += 1;
     const version = this.revision;
-    const object = { key, version, value: structuredClone(value) };
+    const known = this.objects.get(key);
+    const object = {
+      key,
+      version,
+      value: structuredClone(value),
+      ...(known?.status !== undefined && { status: known.status }),
+      creation: known?.creation ?? String(version),
+    };
     this.objects.set(key, object);
     this.#recordEvent(key, { kind: "updated", object });
     return version;
   }
 
+  putStatus(key: string, status: unknown): StoredObject | undefined {
+    const known = this.objects.get(key);
+    if (known === undefined) return undefined;
+    this.revision += 1;
+    const object = {
+      ...known,
+      version: this.revision,
+      status: structuredClone(status),
+    };
+    this.objects.set(key, object);
+    this.#recordEvent(key, { kind: "updated", object });
+    return object;
+  }
+
   delete(key: string): void {
     this.revision += 1;
     this.objects.delete(key);
@@ -105,7 +127,7 @@
 }
 
 /** The connection of one daemon to the store. */
-export class MemoryConnection implements ObjectStore {
+export class MemoryConnection implements StatusStore {
   isDisconnected = false;
   readonly #store: MemoryObjectStore;
 
@@ -141,6 +163,23 @@
     throw new PlatformError("outcomeUnknown", "The response was lost");
   }
 
+  async updateStatus(
+    key: string,
+    status: unknown,
+    version: number,
+  ): Promise<StatusUpdateResult> {
+    await this.#beginCall("updateStatus");
+    const stored = this.#store.objects.get(key);
+    if (stored?.version !== version) {
+      return { kind: "conflict", object: structuredClone(stored) };
+    }
+    const object = this.#store.putStatus(key, status) ?? stored;
+    if (this.#store.isResponseLost(key)) {
+      throw new PlatformError("outcomeUnknown", "The response was lost");
+    }
+    return { kind: "updated", object: structuredClone(object) };
+  }
+
   async remove(key: string, version: number): Promise<UpdateResult> {
     await this.#beginCall("remove");
     const stored = this.#store.objects.get(key);
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -18,6 +18,11 @@
 } from "./ids.js";
 import type { PoisonPartNews } from "./poison_parts.js";
 import type { StatedRateLimit } from "./rate_limits.js";
+import type {
+  RolloutPermits,
+  RolloutPhaseNews,
+  RolloutReport,
+} from "./rollouts.js";
 import type { RelayedCall, RelayedCallEvent } from "./server_calls.js";
 import type { StageGraph, StageGraphOutcome } from "./stage_graph.js";
 import type {
@@ -102,6 +107,11 @@
   readonly cutOffServices?: readonly ServiceName[];
   /** The sender knows the `objectChanges` message. Only such VMs get it. */
   readonly takesObjectChanges?: boolean;
+  /**
+   * The sender takes part in rollouts of software versions and knows the messages
+   * for that. Only such VMs get them.
+   */
+  readonly knowsRollouts?: boolean;
   /**
    * Time since the platform's store answered the sender; present only if the
    * sender watches the store for the other VMs of its data centre.
@@ -420,6 +430,29 @@
   readonly isReached: boolean;
 }
 
+/** What the sender counted during a rollout, for the rollout owner. */
+export interface RolloutReportMessage {
+  readonly type: "rolloutReport";
+  readonly service: ServiceName;
+  readonly report: RolloutReport;
+}
+
+/** The rollout owner's reply to a report. */
+export interface RolloutPermitsMessage {
+  readonly type: "rolloutPermits";
+  readonly service: ServiceName;
+  readonly permits: RolloutPermits;
+}
+
+/** Tells of the phase of a rollout as soon as the owner has decided on it. */
+export interface RolloutPhaseMessage {
+  readonly type: "rolloutPhase";
+  readonly service: ServiceName;
+  readonly news: RolloutPhaseNews;
+  /** Whether the receiver tells the other VMs of its data centre. */
+  readonly relay: boolean;
+}
+
 /** Graceful shutdown: the sender takes no new work and gives up its pools. */
 export interface LeavingMessage {
   readonly type: "leaving";
@@ -464,6 +497,9 @@
   | ServerCallEventMessage
   | ServerReachRequestMessage
   | ServerReachReplyMessage
+  | RolloutReportMessage
+  | RolloutPermitsMessage
+  | RolloutPhaseMessage
   | LeavingMessage;
 
 export type PeerMessageType = PeerMessage["type"];
--- a/packages/protocol/src/platform_objects.ts
+++ b/packages/protocol/src/platform_objects.ts
@@ -51,6 +51,13 @@
   /** Drawn from one counter, which increases with every update of any object. */
   readonly version: number;
   readonly value: unknown;
+  /** Written apart from the value; absent for kinds whose status isn't used. */
+  readonly status?: unknown;
+  /**
+   * Distinguishes the object from one of the same key that was removed before.
+   * Present together with the status.
+   */
+  readonly creation?: string;
 }
 
 export interface ObjectVersion {
--- a/packages/protocol/src/server_calls.ts
+++ b/packages/protocol/src/server_calls.ts
@@ -29,6 +29,8 @@
   readonly inputs?: readonly string[] | undefined;
   /** Id of the last event received; the stream resumes after it. */
   readonly resumeAfter?: string | undefined;
+  /** The asking VM has used one of its permits for a rollout's candidate. */
+  readonly hasRolloutPermit?: boolean;
 }
 
 /** What the response states about the rate that the server accepts. */
