Supervise rollouts: permits, reports, phases and the owner

Cause: a bad version must not receive more than a bounded number of requests. Change: a VM sends to a candidate's servers only by permits of the rollout owner, which reserves them in the store first; placement, stage calls, retries, resumptions and calls for other VMs ask the same gate. The owner collects counters from all VMs, judges the candidate, and moves the rollout from observing to shifting to completed, or to rolled back from anywhere before.

--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -271,11 +271,15 @@
     // A hedge must not wait for a permit while the first attempt may end.
     includesRateLimited: !isHedge,
     softwareVersion: undefined,
+    route: context.route.name,
   });
-  if (candidate === undefined || context.lifetime.end !== undefined) {
+  if (candidate === undefined) return false;
+  const isWanted = context.lifetime.end === undefined &&
+    isAdmitted(context, state);
+  if (!isWanted) {
+    candidate.permit?.giveBack();
     return false;
   }
-  if (!isAdmitted(context, state)) return false;
   state.triedServers.add(candidate.server.id);
   state.runs += 1;
   state.running.add(runBufferedAttempt({
--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -5,7 +5,11 @@
  */
 
 import type { ClientAccount, Route } from "../routing/routing_configuration.js";
-import type { DataCentreName, ServiceName } from "@sassafrasstage/protocol/ids";
+import type {
+  DataCentreName,
+  ServiceName,
+  SoftwareVersion,
+} from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
 import type { BufferAccount } from "../memory/buffer_account.js";
 import type { LatencyRecords } from "../observability/latency_records.js";
@@ -13,6 +17,7 @@
 import type { Metrics } from "../observability/metrics.js";
 import type { PoisonParts } from "../poison_parts/poison_parts.js";
 import type { ServerDirectory } from "../placement/server_directory.js";
+import type { RolloutGate } from "../rollouts/rollout_gate.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
 import type { StreamVersions } from "../stream_versions/stream_versions.js";
 import type { StageGraphClient } from "../stage_graphs/stage_graph_client.js";
@@ -31,6 +36,8 @@
   readonly streamVersions: StreamVersions;
   readonly poisonParts: PoisonParts;
   readonly serverNotices: ServerNotices;
+  /** Absent where rollouts of versions aren't supervised. */
+  readonly rollouts?: RolloutGate;
   readonly routeStatistics: RouteStatistics;
   readonly dataCentre: DataCentreName;
   /** Maximum number of items of all stages of one request. */
@@ -55,6 +62,14 @@
   /** Name of the group of stage services that one coordinator runs. */
   readonly stageGroup: string;
   readonly configurationVersion: number;
+  /** For the log. */
+  readonly trace?: RequestTrace;
+}
+
+/** What is known of a request's calls when it ends. */
+export interface RequestTrace {
+  /** Of the server that was called last. */
+  softwareVersion?: SoftwareVersion;
 }
 
 /** How a request ended, for logs and metrics; `own` means that a local reply was sent. */
--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -161,9 +161,15 @@
     toPlacement(context, state),
   );
   if (candidate === undefined) return undefined;
-  if (context.lifetime.end !== undefined) return { kind: "ended" };
+  if (context.lifetime.end !== undefined) {
+    candidate.permit?.giveBack();
+    return { kind: "ended" };
+  }
   const refusal = refusePoisonPart(context);
-  if (refusal !== undefined) return { kind: "refused", reply: refusal };
+  if (refusal !== undefined) {
+    candidate.permit?.giveBack();
+    return { kind: "refused", reply: refusal };
+  }
   return StreamRelay.run({
     context,
     progress: state,
--- a/packages/daemon/src/forwarding/placement_request.ts
+++ b/packages/daemon/src/forwarding/placement_request.ts
@@ -33,6 +33,7 @@
     excluded,
     includesRateLimited: true,
     softwareVersion,
+    route: context.route.name,
   };
 }
 
--- a/packages/daemon/src/forwarding/replacement_placer.ts
+++ b/packages/daemon/src/forwarding/replacement_placer.ts
@@ -62,17 +62,26 @@
     // The client's disconnect or the stream's next event may have arrived.
     await pollSockets();
     const candidate = await this.#assign(signal);
-    if (signal.aborted || candidate === undefined) return;
-    if (!this.#maySend()) {
-      this.#state.refusals += 1;
+    if (candidate === undefined) return;
+    if (!this.#mayStart(signal)) {
+      candidate.permit?.giveBack();
       return;
     }
-    if (!spendRetry(this.#context)) return;
     const { metrics } = this.#context.environment;
     metrics.countRetry(this.#context.service, "streamSilent");
     start(beginRun(this.#context, this.#state, candidate));
   }
 
+  /** Spends a retry unless the replacement isn't needed or allowed any more. */
+  #mayStart(signal: AbortSignal): boolean {
+    if (signal.aborted) return false;
+    if (!this.#maySend()) {
+      this.#state.refusals += 1;
+      return false;
+    }
+    return spendRetry(this.#context);
+  }
+
   /** False for a request with a part that may crash the server. */
   #maySend(): boolean {
     if (this.#state.hasCrashedServer && !mayRetryAfterCrash(this.#context)) {
--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -169,6 +169,7 @@
       lifetime,
       stageGroup: table.stageGroupOf(route),
       configurationVersion: table.configuration.version,
+      trace: {},
     };
     const stageItemsError = findStageItemsError(context);
     if (stageItemsError === undefined) return { kind: "admitted", context };
@@ -240,6 +241,7 @@
       request: request.attemptId,
       route: context?.route.name,
       version: context?.configurationVersion,
+      softwareVersion: context?.trace?.softwareVersion,
       outcome: outcome.kind,
       reason: outcome.kind === "own" ? outcome.answer : undefined,
       status: outcome.kind === "answered" ? outcome.status : undefined,
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -8,6 +8,7 @@
 import { AccountedBuffer } from "../memory/accounted_buffer.js";
 import type { AttemptInput } from "./attempt_input.js";
 import { observeCall } from "./observe_call.js";
+import { sampleCall } from "./sample_call.js";
 import { requestDigest } from "./request_digest.js";
 import { formatPromptParts } from "./format_prompt_parts.js";
 import type {
@@ -44,13 +45,17 @@
   return {
     server: candidate.server,
     request: context.request,
-    maySend: () => context.environment.directory.isUsable(candidate.server),
+    maySend: () =>
+      context.environment.directory.maySend(candidate, {
+        isContinuation: resumeAfter !== undefined,
+      }),
     connectionShare: context.environment.directory
       .connectionShare(candidate.server.service),
     remainingMs: Math.max(1, Math.floor(context.lifetime.remainingMs())),
     account: context.account?.id,
     inputs,
     resumeAfter,
+    ...(candidate.permit !== undefined && { hasRolloutPermit: true }),
   };
 }
 
@@ -67,6 +72,8 @@
   evict(): void;
   /** Called for each event of a stream once it is complete. */
   recordEvent(): void;
+  /** A response that has ended without an error isn't complete. */
+  recordCutOff(): void;
 }
 
 /** Starts a call and updates the server's health from its outcome. */
@@ -81,6 +88,7 @@
   let hasFirstEvent = false;
   let isFailureOfHeadCounted = false;
   const observation = observeCall(input);
+  const sample = sampleCall(input);
   function finish(): boolean {
     if (isFinished) return false;
     isFinished = true;
@@ -101,7 +109,10 @@
     if (remainingConnections === "none") {
       environment.metrics.countEvent("callEndedWithServer");
     }
-    if (observation.recordFailure(failure)) input.onServerCrash?.();
+    const isCrash = observation.recordFailure(failure);
+    if (isCrash) input.onServerCrash?.();
+    sample.recordFailure(failure, { isCrash });
+    if (failure.kind === "notSent") input.candidate.permit?.giveBack();
     environment.logger.info("serverCallFailed", {
       request: input.context.request.attemptId,
       server: server.id,
@@ -119,11 +130,15 @@
   const call = environment.serverCaller.start(toServerCall(input), {
     onSend: () => {
       observation.recordSend();
+      const { trace } = input.context;
+      if (trace !== undefined) trace.softwareVersion = server.softwareVersion;
+      sample.recordSend();
       logSend(input, environment.clock.nowMs() - startedAtMs);
       countSendUnderRateLimit(input);
     },
     onHead: (head) => {
       observation.recordHead(head);
+      sample.recordHead(head);
       const nowMs = environment.clock.nowMs();
       environment.rateLimits.recordStatement(server.id, head.rateLimit, {
         startedAtMs,
@@ -154,6 +169,7 @@
       if (!finish()) return;
       observation.recordEnd();
       listener.onEnd();
+      sample.recordEnd();
     },
     onFailure: fail,
   });
@@ -176,15 +192,22 @@
     recordEvent: () => {
       hasFirstEvent = true;
       observation.recordEvent();
+      sample.recordEvent();
+    },
+    recordCutOff: () => {
+      sample.recordCutOff();
     },
     cancel: () => {
       if (!finish()) return;
       observation.recordCancel();
+      sample.recordCancel();
       call.cancel();
     },
     cancelIfNotSent: () => {
       if (isFinished || !call.cancelIfNotSent()) return false;
       observation.recordCancel();
+      sample.recordCancel();
+      input.candidate.permit?.giveBack();
       return finish();
     },
   };
@@ -196,6 +219,7 @@
   const fields = {
     request: request.attemptId,
     server: input.candidate.server.id,
+    softwareVersion: input.candidate.server.softwareVersion,
     waitedMs: Math.round(waitedMs),
     sinceReceivedMs: Math.round(clock.nowMs() - request.receivedAtMs),
   };
--- a/packages/daemon/src/forwarding/server_caller.ts
+++ b/packages/daemon/src/forwarding/server_caller.ts
@@ -28,6 +28,8 @@
   readonly inputs: readonly string[] | undefined;
   /** Id of the last event received; the stream resumes after it. */
   readonly resumeAfter: string | undefined;
+  /** A permit for a rollout's candidate was used for the call. */
+  readonly hasRolloutPermit?: boolean;
 }
 
 export interface ResponseHead {
--- a/packages/daemon/src/forwarding/stream_call.ts
+++ b/packages/daemon/src/forwarding/stream_call.ts
@@ -184,6 +184,7 @@
     const { environment, request } = this.#attempt.context;
     const { server, health } = this.candidate;
     health.recordFailure(this.#nowMs());
+    this.#call.recordCutOff();
     environment.metrics.countEvent("streamCutOff");
     environment.logger.info("serverCallFailed", {
       request: request.attemptId,
--- a/packages/daemon/src/placement/choose_server.ts
+++ b/packages/daemon/src/placement/choose_server.ts
@@ -13,12 +13,15 @@
 
 import type { DataCentreName } from "@sassafrasstage/protocol/ids";
 import { rankByRendezvous } from "../peers/rendezvous.js";
+import type { ExposurePermit } from "../rollouts/rollout_gate.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { ServerHealth } from "./server_health.js";
 
 export interface ServerCandidate {
   readonly server: RegisteredServer;
   readonly health: ServerHealth;
+  /** Set for a server that gets a request only by permit; used up by `assign`. */
+  readonly permit?: ExposurePermit | undefined;
 }
 
 export interface ServerChoiceInput {
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -17,6 +17,7 @@
   RegisteredServer,
   ServerRegister,
 } from "../register/server_register.js";
+import { NO_ROLLOUTS, type RolloutGate } from "../rollouts/rollout_gate.js";
 import type { RoutedService } from "../routing/routing_configuration.js";
 import { chooseServer, type ServerCandidate } from "./choose_server.js";
 import { ServerHealth } from "./server_health.js";
@@ -41,6 +42,7 @@
   readonly findService: (name: ServiceName) => RoutedService | undefined;
   readonly vmCount: () => number;
   readonly rateLimits: ServerRateLimits;
+  readonly rollouts?: RolloutGate;
 }
 
 export interface PlacementRequest {
@@ -50,8 +52,13 @@
   readonly excluded: ReadonlySet<BackendServerId>;
   /** Whether the request may go to a server that states a rate limit. */
   readonly includesRateLimited: boolean;
-  /** If set, only servers of this version are considered. */
+  /**
+   * If set, only servers of this version are considered, as the request goes on
+   * with what one of them began.
+   */
   readonly softwareVersion: SoftwareVersion | undefined;
+  /** Name of the route, by which permits for a rollout are granted. */
+  readonly route?: string;
 }
 
 /**
@@ -64,11 +71,13 @@
 
 export class ServerDirectory {
   readonly #options: ServerDirectoryOptions;
+  readonly #rollouts: RolloutGate;
   readonly #health = new Map<BackendServerId, ServerHealth>();
   readonly #budgets = new Map<ServiceName, SlidingRetryBudget>();
 
   constructor(options: ServerDirectoryOptions) {
     this.#options = options;
+    this.#rollouts = options.rollouts ?? NO_ROLLOUTS;
   }
 
   /**
@@ -82,9 +91,14 @@
     const excluded = new Set(request.excluded);
     for (;;) {
       const nowMs = clock.nowMs();
-      const choice = this.preview({ ...request, excluded }, nowMs);
-      if (choice === undefined) return undefined;
-      const { server, health } = choice;
+      const preview = this.preview({ ...request, excluded }, nowMs);
+      if (preview === undefined) return undefined;
+      const choice = this.#takePermit(preview, request);
+      if (choice === undefined) {
+        excluded.add(preview.server.id);
+        continue;
+      }
+      const { server, health, permit } = choice;
       // Counted before waiting, as other requests are assigned meanwhile.
       const isCounted = nowMs < server.coldUntilMs;
       if (isCounted) health.recordColdRequest(nowMs);
@@ -94,6 +108,7 @@
         (isCounted || !this.#isCold(server.id));
       if (isPermitted && isUsable) return choice;
       if (isCounted) health.withdrawColdRequest(nowMs);
+      permit?.giveBack();
       excluded.add(server.id);
     }
   }
@@ -106,13 +121,56 @@
     const candidates = this.#suitableServers(request)
       .filter(({ id }) => this.#hasRate(id, request, nowMs))
       .map((server) => ({ server, health: this.healthOf(server.id) }));
-    return chooseServer({
-      candidates,
-      dataCentre: request.dataCentre,
-      prefixKey: request.prefixKey,
-      coldQuota: this.#coldQuota(request.service),
-      nowMs,
+    const { service } = request;
+    const { free, permitted } = this.#rollouts.split(service, candidates, {
+      isContinuation: request.softwareVersion !== undefined,
     });
+    const isExposed = permitted.length > 0 &&
+      this.#mayExpose(request, free.length > 0);
+    for (const admitted of isExposed ? [permitted, free] : [free]) {
+      const choice = chooseServer({
+        candidates: admitted,
+        dataCentre: request.dataCentre,
+        prefixKey: request.prefixKey,
+        coldQuota: this.#coldQuota(service),
+        nowMs,
+      });
+      if (choice !== undefined) return choice;
+    }
+    return undefined;
+  }
+
+  /**
+   * Retries don't use permits as long as there is a server without need of one:
+   * they would reveal less than a new request.
+   */
+  #mayExpose(request: PlacementRequest, hasFree: boolean): boolean {
+    const { service, excluded, route = "" } = request;
+    if (hasFree && excluded.size > 0) return false;
+    return this.#rollouts.permitCount(service, route) > 0;
+  }
+
+  /** Returns undefined if the server needs a permit that this VM doesn't have. */
+  #takePermit(
+    choice: ServerCandidate,
+    request: PlacementRequest,
+  ): ServerCandidate | undefined {
+    const { server } = choice;
+    const isContinuation = request.softwareVersion !== undefined;
+    const admission = this.#rollouts.admits(server, { isContinuation });
+    if (admission === "freely") return choice;
+    if (admission === "never") return undefined;
+    const permit = this.#rollouts.takePermit(server, request.route ?? "");
+    return permit === undefined ? undefined : { ...choice, permit };
+  }
+
+  /** Whether a request that was assigned to the server may be written now. */
+  maySend(
+    { server, permit }: ServerCandidate,
+    options: { readonly isContinuation: boolean },
+  ): boolean {
+    return this.isUsable(server) &&
+      this.#rollouts.maySend(server, permit, options);
   }
 
   /** Whether a server could take the request, now or later. */
@@ -184,10 +242,12 @@
 
   #suitableServers(request: PlacementRequest): RegisteredServer[] {
     const { excluded, service, softwareVersion } = request;
+    const isContinuation = softwareVersion !== undefined;
     return this.#options.register.usableServers(service).filter((server) =>
       !excluded.has(server.id) &&
       (softwareVersion === undefined ||
-        server.softwareVersion === softwareVersion)
+        server.softwareVersion === softwareVersion) &&
+      this.#rollouts.admits(server, { isContinuation }) !== "never"
     );
   }
 
--- /dev/null
+++ b/packages/daemon/src/rollouts/rollouts.ts
@@ -0,0 +1,422 @@
+/**
+ * Supervises the rollouts of services to other software versions.
+ *
+ * While a rollout is undecided, its candidate gets requests only by permits of
+ * the rollout owner. A VM without contact with the owner has none.
+ *
+ * @module
+ */
+
+import type {
+  ServiceName,
+  SoftwareVersion,
+} from "@sassafrasstage/protocol/ids";
+import type { StoredObject } from "@sassafrasstage/protocol/platform_objects";
+import type {
+  RolloutPermits,
+  RolloutPhaseName,
+  RolloutPhaseNews,
+} from "@sassafrasstage/protocol/rollouts";
+import type { Clock } from "../clock.js";
+import type { ReadResult } from "../deployment/read_result.js";
+import type { Logger } from "../observability/logger.js";
+import type { Metrics } from "../observability/metrics.js";
+import type { PeerNetwork } from "../peers/peer_network.js";
+import type { StatusStore } from "../platform/object_store.js";
+import type {
+  RegisterChange,
+  RegisteredServer,
+  ServerRegister,
+} from "../register/server_register.js";
+import type { ServedVersionSource } from "../stream_versions/served_versions.js";
+import { BlockedVersions } from "./blocked_versions.js";
+import { CallsInFlight } from "./calls_in_flight.js";
+import {
+  type AdmissionOptions,
+  type AdmittedServers,
+  type ExposurePermit,
+  type RolloutCall,
+  type RolloutGate,
+  type ServerAdmission,
+} from "./rollout_gate.js";
+import { RolloutPeers } from "./rollout_peers.js";
+import type {
+  ExposureSettings,
+  Rollout,
+  RolloutObjectFormat,
+} from "./rollout_request.js";
+import { ServiceRollout } from "./service_rollout.js";
+import { SupervisedService } from "./supervised_service.js";
+import { VersionSightings } from "./version_sightings.js";
+
+export interface RolloutsOptions {
+  readonly network: PeerNetwork & { setKnowsRollouts(): void };
+  readonly store: StatusStore;
+  readonly objectFormat: RolloutObjectFormat;
+  readonly exposure: ExposureSettings;
+  readonly register: ServerRegister;
+  readonly served: ServedVersionSource;
+  /** The era of the store to which the known rollout requests belong. */
+  readonly era: () => number;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+const TICK_MS = 100;
+/**
+ * Versions that are first seen up to this time after a rollout was completed
+ * count as former ones, as a VM that has just started may learn of servers later
+ * than of the rollout.
+ */
+const FORMER_VERSION_MARGIN_MS = 2000;
+/**
+ * Time after a return of the store within which a missing rollout request may
+ * only be lost; operators write again what a store has lost.
+ */
+const LOST_REQUEST_MS = 10_000;
+
+const NO_VERSIONS: ReadonlySet<SoftwareVersion> = new Set();
+/** Values of the metric; 0 means that there is no rollout. */
+const PHASE_VALUES: Readonly<Record<RolloutPhaseName, number>> = {
+  observing: 1,
+  shifting: 2,
+  completed: 3,
+  rolledBack: 4,
+};
+
+export class Rollouts implements RolloutGate {
+  readonly #options: RolloutsOptions;
+  readonly #services = new Map<ServiceName, SupervisedService>();
+  readonly #peers: RolloutPeers;
+  readonly #sightings: VersionSightings;
+  readonly #blocked = new BlockedVersions();
+  readonly #inFlight = new CallsInFlight();
+  /** Services whose phase is a metric. */
+  readonly #measured = new Set<ServiceName>();
+  #timer: NodeJS.Timeout | undefined;
+  #eraChangedAtMs = -Infinity;
+
+  constructor(options: RolloutsOptions) {
+    this.#options = options;
+    const { network, clock, metrics } = options;
+    this.#peers = new RolloutPeers(network);
+    this.#sightings = new VersionSightings(clock.nowMs());
+    network.setKnowsRollouts();
+    network.messages.on("rolloutReport", ({ from, message }) => {
+      this.#services.get(message.service)?.handleReport(from, message.report);
+    });
+    network.messages.on("rolloutPermits", ({ message }) => {
+      this.#applyPermits(message.service, message.permits);
+    });
+    network.messages.on("rolloutPhase", ({ from, message }) => {
+      this.#applyNews(message.service, message.news);
+      if (!message.relay) return;
+      this.#peers.relay(message.service, message.news, {
+        except: from.vmId,
+        nowMs: clock.nowMs(),
+      });
+    });
+    metrics.registerGauge("rolloutsUndecided", () => this.#unsettled().length);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+    for (const supervised of this.#services.values()) supervised.close();
+  }
+
+  /** The operator has written a rollout request, or its status has changed. */
+  applyObject(object: StoredObject): void {
+    const result = this.#read(object);
+    if (result.kind === "unreadable") return;
+    const rollout = result.value;
+    const { service, to, id } = rollout.request;
+    const nowMs = this.#options.clock.nowMs();
+    const known = this.#services.get(service);
+    if (known?.view.rollout.request.id === id) {
+      known.view.applyStored(rollout, nowMs);
+      this.#recordPhase(service, known.view);
+    } else {
+      this.#registerPhase(service);
+      const isLost = known !== undefined && known.view.candidate === to &&
+        nowMs < this.#eraChangedAtMs + LOST_REQUEST_MS;
+      known?.close();
+      const view = new ServiceRollout(rollout, nowMs);
+      // A request that was lost and written again has the same verdict.
+      if (isLost) view.applyDecision(known.view.furthestPhase, nowMs);
+      else this.#blocked.delete(service, to);
+      this.#services.set(service, this.#supervise(service, view));
+      this.#options.logger.info("rolloutRequested", {
+        service,
+        to,
+        request: id,
+        durationMs: rollout.request.durationMs,
+        state: rollout.state,
+      });
+      this.#recordPhase(service, view);
+    }
+    this.#updateTimer();
+  }
+
+  /** The operator has removed a rollout request. */
+  removeObject(object: StoredObject): void {
+    const result = this.#read(object);
+    if (result.kind === "unreadable") return;
+    const { service, id, to } = result.value.request;
+    const known = this.#services.get(service);
+    if (known?.view.rollout.request.id !== id) return;
+    const { clock, logger } = this.#options;
+    const isLost = clock.nowMs() < this.#eraChangedAtMs + LOST_REQUEST_MS;
+    if (isLost && !known.view.isSettled) {
+      logger.info("rolloutRequestLost", { service, to, request: id });
+      return;
+    }
+    known.close();
+    this.#services.delete(service);
+    logger.info("rolloutRequestRemoved", { service, to, request: id });
+    this.#updateTimer();
+  }
+
+  /** The store came back from an older copy. */
+  handleEraChange(): void {
+    this.#eraChangedAtMs = this.#options.clock.nowMs();
+  }
+
+  handleServerChange(change: RegisterChange): void {
+    const { clock, register } = this.#options;
+    const { kind, server } = change;
+    const nowMs = clock.nowMs();
+    this.#blocked.handleServerChange(
+      change,
+      () =>
+        register.serversOf(server.service).some(({ softwareVersion }) =>
+          softwareVersion === server.softwareVersion
+        ),
+      nowMs,
+    );
+    if (kind !== "ended") this.#sightings.record(server, nowMs);
+  }
+
+  admits(
+    server: RegisteredServer,
+    options: AdmissionOptions,
+  ): ServerAdmission {
+    const { service, softwareVersion } = server;
+    const nowMs = this.#options.clock.nowMs();
+    if (this.#blocked.has(service, softwareVersion, nowMs)) return "never";
+    const view = this.#services.get(service)?.view;
+    const isCandidate = view?.candidate === softwareVersion;
+    if (
+      !isCandidate && this.#sightings.isHeld(service, softwareVersion, nowMs)
+    ) return "never";
+    if (view === undefined) return "freely";
+    return view.admits(
+      server,
+      { ...options, nowMs },
+      () => this.#formerVersions(service, view),
+    );
+  }
+
+  split<Server extends { readonly server: RegisteredServer }>(
+    _: ServiceName,
+    servers: readonly Server[],
+    options: AdmissionOptions,
+  ): AdmittedServers<Server> {
+    const free: Server[] = [];
+    const permitted: Server[] = [];
+    for (const entry of servers) {
+      const admission = this.admits(entry.server, options);
+      if (admission === "freely") free.push(entry);
+      else if (admission === "withPermit") permitted.push(entry);
+    }
+    return { free, permitted };
+  }
+
+  permitCount(service: ServiceName, route: string): number {
+    const view = this.#services.get(service)?.view;
+    if (view === undefined) return 0;
+    return view.permits.count(route, this.#options.clock.nowMs());
+  }
+
+  takePermit(
+    server: RegisteredServer,
+    route: string,
+  ): ExposurePermit | undefined {
+    const { clock, metrics } = this.#options;
+    const permit = this.#services.get(server.service)?.view
+      .takePermit(server, route, clock.nowMs());
+    if (permit !== undefined) metrics.countEvent("rolloutPermitsUsed");
+    return permit;
+  }
+
+  maySend(
+    server: RegisteredServer,
+    permit: Pick<ExposurePermit, "expiresAtMs"> | undefined,
+    options: AdmissionOptions,
+  ): boolean {
+    const nowMs = this.#options.clock.nowMs();
+    const view = this.#services.get(server.service)?.view;
+    // The permits may be for other servers of the candidate by now.
+    const needsPermit = view?.candidate === server.softwareVersion &&
+      view.phase(nowMs) === "observing";
+    if (needsPermit) {
+      return permit !== undefined && nowMs < permit.expiresAtMs &&
+        !this.#blocked.has(server.service, server.softwareVersion, nowMs);
+    }
+    return this.admits(server, options) === "freely";
+  }
+
+  beginCall(server: RegisteredServer, route: string, items = 1): RolloutCall {
+    const { clock, metrics } = this.#options;
+    const view = this.#services.get(server.service)?.view;
+    const isCounted = view !== undefined && !view.isSettled;
+    const counted = isCounted
+      ? view.counters.begin(server, { route, items, clock })
+      : undefined;
+    const isCandidate = view?.candidate === server.softwareVersion;
+    const end = this.#inFlight.begin(server);
+    return {
+      recordSend: () => {
+        counted?.recordSend();
+      },
+      recordEvent: () => {
+        counted?.recordEvent();
+      },
+      end: (outcome, durationMs) => {
+        if (!end()) return;
+        counted?.end(outcome, durationMs);
+        if (isCounted && isCandidate && outcome === "failed") {
+          metrics.countEvent("rolloutBadAnswers");
+        }
+      },
+    };
+  }
+
+  #formerVersions(
+    service: ServiceName,
+    { candidate, completedAtMs }: ServiceRollout,
+  ): ReadonlySet<SoftwareVersion> {
+    const isServed = this.#options.register.serversOf(service)
+      .some(({ softwareVersion }) => softwareVersion === candidate);
+    // A later release without a rollout may have replaced it.
+    if (!isServed) return NO_VERSIONS;
+    return this.#sightings.seenBefore(
+      service,
+      candidate,
+      (completedAtMs ?? Infinity) + FORMER_VERSION_MARGIN_MS,
+    );
+  }
+
+  #applyPermits(service: ServiceName, permits: RolloutPermits): void {
+    const known = this.#services.get(service);
+    if (known?.view.rollout.request.id !== permits.request) {
+      this.#announceUnknown(service, permits);
+      return;
+    }
+    const nowMs = this.#options.clock.nowMs();
+    const sentAtMs = known.sentAtMs(permits.sequence);
+    if (sentAtMs === undefined) return;
+    const isApplied = known.view.applyPermits(permits, { sentAtMs, nowMs });
+    if (!isApplied) this.#options.metrics.countEvent("rolloutPermitsIgnored");
+    this.#recordPhase(service, known.view);
+  }
+
+  #applyNews(service: ServiceName, news: RolloutPhaseNews): void {
+    const known = this.#services.get(service);
+    if (known?.view.rollout.request.id !== news.request) {
+      this.#announceUnknown(service, news);
+      return;
+    }
+    known.view.applyNews(news, this.#options.clock.nowMs());
+    this.#recordPhase(service, known.view);
+  }
+
+  /** Another VM knows of a rollout request that hasn't arrived here yet. */
+  #announceUnknown(
+    service: ServiceName,
+    { candidate, phase }: Pick<RolloutPhaseNews, "candidate" | "phase">,
+  ): void {
+    if (phase === "completed") return;
+    const nowMs = this.#options.clock.nowMs();
+    this.#blocked.addBriefly(service, candidate, nowMs);
+  }
+
+  /** Keeps a version blocked that was rolled back, whatever becomes of its request. */
+  #recordPhase(service: ServiceName, view: ServiceRollout): void {
+    if (view.furthestPhase === "rolledBack") {
+      this.#blocked.add(service, view.candidate);
+    } else if (view.furthestPhase === "completed") {
+      this.#blocked.delete(service, view.candidate);
+    }
+  }
+
+  #unsettled(): [ServiceName, SupervisedService][] {
+    return [...this.#services].filter(([, { view }]) => !view.isSettled);
+  }
+
+  #updateTimer(): void {
+    const isNeeded = this.#unsettled().length > 0;
+    if (!isNeeded) {
+      clearInterval(this.#timer);
+      this.#timer = undefined;
+      for (const supervised of this.#services.values()) supervised.close();
+      return;
+    }
+    this.#timer ??= setInterval(() => {
+      this.#tick();
+    }, TICK_MS);
+  }
+
+  #tick(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const [, supervised] of this.#unsettled()) supervised.tick(nowMs);
+  }
+
+  #hasSeenCurrent(service: ServiceName, candidate: SoftwareVersion): boolean {
+    return this.#sightings.hasSeenOther(service, candidate) ||
+      this.#options.served.recorded(service).versions
+        .some((version) => version !== candidate);
+  }
+
+  #supervise(service: ServiceName, view: ServiceRollout): SupervisedService {
+    return new SupervisedService({
+      ...this.#options,
+      service,
+      view,
+      peers: this.#peers,
+      inFlightAtCurrent: () =>
+        this.#inFlight.countOthers(service, view.candidate),
+      hasSeenCurrent: () => this.#hasSeenCurrent(service, view.candidate),
+      onChanged: () => {
+        this.#recordPhase(service, view);
+        this.#updateTimer();
+      },
+      applyPermits: (permits) => {
+        this.#applyPermits(service, permits);
+      },
+    });
+  }
+
+  #registerPhase(service: ServiceName): void {
+    if (this.#measured.has(service)) return;
+    this.#measured.add(service);
+    const { metrics, clock } = this.#options;
+    metrics.registerGauge(`rolloutPhase.${service}`, () => {
+      const phase = this.#services.get(service)?.view.phase(clock.nowMs());
+      return phase === undefined ? 0 : PHASE_VALUES[phase];
+    });
+  }
+
+  #read(object: StoredObject): ReadResult<Rollout> {
+    const { objectFormat, metrics, logger } = this.#options;
+    const result = objectFormat.readRollout(object);
+    if (result.kind === "value") return result;
+    metrics.countEvent("unreadableObject");
+    logger.warn("unreadableObject", {
+      key: object.key,
+      revision: object.version,
+      detail: result.detail,
+    });
+    return result;
+  }
+}
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -26,7 +26,7 @@
   ServerDirectory,
   type SharedLimits,
 } from "./placement/server_directory.js";
-import type { ObjectStore } from "./platform/object_store.js";
+import type { StatusStore } from "./platform/object_store.js";
 import { PoisonParts } from "./poison_parts/poison_parts.js";
 import { ServerRateLimits } from "./rate_limits/server_rate_limits.js";
 import { ServerAccess } from "./server_reach/server_access.js";
@@ -35,6 +35,8 @@
   RegisterChange,
   RegisteredServer,
 } from "./register/server_register.js";
+import type { ExposureSettings } from "./rollouts/rollout_request.js";
+import { Rollouts } from "./rollouts/rollouts.js";
 import type { RouteTable } from "./routing/route_table.js";
 import type { Settings } from "./settings/settings.js";
 import type { BatchCaller } from "./stage_graphs/batch_caller.js";
@@ -45,12 +47,14 @@
 
 export interface RoutedDaemonOptions {
   readonly settings: Settings;
-  readonly store: ObjectStore;
+  readonly store: StatusStore;
   readonly objectFormat: DeploymentObjectFormat;
   readonly serverCaller: ServerCaller;
   readonly batchCaller: BatchCaller;
   /** Read at each use, as the settings may change. */
   readonly limits: () => SharedLimits;
+  /** Undefined where rollouts of versions aren't supervised. */
+  readonly exposure?: ExposureSettings | undefined;
   /** Processor capacity of this VM, in cores. */
   readonly processorCores: number;
   /** Maximum number of items of all stages of one request. */
@@ -83,6 +87,7 @@
   readonly #serverAccess: ServerAccess;
   readonly #servedVersions: ServedVersions;
   readonly #streamVersions: StreamVersions;
+  readonly #rollouts: Rollouts | undefined;
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
   readonly #eventLoop: EventLoopMonitor;
@@ -99,6 +104,11 @@
     this.#network = network;
     this.#deployment = new Deployment({
       ...options,
+      rollouts: options.exposure === undefined ? undefined : {
+        applyObject: (object) => this.#rollouts?.applyObject(object),
+        removeObject: (object) => this.#rollouts?.removeObject(object),
+        handleEraChange: () => this.#rollouts?.handleEraChange(),
+      },
       network,
       clock,
       self: {
@@ -135,6 +145,16 @@
       register: this.#deployment.register,
       clock,
     });
+    const rollouts = options.exposure === undefined ? undefined : new Rollouts({
+      ...options,
+      exposure: options.exposure,
+      network,
+      register: this.#deployment.register,
+      served: this.#servedVersions,
+      era: () => this.#deployment.rolloutEra,
+      clock,
+    });
+    this.#rollouts = rollouts;
     this.#streamVersions = new StreamVersions({
       network,
       register: this.#deployment.register,
@@ -158,9 +178,11 @@
       limits: options.limits,
       findService,
       vmCount: () => this.#deployment.entryVmCount,
+      ...(rollouts !== undefined && { rollouts }),
     });
     this.#serverAccess = new ServerAccess({
       ...options,
+      rollouts,
       network,
       register: this.#deployment.register,
       serverNotices: this.#serverNotices,
@@ -183,6 +205,7 @@
       limitsOf: (name) => findService(name)?.batches,
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
       buffers: options.buffers,
+      rollouts,
       clock,
       metrics,
       latencies,
@@ -204,6 +227,7 @@
         streamVersions: this.#streamVersions,
         poisonParts,
         serverNotices: this.#serverNotices,
+        ...(rollouts !== undefined && { rollouts }),
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
         maxStageItems: options.maxStageItems ?? DEFAULT_MAX_STAGE_ITEMS,
@@ -293,6 +317,7 @@
     this.#coordinator.close();
     this.#serverNotices.close();
     this.#servedVersions.close();
+    this.#rollouts?.close();
     this.#serverAccess.close();
     await this.#deployment.close();
     await this.#network.close();
@@ -309,6 +334,7 @@
       draining: server.isDraining,
       coldRemainingMs: server.coldRemainingMs,
     });
+    this.#rollouts?.handleServerChange(change);
     this.#serverAccess.handleServerChange(change);
     if (change.kind !== "ended") return;
     this.#directory.forget(server.id);
--- a/packages/daemon/src/server_reach/relayed_call_client.ts
+++ b/packages/daemon/src/server_reach/relayed_call_client.ts
@@ -189,5 +189,6 @@
     clientAccountId: call.account,
     inputs: call.inputs,
     resumeAfter: call.resumeAfter,
+    ...(call.hasRolloutPermit === true && { hasRolloutPermit: true }),
   };
 }
--- a/packages/daemon/src/server_reach/relayed_call_server.ts
+++ b/packages/daemon/src/server_reach/relayed_call_server.ts
@@ -29,6 +29,11 @@
   MAX_RELAYED_CALLS,
   MAX_RELAYED_CALLS_PER_VM,
 } from "./relayed_call_limits.js";
+import {
+  NO_ROLLOUTS,
+  PERMIT_TTL_MS,
+  type RolloutGate,
+} from "../rollouts/rollout_gate.js";
 import type { ServerReach } from "./server_reach.js";
 
 export interface RelayedCallServerOptions {
@@ -39,6 +44,8 @@
   readonly caller: ServerCaller;
   readonly serverNotices: ServerNotices;
   readonly connectionShare: (service: ServiceName) => number;
+  /** Absent where rollouts of versions aren't supervised. */
+  readonly rollouts?: RolloutGate | undefined;
   /** Whether this process is shutting down. */
   readonly isLeaving: () => boolean;
   readonly clock: Clock;
@@ -146,13 +153,21 @@
     },
   ): RelayedCallRun {
     const { caller, clock, logger, register, serverNotices } = this.#options;
+    const { rollouts = NO_ROLLOUTS } = this.#options;
+    // The asking VM counts the call and its permit, which expires here as there.
+    const permit = call.hasRolloutPermit === true
+      ? { expiresAtMs: clock.nowMs() + PERMIT_TTL_MS }
+      : undefined;
     return new RelayedCallRun({
       call,
       server,
       caller,
       clock,
       connectionShare: this.#options.connectionShare(server.service),
-      maySend: () => register.isUsable(server),
+      maySend: () =>
+        register.isUsable(server) && rollouts.maySend(server, permit, {
+          isContinuation: call.resumeAfter !== undefined,
+        }),
       send: (event) => this.#send(from, callNumber, event),
       onHead: (head) => {
         serverNotices.record(server, head.notice, call.attemptId);
--- a/packages/daemon/src/server_reach/server_access.ts
+++ b/packages/daemon/src/server_reach/server_access.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { RunningPeerNetwork } from "../peers/running_peer_network.js";
+import type { RolloutGate } from "../rollouts/rollout_gate.js";
 import type { ServerNotices } from "../register/server_notices.js";
 import type {
   RegisterChange,
@@ -36,6 +37,8 @@
   readonly serverCaller: ServerCaller;
   readonly batchCaller: BatchCaller;
   readonly connectionShare: (service: ServiceName) => number;
+  /** Absent where rollouts of versions aren't supervised. */
+  readonly rollouts?: RolloutGate | undefined;
   /** Whether this process is shutting down. */
   readonly isLeaving: () => boolean;
   readonly clock: Clock;
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -276,9 +276,18 @@
       this.#maySend(entry, service, nowMs)
     );
     if (entries.length === 0) return [];
+    const permit = this.#servers.takePermit(batch.server);
+    if (permit === "missing") return [];
     this.#lastCallId += 1;
     const id = this.#lastCallId;
-    const call = makeInFlightCall({ id, service, entries, batch, nowMs });
+    const call = makeInFlightCall({
+      id,
+      service,
+      entries,
+      batch,
+      permit,
+      nowMs,
+    });
     for (const { item } of entries) {
       item.startCall(id);
     }
--- a/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
@@ -12,6 +12,7 @@
   ResultReference,
   StageGraphOutcome,
 } from "@sassafrasstage/protocol/stage_graph";
+import type { RolloutGate } from "../rollouts/rollout_gate.js";
 import type { BufferAccount } from "../memory/buffer_account.js";
 import type { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
 import type {
@@ -38,6 +39,8 @@
 export type EndedJob = Pick<StageJob, "id" | "graph" | "acceptedAtMs">;
 
 export interface BatchSchedulerOptions {
+  /** Absent where rollouts of versions aren't supervised. */
+  readonly rollouts?: RolloutGate | undefined;
   readonly register: ServerRegister;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
   readonly rateLimits: CallRateLimits;
--- a/packages/daemon/src/stage_graphs/batch_servers.ts
+++ b/packages/daemon/src/stage_graphs/batch_servers.ts
@@ -9,6 +9,12 @@
   ServiceName,
 } from "@sassafrasstage/protocol/ids";
 import type { ServerRegister } from "../register/server_register.js";
+import {
+  type AdmittedServers,
+  type ExposurePermit,
+  NO_ROLLOUTS,
+  type RolloutGate,
+} from "../rollouts/rollout_gate.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { CallRateLimits } from "./batch_scheduler_options.js";
 import { BatchServer, nominalCallMs } from "./batch_server.js";
@@ -20,6 +26,7 @@
   readonly rateLimits: CallRateLimits;
   readonly register: ServerRegister;
   readonly limitsOf: (service: ServiceName) => BatchLimits | undefined;
+  readonly rollouts?: RolloutGate | undefined;
 }
 
 export type ServersToPlan = Pick<
@@ -27,6 +34,11 @@
   "idle" | "dataCentres" | "nextFreeAtMs"
 >;
 
+/** The name under which a rollout counts the calls of a stage service. */
+export function routeOfStages(service: ServiceName): string {
+  return service;
+}
+
 export class BatchServers {
   readonly #options: BatchServersOptions;
   readonly #servers = new Map<BackendServerId, BatchServer>();
@@ -43,8 +55,35 @@
     this.#servers.delete(id);
   }
 
-  /** The servers of the service that accept new work. */
+  /** The servers of the service that accept new work, some only by permit. */
   usable(service: ServiceName): BatchServer[] {
+    const { free, permitted } = this.#split(service, this.#known(service));
+    return [...free, ...permitted];
+  }
+
+  /** Undefined if the server needs no permit now. */
+  takePermit({ server }: BatchServer): ExposurePermit | "missing" | undefined {
+    const { rollouts = NO_ROLLOUTS } = this.#options;
+    switch (rollouts.admits(server, { isContinuation: false })) {
+      case "freely":
+        return undefined;
+      case "withPermit":
+        return rollouts.takePermit(server, routeOfStages(server.service)) ??
+          "missing";
+      case "never":
+        return "missing";
+    }
+  }
+
+  #split(
+    service: ServiceName,
+    servers: readonly BatchServer[],
+  ): AdmittedServers<BatchServer> {
+    const { rollouts = NO_ROLLOUTS } = this.#options;
+    return rollouts.split(service, servers, { isContinuation: false });
+  }
+
+  #known(service: ServiceName): BatchServer[] {
     const limits = this.#options.limitsOf(service);
     if (limits === undefined) return [];
     return this.#options.register.usableServers(service).map((server) => {
@@ -75,12 +114,25 @@
 
   /** The servers among which the next calls of the service are planned. */
   planView(service: ServiceName, nowMs: number): ServersToPlan {
-    const { rateLimits } = this.#options;
-    const servers = this.reachable(service, nowMs);
-    const idle = servers.filter((server) => server.canStartCall(nowMs));
-    const busy = servers.filter((server) => !idle.includes(server));
+    const { rateLimits, rollouts = NO_ROLLOUTS } = this.#options;
+    const { free, permitted } = this.#split(
+      service,
+      this.reachable(service, nowMs),
+    );
+    // Work doesn't wait for servers that it may not get a permit for.
+    const servers = free.length > 0 ? free : permitted;
+    const permits = permitted.length === 0
+      ? 0
+      : rollouts.permitCount(service, routeOfStages(service));
+    const exposed = permitted
+      .filter((server) => server.canStartCall(nowMs))
+      .slice(0, permits);
+    const idle = free.filter((server) => server.canStartCall(nowMs));
+    const busy = servers.filter((server) => !server.canStartCall(nowMs));
     return {
-      idle: idle.filter(({ server }) => rateLimits.reserve(server.id, nowMs)),
+      // The first of servers that are equally good gets the call.
+      idle: [...exposed, ...idle]
+        .filter(({ server }) => rateLimits.reserve(server.id, nowMs)),
       dataCentres: new Set(
         servers.filter((server) => server.isHealthy(nowMs))
           .map(({ server }) => server.dataCentre),
--- a/packages/daemon/src/stage_graphs/in_flight_call.ts
+++ b/packages/daemon/src/stage_graphs/in_flight_call.ts
@@ -7,6 +7,7 @@
 import type { ServiceName } from "@sassafrasstage/protocol/ids";
 import type { BatchServer } from "./batch_server.js";
 import type { BatchEntry, PlannedBatch } from "./plan_batches.js";
+import type { ExposurePermit } from "../rollouts/rollout_gate.js";
 import { requeueItem } from "./batch_entries.js";
 import type { NotRunReason, StageCall } from "./stage_call.js";
 
@@ -21,11 +22,12 @@
   readonly service: ServiceName;
   readonly entries: readonly BatchEntry[];
   readonly batch: PlannedBatch;
+  readonly permit?: ExposurePermit | undefined;
   readonly nowMs: number;
 }
 
 export function makeInFlightCall(call: NewCall): InFlightCall {
-  const { id, service, entries, nowMs } = call;
+  const { id, service, entries, permit, nowMs } = call;
   const batchServer = call.batch.server;
   return {
     id,
@@ -33,6 +35,7 @@
     server: batchServer.server,
     entries,
     startedAtMs: nowMs,
+    permit,
     batchServer,
     overdueAtMs: nowMs + batchServer.overdueAfterMs(entries.length, nowMs),
     isOverdue: false,
--- a/packages/daemon/src/stage_graphs/stage_call.ts
+++ b/packages/daemon/src/stage_graphs/stage_call.ts
@@ -6,6 +6,7 @@
 
 import type { ServiceName } from "@sassafrasstage/protocol/ids";
 import type { RegisteredServer } from "../register/server_register.js";
+import type { ExposurePermit } from "../rollouts/rollout_gate.js";
 import type { BatchEntry } from "./plan_batches.js";
 
 /** A call that the scheduler has planned and recorded as started. */
@@ -15,6 +16,8 @@
   readonly server: RegisteredServer;
   readonly entries: readonly BatchEntry[];
   readonly startedAtMs: number;
+  /** Used for a call to the candidate of a rollout. */
+  readonly permit?: ExposurePermit | undefined;
 }
 
 export type ItemOutcome =
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -17,9 +17,12 @@
   ServerRegister,
 } from "../register/server_register.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
+import { NO_ROLLOUTS, type RolloutGate } from "../rollouts/rollout_gate.js";
 import type { ServerNotices } from "../register/server_notices.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
+import { routeOfStages } from "./batch_servers.js";
+import { toSampleOutcome } from "./sample_outcome.js";
 import { BatchScheduler } from "./batch_scheduler.js";
 import type { EndedJob } from "./batch_scheduler_options.js";
 import type { BatchEntry } from "./plan_batches.js";
@@ -38,6 +41,8 @@
   readonly serverNotices: ServerNotices;
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
   readonly buffers?: BufferAccount | undefined;
+  /** Absent where rollouts of versions aren't supervised. */
+  readonly rollouts?: RolloutGate | undefined;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
@@ -77,6 +82,7 @@
       rateLimits: options.rateLimits,
       retryBudgetOf: options.retryBudgetOf,
       buffers: options.buffers,
+      rollouts: options.rollouts,
       onEnded: (job, outcome) => {
         this.#reportOutcome(job, outcome);
       },
@@ -195,12 +201,31 @@
 
   async #runCall(call: StageCall): Promise<void> {
     const { clock, caller, rateLimits, serverNotices } = this.#options;
+    const { register, rollouts = NO_ROLLOUTS } = this.#options;
+    const { server, permit } = call;
+    const sample = rollouts.beginCall(
+      server,
+      routeOfStages(call.service),
+      call.entries.length,
+    );
     const { outcome, rateLimit, notice } = await caller.runItems({
-      server: call.server,
+      server,
       items: call.entries.map((entry) => toBatchItem(entry, call.startedAtMs)),
       timeoutMs: CALL_TIMEOUT_MS,
-      maySend: () => this.#options.register.isUsable(call.server),
+      maySend: () => {
+        const isAllowed = register.isUsable(server) &&
+          rollouts.maySend(server, permit, { isContinuation: false });
+        if (isAllowed) sample.recordSend();
+        return isAllowed;
+      },
     });
+    if (outcome.kind === "notRun" && outcome.reason === "notAllowed") {
+      permit?.giveBack();
+    }
+    sample.end(
+      toSampleOutcome(outcome),
+      (clock.nowMs() - call.startedAtMs) / call.entries.length,
+    );
     const request = call.entries[0]?.job.graph.attemptId;
     rateLimits.recordStatement(call.server.id, rateLimit, {
       startedAtMs: call.startedAtMs,
@@ -272,6 +297,10 @@
   ): void {
     // Results expire; a server that asked for a pause gets no calls.
     if (this.#options.register.isPaused(server)) return;
+    // A server of a version under test gets no request without a permit.
+    const { rollouts = NO_ROLLOUTS } = this.#options;
+    const admission = rollouts.admits(server, { isContinuation: true });
+    if (admission !== "freely") return;
     const references = results.map((result) => result.reference);
     void this.#callToFreeResults(server, references);
   }
