--- a/packages/daemon/src/peers/testing/simulated_network.ts
+++ b/packages/daemon/src/peers/testing/simulated_network.ts
@@ -55,6 +55,7 @@
   /** Messages that arrived during the pause. */
   readonly pausedMessages: (() => void)[] = [];
   readonly heardAtMs = new Map<VmId, number>();
+  knowsRollouts = false;
   takeBegunStreams: TakeBegunStreams = () => [];
   takePoisonPartNews: TakePoisonPartNews = () => undefined;
   readonly #network: SimulatedNetwork;
@@ -79,6 +80,10 @@
     for (const vmId of to) this.send(vmId, message);
   }
 
+  setKnowsRollouts(): void {
+    this.knowsRollouts = true;
+  }
+
   setBegunStreams(take: TakeBegunStreams): void {
     this.takeBegunStreams = take;
   }
@@ -102,6 +107,7 @@
       state: this.#stateOf(vm, nowMs),
       isSelf: vm === this,
       generation: 0,
+      knowsRollouts: vm.knowsRollouts,
     }));
     const signature = members.map(({ state }) => state).join();
     if (signature === this.#signature) return this.#view;
--- a/packages/daemon/src/rollouts/blocked_versions.ts
+++ b/packages/daemon/src/rollouts/blocked_versions.ts
@@ -11,8 +11,8 @@
 } from "@sassafrasstage/protocol/ids";
 import type { RegisterChange } from "../register/server_register.js";
 
-/** A rollout request that another VM knows of arrives here within this time. */
-const ANNOUNCED_HOLD_MS = 5000;
+/** The owner announces an undecided rollout at shorter intervals. */
+const ANNOUNCED_HOLD_MS = 2500;
 /**
  * A version that was rolled back and had no server for this time may be used
  * again, as its servers are started anew.
--- a/packages/daemon/src/rollouts/call_counters.ts
+++ b/packages/daemon/src/rollouts/call_counters.ts
@@ -64,7 +64,9 @@
     return call;
   }
 
-  /** All counters, with the calls in progress that have no event yet. */
+  /**
+   * A copy of all counters, with the calls in progress that have no event yet.
+   */
   totals(): CallCounts[] {
     const waiting = new Map<CallCounts, number[]>();
     for (const call of this.#open) {
@@ -76,9 +78,12 @@
     }
     return [...this.#counts.values()].map((counts) => {
       const histogram = waiting.get(counts);
-      return histogram === undefined
-        ? counts
-        : { ...counts, waiting: histogram };
+      return {
+        ...counts,
+        durations: [...counts.durations],
+        pauses: [...counts.pauses],
+        ...(histogram !== undefined && { waiting: histogram }),
+      };
     });
   }
 
--- a/packages/daemon/src/rollouts/rollout_owner.ts
+++ b/packages/daemon/src/rollouts/rollout_owner.ts
@@ -72,6 +72,8 @@
 const MAX_TICK_GAP_MS = 1000;
 /** Time that a new owner waits for the reports of all VMs in contact. */
 const COLLECTION_MS = 1500;
+/** Interval at which the phase is announced again while it stays. */
+const ANNOUNCEMENT_INTERVAL_MS = 1000;
 const RETRY_DELAY_MS = 300;
 const NO_VERDICT: CandidateVerdict = {
   kind: "undecided",
@@ -98,6 +100,7 @@
   #verdict = NO_VERDICT;
   #totals: readonly CallCounts[] = [];
   #judgedAtMs = -Infinity;
+  #announcedAtMs = -Infinity;
   #tickedAtMs: number;
   #era: number;
   #isWritingRecord = false;
@@ -159,6 +162,10 @@
       this.#judgedAtMs = nowMs;
       this.#judge(nowMs);
     }
+    // VMs that don't know the rollout request yet send nothing to the candidate.
+    if (nowMs - this.#announcedAtMs >= ANNOUNCEMENT_INTERVAL_MS) {
+      this.#announce();
+    }
     this.#writeStatusIfDue(nowMs);
     this.#writeRecordIfDue(nowMs);
     this.#reply(nowMs);
@@ -246,15 +253,20 @@
     if (isFinal(this.#phase) && !isStored) return;
     if (phase === "observing") return;
     this.#phase = phase;
-    const { request } = this.#options.rollout();
     this.#log.recordPhase(phase, reason, {
       verdict: this.#verdict,
       reserved: this.#budget?.reserved,
     });
+    this.#announce();
+  }
+
+  #announce(): void {
+    const { request } = this.#options.rollout();
+    this.#announcedAtMs = this.#options.clock.nowMs();
     this.#options.onPhase({
       request: request.id,
       candidate: request.to,
-      phase,
+      phase: this.#phase,
       revision: this.#reservation.revision,
       era: this.#era,
     }, this.#counts.vmIds);
--- a/packages/daemon/src/rollouts/rollouts.ts
+++ b/packages/daemon/src/rollouts/rollouts.ts
@@ -58,6 +58,8 @@
   readonly served: ServedVersionSource;
   /** The era of the store to which the known rollout requests belong. */
   readonly era: () => number;
+  /** Runs something repeatedly until the returned function is called. */
+  readonly repeat?: (run: () => void, intervalMs: number) => () => void;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -76,6 +78,7 @@
  */
 const LOST_REQUEST_MS = 10_000;
 
+const MAX_ENDED = 100;
 const NO_VERSIONS: ReadonlySet<SoftwareVersion> = new Set();
 /** Values of the metric; 0 means that there is no rollout. */
 const PHASE_VALUES: Readonly<Record<RolloutPhaseName, number>> = {
@@ -92,9 +95,11 @@
   readonly #sightings: VersionSightings;
   readonly #blocked = new BlockedVersions();
   readonly #inFlight = new CallsInFlight();
+  /** Requests that were removed or replaced, which other VMs may still know. */
+  readonly #ended = new Set<string>();
   /** Services whose phase is a metric. */
   readonly #measured = new Set<ServiceName>();
-  #timer: NodeJS.Timeout | undefined;
+  #stopTicks: (() => void) | undefined;
   #eraChangedAtMs = -Infinity;
 
   constructor(options: RolloutsOptions) {
@@ -121,7 +126,7 @@
   }
 
   close(): void {
-    clearInterval(this.#timer);
+    this.#stopTicks?.();
     for (const supervised of this.#services.values()) supervised.close();
   }
 
@@ -141,6 +146,7 @@
       const isLost = known !== undefined && known.view.candidate === to &&
         nowMs < this.#eraChangedAtMs + LOST_REQUEST_MS;
       known?.close();
+      if (known !== undefined) this.#recordEnd(known.view);
       const view = new ServiceRollout(rollout, nowMs);
       // A request that was lost and written again has the same verdict.
       if (isLost) view.applyDecision(known.view.furthestPhase, nowMs);
@@ -172,11 +178,17 @@
       return;
     }
     known.close();
+    this.#recordEnd(known.view);
     this.#services.delete(service);
     logger.info("rolloutRequestRemoved", { service, to, request: id });
     this.#updateTimer();
   }
 
+  /** Whether this VM owns the service's rollout now. */
+  owns(service: ServiceName): boolean {
+    return this.#services.get(service)?.isOwner ?? false;
+  }
+
   /** The store came back from an older copy. */
   handleEraChange(): void {
     this.#eraChangedAtMs = this.#options.clock.nowMs();
@@ -331,12 +343,23 @@
     this.#recordPhase(service, known.view);
   }
 
+  #recordEnd({ rollout }: ServiceRollout): void {
+    this.#ended.add(rollout.request.id);
+    const [oldest] = this.#ended;
+    if (this.#ended.size > MAX_ENDED && oldest !== undefined) {
+      this.#ended.delete(oldest);
+    }
+  }
+
   /** Another VM knows of a rollout request that hasn't arrived here yet. */
   #announceUnknown(
     service: ServiceName,
-    { candidate, phase }: Pick<RolloutPhaseNews, "candidate" | "phase">,
+    { request, candidate, phase }: Pick<
+      RolloutPhaseNews,
+      "request" | "candidate" | "phase"
+    >,
   ): void {
-    if (phase === "completed") return;
+    if (phase === "completed" || this.#ended.has(request)) return;
     const nowMs = this.#options.clock.nowMs();
     this.#blocked.addBriefly(service, candidate, nowMs);
   }
@@ -357,12 +380,13 @@
   #updateTimer(): void {
     const isNeeded = this.#unsettled().length > 0;
     if (!isNeeded) {
-      clearInterval(this.#timer);
-      this.#timer = undefined;
+      this.#stopTicks?.();
+      this.#stopTicks = undefined;
       for (const supervised of this.#services.values()) supervised.close();
       return;
     }
-    this.#timer ??= setInterval(() => {
+    const { repeat = repeatByTimer } = this.#options;
+    this.#stopTicks ??= repeat(() => {
       this.#tick();
     }, TICK_MS);
   }
@@ -420,3 +444,10 @@
     return result;
   }
 }
+
+function repeatByTimer(run: () => void, intervalMs: number): () => void {
+  const timer = setInterval(run, intervalMs);
+  return () => {
+    clearInterval(timer);
+  };
+}
--- a/packages/daemon/src/rollouts/supervised_service.ts
+++ b/packages/daemon/src/rollouts/supervised_service.ts
@@ -59,6 +59,10 @@
     this.#reporter = new RolloutReporter(options.view);
   }
 
+  get isOwner(): boolean {
+    return this.#owner !== undefined;
+  }
+
   close(): void {
     this.#owner?.close();
     this.#owner = undefined;
