--- a/packages/daemon/src/rollouts/exposure_budget.ts
+++ b/packages/daemon/src/rollouts/exposure_budget.ts
@@ -23,7 +23,10 @@
 export interface PermitDemand {
   readonly vm: VmId;
   readonly route: string;
-  /** Requests expected within the lifetime of a permit. */
+  /**
+   * Requests expected within the lifetime of a permit; 1 for a request that
+   * waits for its permit.
+   */
   readonly expected: number;
   /** Permits that the VM holds for the route and that haven't expired. */
   readonly held: number;
@@ -35,10 +38,26 @@
   readonly demands: readonly PermitDemand[];
   /** Samples of the candidate by route. */
   readonly samples: ReadonlyMap<string, number>;
+  /**
+   * Increases with each plan, so that VMs with the same demand take turns: a
+   * fault may show only beside other requests of the same VM or data centre.
+   */
+  readonly turn?: number;
 }
 
 /** Part of the slack that is never reserved. */
 const MARGIN_SHARE_OF_SLACK = 0.1;
+/** Shortest time between two writes of a reservation. */
+const RESERVATION_INTERVAL_MS = 1000;
+/**
+ * Part of the slack that is reserved at once. What a former owner reserved and
+ * didn't grant is lost, so that a whole slack in one portion would leave its
+ * successor with the share only.
+ */
+const PORTION_SHARE_OF_SLACK = 0.4;
+const MIN_PORTION = 10;
+/** Demands by which the first one moves from plan to plan. */
+const TURN_STEP = 37;
 
 /**
  * Requests that may be reserved for the candidate in total.
@@ -56,17 +75,79 @@
   return Math.max(0, Math.floor(limits.share * serviceRequests + usableSlack));
 }
 
-/** Splits permits among routes and VMs. */
+/**
+ * Splits permits among routes and VMs: routes with few samples first, and
+ * within a route the VMs that are most likely to use them.
+ *
+ * The miss risk of the canary analysis is that of the route with the fewest
+ * samples, so that routes with little traffic get as many samples as others.
+ *
+ * @example
+ * ```ts
+ * planPermits({ allowance: budget.available(), demands, samples });
+ * ```
+ */
 export function planPermits(input: PermitPlanInput): PermitGrant[] {
-  const grants: PermitGrant[] = [];
+  const routes = [...groupByRoute(input)].map(([route, takers]) => ({
+    takers,
+    nextTaker: 0,
+    // A held permit counts as the part of a sample that it may become.
+    samples: (input.samples.get(route) ?? 0) +
+      sum(takers.map(({ held, useChance }) => held * useChance)),
+  }));
   let left = Math.floor(input.allowance);
-  for (const { vm, route, expected, held } of input.demands) {
-    const count = Math.min(left, Math.ceil(expected) - held);
-    if (count <= 0) continue;
-    grants.push({ vm, route, count });
-    left -= count;
+  while (left > 0) {
+    const open = routes.filter(({ takers, nextTaker }) =>
+      nextTaker < takers.length
+    );
+    const [first, ...others] = open;
+    if (first === undefined) break;
+    const route = others.reduce(
+      (best, item) => item.samples < best.samples ? item : best,
+      first,
+    );
+    const taker = route.takers[route.nextTaker];
+    if (taker === undefined) break;
+    taker.granted += 1;
+    route.samples += taker.useChance;
+    left -= 1;
+    if (taker.granted >= taker.room) route.nextTaker += 1;
   }
-  return grants;
+  return routes.flatMap(({ takers }) =>
+    takers.filter(({ granted }) => granted > 0)
+      .map(({ vm, route, granted }) => ({ vm, route, count: granted }))
+  );
+}
+
+interface Taker extends PermitDemand {
+  /** Permits that it may get. */
+  readonly room: number;
+  readonly useChance: number;
+  granted: number;
+}
+
+function groupByRoute(
+  { demands, turn = 0 }: PermitPlanInput,
+): Map<string, Taker[]> {
+  const byRoute = new Map<string, Taker[]>();
+  const start = demands.length === 0 ? 0 : turn * TURN_STEP % demands.length;
+  for (const demand of [...demands.slice(start), ...demands.slice(0, start)]) {
+    const { route, expected, held } = demand;
+    const room = Math.ceil(expected) - held;
+    if (room <= 0) continue;
+    const useChance = Math.min(1, expected / Math.ceil(expected));
+    const takers = byRoute.get(route) ?? [];
+    takers.push({ ...demand, room, useChance, granted: 0 });
+    byRoute.set(route, takers);
+  }
+  for (const takers of byRoute.values()) {
+    takers.sort((a, b) => b.useChance - a.useChance);
+  }
+  return byRoute;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
 
 export interface ExposureBudgetOptions {
@@ -85,18 +166,21 @@
  * @example
  * ```ts
  * const target = budget.reservationDue(limits, nowMs);
- * if (target !== undefined && await write(target)) budget.confirm(target);
+ * if (target !== undefined && await write(target)) budget.confirmReserved(target.reserved);
  * const grants = planPermits({ allowance: budget.available(), … });
  * budget.recordGranted(grants.reduce((sum, { count }) => sum + count, 0));
  * ```
  */
 export class ExposureBudget {
+  /** Permits of former owners; returns don't make them available again. */
+  readonly #takenOver: number;
   #reserved: number;
   #granted: number;
   #serviceRequests: number;
   #reservedAtMs = -Infinity;
 
   constructor(options: ExposureBudgetOptions) {
+    this.#takenOver = options.reserved;
     this.#reserved = options.reserved;
     this.#granted = options.reserved;
     this.#serviceRequests = options.serviceRequests;
@@ -123,8 +207,16 @@
   ):
     | { readonly reserved: number; readonly serviceRequests: number }
     | undefined {
-    if (nowMs - this.#reservedAtMs < 1000) return undefined;
-    const reserved = maxExposure(limits, this.#serviceRequests);
+    if (nowMs - this.#reservedAtMs < RESERVATION_INTERVAL_MS) return undefined;
+    const portion = Math.max(
+      MIN_PORTION,
+      limits.slack * PORTION_SHARE_OF_SLACK,
+    );
+    if (this.available() >= portion / 2) return undefined;
+    const reserved = Math.min(
+      maxExposure(limits, this.#serviceRequests),
+      Math.floor(this.#reserved + portion),
+    );
     if (reserved <= this.#reserved) return undefined;
     this.#reservedAtMs = nowMs;
     return { reserved, serviceRequests: this.#serviceRequests };
@@ -146,6 +238,6 @@
 
   /** VMs reported permits of this owner as expired unused. */
   recordReturned(count: number): void {
-    this.#granted -= count;
+    this.#granted = Math.max(this.#takenOver, this.#granted - count);
   }
 }
--- a/packages/daemon/src/rollouts/rollout_observations.ts
+++ b/packages/daemon/src/rollouts/rollout_observations.ts
@@ -71,7 +71,7 @@
 /** Identifies what is counted together. */
 export function countsKey(counts: CallCounts): string {
   const { route, side, server, dataCentre } = counts;
-  return JSON.stringify([route, side, server ?? "", dataCentre ?? ""]);
+  return [route, side, server ?? "", dataCentre ?? ""].join("\n");
 }
 
 /** Adds up counters of the same route, side, server and data centre. */
--- /dev/null
+++ b/packages/daemon/src/rollouts/testing/simulated_versions.ts
@@ -0,0 +1,209 @@
+/**
+ * Calls to two versions of a service in virtual time, for tests of the canary
+ * analysis.
+ *
+ * @module
+ */
+
+import {
+  type BackendServerId,
+  type DataCentreName,
+  toId,
+} from "@sassafrasstage/protocol/ids";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import {
+  bucketOf,
+  type CallCounts,
+  countsKey,
+  emptyHistogram,
+  type VersionSide,
+} from "../rollout_observations.js";
+
+export class Random {
+  readonly #generator;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  /** Uniform between the bounds. */
+  between(min: number, max: number): number {
+    return min + (max - min) * uniformFloat64(this.#generator);
+  }
+
+  chance(probability: number): boolean {
+    return this.between(0, 1) < probability;
+  }
+
+  below(count: number): number {
+    return Math.floor(this.between(0, count));
+  }
+
+  /** Log-normal with median 1. */
+  spread(sigma: number): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.between(0, 1)));
+    return Math.exp(sigma * radius * Math.cos(this.between(0, 2 * Math.PI)));
+  }
+}
+
+/** Bad responses of the candidate, or of both sides. */
+export interface SimulatedFault {
+  readonly kind: "failure" | "slow";
+  readonly share: number;
+  /** For slow responses. */
+  readonly factor: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly applies: (call: SimulatedCall) => boolean;
+}
+
+export interface SimulatedCall {
+  readonly side: VersionSide;
+  readonly route: string;
+  readonly server: BackendServerId;
+  readonly dataCentre: DataCentreName;
+  readonly sentAtMs: number;
+}
+
+interface EndedCall extends SimulatedCall {
+  readonly durationMs: number;
+  readonly isFailed: boolean;
+}
+
+export interface SimulatedService {
+  /** Share of the calls and median duration by route. */
+  readonly routes: readonly {
+    readonly share: number;
+    readonly medianMs: number;
+  }[];
+  /** Standard deviation of the logarithm of durations. */
+  readonly sigma: number;
+  readonly failureRate: number;
+  readonly currentPerSecond: number;
+  readonly candidatePerSecond: number;
+  /** Servers of the candidate and the factor of their durations. */
+  readonly candidateSpeeds: readonly number[];
+  readonly candidateFromMs: number;
+  readonly faults: readonly SimulatedFault[];
+}
+
+const DATA_CENTRES = ["east", "west", "north"].map((name) =>
+  toId<DataCentreName>(name)
+);
+
+export class SimulatedVersions {
+  readonly #calls: EndedCall[] = [];
+
+  constructor(service: SimulatedService, endMs: number, random: Random) {
+    for (const side of ["current", "candidate"] as const) {
+      const isCurrent = side === "current";
+      const perSecond = isCurrent
+        ? service.currentPerSecond
+        : service.candidatePerSecond;
+      let atMs = isCurrent ? 0 : service.candidateFromMs;
+      for (;;) {
+        atMs -= Math.log(1 - random.between(0, 1)) * 1000 / perSecond;
+        if (atMs >= endMs) break;
+        this.#calls.push(makeCall(service, { side, atMs, random }));
+      }
+    }
+  }
+
+  /** Cumulative counts as a VM reports them. */
+  countsAt(nowMs: number): CallCounts[] {
+    const counts = new Map<string, MutableCounts>();
+    for (const call of this.#calls) {
+      if (call.sentAtMs > nowMs) continue;
+      const empty = emptyCounts(call);
+      const key = countsKey(empty);
+      const item = counts.get(key) ?? empty;
+      counts.set(key, item);
+      item.sent += 1;
+      const ageMs = nowMs - call.sentAtMs;
+      const bucket = bucketOf(Math.min(ageMs, call.durationMs));
+      if (ageMs < call.durationMs) add(item.waiting, bucket);
+      else if (call.isFailed) item.failed += 1;
+      else {
+        item.answered += 1;
+        add(item.durations, bucket);
+      }
+    }
+    return [...counts.values()];
+  }
+}
+
+interface MutableCounts extends CallCounts {
+  sent: number;
+  answered: number;
+  failed: number;
+  readonly durations: number[];
+  readonly waiting: number[];
+}
+
+function add(histogram: number[], bucket: number): void {
+  histogram[bucket] = (histogram[bucket] ?? 0) + 1;
+}
+
+function emptyCounts(call: SimulatedCall): MutableCounts {
+  const { route, side, server, dataCentre } = call;
+  return {
+    route,
+    side,
+    server: side === "candidate" ? server : undefined,
+    dataCentre,
+    sent: 0,
+    answered: 0,
+    failed: 0,
+    durations: emptyHistogram(),
+    waiting: emptyHistogram(),
+  };
+}
+
+function makeCall(
+  service: SimulatedService,
+  { side, atMs, random }: {
+    readonly side: VersionSide;
+    readonly atMs: number;
+    readonly random: Random;
+  },
+): EndedCall {
+  const isCandidate = side === "candidate";
+  const serverIndex = random.below(
+    isCandidate ? service.candidateSpeeds.length : 30,
+  );
+  // The owner of permits samples the routes evenly.
+  const routeIndex = isCandidate
+    ? random.below(service.routes.length)
+    : drawRoute(service, random);
+  const call: SimulatedCall = {
+    side,
+    route: `route-${routeIndex}`,
+    server: toId<BackendServerId>(`${side}-${serverIndex}`),
+    dataCentre: DATA_CENTRES[serverIndex % DATA_CENTRES.length] ??
+      toId<DataCentreName>("east"),
+    sentAtMs: atMs,
+  };
+  const speed = isCandidate
+    ? service.candidateSpeeds[serverIndex] ?? 1
+    : random.between(0.8, 1.3);
+  let durationMs = (service.routes[routeIndex]?.medianMs ?? 100) * speed *
+    random.spread(service.sigma);
+  let isFailed = random.chance(service.failureRate);
+  for (const fault of service.faults) {
+    if (atMs < fault.fromMs || atMs >= fault.untilMs) continue;
+    if (!fault.applies(call) || !random.chance(fault.share)) continue;
+    if (fault.kind === "slow") durationMs *= fault.factor;
+    else isFailed = true;
+  }
+  return { ...call, durationMs, isFailed };
+}
+
+function drawRoute({ routes }: SimulatedService, random: Random): number {
+  let left = random.between(0, 1);
+  for (const [index, { share }] of routes.entries()) {
+    left -= share;
+    if (left < 0) return index;
+  }
+  return 0;
+}
