--- a/packages/daemon/src/rollouts/rollout_log.ts
+++ b/packages/daemon/src/rollouts/rollout_log.ts
@@ -39,6 +39,7 @@
     if (verdict.kind === this.#verdict) return;
     this.#verdict = verdict.kind;
     const { kind, reason, samples, bad, badServer } = verdict;
+    const { faultRatio, missRisk } = verdict;
     this.#logger.info("rolloutVerdict", {
       ...this.#name(),
       verdict: kind,
@@ -46,6 +47,8 @@
       samples,
       bad,
       badServer,
+      faultRatio: faultRatio?.toPrecision(3),
+      missRisk: missRisk?.toPrecision(3),
       elapsedMs: Math.round(inputs.elapsedMs),
       counts: formatCounts(inputs.totals),
     });
--- a/packages/daemon/src/rollouts/rollout_owner.ts
+++ b/packages/daemon/src/rollouts/rollout_owner.ts
@@ -184,9 +184,10 @@
     if (isFinal(this.#phase)) return;
     this.#counts.dropStale(nowMs);
     this.#totals = this.#counts.totals();
-    this.#window.record(this.#totals, nowMs);
-    const recent = this.#window.recent(this.#totals, nowMs);
-    const verdict = judgeCandidate(this.#totals, { recent });
+    const verdict = judgeCandidate(
+      this.#totals,
+      this.#window.split(this.#totals, nowMs),
+    );
     this.#log.recordVerdict(verdict, {
       elapsedMs: nowMs - this.#counts.orderedAtMs,
       totals: this.#totals,
