--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -9,6 +9,7 @@
 import type { AttemptInput } from "./attempt_input.js";
 import { observeCall } from "./observe_call.js";
 import { CallDuration } from "./call_duration.js";
+import { sampleCall } from "./sample_call.js";
 import { requestDigest } from "./request_digest.js";
 import { formatPromptParts } from "./format_prompt_parts.js";
 import type {
@@ -45,13 +46,17 @@
   return {
     server: candidate.server,
     request: context.request,
-    maySend: () => context.environment.directory.isUsable(candidate.server),
+    maySend: () =>
+      context.environment.directory.maySend(candidate, {
+        isContinuation: resumeAfter !== undefined,
+      }),
     connectionShare: context.environment.directory
       .connectionShare(candidate.server.service),
     remainingMs: Math.max(1, Math.floor(context.lifetime.remainingMs())),
     account: context.account?.id,
     inputs,
     resumeAfter,
+    ...(candidate.permit !== undefined && { hasRolloutPermit: true }),
   };
 }
 
@@ -68,6 +73,8 @@
   evict(): void;
   /** Called for each event of a stream once it is complete. */
   recordEvent(): void;
+  /** A response that has ended without an error isn't complete. */
+  recordCutOff(): void;
 }
 
 /** Starts a call and updates the server's health from its outcome. */
@@ -83,6 +90,7 @@
   let isFailureOfHeadCounted = false;
   const observation = observeCall(input);
   const duration = new CallDuration(input);
+  const sample = sampleCall(input);
   function finish(): boolean {
     if (isFinished) return false;
     isFinished = true;
@@ -103,7 +111,10 @@
     if (remainingConnections === "none") {
       environment.metrics.countEvent("callEndedWithServer");
     }
-    if (observation.recordFailure(failure)) input.onServerCrash?.();
+    const isCrash = observation.recordFailure(failure);
+    if (isCrash) input.onServerCrash?.();
+    sample.recordFailure(failure, { isCrash });
+    if (failure.kind === "notSent") input.candidate.permit?.giveBack();
     environment.logger.info("serverCallFailed", {
       request: input.context.request.attemptId,
       server: server.id,
@@ -122,11 +133,15 @@
     onSend: () => {
       observation.recordSend();
       duration.recordSend();
+      const { trace } = input.context;
+      if (trace !== undefined) trace.softwareVersion = server.softwareVersion;
+      sample.recordSend();
       logSend(input, environment.clock.nowMs() - startedAtMs);
       countSendUnderRateLimit(input);
     },
     onHead: (head) => {
       observation.recordHead(head);
+      sample.recordHead(head);
       const nowMs = environment.clock.nowMs();
       environment.rateLimits.recordStatement(server.id, head.rateLimit, {
         startedAtMs,
@@ -159,6 +174,7 @@
       duration.recordEnd();
       observation.recordEnd();
       listener.onEnd();
+      sample.recordEnd();
     },
     onFailure: fail,
   });
@@ -182,15 +198,22 @@
       hasFirstEvent = true;
       duration.recordEvent();
       observation.recordEvent();
+      sample.recordEvent();
+    },
+    recordCutOff: () => {
+      sample.recordCutOff();
     },
     cancel: () => {
       if (!finish()) return;
       observation.recordCancel();
+      sample.recordCancel();
       call.cancel();
     },
     cancelIfNotSent: () => {
       if (isFinished || !call.cancelIfNotSent()) return false;
       observation.recordCancel();
+      sample.recordCancel();
+      input.candidate.permit?.giveBack();
       return finish();
     },
   };
@@ -202,6 +225,7 @@
   const fields = {
     request: request.attemptId,
     server: input.candidate.server.id,
+    softwareVersion: input.candidate.server.softwareVersion,
     waitedMs: Math.round(waitedMs),
     sinceReceivedMs: Math.round(clock.nowMs() - request.receivedAtMs),
   };
--- a/packages/daemon/src/placement/choose_server.ts
+++ b/packages/daemon/src/placement/choose_server.ts
@@ -16,6 +16,7 @@
 
 import type { DataCentreName } from "@sassafrasstage/protocol/ids";
 import { rankByRendezvous } from "../peers/rendezvous.js";
+import type { ExposurePermit } from "../rollouts/rollout_gate.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { CandidateLoad } from "../server_load/server_loads.js";
 import type { ServerHealth } from "./server_health.js";
@@ -25,6 +26,8 @@
   readonly health: ServerHealth;
   /** Set once the server has stated how long work takes there. */
   readonly load?: CandidateLoad | undefined;
+  /** Set for a server that gets a request only by permit; used up by `assign`. */
+  readonly permit?: ExposurePermit | undefined;
 }
 
 export interface ServerChoiceInput {
