Charge the cost of small chunks to their connection, and end stopped bodies

Cause: a connection that exceeded its share of small chunks was only paused, and each read after that parsed up to 64 kB, 10,900 chunks, in one go. Its debts grew, and a crowd used the whole processor at the expense of all others. A body that stopped was ended by its mean rate only, a small one not at all under pressure.

Change: once a connection exceeds its share, all are read in slices of 1 to 4 kB. After a turn whose share was used up, up to 16 turns only accept connections.

The first read is still parsed in one go.

--- a/packages/daemon/src/http/body_receiver.ts
+++ b/packages/daemon/src/http/body_receiver.ts
@@ -24,6 +24,10 @@
 export type BodyRefusal =
   /** Less than the minimum rate. */
   | "tooSlow"
+  /** No bytes came for longer than a body may stop. */
+  | "stalled"
+  /** Its framing costs far more than its bytes, at the expense of others. */
+  | "smallChunks"
   /** No bytes came while others waited for memory. */
   | "stalledUnderPressure"
   /** Reading was paused for too long. */
@@ -42,6 +46,8 @@
 export interface BodyReceiverOptions {
   readonly maxBytes: number;
   readonly minRate: MinRate;
+  /** Longest time without bytes; 0 for no limit. */
+  readonly maxStallMs: number;
   readonly nowMs: number;
   readonly connection: ConnectionRead;
   readonly account: BufferAccount;
@@ -53,6 +59,8 @@
 const MAX_PAUSE_MS = 1000;
 /** While others wait, a body of which nothing comes is then refused. */
 const MAX_STALL_MS = 1000;
+/** The same for a body that needs only a small buffer. */
+const MAX_SMALL_STALL_MS = 3000;
 const MS_PER_SECOND = 1000;
 
 export class BodyReceiver {
@@ -131,14 +139,23 @@
       return;
     }
     this.#windowMs += elapsedMs;
-    const isStalled = nowMs - this.#lastChunkAtMs >= MAX_STALL_MS;
-    if (
-      isStalled && this.#isLarge && this.#options.account.pressure !== "none"
-    ) {
+    if (this.#checkStall(nowMs - this.#lastChunkAtMs)) return;
+    this.#checkRate();
+  }
+
+  /** Returns whether the body was refused. */
+  #checkStall(stalledMs: number): boolean {
+    const { account, maxStallMs } = this.#options;
+    const maxUnderPressureMs = this.#isLarge
+      ? MAX_STALL_MS
+      : MAX_SMALL_STALL_MS;
+    if (stalledMs >= maxUnderPressureMs && account.pressure !== "none") {
       this.#refuse("stalledUnderPressure");
-      return;
+      return true;
     }
-    this.#checkRate();
+    if (maxStallMs === 0 || stalledMs < maxStallMs) return false;
+    this.#refuse("stalled");
+    return true;
   }
 
   #checkRate(): void {
@@ -178,8 +195,13 @@
   /** What comes after the body was given up is counted and dropped. */
   #receive(chunk: Buffer): void {
     const { connection, maxBytes } = this.#options;
-    connection.countChunk(chunk.length);
+    const verdict = connection.countChunk(chunk.length);
     if (this.#isSettled) return;
+    if (verdict === "wasteful") {
+      connection.end();
+      this.#refuse("smallChunks");
+      return;
+    }
     if (this.#buffer.length + chunk.length > maxBytes) {
       this.#finish({ kind: "tooLarge" });
       return;
--- a/packages/daemon/src/http/connection_reads.ts
+++ b/packages/daemon/src/http/connection_reads.ts
@@ -11,9 +11,12 @@
 
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import type {
-  ConnectionChunkLimiter,
-  SmallChunkLimiter,
+import { FramingCost } from "./framing_cost.js";
+import { SlicedReads } from "./sliced_reads.js";
+import {
+  type ConnectionChunkLimiter,
+  SMALL_CHUNK_BYTES,
+  type SmallChunkLimiter,
 } from "./small_chunk_limiter.js";
 
 /** Why a connection isn't read at present. */
@@ -25,12 +28,27 @@
   /** What is buffered for others is near its limit. */
   | "memory"
   /** Requests that were read before wait for their turn. */
-  | "pipelining";
+  | "pipelining"
+  /** It is being closed. */
+  | "ending";
+
+/** Whether a connection may go on after a chunk. */
+export type ChunkVerdict =
+  | "goOn"
+  /** Its framing costs far more than its bytes, at the expense of others. */
+  | "wasteful";
 
 /** Cost of parsing a message, in small chunks. */
 const MESSAGE_CHUNKS = 8;
 /** Of all connections together, in one turn of the event loop. */
 const MAX_BYTES_PER_TURN = 4 * 1024 * 1024;
+/**
+ * The event loop accepts one connection a turn. After a turn whose share was
+ * used up, up to this many turns only accept, as long as connections come.
+ */
+const MAX_ACCEPTING_TURNS = 16;
+/** After small chunks, new connections are read in slices for this long. */
+const SLICING_MS = 10_000;
 
 /** Called once for each connection and reason. */
 export type PauseListener = (reason: PauseReason, socket: Socket) => void;
@@ -41,7 +59,9 @@
   readonly #reads: ConnectionReads;
   readonly #reasons = new Set<PauseReason>();
   readonly #reported = new Set<PauseReason>();
+  readonly #framing = new FramingCost();
   #limiter: ConnectionChunkLimiter | undefined;
+  #slices: SlicedReads | undefined;
 
   constructor(socket: Socket, reads: ConnectionReads) {
     this.#socket = socket;
@@ -53,6 +73,7 @@
       if (!this.isPaused) return;
       socket.pause();
       socket.emit("pause");
+      this.#slices?.stop();
     });
   }
 
@@ -65,14 +86,29 @@
     this.#reasons.add(reason);
     if (this.#reasons.size === 1) this.#socket.pause();
     // The turn is over for all alike, and says nothing of this connection.
-    if (reason === "turn" || this.#reported.has(reason)) return;
+    if (reason === "turn" || reason === "ending") return;
+    if (this.#reported.has(reason)) return;
     this.#reported.add(reason);
     this.#reads.onPaused(reason, this.#socket);
   }
 
+  /** Reads nothing more. */
+  end(): void {
+    this.pause("ending");
+    this.#slices?.end();
+  }
+
   resume(reason: PauseReason): void {
     if (!this.#reasons.delete(reason)) return;
-    if (!this.isPaused && !this.#socket.destroyed) this.#socket.resume();
+    if (this.isPaused || this.#socket.destroyed) return;
+    this.#socket.resume();
+    this.#slices?.start();
+  }
+
+  /** Bounds what one read costs from now on. */
+  slice(): void {
+    if (this.#slices !== undefined || this.#socket.destroyed) return;
+    this.#slices = new SlicedReads(this.#socket, () => this.isPaused);
   }
 
   /** Counts a message that has to wait; its parsing costs as much as chunks do. */
@@ -80,14 +116,21 @@
     for (let n = 0; n < MESSAGE_CHUNKS; n++) this.countChunk(0);
   }
 
-  countChunk(bytes: number): void {
+  countChunk(bytes: number): ChunkVerdict {
     this.#reads.countBytes(bytes);
+    if (bytes < SMALL_CHUNK_BYTES) this.#framing.countSmallChunk(bytes);
     this.#limiter ??= this.#reads.limiter.forConnection(() => {
       this.resume("smallChunks");
     });
-    if (this.#limiter.receive(bytes)) return;
-    this.pause("smallChunks");
-    this.#reads.checkTurn();
+    const mayGoOn = this.#limiter.receive(bytes);
+    const isWasteful = this.#framing.isWasteful &&
+      this.#reads.limiter.isTotalUsedUp;
+    if (!mayGoOn) {
+      this.pause("smallChunks");
+      this.#reads.startSlicing();
+      this.#reads.checkTurn();
+    }
+    return isWasteful ? "wasteful" : "goOn";
   }
 }
 
@@ -98,6 +141,8 @@
   readonly #connections = new Map<Socket, ConnectionRead>();
   #isTurnUsedUp = false;
   #bytesInTurn = 0;
+  #acceptedInTurn = 0;
+  #slicesUntilMs = -Infinity;
 
   constructor(
     limiter: SmallChunkLimiter,
@@ -110,7 +155,9 @@
   /** Includes the connections that the server accepts from now on. */
   watch(server: Server): void {
     server.on("connection", (socket: Socket) => {
-      this.of(socket);
+      this.#acceptedInTurn += 1;
+      const connection = this.of(socket);
+      if (this.limiter.nowMs < this.#slicesUntilMs) connection.slice();
     });
   }
 
@@ -127,6 +174,22 @@
     return connection;
   }
 
+  /**
+   * Called when a connection has sent more small chunks than its share. One read
+   * of 64 kB may hold over 10,000 of them, so that all connections are read in
+   * slices from then on, and new ones for some time.
+   */
+  startSlicing(): void {
+    const { nowMs } = this.limiter;
+    const isSlicing = nowMs < this.#slicesUntilMs;
+    this.#slicesUntilMs = nowMs + SLICING_MS;
+    if (isSlicing) return;
+    // The HTTP library is inside a read of one of them.
+    this.limiter.onNextTurn(() => {
+      for (const connection of this.#connections.values()) connection.slice();
+    });
+  }
+
   /** Bounds the time in which large bodies are copied. */
   countBytes(bytes: number): void {
     if (bytes === 0) return;
@@ -150,7 +213,16 @@
     for (const connection of this.#connections.values()) {
       connection.pause("turn");
     }
+    this.#waitForNextTurn(MAX_ACCEPTING_TURNS);
+  }
+
+  #waitForNextTurn(remainingTurns: number): void {
+    this.#acceptedInTurn = 0;
     this.limiter.onNextTurn(() => {
+      if (this.#acceptedInTurn > 0 && remainingTurns > 0) {
+        this.#waitForNextTurn(remainingTurns - 1);
+        return;
+      }
       this.#isTurnUsedUp = false;
       for (const connection of this.#connections.values()) {
         connection.resume("turn");
--- a/packages/daemon/src/http/limit_small_requests.ts
+++ b/packages/daemon/src/http/limit_small_requests.ts
@@ -84,7 +84,7 @@
   }
   const connection = reads.of(socket);
   message.on("data", (chunk: Buffer) => {
-    connection.countChunk(chunk.length);
+    if (connection.countChunk(chunk.length) === "wasteful") socket.destroy();
   });
   response.setHeader("connection", "close");
 }
--- a/packages/daemon/src/http/small_chunk_limiter.ts
+++ b/packages/daemon/src/http/small_chunk_limiter.ts
@@ -9,7 +9,7 @@
  */
 
 /** Smaller chunks are counted. */
-const SMALL_CHUNK_BYTES = 512;
+export const SMALL_CHUNK_BYTES = 512;
 /** Steady rate of one connection: a fast engine sends 4,000 events a second. */
 const CONNECTION_CHUNKS_PER_S = 8000;
 const CONNECTION_BURST_CHUNKS = 1024;
@@ -97,6 +97,11 @@
     return this.#chunksInTurn >= MAX_CHUNKS_PER_TURN;
   }
 
+  /** Whether all connections together have used more than their steady rate. */
+  get isTotalUsedUp(): boolean {
+    return this.#total.tokens(this.nowMs) <= 1;
+  }
+
   onNextTurn(callback: () => void): void {
     this.#options.nextTurn(callback);
   }
