--- a/packages/daemon/src/http/connection_resets.ts
+++ b/packages/daemon/src/http/connection_resets.ts
@@ -93,7 +93,7 @@
  * the connection is closed.
  */
 export function readSocketOption(
-  socket: Socket,
+  socket: Socket | Server,
   option: { readonly level: number; readonly name: number },
   value: Int32Array,
 ): boolean {
--- a/packages/daemon/src/http/tcp_state.ts
+++ b/packages/daemon/src/http/tcp_state.ts
@@ -4,13 +4,14 @@
  * @module
  */
 
-import type { Socket } from "node:net";
+import type { Server, Socket } from "node:net";
 import { readSocketOption } from "./connection_resets.js";
 
 /** Of Linux. */
 const TCP_INFO = { level: 6, name: 11 };
 /** Of `struct tcp_info`, up to the bytes acknowledged. */
 const INFO_WORDS = 32;
+const UNACKED_WORD = 6;
 const ACKED_LOW_WORD = 30;
 const ACKED_HIGH_WORD = 31;
 const WORD_RANGE = 2 ** 32;
@@ -37,3 +38,14 @@
     isClosedByPeer: state === TCP_CLOSE || state === TCP_CLOSE_WAIT,
   };
 }
+
+/**
+ * Number of connections that wait to be accepted; undefined if that can't be
+ * found out. The kernel states it in place of unacknowledged segments.
+ */
+export function readQueuedConnections(server: Server): number | undefined {
+  const info = new Int32Array(INFO_WORDS);
+  return readSocketOption(server, TCP_INFO, info)
+    ? info[UNACKED_WORD]
+    : undefined;
+}
