Order stage queues by the cost for callers if the policy says so

The order of now serves work that can be on time by worth for each millisecond.

With CallerCostQueue, refusals and batches are ordered by deferral_cost, starved groups are preferred up to their guaranteed share, and Retry-After is spread. Without it (the default) nothing changes. stageGraphRun carries the optional fields account, kind and ageMs.

--- /dev/null
+++ b/packages/daemon/src/overload/stage_bursts_test.ts
@@ -0,0 +1,57 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { type BurstResult, simulateBurst } from "./testing/stage_bursts.js";
+
+const SEEDS = [11, 12];
+
+function simulate(
+  policy: "legacy" | "callerCost",
+  load: number,
+): readonly BurstResult[] {
+  return SEEDS.map((seed) => simulateBurst({ policy, load, seed }));
+}
+
+function meanWorth(results: readonly BurstResult[]): number {
+  return results.reduce((sum, { all }) => sum + all.worthShare, 0) /
+    results.length;
+}
+
+describe("the policy callerCost in stage queues", () => {
+  it("refuses nothing while all requests can be served", () => {
+    for (const { refusals, all } of simulate("callerCost", 1)) {
+      expect(refusals).toEqual(0);
+      expect(all.onTimeShare > 0.99).toEqual(true);
+    }
+  });
+
+  it("serves more worth and starves nobody in a burst of 2.5 times", () => {
+    const legacy = simulate("legacy", 2.5);
+    const callerCost = simulate("callerCost", 2.5);
+    expect(meanWorth(callerCost) > meanWorth(legacy)).toEqual(true);
+    for (const { all, kinds, accounts } of callerCost) {
+      for (const { servedShare, requests } of [...kinds, ...accounts]) {
+        if (requests < 8) continue;
+        expect(servedShare > 0.25 * all.servedShare).toEqual(true);
+      }
+    }
+  });
+
+  it("serves the least worthy kind in a burst of 6 times, at a bounded cost", () => {
+    const legacy = simulate("legacy", 6);
+    const callerCost = simulate("callerCost", 6);
+    // The order of now serves hardly any of the least worthy kind.
+    const starved = legacy.map(({ kinds }) => kinds[2]?.servedShare ?? 0);
+    expect(Math.max(...starved) < 0.05).toEqual(true);
+    for (const { all, kinds, largest, inversion } of callerCost) {
+      for (const [position, { servedShare }] of kinds.entries()) {
+        // The window of outcomes also contains the calm before the burst, so the
+        // guaranteed quarter isn't reached within a burst of 8 s.
+        expect(servedShare > 0.12 * all.servedShare).toEqual(true);
+        const largeShare = largest[position]?.servedShare ?? 0;
+        expect(largeShare >= 0.5 * servedShare).toEqual(true);
+      }
+      expect(inversion < 0.05).toEqual(true);
+    }
+    expect(meanWorth(callerCost) > meanWorth(legacy) - 0.12).toEqual(true);
+  });
+});
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -122,6 +122,9 @@
   objectiveInMs: isFiniteNumber,
   deadlineInMs: isFiniteNumber,
   finishMs: isFiniteNumber,
+  account: optional(isShortString),
+  kind: optional(isShortString),
+  ageMs: optional(isNonNegativeNumber),
 });
 
 const isResultReference = shape({
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -247,10 +247,12 @@
       estimates: this.#estimates,
       capacityOf: (service) => this.#servers.capacityOf(service, nowMs),
       nowMs,
+      callerCost: this.#options.callerCost?.(),
     });
     for (const { job, reason, retryAfterMs } of infeasible) {
       if (job.isRunning && nowMs <= job.deadlineAtMs) continue;
       this.#refuse(job, { kind: "refused", reason, retryAfterMs });
+      this.#options.callerCost?.()?.recordOutcome(job, false, nowMs);
     }
   }
 
@@ -264,6 +266,7 @@
       jobs: this.#jobs.usersOf(service),
       estimates: this.#estimates,
       nowMs,
+      callerCost: this.#options.callerCost?.(),
     }).flatMap((batch) => this.#startCall(service, batch, nowMs));
   }
 
@@ -338,7 +341,14 @@
       call.batchServer.recordNoRoom(totalResultBytes(noRoomEntries), nowMs);
     }
     const jobs = new Set(call.entries.map((entry) => entry.job));
-    for (const job of jobs) this.#completeIfDone(job);
+    for (const job of jobs) {
+      if (this.#completeIfDone(job)) this.#recordServed(job, nowMs);
+    }
+  }
+
+  #recordServed(job: StageJob, nowMs: number): void {
+    const wasServed = nowMs <= job.deadlineAtMs;
+    this.#options.callerCost?.()?.recordOutcome(job, wasServed, nowMs);
   }
 
   /** Returns false if nothing needs the result. */
@@ -398,12 +408,14 @@
     for (const job of this.#jobs.all()) job.invalidateResults(lost);
   }
 
-  #completeIfDone(job: StageJob): void {
-    if (job.isEnded || !job.isComplete()) return;
+  /** Returns whether the job has just completed. */
+  #completeIfDone(job: StageJob): boolean {
+    if (job.isEnded || !job.isComplete()) return false;
     job.isEnded = true;
     this.#jobs.remove(job);
     this.#completed.set(job.id, job);
     this.#reportCompleted(job);
+    return true;
   }
 
   #reportCompleted(job: StageJob): void {
--- a/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler_options.ts
@@ -19,6 +19,7 @@
   ServerRegister,
 } from "../register/server_register.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
+import type { CallerCostQueue } from "./caller_cost_queue.js";
 import type { planBatches } from "./plan_batches.js";
 import type { StageJob } from "./stage_job.js";
 
@@ -46,6 +47,8 @@
   /** Bounds the memory of all jobs; without it, it isn't bounded. */
   readonly buffers?: BufferAccount | undefined;
   readonly onEnded: (job: EndedJob, outcome: StageGraphOutcome) => void;
+  /** Returns the queue's state with the policy `callerCost`, else undefined. */
+  readonly callerCost?: () => CallerCostQueue | undefined;
   /** Planner for calls; tests replace it to compare the default with others. */
   readonly plan?: typeof planBatches;
   /** Called with results at one server that are no longer needed. */
--- a/packages/daemon/src/stage_graphs/find_infeasible_jobs.ts
+++ b/packages/daemon/src/stage_graphs/find_infeasible_jobs.ts
@@ -9,6 +9,7 @@
  */
 
 import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import type { CallerCostQueue } from "./caller_cost_queue.js";
 import { compareRanks, type JobRank, rankJob } from "./job_rank.js";
 import type { WorkEstimates } from "./work_estimates.js";
 import type { StageJob } from "./stage_job.js";
@@ -19,6 +20,8 @@
   /** Capacity of the service, in concurrent calls of nominal speed. */
   readonly capacityOf: (service: ServiceName) => number;
   readonly nowMs: number;
+  /** Set with the policy `callerCost`. */
+  readonly callerCost?: CallerCostQueue | undefined;
 }
 
 export interface InfeasibleJob {
@@ -66,7 +69,15 @@
   return [...input.jobs]
     .map((job) => {
       const pathMs = estimates.remainingPathMs(job);
-      return { job, pathMs, ...rankJob(job, { estimates, pathMs, nowMs }) };
+      const rank = rankJob(job, {
+        estimates,
+        pathMs,
+        nowMs,
+        callerCost: input.callerCost,
+        decision: "refusal",
+        turnMs: pathMs,
+      });
+      return { job, pathMs, ...rank };
     })
     .sort(compareRanks);
 }
@@ -82,22 +93,48 @@
     return { reason: "outOfTime", retryAfterMs: MIN_RETRY_AFTER_MS };
   }
   let waitMs = 0;
+  let longest: ServiceName | undefined;
   for (const [position, { service }] of job.graph.stages.entries()) {
     if (estimates.remainingStageWorkMs(job, position) === 0) continue;
     const { capacity, queuedMs } = queueOf(input, service, queues);
     if (capacity <= 0) {
       return { reason: "noServer", retryAfterMs: MIN_RETRY_AFTER_MS };
     }
-    waitMs = Math.max(waitMs, queuedMs / capacity);
+    if (longest === undefined || queuedMs / capacity > waitMs) {
+      longest = service;
+      waitMs = queuedMs / capacity;
+    }
   }
   if (!ranked.isOnTime) waitMs *= LATE_WAIT_FACTOR;
   if (nowMs + waitMs + pathMs <= job.deadlineAtMs) return undefined;
   return {
     reason: "overloaded",
-    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
+    retryAfterMs: findRetryAfterMs(input, job, { waitMs, service: longest }),
   };
 }
 
+function findRetryAfterMs(
+  input: FeasibilityInput,
+  job: StageJob,
+  { waitMs, service }: {
+    readonly waitMs: number;
+    readonly service: ServiceName | undefined;
+  },
+): number {
+  const { callerCost, estimates, nowMs } = input;
+  const earliestMs = Math.max(MIN_RETRY_AFTER_MS, waitMs);
+  if (callerCost === undefined || service === undefined) return earliestMs;
+  // The scheduler doesn't refuse a job while a call may still bring its result.
+  if (job.isRunning) return earliestMs;
+  return callerCost.retryAfterMs(job, {
+    service,
+    waitMs: earliestMs,
+    workMs: estimates.serviceWorkMs(job, service),
+    capacity: input.capacityOf(service),
+    nowMs,
+  });
+}
+
 function addQueuedWork(
   input: FeasibilityInput,
   job: StageJob,
--- a/packages/daemon/src/stage_graphs/job_rank.ts
+++ b/packages/daemon/src/stage_graphs/job_rank.ts
@@ -8,6 +8,7 @@
  * @module
  */
 
+import type { CallerCostQueue } from "./caller_cost_queue.js";
 import type { StageJob } from "./stage_job.js";
 import type { WorkEstimates } from "./work_estimates.js";
 
@@ -15,6 +16,8 @@
   readonly isOnTime: boolean;
   /** Worth per millisecond of server time, raised by waiting. */
   readonly worthRate: number;
+  /** Set with the policy `callerCost`; decides alone then. */
+  readonly cost?: number;
 }
 
 export interface RankInput {
@@ -22,6 +25,11 @@
   /** Expected time until the job's stages are done, without queueing. */
   readonly pathMs: number;
   readonly nowMs: number;
+  /** Set with the policy `callerCost`. */
+  readonly callerCost?: CallerCostQueue | undefined;
+  /** What the job is ranked for, and the usual time between two calls. */
+  readonly decision: "delay" | "refusal";
+  readonly turnMs: number;
 }
 
 /**
@@ -29,7 +37,9 @@
  *
  * @example
  * ```ts
- * const rank = rankJob(job, { estimates, pathMs: 500, nowMs });
+ * const rank = rankJob(job, {
+ *   estimates, pathMs: 500, nowMs, decision: "delay", turnMs: 250,
+ * });
  * ```
  */
 export function rankJob(job: StageJob, input: RankInput): JobRank {
@@ -39,11 +49,15 @@
   return {
     isOnTime: nowMs + pathMs <= job.objectiveAtMs,
     worthRate: estimates.worthPerMs(job) * (1 + waitToObjectiveRatio),
+    ...(input.callerCost === undefined
+      ? {}
+      : { cost: input.callerCost.costOf(job, input)[input.decision] }),
   };
 }
 
 /** Comparison function that sorts the highest rank first. */
 export function compareRanks(a: JobRank, b: JobRank): number {
+  if (a.cost !== undefined && b.cost !== undefined) return b.cost - a.cost;
   if (a.isOnTime !== b.isOnTime) return a.isOnTime ? -1 : 1;
   return b.worthRate - a.worthRate;
 }
--- a/packages/daemon/src/stage_graphs/plan_batches.ts
+++ b/packages/daemon/src/stage_graphs/plan_batches.ts
@@ -11,6 +11,7 @@
 
 import type { DataCentreName, ServiceName } from "@sassafrasstage/protocol/ids";
 import { type BatchServer, SLOW_THRESHOLD } from "./batch_server.js";
+import type { CallerCostQueue } from "./caller_cost_queue.js";
 import { compareRanks, type JobRank, rankJob } from "./job_rank.js";
 import {
   crossDataCentreBytes,
@@ -48,6 +49,8 @@
   readonly jobs: Iterable<StageJob>;
   readonly estimates: WorkEstimates;
   readonly nowMs: number;
+  /** Set with the policy `callerCost`. */
+  readonly callerCost?: CallerCostQueue | undefined;
 }
 
 /** Fraction of a full call that has to be waiting to count as a backlog. */
@@ -125,7 +128,14 @@
     job,
     stage,
     items: job.waitingItems(stage),
-    ...rankJob(job, { estimates, pathMs, nowMs }),
+    ...rankJob(job, {
+      estimates,
+      pathMs,
+      nowMs,
+      callerCost: input.callerCost,
+      decision: "delay",
+      turnMs: estimates.expectedCallMs(input.service),
+    }),
   };
 }
 
--- a/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
+++ b/packages/daemon/src/stage_graphs/testing/simulated_stages.ts
@@ -22,6 +22,7 @@
 import { nominalCallMs } from "../batch_server.js";
 import { BatchScheduler } from "../batch_scheduler.js";
 import type { BatchSchedulerOptions } from "../batch_scheduler_options.js";
+import type { CallerCostQueue } from "../caller_cost_queue.js";
 import type { NotRunReason, StageCall } from "../stage_call.js";
 
 export interface Arrival {
@@ -51,10 +52,26 @@
   readonly buffers?: BufferAccount;
   /** Items that may be sent again within 10 s. */
   readonly retries?: number;
+  /** State of the policy `callerCost`; the order is `legacy` without it. */
+  readonly callerCost?: CallerCostQueue;
+  /**
+   * Time after which the client of a refused graph sends it again; undefined if
+   * it doesn't. Refusals are final without it.
+   */
+  readonly returnAfterMs?: (refused: RefusedGraph) => number | undefined;
+  /** Age that the VM estimates from the deadline that the client states. */
+  readonly ageMs?: (graph: StageGraph, deadlineInMs: number) => number;
   /** Time from the last result until the request releases its results. */
   readonly resultUseMs?: number;
 }
 
+export interface RefusedGraph {
+  readonly graph: StageGraph;
+  readonly retryAfterMs: number;
+  /** Time until the client gives up. */
+  readonly remainingMs: number;
+}
+
 const TICK_MS = 40;
 const REFUSAL_DELAY_MS: Readonly<Record<NotRunReason, number>> = {
   full: 2,
@@ -85,6 +102,7 @@
   readonly #options: SimulationOptions;
   readonly #events: SimulationEvent[] = [];
   readonly #arrivedAtMs = new Map<string, number>();
+  readonly #submitted = new Map<string, StageGraph>();
 
   constructor(options: SimulationOptions) {
     this.#options = options;
@@ -107,6 +125,7 @@
       retryBudgetOf: () => budget,
       buffers: options.buffers,
       ...(options.plan === undefined ? {} : { plan: options.plan }),
+      callerCost: () => options.callerCost,
       onEnded: (job, outcome) => {
         this.#recordOutcome(job.id, job.graph, outcome);
       },
@@ -125,16 +144,50 @@
     for (const { atMs, graph } of arrivals) {
       this.at(atMs, () => {
         this.#arrivedAtMs.set(graph.attemptId, atMs);
-        this.scheduler.submit({
-          id: graph.attemptId,
-          owner: OWNER,
-          graph,
-          nowMs: this.nowMs,
-        });
+        this.#submitNow(graph);
       });
     }
   }
 
+  /** The client states the time that it has left at each of its attempts. */
+  #submitNow(graph: StageGraph): void {
+    const arrivedAtMs = this.#arrivedAtMs.get(graph.attemptId) ?? this.nowMs;
+    const elapsedMs = this.nowMs - arrivedAtMs;
+    const deadlineInMs = graph.deadlineInMs - elapsedMs;
+    const ageMs = this.#options.ageMs?.(graph, deadlineInMs) ?? 0;
+    this.scheduler.submit({
+      id: graph.attemptId,
+      owner: OWNER,
+      graph: {
+        ...graph,
+        deadlineInMs,
+        objectiveInMs: graph.objectiveInMs - ageMs,
+        ageMs,
+      },
+      nowMs: this.nowMs,
+    });
+    this.#submitted.set(graph.attemptId, graph);
+  }
+
+  /** Returns whether the client of the refused graph comes back. */
+  #returnLater(id: string, outcome: StageGraphOutcome): boolean {
+    const { returnAfterMs } = this.#options;
+    const graph = this.#submitted.get(id);
+    if (outcome.kind !== "refused" || graph === undefined) return false;
+    const arrivedAtMs = this.#arrivedAtMs.get(id) ?? 0;
+    const remainingMs = arrivedAtMs + graph.deadlineInMs - this.nowMs;
+    const afterMs = returnAfterMs?.({
+      graph,
+      retryAfterMs: outcome.retryAfterMs,
+      remainingMs,
+    });
+    if (afterMs === undefined || afterMs >= remainingMs) return false;
+    this.at(this.nowMs + afterMs, () => {
+      this.#submitNow(graph);
+    });
+    return true;
+  }
+
   /** Processes all events up to `endMs`. */
   runUntil(endMs: number): void {
     for (let atMs = this.nowMs; atMs <= endMs; atMs += TICK_MS) {
@@ -198,6 +251,7 @@
     graph: StageGraph,
     outcome: StageGraphOutcome,
   ): void {
+    if (this.#returnLater(id, outcome)) return;
     const arrivedAtMs = this.#arrivedAtMs.get(graph.attemptId) ?? 0;
     const objectiveAtMs = arrivedAtMs + graph.objectiveInMs - graph.finishMs;
     this.reports.push({
--- a/packages/daemon/src/stage_graphs/work_estimates.ts
+++ b/packages/daemon/src/stage_graphs/work_estimates.ts
@@ -5,16 +5,11 @@
  */
 
 import type { ServiceName } from "@sassafrasstage/protocol/ids";
+import { fullWorth } from "../overload/deferral_cost.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import { amortizedItemMs } from "./batch_server.js";
 import type { StageJob } from "./stage_job.js";
 
-/** Factor by which the weight of a request decreases per step of priority. */
-const PRIORITY_WEIGHT_RATIO = 3;
-/** Weight independent of the size of a request, as the requirements specify. */
-const MIN_SIZE_WEIGHT = 0.3;
-/** Maximum weight of a request, relative to the mean of its kind. */
-const MAX_SIZE_WEIGHT = 4;
 /** Expected fill level of a batch, used until a duration is measured. */
 const EXPECTED_BATCH_FILL = 0.5;
 /** Weight of the newest call in the moving average of call durations. */
@@ -102,13 +97,28 @@
     return limits === undefined ? 0 : waiting * amortizedItemMs(limits);
   }
 
-  /** Worth per millisecond of server time that the waiting items need. */
-  worthPerMs(job: StageJob): number {
+  /** Server time of one service that the waiting items need. */
+  serviceWorkMs(job: StageJob, service: ServiceName): number {
+    let workMs = 0;
+    for (const [position, stage] of job.graph.stages.entries()) {
+      if (stage.service !== service) continue;
+      workMs += this.remainingStageWorkMs(job, position);
+    }
+    return workMs;
+  }
+
+  /** Server time that the waiting items of all stages need. */
+  remainingWorkMs(job: StageJob): number {
     let workMs = 0;
     for (const position of job.graph.stages.keys()) {
       workMs += this.remainingStageWorkMs(job, position);
     }
-    return worthOf(job) / Math.max(1, workMs);
+    return workMs;
+  }
+
+  /** Worth per millisecond of server time that the waiting items need. */
+  worthPerMs(job: StageJob): number {
+    return fullWorth(job.graph) / Math.max(1, this.remainingWorkMs(job));
   }
 }
 
@@ -122,9 +132,3 @@
   }
   return longestMs;
 }
-
-function worthOf(job: StageJob): number {
-  const { priority, relativeSize } = job.graph;
-  const size = MIN_SIZE_WEIGHT + (1 - MIN_SIZE_WEIGHT) * relativeSize;
-  return PRIORITY_WEIGHT_RATIO ** -priority * Math.min(MAX_SIZE_WEIGHT, size);
-}
--- a/packages/protocol/src/stage_graph.ts
+++ b/packages/protocol/src/stage_graph.ts
@@ -51,6 +51,12 @@
   readonly deadlineInMs: number;
   /** Estimated time from the last result to the first byte of the response. */
   readonly finishMs: number;
+  /** Account of the client; older builds don't send it. */
+  readonly account?: string | undefined;
+  /** Name of the route; older builds don't send it. */
+  readonly kind?: string | undefined;
+  /** Estimated time since the client's first attempt; 0 if it isn't stated. */
+  readonly ageMs?: number | undefined;
 }
 
 export type StageGraphOutcome =
