Let requests wait at a VM whose processor falls behind

On a VM with a quarter of a core, everything that is read is taken on at once. When the processor falls behind, all responses are late and many requests are worked on and discarded at their deadline.

With overload.policy = callerCost, vm_lag measures how late the event loop runs, and door_admission lets requests wait in the order of what a delay costs callers; what can't be carried in time is refused at once as not run. Each refusal is logged with its inputs. An idle VM admits everything. The default is legacy, which doesn't wait or refuse; RoutedDaemon.setOverloadPolicy switches while the process runs. Stage graphs carry account, kind and age with callerCost only.

--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -55,6 +55,11 @@
   /** Name of the group of stage services that one coordinator runs. */
   readonly stageGroup: string;
   readonly configurationVersion: number;
+  /**
+   * Estimated time since the client's first attempt; set with the overload
+   * policy `callerCost` only.
+   */
+  readonly ageMs?: number | undefined;
 }
 
 /** How a request ended, for logs and metrics; `own` means that a local reply was sent. */
--- a/packages/daemon/src/forwarding/prepare_inputs.ts
+++ b/packages/daemon/src/forwarding/prepare_inputs.ts
@@ -121,9 +121,14 @@
     dataCentre: likelyServer?.server.dataCentre ?? environment.dataCentre,
     priority: context.account?.priority ?? route.priority,
     relativeSize,
-    objectiveInMs: route.objectiveMs - elapsedMs,
+    objectiveInMs: route.objectiveMs - elapsedMs - (context.ageMs ?? 0),
     deadlineInMs: lifetime.remainingMs(),
     finishMs: environment.routeStatistics.firstByteMs(route.name),
+    ...(context.ageMs === undefined ? {} : {
+      account: context.account?.id,
+      kind: route.name,
+      ageMs: context.ageMs,
+    }),
   }, context.stageGroup);
 }
 
--- a/packages/daemon/src/forwarding/request_forwarder.ts
+++ b/packages/daemon/src/forwarding/request_forwarder.ts
@@ -19,10 +19,15 @@
   ForwardOutcome,
 } from "./forward_context.js";
 import { forwardStream } from "./forward_stream.js";
-import { forwardBuffered, replyAtLifetimeEnd } from "./forward_buffered.js";
+import {
+  forwardBuffered,
+  replyAtLifetimeEnd,
+  replyLocally,
+} from "./forward_buffered.js";
 import { graphStagesOf } from "./prepare_inputs.js";
 import { RequestLifetime } from "./request_lifetime.js";
 import { canFinishBeforeExit, type Shutdown } from "./shutdown_admission.js";
+import type { VmAdmission } from "./vm_admission.js";
 import type {
   ClientChannel,
   LocalReply,
@@ -38,6 +43,8 @@
   readonly configurationAgeMs: (nowMs: number) => number;
   /** Undefined unless this process is shutting down. */
   readonly shutdown: () => Shutdown | undefined;
+  /** Admission by this VM's lag; without it, all requests are admitted. */
+  readonly vmAdmission?: VmAdmission | undefined;
 }
 
 type Admission =
@@ -88,7 +95,7 @@
       context = admission.context;
       this.#lifetimes.add(context.lifetime);
       guard.enter("forwarding");
-      const outcome = guard.settle(await forwardAdmitted(context));
+      const outcome = guard.settle(await this.#forwardAdmitted(context));
       guard.enter("recording");
       this.#recordOutcome(request, outcome, context);
     } catch (error) {
@@ -100,6 +107,22 @@
     }
   }
 
+  async #forwardAdmitted(context: ForwardContext): Promise<ForwardOutcome> {
+    const { vmAdmission } = this.#options;
+    if (vmAdmission?.isEnabled !== true) return forwardAdmitted(context);
+    const refusal = await vmAdmission.enter(context);
+    if (refusal !== undefined) {
+      context.lifetime.close();
+      return replyLocally(context, refusal);
+    }
+    vmAdmission.recordStart(context);
+    try {
+      return await forwardAdmitted(context);
+    } finally {
+      vmAdmission.recordEnd(context);
+    }
+  }
+
   #refuse(
     request: RoutedRequest,
     guard: AnswerGuard,
@@ -169,6 +192,7 @@
       lifetime,
       stageGroup: table.stageGroupOf(route),
       configurationVersion: table.configuration.version,
+      ...this.#estimateAge(route, request),
     };
     const stageItemsError = findStageItemsError(context);
     if (stageItemsError === undefined) return { kind: "admitted", context };
@@ -188,6 +212,15 @@
     return refuse("outdated", `The configuration may be outdated: ${reason}`);
   }
 
+  #estimateAge(
+    route: Route,
+    { deadlineInMs }: RoutedRequest,
+  ): Pick<ForwardContext, "ageMs"> {
+    const { vmAdmission } = this.#options;
+    if (vmAdmission?.isEnabled !== true) return {};
+    return { ageMs: vmAdmission.ageMs(route.name, deadlineInMs) };
+  }
+
   /** A request that can't finish here is refused, as another VM can serve it. */
   #canFinishBeforeExit(route: Route, limitMs: number): boolean {
     const shutdown = this.#options.shutdown();
--- a/packages/daemon/src/forwarding/route_statistics.ts
+++ b/packages/daemon/src/forwarding/route_statistics.ts
@@ -30,14 +30,20 @@
    */
   relativeSize(route: string, prompt: PromptShape | undefined): number {
     if (prompt === undefined) return 1;
-    const size = prompt.inputTokens +
-      OUTPUT_TOKEN_WEIGHT * prompt.maxOutputTokens;
+    const size = sizeOf(prompt);
     const previousMean = this.#meanSizes.get(route) ?? size;
     const mean = previousMean + (size - previousMean) * EWMA_WEIGHT;
     this.#meanSizes.set(route, mean);
     return mean <= 0 ? 1 : size / mean;
   }
 
+  /** Size relative to the mean of the route, which stays as it is. */
+  expectedRelativeSize(route: string, prompt: PromptShape | undefined): number {
+    const mean = this.#meanSizes.get(route);
+    if (prompt === undefined || mean === undefined || mean <= 0) return 1;
+    return sizeOf(prompt) / mean;
+  }
+
   /** Time within which nearly all of the route's requests finish. */
   highDurationEstimateMs(route: string): number {
     return (this.#meanDurationsMs.get(route) ?? INITIAL_DURATION_MS) *
@@ -65,3 +71,7 @@
     );
   }
 }
+
+function sizeOf(prompt: PromptShape): number {
+  return prompt.inputTokens + OUTPUT_TOKEN_WEIGHT * prompt.maxOutputTokens;
+}
--- a/packages/daemon/src/observability/event_loop_monitor.ts
+++ b/packages/daemon/src/observability/event_loop_monitor.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "./logger.js";
 import type { Metrics } from "./metrics.js";
 
-const SAMPLE_INTERVAL_MS = 250;
+export const SAMPLE_INTERVAL_MS = 250;
 /** A delay of a quarter of a second is noticeable to callers and peers. */
 const REPORTED_DELAY_MS = 250;
 
@@ -17,6 +17,8 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  /** Called at each sample with how late the event loop ran. */
+  readonly onSample?: (delayMs: number, nowMs: number) => void;
 }
 
 /** One per process. */
@@ -55,6 +57,7 @@
     const delayMs = Math.max(0, nowMs - this.#expectedAtMs);
     this.#expectedAtMs = nowMs + SAMPLE_INTERVAL_MS;
     this.#maxDelayMs = Math.max(this.#maxDelayMs, delayMs);
+    this.#options.onSample?.(delayMs, nowMs);
     if (delayMs < REPORTED_DELAY_MS) return;
     metrics.countEvent("eventLoopDelayed");
     logger.warn("eventLoopDelayed", { delayMs: Math.round(delayMs) });
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -16,10 +16,18 @@
 import type { ServerCaller } from "./forwarding/server_caller.js";
 import type { Shutdown } from "./forwarding/shutdown_admission.js";
 import type { BufferAccount } from "./memory/buffer_account.js";
-import { EventLoopMonitor } from "./observability/event_loop_monitor.js";
+import { readProcessorUseMs, VmAdmission } from "./forwarding/vm_admission.js";
+import {
+  EventLoopMonitor,
+  SAMPLE_INTERVAL_MS,
+} from "./observability/event_loop_monitor.js";
 import type { LatencyRecords } from "./observability/latency_records.js";
 import type { Logger } from "./observability/logger.js";
 import type { Metrics } from "./observability/metrics.js";
+import {
+  OverloadPolicy,
+  type OverloadPolicyName,
+} from "./overload/overload_policy.js";
 import type { RunningPeerNetwork } from "./peers/running_peer_network.js";
 import { startPeerNetwork } from "./peers/start_peer_network.js";
 import {
@@ -55,6 +63,8 @@
   readonly processorCores: number;
   /** Maximum number of items of all stages of one request. */
   readonly maxStageItems?: number;
+  /** Policy at the start; `legacy` by default. */
+  readonly overloadPolicy?: OverloadPolicyName | undefined;
   /** All bytes that are buffered for others. */
   readonly buffers: BufferAccount;
   readonly metrics: Metrics;
@@ -86,6 +96,7 @@
   readonly #coordinator: StageCoordinator;
   readonly #graphs: StageGraphClient;
   readonly #eventLoop: EventLoopMonitor;
+  readonly #overloadPolicy: OverloadPolicy;
   /** Set when shutdown starts. */
   #shutdown: Shutdown | undefined;
 
@@ -96,6 +107,7 @@
     const clock = MONOTONIC_CLOCK;
     const { settings, metrics, latencies, logger } = options;
     this.#options = options;
+    this.#overloadPolicy = new OverloadPolicy(options.overloadPolicy);
     this.#network = network;
     this.#deployment = new Deployment({
       ...options,
@@ -183,6 +195,7 @@
       limitsOf: (name) => findService(name)?.batches,
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
       buffers: options.buffers,
+      overloadPolicy: this.#overloadPolicy,
       clock,
       metrics,
       latencies,
@@ -195,7 +208,17 @@
       metrics,
       logger,
     });
+    const vmAdmission = new VmAdmission({
+      policy: this.#overloadPolicy,
+      processorCores: options.processorCores,
+      sampleIntervalMs: SAMPLE_INTERVAL_MS,
+      usedMs: readProcessorUseMs,
+      clock,
+      metrics,
+      logger,
+    });
     this.forwarder = new RequestForwarder({
+      vmAdmission,
       environment: {
         directory: this.#directory,
         serverCaller: this.#serverAccess.serverCaller,
@@ -217,7 +240,14 @@
       configurationAgeMs: (nowMs) => this.#deployment.configurationAgeMs(nowMs),
       shutdown: () => this.#shutdown,
     });
-    this.#eventLoop = new EventLoopMonitor({ clock, metrics, logger });
+    this.#eventLoop = new EventLoopMonitor({
+      clock,
+      metrics,
+      logger,
+      onSample: (delayMs, nowMs) => {
+        vmAdmission.recordDelay(delayMs, nowMs);
+      },
+    });
     this.#eventLoop.start();
     metrics.registerGauge("requestsInFlight", () => this.forwarder.inFlight);
     metrics.registerGauge("stageJobs", () => this.#coordinator.jobCount);
@@ -239,6 +269,12 @@
     return new RoutedDaemon(options, network);
   }
 
+  /** Switches the policy under overload while the process runs. */
+  setOverloadPolicy(name: OverloadPolicyName): void {
+    this.#overloadPolicy.setPolicy(name);
+    this.#options.logger.info("overloadPolicySet", { policy: name });
+  }
+
   get isLeaving(): boolean {
     return this.#shutdown !== undefined;
   }
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -9,8 +9,10 @@
 import type { Clock } from "../clock.js";
 import type { BufferAccount } from "../memory/buffer_account.js";
 import type { LatencyRecords } from "../observability/latency_records.js";
+import type { LogFields } from "../observability/log_fields.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
+import type { OverloadPolicy } from "../overload/overload_policy.js";
 import type { SlidingRetryBudget } from "../placement/sliding_retry_budget.js";
 import type {
   RegisteredServer,
@@ -21,6 +23,7 @@
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
 import { BatchScheduler } from "./batch_scheduler.js";
+import { CallerCostQueue } from "./caller_cost_queue.js";
 import type { EndedJob } from "./batch_scheduler_options.js";
 import type { BatchEntry } from "./plan_batches.js";
 import type {
@@ -38,6 +41,8 @@
   readonly serverNotices: ServerNotices;
   readonly retryBudgetOf: (service: ServiceName) => SlidingRetryBudget;
   readonly buffers?: BufferAccount | undefined;
+  /** `legacy` without it. */
+  readonly overloadPolicy?: OverloadPolicy | undefined;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly latencies: LatencyRecords;
@@ -62,6 +67,7 @@
 export class StageCoordinator {
   readonly #options: StageCoordinatorOptions;
   readonly #scheduler: BatchScheduler;
+  readonly #callerCost = new CallerCostQueue();
   readonly #onEnded = new Map<string, (outcome: StageGraphOutcome) => void>();
   #timer: NodeJS.Timeout | undefined;
   #isPlanScheduled = false;
@@ -77,6 +83,10 @@
       rateLimits: options.rateLimits,
       retryBudgetOf: options.retryBudgetOf,
       buffers: options.buffers,
+      callerCost: () =>
+        options.overloadPolicy?.isCallerCost === true
+          ? this.#callerCost
+          : undefined,
       onEnded: (job, outcome) => {
         this.#reportOutcome(job, outcome);
       },
@@ -261,11 +271,28 @@
         retryAfterMs: Math.round(outcome.retryAfterMs),
         waitedMs: Math.round(clock.nowMs() - job.acceptedAtMs),
         jobs: this.#scheduler.jobCount,
+        ...this.#refusalInputs(job),
       });
     }
     onEnded?.(outcome);
   }
 
+  /** What the refusal rests on, with the policy `callerCost`. */
+  #refusalInputs({ graph }: EndedJob): LogFields {
+    if (this.#options.overloadPolicy?.isCallerCost !== true) return {};
+    return {
+      policy: "callerCost",
+      route: graph.kind,
+      account: graph.account,
+      priority: graph.priority,
+      relativeSize: Number(graph.relativeSize.toFixed(2)),
+      ageMs: Math.round(graph.ageMs ?? 0),
+      objectiveInMs: Math.round(graph.objectiveInMs),
+      deadlineInMs: Math.round(graph.deadlineInMs),
+      itemsWaiting: this.#scheduler.waitingItemCount,
+    };
+  }
+
   #freeResults(
     server: RegisteredServer,
     results: readonly ResultReference[],
