Keep the last retries for those who lose most without one

A retry budget was used by whoever came first: where a service fails all requests, the claims of the many took every retry as it became available. With callerCost, claims state what the caller loses; below half of the budget, a claim has to be among those worth most of the latest ones. The budget's limit is unchanged, and legacy states nothing.

--- a/packages/daemon/src/forwarding/forward_buffered.ts
+++ b/packages/daemon/src/forwarding/forward_buffered.ts
@@ -24,6 +24,7 @@
   runBufferedAttempt,
   type RunningAttempt,
 } from "./run_attempt.js";
+import { retryWorth } from "./retry_worth.js";
 import type { LocalReply } from "./routed_request.js";
 
 /** Minimum hedge delay, as a fraction of the latency objective. */
@@ -249,7 +250,7 @@
   if (state.runs >= context.route.maxAttempts) return false;
   const { directory, clock, metrics } = context.environment;
   const isAllowed = directory.retryBudgetOf(context.service)
-    .tryRetry(clock.nowMs());
+    .tryRetry(clock.nowMs(), retryWorth(context));
   if (isAllowed) metrics.countRetry(context.service, "failed");
   else metrics.countEvent("retryBudgetSpent");
   return isAllowed;
--- a/packages/daemon/src/forwarding/stream_state.ts
+++ b/packages/daemon/src/forwarding/stream_state.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { retryWorth } from "./retry_worth.js";
 import type {
   BackendServerId,
   SoftwareVersion,
@@ -86,7 +87,7 @@
 export function spendRetry(context: ForwardContext): boolean {
   const { directory, clock, metrics } = context.environment;
   const isAllowed = directory.retryBudgetOf(context.service)
-    .tryRetry(clock.nowMs());
+    .tryRetry(clock.nowMs(), retryWorth(context));
   if (!isAllowed) metrics.countEvent("retryBudgetSpent");
   return isAllowed;
 }
--- a/packages/daemon/src/placement/sliding_retry_budget.ts
+++ b/packages/daemon/src/placement/sliding_retry_budget.ts
@@ -7,6 +7,8 @@
  * @module
  */
 
+import { RetryPrecedence } from "../overload/retry_precedence.js";
+
 export interface RetryBudgetLimits {
   readonly windowMs: number;
   /** Retries allowed per request in the window, over all VMs. */
@@ -34,6 +36,7 @@
   readonly #limits: () => RetryBudgetLimits;
   /** Fraction of the slack that this VM may use. */
   readonly #slackShare: () => number;
+  readonly #precedence = new RetryPrecedence();
   #requestTimes: number[] = [];
   #retryTimes: number[] = [];
 
@@ -50,19 +53,38 @@
   /** Whether a retry is left. */
   hasRetry(nowMs: number): boolean {
     this.#dropExpired(nowMs);
-    const { ratio, slack } = this.#limits();
-    const allowed = LIMIT_SAFETY_FACTOR *
-      (ratio * this.#requestTimes.length + slack * this.#slackShare());
-    return this.#retryTimes.length + 1 <= allowed;
+    return this.#retryTimes.length + 1 <= this.#allowedRetries();
   }
 
-  /** Uses one retry of the budget; returns false if it is exhausted. */
-  tryRetry(nowMs: number): boolean {
-    if (!this.hasRetry(nowMs)) return false;
+  /**
+   * Uses one retry of the budget; returns false if it is exhausted.
+   *
+   * @param worth What the caller loses without a retry; if it is known, the last
+   *   retries are kept for those who lose most
+   */
+  tryRetry(nowMs: number, worth?: number): boolean {
+    const hasRetry = this.hasRetry(nowMs);
+    // Claims count also while no retry is left: they compete for the next one.
+    if (worth !== undefined && !this.#hasPrecedence(worth, nowMs)) return false;
+    if (!hasRetry) return false;
     this.#retryTimes.push(nowMs);
     return true;
   }
 
+  #hasPrecedence(worth: number, nowMs: number): boolean {
+    const allowed = this.#allowedRetries();
+    return this.#precedence.mayRetry(worth, {
+      leftShare: allowed <= 0 ? 0 : 1 - this.#retryTimes.length / allowed,
+      refillPerMs: allowed / this.#limits().windowMs,
+    }, nowMs);
+  }
+
+  #allowedRetries(): number {
+    const { ratio, slack } = this.#limits();
+    return LIMIT_SAFETY_FACTOR *
+      (ratio * this.#requestTimes.length + slack * this.#slackShare());
+  }
+
   #dropExpired(nowMs: number): void {
     const sinceMs = nowMs - this.#limits().windowMs;
     this.#requestTimes = dropBefore(this.#requestTimes, sinceMs);
--- a/packages/daemon/src/stage_graphs/batch_scheduler.ts
+++ b/packages/daemon/src/stage_graphs/batch_scheduler.ts
@@ -295,7 +295,10 @@
     if (entry.job.isEnded) return false;
     if (entry.item.sendCount === 0) return true;
     const budget = this.#options.retryBudgetOf(service);
-    if (entry.item.sendCount < MAX_ITEM_SENDS && budget.tryRetry(nowMs)) {
+    const worth = this.#options.callerCost?.()?.retryWorth(entry.job, nowMs);
+    if (
+      entry.item.sendCount < MAX_ITEM_SENDS && budget.tryRetry(nowMs, worth)
+    ) {
       return true;
     }
     if (entry.item.isCalled) {
--- a/packages/daemon/src/stage_graphs/caller_cost_queue.ts
+++ b/packages/daemon/src/stage_graphs/caller_cost_queue.ts
@@ -6,7 +6,12 @@
  */
 
 import type { ServiceName } from "@sassafrasstage/protocol/ids";
-import { type DeferralCost, deferralCost } from "../overload/deferral_cost.js";
+import {
+  type DeferralCost,
+  deferralCost,
+  fullWorth,
+  LATE_WORTH_SHARE,
+} from "../overload/deferral_cost.js";
 import { FairShares, type ShareGroups } from "../overload/fair_shares.js";
 import { ReturnSpread } from "../overload/return_spread.js";
 import type { StageGraph } from "@sassafrasstage/protocol/stage_graph";
@@ -59,6 +64,12 @@
     }, { nowMs, turnMs });
   }
 
+  /** What the caller loses if an item of the job isn't sent again. */
+  retryWorth(job: StageJob, nowMs: number): number {
+    return fullWorth(job.graph) *
+      (nowMs <= job.objectiveAtMs ? 1 : LATE_WORTH_SHARE);
+  }
+
   /** @param wasServed Whether the stages were done before the deadline */
   recordOutcome(job: StageJob, wasServed: boolean, nowMs: number): void {
     this.#shares.record(job.id, groupsOf(job.graph), {
