--- a/packages/daemon/src/forwarding/forward_context.ts
+++ b/packages/daemon/src/forwarding/forward_context.ts
@@ -62,6 +62,11 @@
   /** Name of the group of stage services that one coordinator runs. */
   readonly stageGroup: string;
   readonly configurationVersion: number;
+  /**
+   * Estimated time since the client's first attempt; set with the overload
+   * policy `callerCost` only.
+   */
+  readonly ageMs?: number | undefined;
   /** For the log. */
   readonly trace?: RequestTrace;
 }
