Account for the memory of model engines where they crash without it

An engine crashes if the requests that it holds exceed its memory, its streams are resumed at the engine that ranks next for their prefix, and that one crashes too. Where the setting contracts contains pressure, a VM counts what it has placed at each engine (prompt, shared parts once, tokens to come), what a report has shown, and a reserve for what other VMs may have placed. It asks an engine for a report before it sends a request there if engines may be used by more than a fifth (at most two a second, five in a row, one a second for an engine; a request waits 150 ms at most for it). What fits nowhere waits for a quarter of its objective and is then refused as not run. The load of an engine that is full or has crashed is spread over a third of the engines instead of the next one.

--- a/packages/daemon/src/forwarding/forward_stream.ts
+++ b/packages/daemon/src/forwarding/forward_stream.ts
@@ -9,6 +9,7 @@
  */
 
 import { pollSockets } from "../http/poll_sockets.js";
+import { assignWithMemory } from "./assign_with_memory.js";
 import type { ForwardContext, ForwardOutcome } from "./forward_context.js";
 import {
   replyAtLifetimeEnd,
@@ -40,7 +41,9 @@
 /** Result of a call, or the reply to a request that must not be sent. */
 type AttemptOutcome =
   | StreamResult
-  | { readonly kind: "refused"; readonly reply: LocalReply };
+  | { readonly kind: "refused"; readonly reply: LocalReply }
+  /** No engine has enough memory left. */
+  | { readonly kind: "full" };
 
 const SERVERS_FULL_RETRY_AFTER_MS = 250;
 
@@ -122,6 +125,8 @@
       return sendResponse(context, result);
     case "refused":
       return refuse(context, state, result.reply);
+    case "full":
+      return giveUp(context, state, "engineMemoryFull");
     case "ended":
       return finishAtLifetimeEnd(context, state);
     case "notRun":
@@ -156,12 +161,15 @@
   context: ForwardContext,
   state: StreamState,
 ): Promise<AttemptOutcome | undefined> {
-  const { environment } = context;
-  const candidate = await environment.directory.assign(
-    toPlacement(context, state),
-  );
+  const candidate = await assignWithMemory(context, {
+    placement: toPlacement(context, state),
+    hasRun: state.runs > 0 || state.isHeadSent,
+  });
   if (candidate === undefined) return undefined;
-  if (context.lifetime.end !== undefined) return { kind: "ended" };
+  if (candidate === "full") return { kind: "full" };
+  if (candidate === "ended" || context.lifetime.end !== undefined) {
+    return { kind: "ended" };
+  }
   const refusal = refusePoisonPart(context);
   if (refusal !== undefined) return { kind: "refused", reply: refusal };
   return StreamRelay.run({
@@ -212,12 +220,17 @@
     return { kind: "brokenOff", detail };
   }
   if (state.runs > 0) return replyLocally(context, { kind: "failed", detail });
+  const { directory } = context.environment;
+  const isFull = detail === "engineMemoryFull";
   return replyLocally(context, {
     kind: "refused",
-    reason: state.triedServers.size === 0 ? "noServer" : "serversFull",
+    reason: state.triedServers.size === 0 && !isFull
+      ? "noServer"
+      : "serversFull",
     retryAfterMs: Math.max(
       SERVERS_FULL_RETRY_AFTER_MS,
-      context.environment.directory.availableInMs(context.service),
+      directory.availableInMs(context.service),
+      isFull ? directory.memoryRetryAfterMs(context.service) : 0,
     ),
     detail: `No server could take the request: ${detail}`,
   });
--- a/packages/daemon/src/forwarding/placement_request.ts
+++ b/packages/daemon/src/forwarding/placement_request.ts
@@ -33,6 +33,7 @@
     excluded,
     includesRateLimited: true,
     softwareVersion,
+    prompt: context.request.prompt,
   };
 }
 
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -87,6 +87,7 @@
     if (isFinished) return false;
     isFinished = true;
     health.inFlight -= 1;
+    releaseMemory();
     return true;
   }
   function fail(failure: ServerCallFailure): void {
@@ -103,7 +104,10 @@
     if (remainingConnections === "none") {
       environment.metrics.countEvent("callEndedWithServer");
     }
-    if (observation.recordFailure(failure)) input.onServerCrash?.();
+    if (observation.recordFailure(failure)) {
+      environment.directory.recordCrash(server);
+      input.onServerCrash?.();
+    }
     environment.logger.info("serverCallFailed", {
       request: input.context.request.attemptId,
       server: server.id,
@@ -118,6 +122,8 @@
     listener.onFailure(failure);
   }
   health.inFlight += 1;
+  const releaseMemory = environment.directory
+    .holdMemory(server, input.context.request.prompt);
   const call = environment.serverCaller.start(toServerCall(input), {
     onSend: () => {
       observation.recordSend();
--- a/packages/daemon/src/placement/choose_server.ts
+++ b/packages/daemon/src/placement/choose_server.ts
@@ -6,6 +6,8 @@
  *   healthy server is chosen, with a preference for the same data centre.
  * - Engines that cache prompt prefixes: the same prefix goes to the same engine
  *   unless that engine is far more loaded than the others.
+ * - Engines that crash for lack of memory: the load of an engine that is full or
+ *   has crashed is spread over many others.
  * - Servers that restart cold: the rate of requests to each of them is limited.
  * - Servers of different speed on shared machines, which state their load: the
  *   load of all VMs counts, as well as how long work takes there. Many VMs hear
@@ -14,7 +16,10 @@
  * @module
  */
 
-import type { DataCentreName } from "@sassafrasstage/protocol/ids";
+import type {
+  BackendServerId,
+  DataCentreName,
+} from "@sassafrasstage/protocol/ids";
 import { rankByRendezvous } from "../peers/rendezvous.js";
 import type { RegisteredServer } from "../register/server_register.js";
 import type { CandidateLoad } from "../server_load/server_loads.js";
@@ -25,6 +30,8 @@
   readonly health: ServerHealth;
   /** Set once the server has stated how long work takes there. */
   readonly load?: CandidateLoad | undefined;
+  /** Tokens of memory left with the request, if that is known. */
+  readonly freeTokens?: number | undefined;
 }
 
 export interface ServerChoiceInput {
@@ -38,6 +45,11 @@
   readonly nowMs: number;
   /** Returns a number of at least 0 and less than 1. */
   readonly random?: () => number;
+  /**
+   * Set for engines that crash for lack of memory: all engines that a prefix may
+   * have been cached at, including those that are full, failing or crashed.
+   */
+  readonly allEngines?: readonly BackendServerId[] | undefined;
 }
 
 /**
@@ -60,6 +72,10 @@
  */
 const EQUAL_COST_MARGIN = 0.25;
 
+/** Engines over which the load of an engine that can't be had is spread. */
+const SPREAD_FRACTION = 1 / 3;
+const MIN_SPREAD_ENGINES = 4;
+
 /**
  * Returns the best server, or undefined if none can take a request.
  *
@@ -101,9 +117,9 @@
   input: ServerChoiceInput,
   candidates: readonly ServerCandidate[],
 ): ServerCandidate | undefined {
-  if (candidates.some(({ load }) => load !== undefined)) {
-    return chooseAmongEqual(input, candidates);
-  }
+  const choosesAtRandom = input.allEngines !== undefined ||
+    candidates.some(({ load }) => load !== undefined);
+  if (choosesAtRandom) return chooseAmongEqual(input, candidates);
   let best: ServerCandidate | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
@@ -144,13 +160,7 @@
   const costs = candidates.map((candidate) => costOf(input, candidate));
   const limit = Math.min(...costs) + EQUAL_COST_MARGIN;
   const equal = candidates.filter((_, index) => (costs[index] ?? 0) <= limit);
-  const random = input.random ?? Math.random;
-  let left = random() * equal.reduce((sum, { load }) => sum + speedOf(load), 0);
-  for (const candidate of equal) {
-    left -= speedOf(candidate.load);
-    if (left < 0) return candidate;
-  }
-  return equal.at(-1);
+  return chooseWeighted(input, equal, ({ load }) => speedOf(load));
 }
 
 function speedOf(load: CandidateLoad | undefined): number {
@@ -171,10 +181,56 @@
   if (leastLoaded === undefined) return undefined;
   const [preferredId] = rankByRendezvous(
     prefixKey,
-    candidates.map(({ server }) => server.id),
+    input.allEngines ?? candidates.map(({ server }) => server.id),
   );
   const preferred = candidates.find(({ server }) => server.id === preferredId);
-  if (preferred === undefined) return leastLoaded;
+  if (preferred === undefined) {
+    return spreadByRank(input, prefixKey, candidates);
+  }
   const excess = costOf(input, preferred) - costOf(input, leastLoaded);
   return excess > PREFIX_AFFINITY_MARGIN ? leastLoaded : preferred;
 }
+
+/**
+ * Spreads the load of an engine that can't be had over many others, by their
+ * free memory. The next one in rank could crash from it like the first, as
+ * every VM would choose it.
+ */
+function spreadByRank(
+  input: ServerChoiceInput,
+  prefixKey: string,
+  candidates: readonly ServerCandidate[],
+): ServerCandidate | undefined {
+  const count = Math.max(
+    MIN_SPREAD_ENGINES,
+    Math.ceil(candidates.length * SPREAD_FRACTION),
+  );
+  const ranked = rankByRendezvous(
+    prefixKey,
+    candidates.map(({ server }) => server.id),
+  ).slice(0, count);
+  const nearest = candidates.filter(({ server }) => ranked.includes(server.id));
+  return chooseWeighted(
+    input,
+    nearest,
+    ({ freeTokens }) => Math.max(1, freeTokens ?? 1),
+  );
+}
+
+function chooseWeighted(
+  input: ServerChoiceInput,
+  candidates: readonly ServerCandidate[],
+  weightOf: (candidate: ServerCandidate) => number,
+): ServerCandidate | undefined {
+  const random = input.random ?? Math.random;
+  const total = candidates.reduce(
+    (sum, candidate) => sum + weightOf(candidate),
+    0,
+  );
+  let left = random() * total;
+  for (const candidate of candidates) {
+    left -= weightOf(candidate);
+    if (left < 0) return candidate;
+  }
+  return candidates.at(-1);
+}
--- a/packages/daemon/src/placement/server_directory.ts
+++ b/packages/daemon/src/placement/server_directory.ts
@@ -12,11 +12,14 @@
   SoftwareVersion,
 } from "@sassafrasstage/protocol/ids";
 import type { Clock } from "../clock.js";
+import type { PromptShape } from "../forwarding/routed_request.js";
 import type { ServerRateLimits } from "../rate_limits/server_rate_limits.js";
 import type {
   RegisteredServer,
   ServerRegister,
 } from "../register/server_register.js";
+import type { EngineMemories } from "../server_load/engine_memories.js";
+import { type MemoryNeed, memoryNeedOf } from "../server_load/engine_memory.js";
 import type { ServerLoads } from "../server_load/server_loads.js";
 import type { RoutedService } from "../routing/routing_configuration.js";
 import { chooseServer, type ServerCandidate } from "./choose_server.js";
@@ -44,6 +47,8 @@
   readonly rateLimits: ServerRateLimits;
   /** Without it, the load that servers state isn't used. */
   readonly loads?: ServerLoads | undefined;
+  /** Without it, the memory of model engines isn't taken into account. */
+  readonly memories?: EngineMemories | undefined;
   /** Returns a number of at least 0 and less than 1. */
   readonly random?: () => number;
 }
@@ -57,6 +62,8 @@
   readonly includesRateLimited: boolean;
   /** If set, only servers of this version are considered. */
   readonly softwareVersion: SoftwareVersion | undefined;
+  /** Set for a request to a model engine. */
+  readonly prompt?: PromptShape | undefined;
 }
 
 /**
@@ -67,6 +74,8 @@
 /** More connections than this to one server bring no benefit. */
 const MAX_CONNECTIONS_PER_SERVER = 64;
 
+const NO_SERVERS: ReadonlySet<BackendServerId> = new Set();
+
 export class ServerDirectory {
   readonly #options: ServerDirectoryOptions;
   readonly #health = new Map<BackendServerId, ServerHealth>();
@@ -90,6 +99,11 @@
       const choice = this.preview({ ...request, excluded }, nowMs);
       if (choice === undefined) return undefined;
       const { server, health } = choice;
+      const report = this.#refreshMemory(request, server);
+      if (report !== undefined) {
+        await report;
+        continue;
+      }
       // Counted before waiting, as other requests are assigned meanwhile.
       const isCounted = nowMs < server.coldUntilMs;
       if (isCounted) health.recordColdRequest(nowMs);
@@ -108,15 +122,17 @@
     request: PlacementRequest,
     nowMs: number,
   ): ServerCandidate | undefined {
-    const candidates = this.#suitableServers(request)
+    const suitable = this.#suitableServers(request)
       .filter(({ id }) => this.#hasRate(id, request, nowMs))
-      .map((server) => ({
-        server,
-        health: this.healthOf(server.id),
-        load: this.#options.loads?.candidateLoad(server, nowMs),
-      }));
+      .map((server) => this.#candidateOf(server, nowMs));
+    const need = this.#memoryNeedOf(request);
     return chooseServer({
-      candidates,
+      candidates: need === undefined
+        ? suitable
+        : this.#withFreeTokens(suitable, need, nowMs).filter(hasMemoryLeft),
+      allEngines: need === undefined
+        ? undefined
+        : this.#allEngines(request, nowMs),
       dataCentre: request.dataCentre,
       prefixKey: request.prefixKey,
       coldQuota: this.#coldQuota(request.service),
@@ -125,6 +141,51 @@
     });
   }
 
+  /**
+   * Whether engines could take the request, but none of them has enough memory
+   * left for it now.
+   */
+  lacksMemory(request: PlacementRequest): boolean {
+    const need = this.#memoryNeedOf(request);
+    if (need === undefined) return false;
+    const nowMs = this.#options.clock.nowMs();
+    const candidates = this.#withFreeTokens(
+      this.#suitableServers(request)
+        .map((server) => this.#candidateOf(server, nowMs)),
+      need,
+      nowMs,
+    );
+    const [emptiest] = candidates.sort((a, b) =>
+      (b.freeTokens ?? 0) - (a.freeTokens ?? 0)
+    );
+    if (emptiest === undefined || candidates.some(hasMemoryLeft)) return false;
+    // A report may show that the request fits.
+    void this.#options.memories?.refresh(emptiest.server);
+    return true;
+  }
+
+  /** When engines that are full are likely to have memory left. */
+  memoryRetryAfterMs(service: ServiceName): number {
+    return this.#options.memories?.retryAfterMs(service) ?? 0;
+  }
+
+  /** Counts a request at an engine until the returned function is called. */
+  holdMemory(
+    server: RegisteredServer,
+    prompt: PromptShape | undefined,
+  ): () => void {
+    const { memories } = this.#options;
+    if (prompt === undefined || memories?.isEnabled !== true) {
+      return () => undefined;
+    }
+    return memories.place(server, memoryNeedOf(prompt));
+  }
+
+  /** An engine has ended unexpectedly, so its load is spread. */
+  recordCrash(server: RegisteredServer): void {
+    this.#options.memories?.recordCrash(server);
+  }
+
   /** Whether a server could take the request, now or later. */
   hasServer(request: PlacementRequest): boolean {
     return this.#suitableServers(request).length > 0;
@@ -171,6 +232,7 @@
   forget(id: BackendServerId): void {
     this.#health.delete(id);
     this.#options.loads?.forget(id);
+    this.#options.memories?.forget(id);
   }
 
   retryBudgetOf(service: ServiceName): SlidingRetryBudget {
@@ -193,6 +255,53 @@
     return Math.max(1, Math.min(MAX_CONNECTIONS_PER_SERVER, share));
   }
 
+  #candidateOf(server: RegisteredServer, nowMs: number): ServerCandidate {
+    return {
+      server,
+      health: this.healthOf(server.id),
+      load: this.#options.loads?.candidateLoad(server, nowMs),
+    };
+  }
+
+  /** Undefined unless engines may crash for lack of memory. */
+  #memoryNeedOf({ prompt }: PlacementRequest): MemoryNeed | undefined {
+    const isCounted = prompt !== undefined &&
+      this.#options.memories?.isEnabled === true;
+    return isCounted ? memoryNeedOf(prompt) : undefined;
+  }
+
+  /** Set if the server should be chosen again, once that has resolved. */
+  #refreshMemory(
+    request: PlacementRequest,
+    server: RegisteredServer,
+  ): Promise<void> | undefined {
+    return this.#memoryNeedOf(request) === undefined
+      ? undefined
+      : this.#options.memories?.refresh(server);
+  }
+
+  #withFreeTokens(
+    candidates: readonly ServerCandidate[],
+    need: MemoryNeed,
+    nowMs: number,
+  ): ServerCandidate[] {
+    return candidates.map((candidate) => ({
+      ...candidate,
+      freeTokens: this.#options.memories?.freeTokens(candidate.server, {
+        need,
+        statedRequests: candidate.load?.othersLoad ?? 0,
+      }, nowMs),
+    }));
+  }
+
+  /** The engines that a prefix may be cached at, and those just crashed. */
+  #allEngines(request: PlacementRequest, nowMs: number): BackendServerId[] {
+    const usable = this.#suitableServers({ ...request, excluded: NO_SERVERS });
+    const crashed = this.#options.memories
+      ?.crashedEngines(request.service, nowMs) ?? [];
+    return [...new Set([...usable.map(({ id }) => id), ...crashed])];
+  }
+
   #isCold(id: BackendServerId): boolean {
     const { clock, register } = this.#options;
     return clock.nowMs() < (register.get(id)?.coldUntilMs ?? 0);
@@ -230,3 +339,7 @@
     );
   }
 }
+
+function hasMemoryLeft({ freeTokens }: ServerCandidate): boolean {
+  return freeTokens === undefined || freeTokens >= 0;
+}
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -30,6 +30,10 @@
 import { PoisonParts } from "./poison_parts/poison_parts.js";
 import { ServerRateLimits } from "./rate_limits/server_rate_limits.js";
 import { ServerAccess } from "./server_reach/server_access.js";
+import {
+  EngineMemories,
+  type EngineReporter,
+} from "./server_load/engine_memories.js";
 import { ServerLoads } from "./server_load/server_loads.js";
 import { ServerNotices } from "./register/server_notices.js";
 import type {
@@ -52,6 +56,9 @@
   readonly batchCaller: BatchCaller;
   /** Read at each use, as the settings may change. */
   readonly limits: () => SharedLimits;
+  /** Whether model engines may crash for lack of memory; read at each use. */
+  readonly accountsEngineMemory?: () => boolean;
+  readonly fetchEngineReport?: EngineReporter;
   /** Processor capacity of this VM, in cores. */
   readonly processorCores: number;
   /** Maximum number of items of all stages of one request. */
@@ -163,6 +170,19 @@
       clock,
       rateLimits: this.#rateLimits,
       loads: this.#serverLoads,
+      memories: new EngineMemories({
+        isEnabled: options.accountsEngineMemory ?? (() => false),
+        fetchReport: options.fetchEngineReport ??
+          (() => Promise.resolve(undefined)),
+        inFlightOf: (id) => this.#directory.healthOf(id).inFlight,
+        connectionShare: (service) => this.#directory.connectionShare(service),
+        vmCount: () => this.#deployment.entryVmCount,
+        engineCount: (service) =>
+          this.#deployment.register.usableServers(service).length,
+        clock,
+        metrics,
+        logger,
+      }),
       register: this.#deployment.register,
       limits: options.limits,
       findService,
@@ -321,6 +341,7 @@
     });
     this.#serverAccess.handleServerChange(change);
     if (change.kind !== "ended") return;
+    if (!server.isDraining) this.#directory.recordCrash(server);
     this.#directory.forget(server.id);
     this.#rateLimits.forget(server.id);
     this.#streamVersions.recordServerEnded(server);
--- a/packages/daemon/src/server_load/server_loads.ts
+++ b/packages/daemon/src/server_load/server_loads.ts
@@ -58,6 +58,8 @@
 /** Weight of the newest request in the mean duration of its kind. */
 const MEAN_SMOOTHING = 0.05;
 const MAX_KINDS = 200;
+/** Responses that arrive after their server's end may leave records of it. */
+const MAX_SERVERS = 2000;
 
 export class ServerLoads {
   readonly #options: ServerLoadsOptions;
@@ -154,9 +156,15 @@
       isPredictive: true,
     };
     this.#servers.set(server.id, record);
+    if (this.#servers.size > MAX_SERVERS) this.#forgetOldest();
     return record;
   }
 
+  #forgetOldest(): void {
+    const [oldest] = this.#servers.keys();
+    if (oldest !== undefined) this.#servers.delete(oldest);
+  }
+
   #serviceOf(name: ServiceName): ServiceRecord {
     let service = this.#services.get(name);
     if (service === undefined) {
