--- a/packages/daemon/src/server_load/server_loads.ts
+++ b/packages/daemon/src/server_load/server_loads.ts
@@ -68,6 +68,12 @@
 
   constructor(options: ServerLoadsOptions) {
     this.#options = options;
+    options.metrics.registerGauge(
+      "serversStatingLoad",
+      () =>
+        [...this.#servers.values()]
+          .filter(({ stated }) => stated.hasStatedSlowdown).length,
+    );
   }
 
   /**
