--- a/packages/daemon/src/forwarding/placement_request.ts
+++ b/packages/daemon/src/forwarding/placement_request.ts
@@ -34,6 +34,7 @@
     includesRateLimited: true,
     softwareVersion,
     route: context.route.name,
+    prompt: context.request.prompt,
   };
 }
 
--- a/packages/daemon/src/forwarding/run_attempt.ts
+++ b/packages/daemon/src/forwarding/run_attempt.ts
@@ -95,6 +95,7 @@
     if (isFinished) return false;
     isFinished = true;
     health.inFlight -= 1;
+    releaseMemory();
     return true;
   }
   function fail(failure: ServerCallFailure): void {
@@ -112,7 +113,10 @@
       environment.metrics.countEvent("callEndedWithServer");
     }
     const isCrash = observation.recordFailure(failure);
-    if (isCrash) input.onServerCrash?.();
+    if (isCrash) {
+      environment.directory.recordCrash(server);
+      input.onServerCrash?.();
+    }
     sample.recordFailure(failure, { isCrash });
     if (failure.kind === "notSent") input.candidate.permit?.giveBack();
     environment.logger.info("serverCallFailed", {
@@ -129,6 +133,8 @@
     listener.onFailure(failure);
   }
   health.inFlight += 1;
+  const releaseMemory = environment.directory
+    .holdMemory(server, input.context.request.prompt);
   const call = environment.serverCaller.start(toServerCall(input), {
     onSend: () => {
       observation.recordSend();
