--- a/packages/daemon/src/rollouts/rollouts.ts
+++ b/packages/daemon/src/rollouts/rollouts.ts
@@ -147,7 +147,11 @@
         nowMs < this.#eraChangedAtMs + LOST_REQUEST_MS;
       known?.close();
       if (known !== undefined) this.#recordEnd(known.view);
-      const view = new ServiceRollout(rollout, nowMs);
+      const view = new ServiceRollout(
+        rollout,
+        this.#options.exposure.rollbackMs,
+        nowMs,
+      );
       // A request that was lost and written again has the same verdict.
       if (isLost) view.applyDecision(known.view.furthestPhase, nowMs);
       else this.#blocked.delete(service, to);
--- a/packages/daemon/src/rollouts/service_rollout.ts
+++ b/packages/daemon/src/rollouts/service_rollout.ts
@@ -25,12 +25,15 @@
 import { type FinalPhase, isFinal, type Rollout } from "./rollout_request.js";
 
 /**
- * Time for which a shift is applied without a message of the owner. It is
- * shorter than the time in which a bad version has to be out of use, as an owner
- * that rolls back may not reach this VM. It is longer than it takes the next
- * owner to continue.
+ * Longest time for which a shift is applied without a message of the owner. It
+ * is longer than it takes the next owner to continue.
  */
-const SHIFT_LEASE_MS = 3000;
+const MAX_SHIFT_LEASE_MS = 3000;
+/**
+ * Part of the time in which a bad version has to be out of use: an owner that
+ * rolls back may not reach this VM.
+ */
+const SHIFT_LEASE_SHARE = 0.6;
 /** Permits that come in reply to an older report were held up on the way. */
 const MAX_REPLY_AGE_MS = 1500;
 
@@ -59,8 +62,15 @@
   #shiftEndsAtMs = -Infinity;
   #owner: OwnerRevision = { era: 0, revision: 0 };
 
-  constructor(rollout: Rollout, nowMs: number) {
+  readonly #shiftLeaseMs: number;
+
+  /** @param rollbackMs Time in which a bad version has to be out of use */
+  constructor(rollout: Rollout, rollbackMs: number, nowMs: number) {
     this.rollout = rollout;
+    this.#shiftLeaseMs = Math.min(
+      MAX_SHIFT_LEASE_MS,
+      rollbackMs * SHIFT_LEASE_SHARE,
+    );
     this.learnedAtMs = nowMs;
     this.counters = new CallCounters(rollout.request.to);
     this.applyStored(rollout, nowMs);
@@ -182,7 +192,7 @@
     if (phase === "shifting") {
       this.#shiftEndsAtMs = Math.max(
         this.#shiftEndsAtMs,
-        nowMs + SHIFT_LEASE_MS,
+        nowMs + this.#shiftLeaseMs,
       );
     }
     // Only the store tells which of two final phases holds.
