--- a/packages/daemon/src/rollouts/evidence_window.ts
+++ b/packages/daemon/src/rollouts/evidence_window.ts
@@ -7,7 +7,11 @@
  */
 
 import { type JudgeOptions, RECENT_SLICES } from "./judge_candidate.js";
-import { type CallCounts, subtractCounts } from "./rollout_observations.js";
+import {
+  addCounts,
+  type CallCounts,
+  subtractCounts,
+} from "./rollout_observations.js";
 
 /**
  * At one request a second from each of 84 VMs, a slice of the current version
@@ -17,11 +21,6 @@
 /** Bounds the cost of an analysis when a rollout takes minutes. */
 const MAX_SLICES = 30;
 
-interface Snapshot {
-  readonly atMs: number;
-  readonly totals: readonly CallCounts[];
-}
-
 /**
  * Totals of a rollout's counters over time.
  *
@@ -31,34 +30,37 @@
  * ```
  */
 export class EvidenceWindow {
-  #snapshots: Snapshot[] = [];
+  /** Slices that have ended, and when each of them began. */
+  #ended: { readonly startMs: number; readonly counts: CallCounts[] }[] = [];
+  #endedTotals: readonly CallCounts[] = [];
+  #startMs: number | undefined;
 
-  /** Records the totals and splits them by time. */
+  /** Splits the totals by time, and ends the last slice if it is long enough. */
   split(totals: readonly CallCounts[], nowMs: number): JudgeOptions {
-    const starts = this.#snapshots;
-    const ends = [...starts.slice(1), { atMs: nowMs, totals }];
-    const beforeFirst = starts[0]?.totals ?? totals;
-    const slices = [
-      [...beforeFirst],
-      ...starts.map((start, index) =>
-        subtractCounts(ends[index]?.totals ?? totals, start.totals)
-      ),
-    ];
-    const recentStart = starts.at(-RECENT_SLICES) ?? starts[0];
-    this.#record(totals, nowMs);
-    return {
-      slices: slices.map((slice, index) =>
-        index === slices.length - 1 ? slice : withoutWaiting(slice)
-      ),
-      recentMs: nowMs - (recentStart?.atMs ?? nowMs),
+    const startMs = this.#startMs ?? nowMs;
+    this.#startMs = startMs;
+    const last = subtractCounts(totals, this.#endedTotals);
+    const firstRecent = this.#ended.at(1 - RECENT_SLICES) ?? this.#ended[0];
+    const options = {
+      slices: [...this.#ended.map(({ counts }) => counts), last],
+      recentMs: nowMs - (firstRecent?.startMs ?? startMs),
     };
+    // What was counted before the first totals is a slice of its own.
+    if (this.#ended.length === 0 || nowMs - startMs >= SLICE_MS) {
+      this.#ended.push({ startMs, counts: withoutWaiting(last) });
+      this.#endedTotals = totals;
+      this.#startMs = nowMs;
+      this.#mergeOldest();
+    }
+    return options;
   }
 
-  #record(totals: readonly CallCounts[], nowMs: number): void {
-    const last = this.#snapshots.at(-1);
-    if (last !== undefined && nowMs - last.atMs < SLICE_MS) return;
-    this.#snapshots.push({ atMs: nowMs, totals });
-    if (this.#snapshots.length > MAX_SLICES) this.#snapshots.shift();
+  #mergeOldest(): void {
+    const [first, second, ...others] = this.#ended;
+    if (first === undefined || second === undefined) return;
+    if (this.#ended.length < MAX_SLICES) return;
+    const counts = addCounts(first.counts, second.counts);
+    this.#ended = [{ startMs: first.startMs, counts }, ...others];
   }
 }
 
--- a/packages/daemon/src/rollouts/fault_evidence.ts
+++ b/packages/daemon/src/rollouts/fault_evidence.ts
@@ -17,6 +17,7 @@
 const FAULT_SHARES = [0.1, 0.25, 0.5, 0.9];
 
 interface Observation {
+  readonly sliceIndex: number;
   readonly route: string;
   readonly server: string;
   /** Logarithm of the likelihood ratio, by kind of fault and share. */
@@ -25,26 +26,35 @@
 
 export class FaultEvidence {
   readonly #observations: readonly Observation[];
-  readonly #routes: readonly string[];
+
+  private constructor(observations: readonly Observation[]) {
+    this.#observations = observations;
+  }
 
   /** Takes the counters of both sides by slices of time, oldest first. */
-  constructor(
+  static of(
     slices: readonly (readonly CallCounts[])[],
     rates: CurrentRates,
-    firstSlice = 0,
-  ) {
-    this.#observations = slices.flatMap((slice, index) =>
-      index < firstSlice
-        ? []
-        : slice.filter(({ side }) => side === "candidate").map((counts) => ({
+  ): FaultEvidence {
+    return new FaultEvidence(
+      slices.flatMap((slice, sliceIndex) =>
+        slice.filter(({ side }) => side === "candidate").map((counts) => ({
+          sliceIndex,
           route: counts.route,
           server: counts.server ?? "",
           logRatios: FAULT_KINDS.flatMap((kind) =>
-            logRatiosOf(counts, kind, { rates, index })
+            logRatiosOf(counts, kind, { rates, sliceIndex })
           ),
         }))
+      ),
+    );
+  }
+
+  /** The evidence of this slice and later ones. */
+  since(firstSlice: number): FaultEvidence {
+    return new FaultEvidence(
+      this.#observations.filter(({ sliceIndex }) => sliceIndex >= firstSlice),
     );
-    this.#routes = [...new Set(this.#observations.map(({ route }) => route))];
   }
 
   /** Likelihood ratio of a faulty version, without one server if given. */
@@ -66,8 +76,9 @@
   #ratio(observations: readonly Observation[]): number {
     if (observations.length === 0) return 1;
     const whole = meanRatio(observations);
-    if (this.#routes.length < 2) return whole;
-    const byRoute = this.#routes.map((route) =>
+    const routes = [...new Set(observations.map(({ route }) => route))];
+    if (routes.length < 2) return whole;
+    const byRoute = routes.map((route) =>
       meanRatio(observations.filter((item) => item.route === route))
     );
     return (whole + mean(byRoute)) / 2;
@@ -77,12 +88,12 @@
 function logRatiosOf(
   counts: CallCounts,
   kind: FaultKind,
-  at: { readonly rates: CurrentRates; readonly index: number },
+  at: { readonly rates: CurrentRates; readonly sliceIndex: number },
 ): number[] {
   const thresholds = at.rates.thresholdsOf(counts.route);
   const { samples, bad } = countBad(counts, kind, thresholds);
   if (samples === 0) return FAULT_SHARES.map(() => 0);
-  const soundRate = at.rates.explainedRate(counts, kind, at.index);
+  const soundRate = at.rates.explainedRate(counts, kind, at.sliceIndex);
   return FAULT_SHARES.map((share) => {
     const faultyRate = soundRate + share * (1 - soundRate);
     return bad * Math.log(faultyRate / soundRate) +
--- a/packages/daemon/src/rollouts/judge_candidate.ts
+++ b/packages/daemon/src/rollouts/judge_candidate.ts
@@ -108,8 +108,8 @@
 ): CandidateVerdict {
   const { slices, recentSlice } = toSlices(counts, options);
   const rates = new CurrentRates(slices);
-  const evidence = new FaultEvidence(slices, rates);
-  const recentEvidence = new FaultEvidence(slices, rates, recentSlice);
+  const evidence = FaultEvidence.of(slices, rates);
+  const recentEvidence = evidence.since(recentSlice);
   const servers = countByServer(counts, rates);
   const suspect = findSuspect(servers);
   const badServer = findBadServer(servers, suspect, [evidence, recentEvidence]);
--- a/packages/daemon/src/rollouts/testing/simulated_versions.ts
+++ b/packages/daemon/src/rollouts/testing/simulated_versions.ts
@@ -67,6 +67,8 @@
 }
 
 interface EndedCall extends SimulatedCall {
+  /** Calls of the same key are counted together. */
+  readonly key: string;
   readonly durationMs: number;
   readonly isFailed: boolean;
 }
@@ -115,10 +117,8 @@
     const counts = new Map<string, MutableCounts>();
     for (const call of this.#calls) {
       if (call.sentAtMs > nowMs) continue;
-      const empty = emptyCounts(call);
-      const key = countsKey(empty);
-      const item = counts.get(key) ?? empty;
-      counts.set(key, item);
+      const item = counts.get(call.key) ?? emptyCounts(call);
+      counts.set(call.key, item);
       item.sent += 1;
       const ageMs = nowMs - call.sentAtMs;
       const bucket = bucketOf(Math.min(ageMs, call.durationMs));
@@ -196,7 +196,7 @@
     if (fault.kind === "slow") durationMs *= fault.factor;
     else isFailed = true;
   }
-  return { ...call, durationMs, isFailed };
+  return { ...call, key: countsKey(emptyCounts(call)), durationMs, isFailed };
 }
 
 function drawRoute({ routes }: SimulatedService, random: Random): number {
