Split the rollout owner and the gate, and count no reservation twice

Change: the gate, the phase's inputs and the record's content are files of their own; a new term starts with the highest known reservation as used.

--- a/packages/daemon/src/rollouts/rollout_owner.ts
+++ b/packages/daemon/src/rollouts/rollout_owner.ts
@@ -19,10 +19,12 @@
 import type { RegisteredServer } from "../register/server_register.js";
 import { EvidenceWindow } from "./evidence_window.js";
 import { ExposureBudget, type PermitGrant } from "./exposure_budget.js";
-import { FleetCounts, withoutWaiting } from "./fleet_counts.js";
+import { FleetCounts } from "./fleet_counts.js";
 import { type CandidateVerdict, judgeCandidate } from "./judge_candidate.js";
 import { PermitGranter } from "./permit_granter.js";
-import { nextPhase, type PhaseDecision } from "./plan_rollout.js";
+import { decidePhase } from "./decide_phase.js";
+import type { PhaseDecision } from "./plan_rollout.js";
+import { countRequests, makeRecordContent } from "./record_content.js";
 import type { CallCounts } from "./rollout_observations.js";
 import {
   type ExposureSettings,
@@ -207,24 +209,16 @@
   }
 
   #decide(participants: readonly VmId[], nowMs: number): PhaseDecision {
-    const { request } = this.#options.rollout();
-    const servers = this.#options.servers();
-    const candidateServers =
-      servers.filter(({ softwareVersion }) => softwareVersion === request.to)
-        .length;
-    return nextPhase({
+    return decidePhase({
       phase: this.#phase,
-      nowMs,
-      orderedAtMs: this.#counts.orderedAtMs,
-      durationMs: request.durationMs,
+      request: this.#options.rollout().request,
       verdict: this.#verdict,
-      inFlightAtCurrent: this.#counts.inFlightAtCurrent(participants),
-      unconfirmedVms: this.#counts.countUnconfirmed(participants, nowMs),
-      candidateServers,
-      currentServers: servers.length - candidateServers,
-      hasSeenCurrentVersion: this.#counts.hasSeenCurrent ||
-        this.#options.hasSeenCurrent() ||
-        this.#totals.some(({ side, sent }) => side === "current" && sent > 0),
+      counts: this.#counts,
+      totals: this.#totals,
+      participants,
+      servers: this.#options.servers(),
+      hasSeenCurrent: this.#options.hasSeenCurrent(),
+      nowMs,
     });
   }
 
@@ -309,7 +303,7 @@
       return;
     }
     if (this.#phase !== "observing") return;
-    this.#budget?.recordServiceRequests(this.#serviceRequests());
+    this.#budget?.recordServiceRequests(countRequests(this.#totals));
     const due = this.#budget?.reservationDue(this.#options.exposure, nowMs);
     if (due !== undefined) void this.#writeRecord("observing", nowMs, due);
   }
@@ -326,15 +320,22 @@
       return;
     }
     const { former, reserved, reservedBefore } = claimed;
-    if (this.#budgetTerm !== this.#reservation.term) {
+    if (this.#budgetTerm === this.#reservation.term) {
+      this.#budget?.confirmReserved(reserved);
+    } else {
       this.#budgetTerm = this.#reservation.term;
       this.#counts.startTerm();
+      // The store may have lost what was reserved, by this VM too.
       this.#budget = new ExposureBudget({
-        reserved: Math.max(reservedBefore, this.#counts.reserved),
+        reserved: Math.max(
+          reserved,
+          reservedBefore,
+          this.#counts.reserved,
+          this.#budget?.reserved ?? 0,
+        ),
         serviceRequests: former?.requests ?? 0,
       });
     }
-    this.#budget?.confirmReserved(reserved);
     if (former !== undefined) {
       this.#counts.addStored(former.counts, {
         elapsedMs: former.elapsedMs,
@@ -380,31 +381,15 @@
     nowMs: number,
     former: RolloutRecord | undefined,
   ): RecordContent {
-    const requests = Math.max(
-      this.#serviceRequests(),
-      former?.requests ?? 0,
-      this.#budget?.serviceRequests ?? 0,
-    );
-    const { orderedAtMs } = this.#counts;
-    return {
+    return makeRecordContent({
       phase,
-      requests,
-      reserved: Math.max(
-        former?.reserved ?? 0,
-        this.#counts.reserved,
-        this.#budget?.reserved ?? 0,
-      ),
-      elapsedMs: Math.max(
-        former?.elapsedMs ?? 0,
-        orderedAtMs === Infinity ? 0 : Math.round(nowMs - orderedAtMs),
-      ),
       owner: this.#options.self,
-      counts: this.#totals.map(withoutWaiting),
-    };
-  }
-
-  #serviceRequests(): number {
-    return this.#totals.reduce((sum, { sent }) => sum + sent, 0);
+      former,
+      counts: this.#counts,
+      totals: this.#totals,
+      budget: this.#budget,
+      nowMs,
+    });
   }
 
   #reply(nowMs: number): void {
--- a/packages/daemon/src/rollouts/rollouts.ts
+++ b/packages/daemon/src/rollouts/rollouts.ts
@@ -25,20 +25,12 @@
 import type { StatusStore } from "../platform/object_store.js";
 import type {
   RegisterChange,
-  RegisteredServer,
   ServerRegister,
 } from "../register/server_register.js";
 import type { ServedVersionSource } from "../stream_versions/served_versions.js";
 import { BlockedVersions } from "./blocked_versions.js";
 import { CallsInFlight } from "./calls_in_flight.js";
-import {
-  type AdmissionOptions,
-  type AdmittedServers,
-  type ExposurePermit,
-  type RolloutCall,
-  type RolloutGate,
-  type ServerAdmission,
-} from "./rollout_gate.js";
+import type { RolloutGate } from "./rollout_gate.js";
 import { RolloutPeers } from "./rollout_peers.js";
 import type {
   ExposureSettings,
@@ -47,6 +39,7 @@
 } from "./rollout_request.js";
 import { ServiceRollout } from "./service_rollout.js";
 import { SupervisedService } from "./supervised_service.js";
+import { VersionGate } from "./version_gate.js";
 import { VersionSightings } from "./version_sightings.js";
 
 export interface RolloutsOptions {
@@ -66,12 +59,6 @@
 }
 
 const TICK_MS = 100;
-/**
- * Versions that are first seen up to this time after a rollout was completed
- * count as former ones, as a VM that has just started may learn of servers later
- * than of the rollout.
- */
-const FORMER_VERSION_MARGIN_MS = 2000;
 /**
  * Time after a return of the store within which a missing rollout request may
  * only be lost; operators write again what a store has lost.
@@ -79,7 +66,6 @@
 const LOST_REQUEST_MS = 10_000;
 
 const MAX_ENDED = 100;
-const NO_VERSIONS: ReadonlySet<SoftwareVersion> = new Set();
 /** Values of the metric; 0 means that there is no rollout. */
 const PHASE_VALUES: Readonly<Record<RolloutPhaseName, number>> = {
   observing: 1,
@@ -88,7 +74,9 @@
   rolledBack: 4,
 };
 
-export class Rollouts implements RolloutGate {
+export class Rollouts {
+  /** Admits requests to servers. */
+  readonly gate: RolloutGate;
   readonly #options: RolloutsOptions;
   readonly #services = new Map<ServiceName, SupervisedService>();
   readonly #peers: RolloutPeers;
@@ -107,6 +95,13 @@
     const { network, clock, metrics } = options;
     this.#peers = new RolloutPeers(network);
     this.#sightings = new VersionSightings(clock.nowMs());
+    this.gate = new VersionGate({
+      ...options,
+      viewOf: (service) => this.#services.get(service)?.view,
+      sightings: this.#sightings,
+      blocked: this.#blocked,
+      inFlight: this.#inFlight,
+    });
     network.setKnowsRollouts();
     network.messages.on("rolloutReport", ({ from, message }) => {
       this.#services.get(message.service)?.handleReport(from, message.report);
@@ -213,116 +208,6 @@
     if (kind !== "ended") this.#sightings.record(server, nowMs);
   }
 
-  admits(
-    server: RegisteredServer,
-    options: AdmissionOptions,
-  ): ServerAdmission {
-    const { service, softwareVersion } = server;
-    const nowMs = this.#options.clock.nowMs();
-    if (this.#blocked.has(service, softwareVersion, nowMs)) return "never";
-    const view = this.#services.get(service)?.view;
-    const isCandidate = view?.candidate === softwareVersion;
-    if (
-      !isCandidate && this.#sightings.isHeld(service, softwareVersion, nowMs)
-    ) return "never";
-    if (view === undefined) return "freely";
-    return view.admits(
-      server,
-      { ...options, nowMs },
-      () => this.#formerVersions(service, view),
-    );
-  }
-
-  split<Server extends { readonly server: RegisteredServer }>(
-    _: ServiceName,
-    servers: readonly Server[],
-    options: AdmissionOptions,
-  ): AdmittedServers<Server> {
-    const free: Server[] = [];
-    const permitted: Server[] = [];
-    for (const entry of servers) {
-      const admission = this.admits(entry.server, options);
-      if (admission === "freely") free.push(entry);
-      else if (admission === "withPermit") permitted.push(entry);
-    }
-    return { free, permitted };
-  }
-
-  permitCount(service: ServiceName, route: string): number {
-    const view = this.#services.get(service)?.view;
-    if (view === undefined) return 0;
-    return view.permits.count(route, this.#options.clock.nowMs());
-  }
-
-  takePermit(
-    server: RegisteredServer,
-    route: string,
-  ): ExposurePermit | undefined {
-    const { clock, metrics } = this.#options;
-    const permit = this.#services.get(server.service)?.view
-      .takePermit(server, route, clock.nowMs());
-    if (permit !== undefined) metrics.countEvent("rolloutPermitsUsed");
-    return permit;
-  }
-
-  maySend(
-    server: RegisteredServer,
-    permit: Pick<ExposurePermit, "expiresAtMs"> | undefined,
-    options: AdmissionOptions,
-  ): boolean {
-    const nowMs = this.#options.clock.nowMs();
-    const view = this.#services.get(server.service)?.view;
-    // The permits may be for other servers of the candidate by now.
-    const needsPermit = view?.candidate === server.softwareVersion &&
-      view.phase(nowMs) === "observing";
-    if (needsPermit) {
-      return permit !== undefined && nowMs < permit.expiresAtMs &&
-        !this.#blocked.has(server.service, server.softwareVersion, nowMs);
-    }
-    return this.admits(server, options) === "freely";
-  }
-
-  beginCall(server: RegisteredServer, route: string, items = 1): RolloutCall {
-    const { clock, metrics } = this.#options;
-    const view = this.#services.get(server.service)?.view;
-    const isCounted = view !== undefined && !view.isSettled;
-    const counted = isCounted
-      ? view.counters.begin(server, { route, items, clock })
-      : undefined;
-    const isCandidate = view?.candidate === server.softwareVersion;
-    const end = this.#inFlight.begin(server);
-    return {
-      recordSend: () => {
-        counted?.recordSend();
-      },
-      recordEvent: () => {
-        counted?.recordEvent();
-      },
-      end: (outcome, durationMs) => {
-        if (!end()) return;
-        counted?.end(outcome, durationMs);
-        if (isCounted && isCandidate && outcome === "failed") {
-          metrics.countEvent("rolloutBadAnswers");
-        }
-      },
-    };
-  }
-
-  #formerVersions(
-    service: ServiceName,
-    { candidate, completedAtMs }: ServiceRollout,
-  ): ReadonlySet<SoftwareVersion> {
-    const isServed = this.#options.register.serversOf(service)
-      .some(({ softwareVersion }) => softwareVersion === candidate);
-    // A later release without a rollout may have replaced it.
-    if (!isServed) return NO_VERSIONS;
-    return this.#sightings.seenBefore(
-      service,
-      candidate,
-      (completedAtMs ?? Infinity) + FORMER_VERSION_MARGIN_MS,
-    );
-  }
-
   #applyPermits(service: ServiceName, permits: RolloutPermits): void {
     const known = this.#services.get(service);
     if (known?.view.rollout.request.id !== permits.request) {
--- a/packages/daemon/src/rollouts/testing/simulated_rollout.ts
+++ b/packages/daemon/src/rollouts/testing/simulated_rollout.ts
@@ -33,7 +33,7 @@
 import { makeRateLimits } from "../../rate_limits/testing/make_rate_limits.js";
 import { ServerRegister } from "../../register/server_register.js";
 import { makeReport } from "../../testing/stage_samples.js";
-import type { ServerAdmission } from "../rollout_gate.js";
+import type { RolloutGate, ServerAdmission } from "../rollout_gate.js";
 import { Rollouts } from "../rollouts.js";
 import { ROLLOUT_FORMAT } from "./rollout_format.js";
 
@@ -145,7 +145,7 @@
     const directory = new ServerDirectory({
       clock,
       register,
-      rollouts,
+      rollouts: rollouts.gate,
       rateLimits: this.#rateLimits,
       limits: () => ({
         retries: { windowMs: 10_000, ratio: 1, slack: 10 },
@@ -207,7 +207,9 @@
       this.vms.flatMap(({ register, rollouts }) =>
         register.usableServers(SERVICE)
           .filter(({ softwareVersion }) => softwareVersion === version)
-          .map((server) => rollouts.admits(server, { isContinuation: false }))
+          .map((server) =>
+            rollouts.gate.admits(server, { isContinuation: false })
+          )
       ),
     );
   }
@@ -333,7 +335,7 @@
       this.refused += 1;
       return;
     }
-    const call = vm.rollouts.beginCall(choice.server, ROUTE);
+    const call = vm.rollouts.gate.beginCall(choice.server, ROUTE);
     if (!vm.directory.maySend(choice, { isContinuation: false })) {
       call.end("notCounted");
       return;
@@ -347,7 +349,7 @@
     index: number,
     { choice, call }: {
       readonly choice: ServerCandidate;
-      readonly call: ReturnType<Rollouts["beginCall"]>;
+      readonly call: ReturnType<RolloutGate["beginCall"]>;
     },
   ): void {
     const { softwareVersion: version } = choice.server;
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -155,6 +155,7 @@
       clock,
     });
     this.#rollouts = rollouts;
+    const gate = rollouts?.gate;
     this.#streamVersions = new StreamVersions({
       network,
       register: this.#deployment.register,
@@ -178,11 +179,11 @@
       limits: options.limits,
       findService,
       vmCount: () => this.#deployment.entryVmCount,
-      ...(rollouts !== undefined && { rollouts }),
+      ...(gate !== undefined && { rollouts: gate }),
     });
     this.#serverAccess = new ServerAccess({
       ...options,
-      rollouts,
+      rollouts: gate,
       network,
       register: this.#deployment.register,
       serverNotices: this.#serverNotices,
@@ -205,7 +206,7 @@
       limitsOf: (name) => findService(name)?.batches,
       retryBudgetOf: (name) => this.#directory.retryBudgetOf(name),
       buffers: options.buffers,
-      rollouts,
+      rollouts: gate,
       clock,
       metrics,
       latencies,
@@ -227,7 +228,7 @@
         streamVersions: this.#streamVersions,
         poisonParts,
         serverNotices: this.#serverNotices,
-        ...(rollouts !== undefined && { rollouts }),
+        ...(gate !== undefined && { rollouts: gate }),
         routeStatistics: new RouteStatistics(),
         dataCentre: settings.vm.data_centre,
         maxStageItems: options.maxStageItems ?? DEFAULT_MAX_STAGE_ITEMS,
