--- a/packages/daemon/src/rollouts/exposure_budget.ts
+++ b/packages/daemon/src/rollouts/exposure_budget.ts
@@ -150,40 +150,37 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-export interface ExposureBudgetOptions {
-  /** Permits reserved in the reservation object so far, by any owner. */
+/** What the reservation object states, by any owner. */
+export interface ReservedExposure {
   readonly reserved: number;
-  /** Requests of the service in the reservation object. */
   readonly serviceRequests: number;
 }
 
 /**
  * The owner's account of reserved, granted and returned permits.
  *
- * A new owner doesn't know which of the permits reserved before were used, and
- * takes all of them as used.
+ * An owner grants only what it reserved itself: which permits of another owner
+ * were used is unknown, and all of them are taken as used.
  *
  * @example
  * ```ts
- * const target = budget.reservationDue(limits, nowMs);
- * if (target !== undefined && await write(target)) budget.confirmReserved(target.reserved);
+ * const due = budget.reservationDue(limits, nowMs);
+ * if (due !== undefined && await write(due)) budget.confirmReserved(due.reserved);
  * const grants = planPermits({ allowance: budget.available(), … });
  * budget.recordGranted(grants.reduce((sum, { count }) => sum + count, 0));
  * ```
  */
 export class ExposureBudget {
-  /** Permits of former owners; returns don't make them available again. */
-  readonly #takenOver: number;
+  /** Total in the store, by all owners. */
   #reserved: number;
-  #granted: number;
   #serviceRequests: number;
+  #ownReserved = 0;
+  #granted = 0;
   #reservedAtMs = -Infinity;
 
-  constructor(options: ExposureBudgetOptions) {
-    this.#takenOver = options.reserved;
-    this.#reserved = options.reserved;
-    this.#granted = options.reserved;
-    this.#serviceRequests = options.serviceRequests;
+  constructor({ reserved, serviceRequests }: ReservedExposure) {
+    this.#reserved = reserved;
+    this.#serviceRequests = serviceRequests;
   }
 
   /** Total reserved in the store. */
@@ -204,9 +201,7 @@
   reservationDue(
     limits: ExposureLimits,
     nowMs: number,
-  ):
-    | { readonly reserved: number; readonly serviceRequests: number }
-    | undefined {
+  ): ReservedExposure | undefined {
     if (nowMs - this.#reservedAtMs < RESERVATION_INTERVAL_MS) return undefined;
     const portion = Math.max(
       MIN_PORTION,
@@ -222,22 +217,32 @@
     return { reserved, serviceRequests: this.#serviceRequests };
   }
 
-  /** The write has been accepted by the store. */
+  /**
+   * The store has accepted this owner's write of the total. Call it only if the
+   * write was conditional on the total known here.
+   */
   confirmReserved(reserved: number): void {
+    this.#ownReserved += Math.max(0, reserved - this.#reserved);
+    this.#reserved = Math.max(this.#reserved, reserved);
+  }
+
+  /** The store holds what another owner has written. */
+  adopt({ reserved, serviceRequests }: ReservedExposure): void {
     this.#reserved = Math.max(this.#reserved, reserved);
+    this.recordServiceRequests(serviceRequests);
   }
 
   /** Permits that may be granted now. */
   available(): number {
-    return Math.max(0, this.#reserved - this.#granted);
+    return Math.max(0, this.#ownReserved - this.#granted);
   }
 
   recordGranted(count: number): void {
     this.#granted += count;
   }
 
-  /** VMs reported permits of this owner as expired unused. */
+  /** VMs reported permits that this owner granted as expired unused. */
   recordReturned(count: number): void {
-    this.#granted = Math.max(this.#takenOver, this.#granted - count);
+    this.#granted = Math.max(0, this.#granted - count);
   }
 }
--- a/packages/daemon/src/rollouts/testing/simulated_versions.ts
+++ b/packages/daemon/src/rollouts/testing/simulated_versions.ts
@@ -12,13 +12,13 @@
 } from "@sassafrasstage/protocol/ids";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { CallCounts, VersionSide } from "../rollout_observations.js";
 import {
-  bucketOf,
-  type CallCounts,
-  countsKey,
-  emptyHistogram,
-  type VersionSide,
-} from "../rollout_observations.js";
+  countCalls,
+  type EndedCall,
+  keyOf,
+  type SimulatedCall,
+} from "./count_calls.js";
 
 export class Random {
   readonly #generator;
@@ -58,21 +58,6 @@
   readonly applies: (call: SimulatedCall) => boolean;
 }
 
-export interface SimulatedCall {
-  readonly side: VersionSide;
-  readonly route: string;
-  readonly server: BackendServerId;
-  readonly dataCentre: DataCentreName;
-  readonly sentAtMs: number;
-}
-
-interface EndedCall extends SimulatedCall {
-  /** Calls of the same key are counted together. */
-  readonly key: string;
-  readonly durationMs: number;
-  readonly isFailed: boolean;
-}
-
 export interface SimulatedService {
   /** Share of the calls and median duration by route. */
   readonly routes: readonly {
@@ -114,52 +99,10 @@
 
   /** Cumulative counts as a VM reports them. */
   countsAt(nowMs: number): CallCounts[] {
-    const counts = new Map<string, MutableCounts>();
-    for (const call of this.#calls) {
-      if (call.sentAtMs > nowMs) continue;
-      const item = counts.get(call.key) ?? emptyCounts(call);
-      counts.set(call.key, item);
-      item.sent += 1;
-      const ageMs = nowMs - call.sentAtMs;
-      const bucket = bucketOf(Math.min(ageMs, call.durationMs));
-      if (ageMs < call.durationMs) add(item.waiting, bucket);
-      else if (call.isFailed) item.failed += 1;
-      else {
-        item.answered += 1;
-        add(item.durations, bucket);
-      }
-    }
-    return [...counts.values()];
+    return countCalls(this.#calls, nowMs);
   }
 }
 
-interface MutableCounts extends CallCounts {
-  sent: number;
-  answered: number;
-  failed: number;
-  readonly durations: number[];
-  readonly waiting: number[];
-}
-
-function add(histogram: number[], bucket: number): void {
-  histogram[bucket] = (histogram[bucket] ?? 0) + 1;
-}
-
-function emptyCounts(call: SimulatedCall): MutableCounts {
-  const { route, side, server, dataCentre } = call;
-  return {
-    route,
-    side,
-    server: side === "candidate" ? server : undefined,
-    dataCentre,
-    sent: 0,
-    answered: 0,
-    failed: 0,
-    durations: emptyHistogram(),
-    waiting: emptyHistogram(),
-  };
-}
-
 function makeCall(
   service: SimulatedService,
   { side, atMs, random }: {
@@ -196,7 +139,7 @@
     if (fault.kind === "slow") durationMs *= fault.factor;
     else isFailed = true;
   }
-  return { ...call, key: countsKey(emptyCounts(call)), durationMs, isFailed };
+  return { ...call, key: keyOf(call), durationMs, isFailed };
 }
 
 function drawRoute({ routes }: SimulatedService, random: Random): number {
