--- a/packages/daemon/src/rollouts/service_rollout.ts
+++ b/packages/daemon/src/rollouts/service_rollout.ts
@@ -15,12 +15,11 @@
 } from "@sassafrasstage/protocol/rollouts";
 import type { RegisteredServer } from "../register/server_register.js";
 import { CallCounters } from "./call_counters.js";
-import { HeldPermits } from "./held_permits.js";
-import {
-  type AdmissionOptions,
-  type ExposurePermit,
-  PERMIT_TTL_MS,
-  type ServerAdmission,
+import { PermitHolder } from "./permit_holder.js";
+import type {
+  AdmissionOptions,
+  ExposurePermit,
+  ServerAdmission,
 } from "./rollout_gate.js";
 import { type FinalPhase, isFinal, type Rollout } from "./rollout_request.js";
 
@@ -45,7 +44,7 @@
 
 export class ServiceRollout {
   readonly counters: CallCounters;
-  readonly permits = new HeldPermits();
+  readonly permits = new PermitHolder();
   readonly learnedAtMs: number;
   /** The newest version of the object that is known. */
   rollout: Rollout;
@@ -138,7 +137,7 @@
     if (permits.phase !== "observing") return true;
     this.#exposed.clear();
     for (const id of permits.servers) this.#exposed.add(id);
-    this.permits.add(permits.term, permits.grants, nowMs + PERMIT_TTL_MS);
+    this.permits.add(permits.term, permits.grants, nowMs);
     return true;
   }
 
--- a/packages/daemon/src/server_reach/relayed_call_server.ts
+++ b/packages/daemon/src/server_reach/relayed_call_server.ts
@@ -29,11 +29,8 @@
   MAX_RELAYED_CALLS,
   MAX_RELAYED_CALLS_PER_VM,
 } from "./relayed_call_limits.js";
-import {
-  NO_ROLLOUTS,
-  PERMIT_TTL_MS,
-  type RolloutGate,
-} from "../rollouts/rollout_gate.js";
+import { PERMIT_TTL_MS } from "../rollouts/held_permits.js";
+import { NO_ROLLOUTS, type RolloutGate } from "../rollouts/rollout_gate.js";
 import type { ServerReach } from "./server_reach.js";
 
 export interface RelayedCallServerOptions {
