--- a/packages/daemon/src/rollouts/fleet_counts.ts
+++ b/packages/daemon/src/rollouts/fleet_counts.ts
@@ -10,7 +10,7 @@
   RolloutReport,
 } from "@sassafrasstage/protocol/rollouts";
 import type { PermitDemand, PermitGrant } from "./exposure_budget.js";
-import { PERMIT_TTL_MS } from "./rollout_gate.js";
+import { PERMIT_TTL_MS } from "./held_permits.js";
 import { isFinal } from "./rollout_request.js";
 import { type CallCounts, countsKey } from "./rollout_observations.js";
 
--- a/packages/daemon/src/rollouts/rollout_gate.ts
+++ b/packages/daemon/src/rollouts/rollout_gate.ts
@@ -85,9 +85,6 @@
   ): RolloutCall;
 }
 
-/** Time for which a permit may be used after it was received. */
-export const PERMIT_TTL_MS = 1500;
-
 const UNCOUNTED_CALL: RolloutCall = {
   recordSend: () => undefined,
   recordEvent: () => undefined,
--- a/packages/daemon/src/rollouts/service_rollout.ts
+++ b/packages/daemon/src/rollouts/service_rollout.ts
@@ -15,22 +15,24 @@
 } from "@sassafrasstage/protocol/rollouts";
 import type { RegisteredServer } from "../register/server_register.js";
 import { CallCounters } from "./call_counters.js";
-import { HeldPermits } from "./held_permits.js";
-import {
-  type AdmissionOptions,
-  type ExposurePermit,
-  PERMIT_TTL_MS,
-  type ServerAdmission,
+import { PermitHolder } from "./permit_holder.js";
+import type {
+  AdmissionOptions,
+  ExposurePermit,
+  ServerAdmission,
 } from "./rollout_gate.js";
 import { type FinalPhase, isFinal, type Rollout } from "./rollout_request.js";
 
 /**
- * Time for which a shift is applied without a message of the owner. It is
- * shorter than the time in which a bad version has to be out of use, as an owner
- * that rolls back may not reach this VM. It is longer than it takes the next
- * owner to continue.
+ * Longest time for which a shift is applied without a message of the owner. It
+ * is longer than it takes the next owner to continue.
+ */
+const MAX_SHIFT_LEASE_MS = 3000;
+/**
+ * Part of the time in which a bad version has to be out of use: an owner that
+ * rolls back may not reach this VM.
  */
-const SHIFT_LEASE_MS = 3000;
+const SHIFT_LEASE_SHARE = 0.6;
 /** Permits that come in reply to an older report were held up on the way. */
 const MAX_REPLY_AGE_MS = 1500;
 
@@ -42,7 +44,7 @@
 
 export class ServiceRollout {
   readonly counters: CallCounters;
-  readonly permits = new HeldPermits();
+  readonly permits = new PermitHolder();
   readonly learnedAtMs: number;
   /** The newest version of the object that is known. */
   rollout: Rollout;
@@ -59,8 +61,15 @@
   #shiftEndsAtMs = -Infinity;
   #owner: OwnerRevision = { era: 0, revision: 0 };
 
-  constructor(rollout: Rollout, nowMs: number) {
+  readonly #shiftLeaseMs: number;
+
+  /** @param rollbackMs Time in which a bad version has to be out of use */
+  constructor(rollout: Rollout, rollbackMs: number, nowMs: number) {
     this.rollout = rollout;
+    this.#shiftLeaseMs = Math.min(
+      MAX_SHIFT_LEASE_MS,
+      rollbackMs * SHIFT_LEASE_SHARE,
+    );
     this.learnedAtMs = nowMs;
     this.counters = new CallCounters(rollout.request.to);
     this.applyStored(rollout, nowMs);
@@ -128,7 +137,7 @@
     if (permits.phase !== "observing") return true;
     this.#exposed.clear();
     for (const id of permits.servers) this.#exposed.add(id);
-    this.permits.add(permits.term, permits.grants, nowMs + PERMIT_TTL_MS);
+    this.permits.add(permits.term, permits.grants, nowMs);
     return true;
   }
 
@@ -182,7 +191,7 @@
     if (phase === "shifting") {
       this.#shiftEndsAtMs = Math.max(
         this.#shiftEndsAtMs,
-        nowMs + SHIFT_LEASE_MS,
+        nowMs + this.#shiftLeaseMs,
       );
     }
     // Only the store tells which of two final phases holds.
