Choose the overload policy by what the servers of a deployment state

Nothing switched the policy on. Unless an operator has set it, a VM now changes from legacy to callerCost once a server has stated how long work takes there. Often only stage servers do, whose calls one VM makes, so the coordinator's announcements pass it on (optional field, ignored by older builds).

--- a/packages/daemon/src/forwarding/vm_admission_test.ts
+++ b/packages/daemon/src/forwarding/vm_admission_test.ts
@@ -96,7 +96,7 @@
     const policy = new OverloadPolicy();
     const run = await forwardMany(policy);
     expect(run.admission.isEnabled).toEqual(false);
-    policy.setPolicy("callerCost");
+    policy.recordStatedWorkTime("server");
     expect(run.admission.isEnabled).toEqual(true);
   });
 });
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -265,6 +265,7 @@
   stageCoordinating: shape({
     group: isShortString,
     activeForMs: isFiniteNumber,
+    isWorkTimeStated: optional(isBoolean),
   }),
   objectsRequest: shape({
     known: arrayOf(
--- a/packages/daemon/src/routed_daemon.ts
+++ b/packages/daemon/src/routed_daemon.ts
@@ -121,7 +121,7 @@
     const clock = MONOTONIC_CLOCK;
     const { settings, metrics, latencies, logger } = options;
     this.#options = options;
-    this.#overloadPolicy = new OverloadPolicy(options.overloadPolicy);
+    this.#overloadPolicy = new OverloadPolicy(options.overloadPolicy, logger);
     this.#network = network;
     this.#deployment = new Deployment({
       ...options,
@@ -161,6 +161,9 @@
       logger,
     });
     this.#serverLoads = new ServerLoads({
+      onWorkTimeStated: () => {
+        this.#overloadPolicy.recordStatedWorkTime("server");
+      },
       inFlightOf: (id) => this.#directory.healthOf(id).inFlight,
       clock,
       metrics,
@@ -258,6 +261,7 @@
     this.#graphs = new StageGraphClient({
       network,
       coordinator: this.#coordinator,
+      overloadPolicy: this.#overloadPolicy,
       clock,
       metrics,
       logger,
@@ -324,12 +328,6 @@
     return new RoutedDaemon(options, network);
   }
 
-  /** Switches the policy under overload while the process runs. */
-  setOverloadPolicy(name: OverloadPolicyName): void {
-    this.#overloadPolicy.setPolicy(name);
-    this.#options.logger.info("overloadPolicySet", { policy: name });
-  }
-
   get isLeaving(): boolean {
     return this.#shutdown !== undefined;
   }
--- a/packages/daemon/src/server_load/server_loads.ts
+++ b/packages/daemon/src/server_load/server_loads.ts
@@ -21,6 +21,8 @@
 export interface ServerLoadsOptions {
   /** Requests of this VM at a server that its health record counts. */
   readonly inFlightOf: (id: BackendServerId) => number;
+  /** A server has stated how long work takes there. */
+  readonly onWorkTimeStated?: () => void;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -111,6 +113,7 @@
             slots: statement.load.slots,
             slowdown: statement.load.slowdown,
           });
+          this.#options.onWorkTimeStated?.();
         }
       }
     }
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -252,6 +252,9 @@
   #recordLoad(call: StageCall, load: LoadStatement | undefined): void {
     if (load === undefined || load.kind === "none") return;
     this.#scheduler.recordLoad(call.id, load, this.#options.clock.nowMs());
+    if (load.kind === "stated" && load.load.slowdown !== undefined) {
+      this.#options.overloadPolicy?.recordStatedWorkTime("server");
+    }
     if (load.kind !== "invalid") return;
     this.#options.metrics.countEvent("serverLoadInvalid");
     this.#options.logger.debug("serverLoadInvalid", {
--- a/packages/daemon/src/stage_graphs/stage_graph_client.ts
+++ b/packages/daemon/src/stage_graphs/stage_graph_client.ts
@@ -30,6 +30,7 @@
   toRunMessage,
 } from "./pending_graph.js";
 import { ReconnectGrace } from "./reconnect_grace.js";
+import type { OverloadPolicy } from "../overload/overload_policy.js";
 import type { StageCoordinator } from "./stage_coordinator.js";
 import type {
   StageGraph,
@@ -39,6 +40,7 @@
 export interface StageGraphClientOptions {
   readonly network: PeerNetwork;
   readonly coordinator: StageCoordinator;
+  readonly overloadPolicy?: OverloadPolicy | undefined;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -98,6 +100,9 @@
         activeForMs: message.activeForMs,
         nowMs: options.clock.nowMs(),
       });
+      if (message.isWorkTimeStated === true) {
+        options.overloadPolicy?.recordStatedWorkTime("peer");
+      }
     });
     network.lifecycle.on("disconnected", ({ vmId }) => {
       this.#grace.start(vmId);
@@ -286,6 +291,9 @@
         type: "stageCoordinating",
         group,
         activeForMs,
+        ...(this.#options.overloadPolicy?.haveServersStatedWorkTime === true
+          ? { isWorkTimeStated: true }
+          : {}),
       });
     }
   }
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -266,6 +266,8 @@
   readonly type: "stageCoordinating";
   readonly group: string;
   readonly activeForMs: number;
+  /** Set if a server has stated how long work takes there at present. */
+  readonly isWorkTimeStated?: boolean;
 }
 
 /** The revision of the sender's copy of one kind of object. */
