--- a/packages/daemon/src/server_load/testing/simulated_engines.ts
+++ b/packages/daemon/src/server_load/testing/simulated_engines.ts
@@ -39,10 +39,8 @@
 
 export interface EngineFleetReport {
   readonly requests: number;
-  /** Requests whose stream was complete. */
   readonly completed: number;
   readonly refused: number;
-  /** Engines that crashed for lack of memory. */
   readonly memoryCrashes: number;
   readonly reports: number;
   /** Most new and resumed requests of the crashed engine that one other got. */
--- a/packages/daemon/src/stage_graphs/testing/shared_stage_servers.ts
+++ b/packages/daemon/src/stage_graphs/testing/shared_stage_servers.ts
@@ -13,7 +13,6 @@
 import type { LoadStatement } from "../../server_load/server_load.js";
 import type { BatchLimits } from "../../routing/routing_configuration.js";
 import { nominalCallMs } from "../batch_server.js";
-import type { SimulatedStages } from "./simulated_stages.js";
 
 export interface SharedServersOptions {
   readonly seed: number;
@@ -23,6 +22,12 @@
   readonly falseFactor?: number;
 }
 
+/** The simulation's clock and events. */
+export interface SimulatedTime {
+  readonly nowMs: number;
+  at(atMs: number, action: () => void): void;
+}
+
 interface Call {
   readonly arrivedAtMs: number;
   readonly startsAtMs: number;
@@ -68,7 +73,7 @@
 
   /** Lets another coordinator make calls, at most one at a time per server. */
   addOthersCalls(
-    stages: SimulatedStages,
+    stages: SimulatedTime,
     options: {
       readonly limits: BatchLimits;
       readonly callsPerSecond: number;
