--- a/packages/daemon/src/rollouts/call_counters.ts
+++ b/packages/daemon/src/rollouts/call_counters.ts
@@ -41,15 +41,15 @@
 
   begin(
     server: RegisteredServer,
-    { route, items, clock }: {
+    { route, cost, clock }: {
       readonly route: string;
-      readonly items: number;
+      readonly cost: number;
       readonly clock: Clock;
     },
   ): CountedCall {
     const call = new CountedCall(this.#countsOf(server, route), {
       clock,
-      items,
+      cost,
       isCold: clock.nowMs() < server.coldUntilMs,
       onChange: () => {
         this.#changes += 1;
@@ -110,7 +110,7 @@
 
 interface CountedCallOptions {
   readonly clock: Clock;
-  readonly items: number;
+  readonly cost: number;
   readonly isCold: boolean;
   readonly onChange: () => void;
   readonly onOpened: () => void;
@@ -138,8 +138,8 @@
     if (this.#lastEventAtMs !== undefined || this.#options.isCold) {
       return undefined;
     }
-    const { clock, items } = this.#options;
-    return (clock.nowMs() - this.#startedAtMs) / items;
+    const { clock, cost } = this.#options;
+    return (clock.nowMs() - this.#startedAtMs) / cost;
   }
 
   recordSend(): void {
--- a/packages/daemon/src/rollouts/rollout_gate.ts
+++ b/packages/daemon/src/rollouts/rollout_gate.ts
@@ -76,12 +76,14 @@
   /**
    * Called when a call is started, before it is sent.
    *
-   * @param items Of a batched call, whose durations are compared by item
+   * @param cost Expected duration of a batched call relative to one with a
+   *   single item. Durations are divided by it, as calls of different sizes
+   *   would otherwise look slow or fast.
    */
   beginCall(
     server: RegisteredServer,
     route: string,
-    items?: number,
+    cost?: number,
   ): RolloutCall;
 }
 
--- a/packages/daemon/src/rollouts/version_gate.ts
+++ b/packages/daemon/src/rollouts/version_gate.ts
@@ -129,12 +129,12 @@
     return this.admits(server, options) === "freely";
   }
 
-  beginCall(server: RegisteredServer, route: string, items = 1): RolloutCall {
+  beginCall(server: RegisteredServer, route: string, cost = 1): RolloutCall {
     const { clock, metrics } = this.#options;
     const view = this.#options.viewOf(server.service);
     const isCounted = view !== undefined && !view.isSettled;
     const counted = isCounted
-      ? view.counters.begin(server, { route, items, clock })
+      ? view.counters.begin(server, { route, cost, clock })
       : undefined;
     const isCandidate = view?.candidate === server.softwareVersion;
     const end = this.#options.inFlight.begin(server);
--- a/packages/daemon/src/stage_graphs/stage_coordinator.ts
+++ b/packages/daemon/src/stage_graphs/stage_coordinator.ts
@@ -21,6 +21,7 @@
 import type { ServerNotices } from "../register/server_notices.js";
 import type { BatchLimits } from "../routing/routing_configuration.js";
 import type { BatchCaller, BatchItem } from "./batch_caller.js";
+import { nominalCallMs } from "./batch_server.js";
 import { routeOfStages } from "./batch_servers.js";
 import { toSampleOutcome } from "./sample_outcome.js";
 import { BatchScheduler } from "./batch_scheduler.js";
@@ -203,10 +204,11 @@
     const { clock, caller, rateLimits, serverNotices } = this.#options;
     const { register, rollouts = NO_ROLLOUTS } = this.#options;
     const { server, permit } = call;
+    const cost = this.#relativeCost(call);
     const sample = rollouts.beginCall(
       server,
       routeOfStages(call.service),
-      call.entries.length,
+      cost,
     );
     const { outcome, rateLimit, notice } = await caller.runItems({
       server,
@@ -224,7 +226,7 @@
     }
     sample.end(
       toSampleOutcome(outcome),
-      (clock.nowMs() - call.startedAtMs) / call.entries.length,
+      (clock.nowMs() - call.startedAtMs) / cost,
     );
     const request = call.entries[0]?.job.graph.attemptId;
     rateLimits.recordStatement(call.server.id, rateLimit, {
@@ -237,6 +239,14 @@
     this.#schedulePlan();
   }
 
+  /** Duration of a call relative to one with a single item. */
+  #relativeCost({ service, entries }: StageCall): number {
+    const limits = this.#options.limitsOf(service);
+    const singleMs = limits === undefined ? 0 : nominalCallMs(limits, 1);
+    if (limits === undefined || singleMs === 0) return entries.length;
+    return nominalCallMs(limits, entries.length) / singleMs;
+  }
+
   #recordCall(call: StageCall, outcome: StageCallOutcome): void {
     const { metrics, logger, clock } = this.#options;
     metrics.countEvent("stageCall");
