--- a/packages/daemon/src/rollouts/judge_candidate.ts
+++ b/packages/daemon/src/rollouts/judge_candidate.ts
@@ -145,6 +145,9 @@
     recentSlice,
     withoutServer: badServer,
   });
+  if (samples === 0) {
+    return { kind: "undecided", reason: "no samples", ...facts, missRisk };
+  }
   if (faultRatio >= 1 || recentRatio >= RECENT_DOUBT_RATIO) {
     return { kind: "undecided", reason: "in doubt", ...facts, missRisk };
   }
--- a/packages/daemon/src/rollouts/testing/simulated_fleet.ts
+++ b/packages/daemon/src/rollouts/testing/simulated_fleet.ts
@@ -65,6 +65,7 @@
   readonly dataCentre: DataCentreName;
   unreachableSinceMs: number | undefined;
   isRunning: boolean;
+  incarnation: number;
   group: number;
   phase: RolloutPhase;
   permits: Permit[];
@@ -94,6 +95,7 @@
     serviceRequests: 0,
     phase: "observing",
     writer: undefined,
+    evidence: [],
   };
   readonly #vms: Vm[];
   readonly #allCalls: Call[] = [];
@@ -113,6 +115,7 @@
       dataCentre: toId<DataCentreName>(`dc-${index % 3}`),
       unreachableSinceMs: undefined,
       isRunning: true,
+      incarnation: 0,
       group: 0,
       phase: "observing",
       permits: [],
@@ -160,6 +163,7 @@
 
   /** A new process knows what the store knows. */
   #reset(vm: Vm): void {
+    vm.incarnation += 1;
     vm.phase = this.#store.phase;
     vm.permits = [];
     vm.calls = [];
@@ -303,6 +307,7 @@
   vm.permits = vm.permits.filter((it) => it.receivedAtMs > startMs);
   return {
     vm: vm.id,
+    incarnation: vm.incarnation,
     counts: countCalls(calls, nowMs),
     requests: calls.length,
     inFlightAtCurrent:
--- a/packages/daemon/src/rollouts/testing/simulated_owner.ts
+++ b/packages/daemon/src/rollouts/testing/simulated_owner.ts
@@ -15,6 +15,7 @@
   chooseExposedServers,
   type ExposedServersInput,
 } from "../candidate_servers.js";
+import { EvidenceTotals } from "../evidence_totals.js";
 import { EvidenceWindow } from "../evidence_window.js";
 import {
   ExposureBudget,
@@ -25,7 +26,7 @@
 } from "../exposure_budget.js";
 import { judgeCandidate } from "../judge_candidate.js";
 import { nextPhase, type RolloutPhase } from "../plan_rollout.js";
-import { addCounts, type CallCounts } from "../rollout_observations.js";
+import type { CallCounts } from "../rollout_observations.js";
 
 export const LIMITS: ExposureLimits = { share: 0.1, slack: 50 };
 export const DURATION_MS = 12_000;
@@ -45,10 +46,12 @@
   serviceRequests: number;
   phase: RolloutPhase;
   writer: SimulatedOwner | undefined;
+  evidence: readonly CallCounts[];
 }
 
 export interface VmReport {
   readonly vm: VmId;
+  readonly incarnation: number;
   readonly counts: readonly CallCounts[];
   readonly requests: number;
   readonly inFlightAtCurrent: number;
@@ -66,6 +69,8 @@
 
 export class SimulatedOwner {
   readonly #store: SimulatedStore;
+  readonly #totals: EvidenceTotals;
+  readonly #requests = new Map<string, number>();
   readonly #evidence = new EvidenceWindow();
   readonly #requestsAtStart: number;
   readonly #budget: ExposureBudget;
@@ -81,13 +86,17 @@
     this.#revision = store.revision;
     this.#phase = store.phase;
     this.#budget = new ExposureBudget(store);
+    this.#totals = new EvidenceTotals(store.evidence);
     this.#requestsAtStart = store.serviceRequests;
   }
 
   /** Handles the reports of one interval. */
   decide(reports: readonly VmReport[], nowMs: number): OwnerReply {
-    const counts = reports.map((report) => report.counts).reduce(addCounts, []);
-    const sent = sum(reports.map(({ requests }) => requests));
+    if (this.#store.isUp && this.#store.revision !== this.#revision) {
+      this.#read();
+    }
+    const counts = this.#collect(reports);
+    const sent = sum([...this.#requests.values()]);
     this.#budget.recordServiceRequests(Math.max(this.#requestsAtStart, sent));
     this.#budget.recordReturned(sum(reports.map(({ returned }) => returned)));
     const verdict = judgeCandidate(counts, this.#evidence.split(counts, nowMs));
@@ -105,9 +114,9 @@
       currentServers: 30,
       hasSeenCurrentVersion: true,
     });
-    // A rollback takes effect before its write is answered, others don't.
+    // Only a faulty verdict takes effect before its write is answered.
     if (phase !== this.#phase) this.reason = `${phase}: ${reason}`;
-    if (phase === "rolledBack") this.#phase = phase;
+    if (verdict.kind === "faulty") this.#phase = phase;
     if (phase !== this.#store.phase && this.#write({ phase })) {
       this.#phase = phase;
     }
@@ -126,16 +135,26 @@
     };
   }
 
+  /** Adds up the reports; those of vanished VMs stay. */
+  #collect(reports: readonly VmReport[]): CallCounts[] {
+    const keys = new Set(reports.map(keyOf));
+    for (const key of this.#requests.keys()) {
+      if (!keys.has(key)) this.#totals.retire(key);
+    }
+    for (const report of reports) {
+      this.#totals.record(keyOf(report), report.counts);
+      this.#requests.set(keyOf(report), report.requests);
+    }
+    return this.#totals.sum();
+  }
+
   #grant(
     reports: readonly VmReport[],
     counts: readonly CallCounts[],
     nowMs: number,
   ): PermitGrant[] {
-    if (this.#store.isUp && this.#store.revision !== this.#revision) {
-      this.#read();
-    }
     const due = this.#budget.reservationDue(LIMITS, nowMs);
-    if (due !== undefined && this.#write(due)) {
+    if (due !== undefined && this.#write({ ...due, evidence: counts })) {
       this.#budget.confirmReserved(due.reserved);
     }
     const samples = new Map<string, number>();
@@ -180,6 +199,10 @@
   }
 }
 
+function keyOf({ vm, incarnation }: VmReport): string {
+  return `${vm} ${incarnation}`;
+}
+
 function isFinal(phase: RolloutPhase): boolean {
   return phase === "completed" || phase === "rolledBack";
 }
