--- a/packages/daemon/src/rollouts/rollout_owner.ts
+++ b/packages/daemon/src/rollouts/rollout_owner.ts
@@ -325,6 +325,12 @@
     } else {
       this.#budgetTerm = this.#reservation.term;
       this.#counts.startTerm();
+      if (former !== undefined) {
+        this.#counts.restart(former.counts, {
+          elapsedMs: former.elapsedMs,
+          nowMs: this.#options.clock.nowMs(),
+        });
+      }
       // The store may have lost what was reserved, by this VM too.
       this.#budget = new ExposureBudget({
         reserved: Math.max(
@@ -336,12 +342,6 @@
         serviceRequests: former?.requests ?? 0,
       });
     }
-    if (former !== undefined) {
-      this.#counts.addStored(former.counts, {
-        elapsedMs: former.elapsedMs,
-        nowMs: this.#options.clock.nowMs(),
-      });
-    }
     this.#recordedPhase = this.#phaseAfter(former);
     this.#enter(this.#recordedPhase, "recorded");
   }
