--- a/packages/daemon/src/rollouts/fleet_counts.ts
+++ b/packages/daemon/src/rollouts/fleet_counts.ts
@@ -12,7 +12,12 @@
 import type { PermitDemand, PermitGrant } from "./exposure_budget.js";
 import { PERMIT_TTL_MS } from "./held_permits.js";
 import { isFinal } from "./rollout_request.js";
-import { type CallCounts, countsKey } from "./rollout_observations.js";
+import {
+  addCounts,
+  type CallCounts,
+  countsKey,
+  subtractCounts,
+} from "./rollout_observations.js";
 
 interface RoutePermits {
   granted: number;
@@ -36,6 +41,8 @@
 export class FleetCounts {
   readonly #vms = new Map<VmId, ReportingVm>();
   readonly #sums = new Map<string, MutableSum>();
+  /** Sums of the first reports of all VMs and their incarnations. */
+  readonly #first = new Map<string, MutableSum>();
   /** Stored by former owners; this owner may not know of all the VMs then. */
   #stored: readonly CallCounts[] = [];
   #orderedAtMs = Infinity;
@@ -66,11 +73,19 @@
     return [...this.#vms.keys()];
   }
 
-  addStored(
+  /**
+   * Starts anew from what another owner stored. It counts VMs that are gone as
+   * well as those that still run, whose first report is subtracted from it:
+   * what they had counted by then is counted at most once.
+   */
+  restart(
     counts: readonly CallCounts[],
     age: { readonly elapsedMs: number; readonly nowMs: number },
   ): void {
     this.#stored = counts;
+    this.#vms.clear();
+    this.#sums.clear();
+    this.#first.clear();
     this.#recordAge(age.elapsedMs, age.nowMs);
   }
 
@@ -92,6 +107,7 @@
     // What a process counted that ended stays, except for its open calls.
     else if (known !== undefined) this.#sumWaiting(known.report.counts, -1);
     this.#sum(report.counts, 1);
+    if (!isSameProcess) addTo(this.#first, report.counts, 1);
     const vm: ReportingVm = isSameProcess
       ? known
       : { incarnation, report, receivedAtMs: nowMs, permits: new Map() };
@@ -131,17 +147,12 @@
     }
   }
 
-  /** Sums over all VMs, at least what former owners had collected. */
+  /** Sums over all VMs, also those that only former owners knew. */
   totals(): CallCounts[] {
-    const sums = new Map(
-      [...this.#sums].map(([key, sum]) => [key, sum.toCounts()]),
-    );
-    for (const counts of this.#stored) {
-      const key = countsKey(counts);
-      const sum = sums.get(key);
-      sums.set(key, sum === undefined ? counts : largerOf(sum, counts));
-    }
-    return [...sums.values()];
+    const sums = toCounts(this.#sums);
+    if (this.#stored.length === 0) return sums;
+    const ofGone = subtractCounts(this.#stored, toCounts(this.#first));
+    return addCounts(sums, ofGone);
   }
 
   /** Calls in progress at the current version, of these VMs. */
@@ -203,12 +214,7 @@
   }
 
   #sum(counts: readonly CallCounts[], sign: 1 | -1): void {
-    for (const entry of counts) {
-      const key = countsKey(entry);
-      const sum = this.#sums.get(key) ?? new MutableSum(entry);
-      this.#sums.set(key, sum);
-      sum.add(entry, sign);
-    }
+    addTo(this.#sums, counts, sign);
   }
 
   #sumWaiting(counts: readonly CallCounts[], sign: 1 | -1): void {
@@ -282,6 +288,23 @@
   return waiting.length > 0;
 }
 
+function addTo(
+  sums: Map<string, MutableSum>,
+  counts: readonly CallCounts[],
+  sign: 1 | -1,
+): void {
+  for (const entry of counts) {
+    const key = countsKey(entry);
+    const sum = sums.get(key) ?? new MutableSum(entry);
+    sums.set(key, sum);
+    sum.add(entry, sign);
+  }
+}
+
+function toCounts(sums: ReadonlyMap<string, MutableSum>): CallCounts[] {
+  return [...sums.values()].map((sum) => sum.toCounts());
+}
+
 function addHistogram(
   sum: number[],
   histogram: readonly number[] | undefined,
@@ -292,28 +315,6 @@
   }
 }
 
-function largerOf(a: CallCounts, b: CallCounts): CallCounts {
-  return {
-    ...a,
-    sent: Math.max(a.sent, b.sent),
-    answered: Math.max(a.answered, b.answered),
-    failed: Math.max(a.failed, b.failed),
-    durations: largerHistogram(a.durations, b.durations),
-    pauses: largerHistogram(a.pauses ?? [], b.pauses ?? []),
-  };
-}
-
-function largerHistogram(
-  a: readonly number[],
-  b: readonly number[],
-): number[] {
-  const length = Math.max(a.length, b.length);
-  return Array.from(
-    { length },
-    (_, index) => Math.max(a[index] ?? 0, b[index] ?? 0),
-  );
-}
-
 function isRecent({ receivedAtMs }: ReportingVm, nowMs: number): boolean {
   return nowMs - receivedAtMs <= MAX_REPORT_AGE_MS;
 }
--- a/packages/daemon/src/rollouts/record_content.ts
+++ b/packages/daemon/src/rollouts/record_content.ts
@@ -45,7 +45,8 @@
       orderedAtMs === Infinity ? 0 : Math.round(nowMs - orderedAtMs),
     ),
     owner,
-    counts: totals.map(withoutWaiting),
+    // The new owner hasn't collected the reports of all VMs yet.
+    counts: former?.counts ?? totals.map(withoutWaiting),
   };
 }
 
