Keep the memory of small VMs within nine tenths under untrusted clients

Cause: responses of servers were read at once and the largest ended when the account was full, which left tens of MB of buffers that nobody referred to; the runtime collects these after 64 MB and more, and the C library keeps what is freed. None of that followed limits.memory-mb.

A turn reads at most a twelfth of the account, 4 MB as before on large VMs.

--- a/packages/daemon/src/http/connection_reads.ts
+++ b/packages/daemon/src/http/connection_reads.ts
@@ -134,10 +134,19 @@
   }
 }
 
+export interface ConnectionReadsOptions {
+  /** Of all connections together, in one turn of the event loop; at most 4 MB. */
+  readonly maxBytesPerTurn?: number;
+  /** Called when large bodies have used up the share of a turn. */
+  readonly onMuchRead?: () => void;
+}
+
 /** All connections that share a limiter of small chunks. */
 export class ConnectionReads {
   readonly limiter: SmallChunkLimiter;
   readonly onPaused: PauseListener;
+  readonly #onMuchRead: () => void;
+  readonly #maxBytesPerTurn: number;
   readonly #connections = new Map<Socket, ConnectionRead>();
   #isTurnUsedUp = false;
   #bytesInTurn = 0;
@@ -147,9 +156,15 @@
   constructor(
     limiter: SmallChunkLimiter,
     onPaused: PauseListener = () => undefined,
+    options: ConnectionReadsOptions = {},
   ) {
     this.limiter = limiter;
     this.onPaused = onPaused;
+    this.#onMuchRead = options.onMuchRead ?? (() => undefined);
+    this.#maxBytesPerTurn = Math.min(
+      options.maxBytesPerTurn ?? MAX_BYTES_PER_TURN,
+      MAX_BYTES_PER_TURN,
+    );
   }
 
   /** Includes the connections that the server accepts from now on. */
@@ -199,7 +214,9 @@
       });
     }
     this.#bytesInTurn += bytes;
-    if (this.#bytesInTurn >= MAX_BYTES_PER_TURN) this.#endTurn();
+    if (this.#bytesInTurn < this.#maxBytesPerTurn) return;
+    this.#endTurn();
+    this.#onMuchRead();
   }
 
   /** Reads nothing more in this turn if the share of it is used up. */
--- a/packages/daemon/src/http/limit_small_requests.ts
+++ b/packages/daemon/src/http/limit_small_requests.ts
@@ -61,7 +61,7 @@
     const known = connections.get(socket);
     if (known !== undefined) return known;
     const requests = new PipelinedRequests(socket, reads.of(socket), {
-      maxHandled: 1,
+      maxHandled: () => 1,
     });
     connections.set(socket, requests);
     return requests;
--- a/packages/daemon/src/http/pipelined_requests.ts
+++ b/packages/daemon/src/http/pipelined_requests.ts
@@ -13,13 +13,13 @@
 import type { Socket } from "node:net";
 
 /** Requests of one connection that are handled at a time by default. */
-const DEFAULT_MAX_HANDLED = 4;
+export const DEFAULT_MAX_HANDLED = 4;
 
 /** The requests of one connection, in the order of their arrival. */
 export class PipelinedRequests {
   readonly #socket: Socket;
   readonly #connection: ConnectionRead;
-  readonly #maxHandled: number;
+  readonly #maxHandled: () => number;
   readonly #waiting: (() => void)[] = [];
   #handled = 0;
   #requestCount = 0;
@@ -27,9 +27,9 @@
   constructor(
     socket: Socket,
     connection: ConnectionRead,
-    options: { readonly maxHandled?: number } = {},
+    options: { readonly maxHandled?: () => number } = {},
   ) {
-    this.#maxHandled = options.maxHandled ?? DEFAULT_MAX_HANDLED;
+    this.#maxHandled = options.maxHandled ?? (() => DEFAULT_MAX_HANDLED);
     this.#socket = socket;
     this.#connection = connection;
     // What waits for a client that is gone is never started.
@@ -57,7 +57,7 @@
   /** Starts the request in its turn. Nothing more is read while one waits. */
   add(start: () => void): void {
     this.#requestCount += 1;
-    if (this.#handled < this.#maxHandled) {
+    if (this.#handled < this.#maxHandled()) {
       this.#handled += 1;
       start();
       return;
@@ -70,8 +70,9 @@
   /** To be called once for each started request. */
   end(): void {
     this.#handled -= 1;
-    const next = this.#waiting.shift();
-    if (next !== undefined) {
+    while (this.#handled < this.#maxHandled()) {
+      const next = this.#waiting.shift();
+      if (next === undefined) break;
       this.#handled += 1;
       next();
     }
--- a/packages/daemon/src/memory/buffer_account.ts
+++ b/packages/daemon/src/memory/buffer_account.ts
@@ -43,6 +43,8 @@
   readonly maxBytes: number;
   readonly nowMs: () => number;
   readonly onEvicted: (eviction: Eviction) => void;
+  /** Called when the held bytes have grown, or much was received. */
+  readonly onTraffic?: () => void;
 }
 
 /** Why and what was ended to free memory. */
@@ -126,12 +128,19 @@
     return this.#options.nowMs();
   }
 
+  /** To be called when much was received that isn't held. */
+  noteTraffic(): void {
+    this.#options.onTraffic?.();
+  }
+
   /** Called by the buffers. */
   changeBytes(use: BufferUse, difference: number): void {
     this.#heldBytes += difference;
     this.#bytesByUse.set(use, this.heldBytesFor(use) + difference);
-    if (difference > 0) this.#evictBeyondMaximum();
-    else this.#notifyRelieved();
+    if (difference > 0) {
+      this.#evictBeyondMaximum();
+      this.noteTraffic();
+    } else this.#notifyRelieved();
   }
 
   /** Called by the buffers. */
