--- a/packages/daemon/src/rollouts/evidence_totals.ts
+++ b/packages/daemon/src/rollouts/evidence_totals.ts
@@ -61,7 +61,7 @@
       withoutWaiting(this.#stored),
       withoutWaiting(this.#first),
     );
-    return [...this.#latest.values()].reduce<CallCounts[]>(addCounts, ofGone);
+    return addCounts(ofGone, [...this.#latest.values()].flat());
   }
 }
 
--- a/packages/daemon/src/rollouts/rollout_observations.ts
+++ b/packages/daemon/src/rollouts/rollout_observations.ts
@@ -79,13 +79,49 @@
   a: readonly CallCounts[],
   b: readonly CallCounts[],
 ): CallCounts[] {
-  const sums = new Map<string, CallCounts>();
+  // Grouped first: the owner adds up the counters of all VMs several times a
+  // second, and pairwise sums would copy every histogram for each VM.
+  const groups = new Map<string, CallCounts[]>();
   for (const counts of [...a, ...b]) {
     const key = countsKey(counts);
-    const sum = sums.get(key);
-    sums.set(key, sum === undefined ? counts : combine(sum, counts, 1));
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [counts]);
+    else group.push(counts);
+  }
+  return [...groups.values()].flatMap(sumGroup);
+}
+
+function sumGroup(group: readonly CallCounts[]): CallCounts[] {
+  const [first, ...others] = group;
+  if (first === undefined) return [];
+  if (others.length === 0) return [first];
+  const durations = [...first.durations];
+  const waiting = [...first.waiting ?? []];
+  const pauses = [...first.pauses ?? []];
+  let { sent, answered, failed } = first;
+  for (const counts of others) {
+    sent += counts.sent;
+    answered += counts.answered;
+    failed += counts.failed;
+    addTo(durations, counts.durations);
+    addTo(waiting, counts.waiting);
+    addTo(pauses, counts.pauses);
+  }
+  return [{
+    ...first,
+    sent,
+    answered,
+    failed,
+    durations,
+    ...(waiting.length > 0 ? { waiting } : {}),
+    ...(pauses.length > 0 ? { pauses } : {}),
+  }];
+}
+
+function addTo(sum: number[], histogram: readonly number[] = []): void {
+  for (let bucket = 0; bucket < histogram.length; bucket++) {
+    sum[bucket] = (sum[bucket] ?? 0) + (histogram[bucket] ?? 0);
   }
-  return [...sums.values()];
 }
 
 /**
@@ -99,43 +135,31 @@
   const before = new Map(earlier.map((counts) => [countsKey(counts), counts]));
   return later.map((counts) => {
     const former = before.get(countsKey(counts));
-    if (former === undefined) return counts;
-    const difference = combine(counts, former, -1);
-    return counts.waiting === undefined
-      ? difference
-      : { ...difference, waiting: counts.waiting };
+    return former === undefined ? counts : subtract(counts, former);
   });
 }
 
-function combine(a: CallCounts, b: CallCounts, sign: 1 | -1): CallCounts {
+function subtract(a: CallCounts, b: CallCounts): CallCounts {
   return {
     ...a,
-    sent: combineNumber(a.sent, b.sent, sign),
-    answered: combineNumber(a.answered, b.answered, sign),
-    failed: combineNumber(a.failed, b.failed, sign),
-    durations: combineHistograms(a.durations, b.durations, sign),
-    ...(a.waiting === undefined && b.waiting === undefined
-      ? {}
-      : { waiting: combineHistograms(a.waiting, b.waiting, sign) }),
-    ...(a.pauses === undefined && b.pauses === undefined
+    sent: difference(a.sent, b.sent),
+    answered: difference(a.answered, b.answered),
+    failed: difference(a.failed, b.failed),
+    durations: subtractHistogram(a.durations, b.durations),
+    ...(a.pauses === undefined
       ? {}
-      : { pauses: combineHistograms(a.pauses, b.pauses, sign) }),
+      : { pauses: subtractHistogram(a.pauses, b.pauses ?? []) }),
   };
 }
 
 /** A VM that was removed or restarted makes totals smaller than before. */
-function combineNumber(a: number, b: number, sign: 1 | -1): number {
-  return Math.max(0, a + sign * b);
+function difference(a: number, b: number): number {
+  return Math.max(0, a - b);
 }
 
-function combineHistograms(
-  a: readonly number[] | undefined,
-  b: readonly number[] | undefined,
-  sign: 1 | -1,
+function subtractHistogram(
+  a: readonly number[],
+  b: readonly number[],
 ): number[] {
-  const length = Math.max(a?.length ?? 0, b?.length ?? 0);
-  return Array.from(
-    { length },
-    (_, index) => combineNumber(a?.[index] ?? 0, b?.[index] ?? 0, sign),
-  );
+  return a.map((count, bucket) => difference(count, b[bucket] ?? 0));
 }
