Leave a rollback for lack of evidence to the store

Cause: an owner that was out of touch could announce a rollback at its deadline while the VMs' present owner had shifted. Change: only a faulty verdict is announced before its write is answered.

--- a/packages/daemon/src/rollouts/rollout_owner.ts
+++ b/packages/daemon/src/rollouts/rollout_owner.ts
@@ -227,17 +227,17 @@
     switch (phase) {
       case "observing":
         return;
-      case "rolledBack":
-        this.#enter("rolledBack", reason);
-        return;
       case "shifting":
         // Another owner continues from what is recorded.
         void this.#writeRecord("shifting", nowMs).then((isStored) => {
           if (isStored) this.#enter("shifting", reason);
         });
         return;
+      case "rolledBack":
       case "completed":
-        void this.#writeStatus("completed", nowMs);
+        // Unlike a faulty verdict, this isn't urgent, and another owner may know
+        // better: the store decides.
+        void this.#writeStatus(phase, nowMs);
     }
   }
 
