Draw independent rollouts in tests, and tell bad servers better

The first random number of consecutive seeds was over 0.99 for each of them, so that judge_candidate_test drew slow versions only, and the fleet simulation faults on all routes only. The generator skips its first 20 numbers now. A bad server now needs 60% of the bad responses instead of 80%, and is waited for up to 16 instead of 12.

--- a/packages/daemon/src/rollouts/judge_candidate.ts
+++ b/packages/daemon/src/rollouts/judge_candidate.ts
@@ -76,8 +76,11 @@
 const MAX_MISS_RISK_WITHOUT_SERVER = 0.01;
 /** Bad responses that lead to a rollback whatever the statistics say. */
 const MAX_UNEXPLAINED_BAD = 40;
-/** Share of the bad responses that a bad server accounts for. */
-const BAD_SERVER_SHARE = 0.8;
+/**
+ * Share of the bad responses that a bad server accounts for. The rest are usual
+ * slow responses of the other servers, up to a third in simulated rollouts.
+ */
+const BAD_SERVER_SHARE = 0.6;
 /** Evidence for a fault in the responses of a bad server alone. */
 const MIN_SUSPECT_RATIO = 10;
 /** Samples of other servers that show that only one server is bad. */
@@ -86,7 +89,7 @@
  * While other servers have fewer samples than that, a server with this many bad
  * responses isn't waited for.
  */
-const MAX_BAD_OF_ONE_SERVER = 12;
+const MAX_BAD_OF_ONE_SERVER = 16;
 
 interface ServerCounts {
   readonly id: BackendServerId;
--- a/packages/daemon/src/rollouts/testing/simulated_versions.ts
+++ b/packages/daemon/src/rollouts/testing/simulated_versions.ts
@@ -20,11 +20,18 @@
   type SimulatedCall,
 } from "./count_calls.js";
 
+/**
+ * The first numbers of consecutive seeds are nearly equal: the first one is
+ * over 0.99 for each seed from 1 to 200.
+ */
+const SKIPPED_DRAWS = 20;
+
 export class Random {
   readonly #generator;
 
   constructor(seed: number) {
     this.#generator = xoroshiro128plus(seed);
+    for (let i = 0; i < SKIPPED_DRAWS; i++) this.between(0, 1);
   }
 
   /** Uniform between the bounds. */
