Admit by the VM's lag only where an operator asks for it

So servers' stated work time switches the stage queues alone; overload.policy=callerCost switches both.

--- a/packages/daemon/src/forwarding/vm_admission.ts
+++ b/packages/daemon/src/forwarding/vm_admission.ts
@@ -69,7 +69,7 @@
   }
 
   get isEnabled(): boolean {
-    return this.#options.policy.isCallerCost;
+    return this.#options.policy.admitsByLag;
   }
 
   /** Time since the client's first attempt; to be called once for a request. */
--- a/packages/daemon/src/overload/overload_policy.ts
+++ b/packages/daemon/src/overload/overload_policy.ts
@@ -2,8 +2,8 @@
  * The policy by which work is delayed or refused under overload.
  *
  * Unless an operator has set it, it follows what the servers of the deployment
- * state: once one of them says how long work takes there at present, work is
- * delayed and refused by what that costs callers.
+ * state: once one of them says how long work takes there at present, the work in
+ * stage queues is delayed and refused by what that costs callers.
  *
  * @module
  */
@@ -36,6 +36,15 @@
     return this.#haveServersStatedWorkTime;
   }
 
+  /**
+   * Whether requests wait for the VM's processor, and are refused if it is too
+   * far behind. Only if an operator has asked for it: it serves more worth but
+   * fewer requests, which isn't better for every deployment.
+   */
+  get admitsByLag(): boolean {
+    return this.#configured === "callerCost";
+  }
+
   /** Whether a server has stated how long work takes, as far as is known here. */
   get haveServersStatedWorkTime(): boolean {
     return this.#haveServersStatedWorkTime;
--- a/packages/daemon/src/overload/overload_policy_test.ts
+++ b/packages/daemon/src/overload/overload_policy_test.ts
@@ -9,6 +9,7 @@
     expect(policy.isCallerCost).toEqual(false);
     policy.recordStatedWorkTime("peer");
     expect(policy.isCallerCost).toEqual(true);
+    expect(policy.admitsByLag).toEqual(false);
   });
 
   it("is left to the operator who has set it", () => {
