Use stated load of stage servers beside another coordinator only

A server's statements now count from the first one that shows calls of another coordinator.

stated_load_test 5 of 5: the case of a server that is used alone now asks for the same result as without statements; two others state another's call first. batch_scheduler_test passes.

--- a/packages/daemon/src/stage_graphs/batch_server.ts
+++ b/packages/daemon/src/stage_graphs/batch_server.ts
@@ -58,6 +58,8 @@
   #consecutiveFailures = 0;
   #unreachableAtMs = -Infinity;
   readonly #stated = new StatedLoad();
+  /** Whether calls of another coordinator have been seen at the server. */
+  #isShared = false;
   readonly #speed: ServerSpeed;
   #itemsInFlight = 0;
   /** Whether other coordinators' calls were known when the newest call started. */
@@ -77,14 +79,17 @@
 
   /**
    * Records what the response to a call states, before `endCall`. Once a server
-   * has stated how long work takes there, that and its learned speed determine
-   * the expected durations.
+   * that another coordinator uses too has stated how long work takes there, that
+   * and its learned speed determine the expected durations. At a server that no
+   * other one uses, the durations of the calls alone serve more on time.
    */
   recordLoad(load: ServerLoad, nowMs: number): void {
     // Servers that state more slots than calls count items.
     const ownInFlight = load.slots > this.limits.maxConcurrentCalls
       ? this.#itemsInFlight
       : this.callsInFlight;
+    this.#isShared ||= load.running + load.waiting > ownInFlight;
+    if (!this.#isShared) return;
     this.#stated.record(load, { ownInFlight, nowMs });
   }
 
--- a/packages/daemon/src/stage_graphs/stated_load_test.ts
+++ b/packages/daemon/src/stage_graphs/stated_load_test.ts
@@ -125,9 +125,9 @@
     const server = new BatchServer(SERVER, SAMPLE_LIMITS);
     const nowMs = makeCalls(
       server,
-      Array.from({ length: 5 }, () => ({
+      Array.from({ length: 5 }, (_, index) => ({
         durationMs: 4 * CALL_MS,
-        load: { ...STATED, slowdown: 0.25 },
+        load: { ...STATED, waiting: index === 0 ? 1 : 0, slowdown: 0.25 },
       })),
     );
     expect(server.slowdown(nowMs) > SLOW_THRESHOLD).toEqual(true);
@@ -135,6 +135,7 @@
 
   it("are expected to take as long as they state, while that is recent", () => {
     const server = new BatchServer(SERVER, SAMPLE_LIMITS);
+    server.recordLoad({ ...STATED, running: 1, slowdown: 2 }, 0);
     server.recordLoad({ ...STATED, running: 0, slowdown: 2 }, 1000);
     expect(server.estimateCallMs(ITEMS, 1000)).toEqual(2 * CALL_MS);
     expect(server.estimateCallMs(ITEMS, 2000)).toEqual(CALL_MS);
@@ -152,7 +153,8 @@
     }
   });
 
-  it("serve about as many on time as without statements when used alone", () => {
+  /** Statements served fewer requests on time where one VM makes all calls. */
+  it("change nothing when used alone", () => {
     const load = {
       serverCount: 12,
       requestsPerSecond: 40,
@@ -160,6 +162,6 @@
     };
     const before = meanOnTimeShare({ ...load, figures: "three" });
     const after = meanOnTimeShare({ ...load, figures: "four" });
-    expect(after > before - 0.01).toEqual(true);
+    expect(after).toEqual(before);
   });
 });
