Keep one type for the counts of calls during a rollout

The message's type and that of the canary analysis were copies of each other. Types only; tsc, eslint and five unit test files of rollouts pass.

--- a/packages/daemon/src/rollouts/rollout_observations.ts
+++ b/packages/daemon/src/rollouts/rollout_observations.ts
@@ -4,40 +4,12 @@
  * @module
  */
 
-import type {
-  BackendServerId,
-  DataCentreName,
-} from "@sassafrasstage/protocol/ids";
+import type { RolloutCallCounts } from "@sassafrasstage/protocol/rollouts";
 
-export type VersionSide = "current" | "candidate";
+export type VersionSide = CallCounts["side"];
 
 /** Cumulative counts of one VM's calls on one route to one side. */
-export interface CallCounts {
-  readonly route: string;
-  readonly side: VersionSide;
-  /** Only for the candidate; the current version is counted as a whole. */
-  readonly server: BackendServerId | undefined;
-  /** Data centre of the server, if calls are counted by data centre. */
-  readonly dataCentre?: DataCentreName;
-  /** All calls, including those in flight and those that never arrived. */
-  readonly sent: number;
-  /** Calls with a response that isn't a failure, also of cold servers. */
-  readonly answered: number;
-  /**
-   * Calls that the server itself failed. Calls that never reached the server,
-   * that it refused as not run, or whose link broke, aren't counted.
-   */
-  readonly failed: number;
-  /** Responses of servers that were not cold, by duration; see bucketOf. */
-  readonly durations: readonly number[];
-  /**
-   * Calls in flight to servers that aren't cold, by the time for which they
-   * have been without a first event. A snapshot, not cumulative.
-   */
-  readonly waiting?: readonly number[];
-  /** Streams of servers that weren't cold, by their longest pause. */
-  readonly pauses?: readonly number[];
-}
+export type CallCounts = RolloutCallCounts;
 
 export const DURATION_BUCKETS = 32;
 const LONGEST_DURATION_MS = 120_000;
--- a/packages/protocol/src/rollouts.ts
+++ b/packages/protocol/src/rollouts.ts
@@ -25,16 +25,25 @@
 export interface RolloutCallCounts {
   readonly route: string;
   readonly side: "current" | "candidate";
-  /** Present for the candidate only. */
+  /** Only for the candidate; the current version is counted as a whole. */
   readonly server: BackendServerId | undefined;
-  /** Of the server. */
+  /** Data centre of the server, if calls are counted by data centre. */
   readonly dataCentre?: DataCentreName;
+  /** All calls, including those in flight and those that never arrived. */
   readonly sent: number;
+  /** Calls with a response that isn't a failure, also of cold servers. */
   readonly answered: number;
+  /**
+   * Calls that the server itself failed. Calls that never reached the server,
+   * that it refused as not run, or whose link broke, aren't counted.
+   */
   readonly failed: number;
   /** Responses of servers that weren't cold, by duration. */
   readonly durations: readonly number[];
-  /** Calls in progress without a first event, by their age; not cumulative. */
+  /**
+   * Calls in flight to servers that aren't cold, by the time for which they
+   * have been without a first event. A snapshot, not cumulative.
+   */
   readonly waiting?: readonly number[];
   /** Streams of servers that weren't cold, by their longest pause. */
   readonly pauses?: readonly number[];
