--- a/review/lib-2/calls.mjs
+++ b/review/lib-2/calls.mjs
@@ -10,10 +10,13 @@
   return randomBytes(8).toString("hex");
 }
 
-/** Sends one request on a new channel; resolves once it has ended. */
+/**
+ * Sends one request, on a new channel unless there is an agent; resolves once it
+ * has ended.
+ */
 export function call({ host, port }, options) {
-  const { method = "GET", path, headers = {}, body, timeoutMs, onData } =
-    options;
+  const { method = "GET", path, headers = {}, body, timeoutMs } = options;
+  const { agent = false } = options;
   return new Promise((resolve) => {
     const parts = [];
     let response;
@@ -43,7 +46,6 @@
       response = received;
       received.on("data", (chunk) => {
         parts.push(chunk);
-        onData?.(chunk);
       });
       received.on("end", () => settle("complete"));
       received.on("aborted", () => settle("aborted"));
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -1,7 +1,13 @@
 /** Starts processes with the command of the deploy file. */
 
 import { spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  mkdtempSync,
+  readFileSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -43,7 +49,7 @@
   return match[1].split(" ");
 }
 
-function settingsText({ name, ip, zone, zones, store, seeds }) {
+function settingsText({ name, ip, zone, zones, store, seeds, bounds }) {
   const lines = [
     `node-name=${name}`,
     "role=entry",
@@ -74,7 +80,8 @@
     "tolerate.machines=2",
     "tolerate.zones=1",
     "tolerate.regions=0",
-    ...Object.entries(BOUNDS).map(([key, value]) => `bounds.${key}=${value}`),
+    ...Object.entries({ ...BOUNDS, ...bounds })
+      .map(([key, value]) => `bounds.${key}=${value}`),
     `platform.address=${store.host}:${store.port}`,
     "platform.form=objects",
     "platform.writes-per-s=400",
@@ -97,9 +104,20 @@
     this.#record = record;
   }
 
+  /** Replaces the settings file of a machine at once. */
+  writeSettings(machine) {
+    const path = this.#settingsPath(machine);
+    writeFileSync(`${path}.new`, settingsText(machine));
+    renameSync(`${path}.new`, path);
+  }
+
+  #settingsPath({ name }) {
+    return join(this.#folder, `${name}.conf`);
+  }
+
   start(machine) {
-    const path = join(this.#folder, `${machine.name}.conf`);
-    writeFileSync(path, settingsText(machine));
+    const path = this.#settingsPath(machine);
+    this.writeSettings(machine);
     const [program, ...args] = runCommand();
     const child = spawn(
       program === "node" ? process.execPath : program,
