--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -10,11 +10,15 @@
   #options;
   /** Unix time of the start, in milliseconds. */
   born = Date.now();
-  /** Each `{ attemptId, atMs, endedAtMs, end }` of a request that was run. */
+  /**
+   * Each `{ attemptId, atMs, beganAtMs, endedAtMs, end }` of a request that was
+   * run; a stream has begun with its first event.
+   */
   runs = [];
 
   /**
-   * @param options `workMs` of a plain answer; `events` and `eventMs` of a stream
+   * @param options `workMs` of a plain answer; `events`, `eventMs` and `firstMs`
+   *   (until the first event) of a stream
    */
   constructor(id, address, options) {
     this.id = id;
@@ -67,6 +71,7 @@
       engine: this.id,
       atMs: record.nowMs(),
       after: request.headers["last-event-id"],
+      beganAtMs: undefined,
       endedAtMs: undefined,
       end: undefined,
     };
@@ -90,7 +95,7 @@
     };
     if (this.#options.events === undefined) {
       await this.#answer(response, headers);
-    } else await this.#stream(response, headers, Number(run.after ?? 0));
+    } else await this.#stream(response, headers, run);
   }
 
   async #answer(response, headers) {
@@ -100,16 +105,17 @@
     response.end("done");
   }
 
-  async #stream(response, headers, after) {
-    const { events, eventMs, firstMs = eventMs } = this.#options;
+  async #stream(response, headers, run) {
+    const { events, eventMs, firstMs, record } = this.#options;
     await sleepMs(firstMs);
     if (response.destroyed) return;
+    run.beganAtMs = record.nowMs();
     response.writeHead(200, {
       ...headers,
       "content-type": "text/event-stream",
       "x-weight-versions": "1",
     });
-    for (let id = after + 1; id <= events; id++) {
+    for (let id = Number(run.after ?? 0) + 1; id <= events; id++) {
       if (response.destroyed) return;
       response.write(`id: ${id}\ndata: piece-${id}\n\n`);
       await sleepMs(eventMs);
