Ignore updates of a late watch response that a peer's copy has overtaken

Cause: a VM that is cut off from the store for a moment gets a peer's copy without the server. The response of its own watch, held up since before the removal, then came with the server's last update. ObjectMirror applied it without a look at the revision up to which the copy was complete, and a removed object has no version left to compare with, so it was added again. The watch goes on from the copy's revision, so nothing told of the removal a second time.

Ruled out: the register (a removal and an addition of the same process are both right by its inputs), the watch's own position (it stayed at 110).

Change: all incremental sources share one rule. An update no newer than the complete revision is ignored; a deletion is applied if the known object isn't newer, as the revision that stores state for a deletion may be that of the object's last update. A VM logs watchResponseOutdated where it ignored updates.

Why this is enough: what is complete up to a revision holds every object of that revision, so an update at or below it is known already, or undone by a removal.

--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -126,13 +126,17 @@
     return true;
   }
 
-  /** The response has to be of the mirror's era. */
-  applyEvents(answer: WatchResponse): void {
+  /**
+   * Returns how many updates were ignored: another VM has told of later changes
+   * since the call began. The response has to be of the mirror's era.
+   */
+  applyEvents(answer: WatchResponse): number {
     const after = this.#completeRevision;
-    this.#applyEach(answer.events);
+    const ignored = this.#applyEach(answer.events);
     if (answer.events.length > 0) this.#advanceComplete(this.#newsVersion);
     this.#revision = Math.max(this.#revision ?? 0, answer.revision);
     this.#reportChanges(after);
+    return ignored;
   }
 
   /**
@@ -143,8 +147,7 @@
     const { era = FIRST_STORE_ERA, after, revision, events } = changes;
     const known = this.#completeRevision;
     if (era !== this.#era || known === undefined || known < after) return false;
-    // An older update would bring back what has been deleted since.
-    this.#applyEach(events.filter((event) => versionOf(event) > known));
+    this.#applyEach(events);
     this.#advanceComplete(revision);
     this.#revision = Math.max(this.#revision ?? 0, revision);
     this.#reportChanges(known);
@@ -211,11 +214,20 @@
     for (const listener of this.#listeners) listener(changes);
   }
 
-  #applyEach(events: readonly WatchEvent[]): void {
+  /**
+   * Applies events and returns how many were ignored: an update that is no newer
+   * than what is known as complete would bring back an object that has been
+   * deleted since.
+   */
+  #applyEach(events: readonly WatchEvent[]): number {
+    const known = this.#completeRevision ?? -1;
+    let ignored = 0;
     for (const event of events) {
-      if (event.kind === "updated") this.#update(event.object);
-      else this.#delete(event.key, event.version);
+      if (event.kind === "deleted") this.#delete(event.key, event.version);
+      else if (event.object.version > known) this.#update(event.object);
+      else ignored += 1;
     }
+    return ignored;
   }
 
   #isNewer(era: StoreEra, revision: number): boolean {
@@ -319,7 +331,3 @@
   return isDeepStrictEqual(a.value, b.value) &&
     isDeepStrictEqual(a.status, b.status) && a.creation === b.creation;
 }
-
-function versionOf(event: WatchEvent): number {
-  return event.kind === "updated" ? event.object.version : event.version;
-}
--- a/packages/daemon/src/deployment/object_mirror_test.ts
+++ b/packages/daemon/src/deployment/object_mirror_test.ts
@@ -164,6 +164,27 @@
     expect(changes).toEqual(["servers/a@9"]);
   });
 
+  // Guards against a server being used again after its removal, which a peer's
+  // copy told before a held-up watch response with its last update came.
+  it("doesn't bring back what a peer's copy lacks by a late watch response", () => {
+    const { mirror, changes } = makeMirror();
+    mirror.applyListing({ revision: 5, objects: [object("a", 4)] });
+    mirror.applyCopy({
+      prefix: "servers/",
+      revision: 7,
+      newsVersion: 7,
+      objects: [],
+    });
+    const ignored = mirror.applyEvents({
+      revision: 6,
+      events: [{ kind: "updated", object: object("a", 6) }],
+    });
+    expect(changes).toEqual(["servers/a@4", "-servers/a"]);
+    expect(ignored).toEqual(1);
+    expect(mirror.completeRevision).toEqual(7);
+    expect(mirror.revision).toEqual(7);
+  });
+
   // Guards against one odd object keeping all others from being applied,
   // compared or sent to peers.
   it("takes a value that nests too deeply for none", () => {
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -200,7 +200,7 @@
     if (result.kind === "events") {
       const responseEra = result.answer.era ?? FIRST_STORE_ERA;
       if (responseEra === era && mirror.era === era) {
-        mirror.applyEvents(result.answer);
+        this.#recordOutdated(mirror.applyEvents(result.answer), revision);
       } else this.#needsListing = true;
       return;
     }
@@ -232,6 +232,18 @@
     }
   }
 
+  #recordOutdated(events: number, after: number): void {
+    if (events === 0) return;
+    const { metrics, logger, mirror } = this.#options;
+    metrics.countEvent("watchResponseOutdated");
+    logger.info("watchResponseOutdated", {
+      objects: mirror.prefix,
+      after,
+      known: mirror.completeRevision,
+      ignored: events,
+    });
+  }
+
   #recordIgnored(revision: number): void {
     const { metrics, logger, mirror } = this.#options;
     metrics.countEvent("listingIgnored");
--- a/packages/daemon/src/deployment/watch_objects_test.ts
+++ b/packages/daemon/src/deployment/watch_objects_test.ts
@@ -66,6 +66,27 @@
   }
 }
 
+/** Its responses to watches wait until they are released. */
+class HeldConnection extends MemoryConnection {
+  #release: () => void = () => undefined;
+  readonly #released = new Promise<void>((resolve) => {
+    this.#release = resolve;
+  });
+
+  override async watch(
+    request: WatchRequest,
+    signal: AbortSignal,
+  ): Promise<WatchResult> {
+    const result = await super.watch(request, signal);
+    await this.#released;
+    return result;
+  }
+
+  release(): void {
+    this.#release();
+  }
+}
+
 function startWatch(
   store: ObjectStore,
   mirror: ObjectMirror,
@@ -103,6 +124,33 @@
     expect(connection.watchCount).toEqual(2);
   });
 
+  // Guards against a server being used again after its removal: a VM that is cut
+  // off from the store for a moment learns of it from a peer first.
+  it("doesn't bring back what has been removed meanwhile by a held-up response", async () => {
+    const store = new MemoryObjectStore();
+    store.put("servers/a", 1);
+    const connection = new HeldConnection(store);
+    const mirror = makeMirror("servers/");
+    startWatch(connection, mirror);
+    await sleep(WAIT_MS);
+    store.put("servers/a", 2);
+    await sleep(0);
+    store.delete("servers/a");
+    const { revision } = store;
+    mirror.applyCopy({
+      prefix: "servers/",
+      revision,
+      newsVersion: revision,
+      objects: [],
+    });
+    connection.release();
+    await sleep(WAIT_MS);
+    expect(mirror.objects).toEqual([]);
+    store.put("servers/b", 1);
+    await sleep(WAIT_MS);
+    expect(mirror.objects.map(({ key }) => key)).toEqual(["servers/b"]);
+  });
+
   it("counts a restart because of silent connections as an outage", async () => {
     const connection = new SilentConnection(new MemoryObjectStore());
     const mirror = new ObjectMirror("servers/", {
