Count only what a watch has shown as complete, and watch from there

Cause: a mirror held two revisions. The watch went on from the one that any response raised, also one without events, though a store may not tell a waiting watch of a change (right after a reset, seen on 2026-12-04): that change was skipped for good unless a peer had it. The other one, up to which the mirror calls itself complete, was raised to the newest version of any object, also one of a later page of a listing, past changes that had not come yet. Peers take such a copy for newer and drop what they know.

Change: one revision. A watch begins at the complete revision, and a response raises it to the response's own revision if it has events. One without events proves only what the store had reached before the call began, as the store answers a call at once if something has changed before. Changes to followers now state as their start the revision of the last change of the content, so that followers need no copy after a quiet time. A VM logs watchMissedChanges.

The tests that read the former revision read the watch's position now.

--- a/packages/daemon/src/deployment/deployment.ts
+++ b/packages/daemon/src/deployment/deployment.ts
@@ -373,7 +373,7 @@
       logger.info("storeEraRestored", {
         objects: mirror.prefix,
         era: to,
-        revision: mirror.revision,
+        revision: mirror.completeRevision,
         known: mirror.objects.length,
         lost,
       });
--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -17,6 +17,10 @@
   type WatchEvent,
   type WatchResponse,
 } from "@sassafrasstage/protocol/platform_objects";
+import {
+  provenRevision,
+  type WatchPosition,
+} from "../platform/watch_position.js";
 import { boundNesting } from "./bound_nesting.js";
 
 export interface EraChange {
@@ -58,8 +62,11 @@
   readonly #options: MirrorOptions;
   readonly #entries = new Map<string, Entry>();
   #era = FIRST_STORE_ERA;
-  #revision: number | undefined;
   #completeRevision: number | undefined;
+  /** No object has changed between this revision and the complete one. */
+  #contentRevision: number | undefined;
+  /** The highest revision that the store has stated in a response to a watch. */
+  #reachedRevision = 0;
   #newsVersion = 0;
   /** Changes that haven't been reported yet. */
   #changes: WatchEvent[] = [];
@@ -75,20 +82,21 @@
     return this.#era;
   }
 
-  /** Where a watch resumes; undefined before the first listing. */
-  get revision(): number | undefined {
-    return this.#revision;
-  }
-
   /**
    * The revision up to which every change is known; undefined before the first
-   * listing. Unlike `revision` it doesn't advance on a watch response without
-   * events: such a watch may have missed changes.
+   * listing.
    */
   get completeRevision(): number | undefined {
     return this.#completeRevision;
   }
 
+  /** Where the next watch begins; undefined before the first listing. */
+  get watchPosition(): WatchPosition | undefined {
+    const after = this.#completeRevision;
+    if (after === undefined) return undefined;
+    return { after, reached: Math.max(after, this.#reachedRevision) };
+  }
+
   /** The version of the newest change known to this mirror. */
   get newsVersion(): number {
     return this.#newsVersion;
@@ -116,26 +124,27 @@
   applyListing(listing: ObjectListing): boolean {
     const { era = FIRST_STORE_ERA, revision, objects } = listing;
     if (era < this.#era) return false;
-    if (era === this.#era && revision < (this.#revision ?? 0)) return false;
+    if (era === this.#era && revision < (this.#completeRevision ?? 0)) {
+      return false;
+    }
     this.#enterEra(era);
-    const after = this.#completeRevision;
     this.#replaceAll(objects, revision);
-    this.#revision = revision;
-    this.#advanceComplete(revision);
-    this.#reportChanges(after);
+    this.#complete(revision);
     return true;
   }
 
   /**
-   * Returns how many updates were ignored: another VM has told of later changes
-   * since the call began. The response has to be of the mirror's era.
+   * Applies the response to a watch that began at the position, and returns how
+   * many updates were ignored: another VM has told of later changes since. The
+   * position and the response have to be of the mirror's era.
    */
-  applyEvents(answer: WatchResponse): number {
-    const after = this.#completeRevision;
-    const ignored = this.#applyEach(answer.events);
-    if (answer.events.length > 0) this.#advanceComplete(this.#newsVersion);
-    this.#revision = Math.max(this.#revision ?? 0, answer.revision);
-    this.#reportChanges(after);
+  applyWatchResponse(start: WatchPosition, response: WatchResponse): number {
+    const { revision, events } = response;
+    const ignored = this.#applyEach(events);
+    this.#reachedRevision = Math.max(this.#reachedRevision, revision);
+    const proven = provenRevision(start, response);
+    if (events.length > 0) this.#complete(proven);
+    else this.#completeUnchanged(proven);
     return ignored;
   }
 
@@ -148,27 +157,18 @@
     const known = this.#completeRevision;
     if (era !== this.#era || known === undefined || known < after) return false;
     this.#applyEach(events);
-    this.#advanceComplete(revision);
-    this.#revision = Math.max(this.#revision ?? 0, revision);
-    this.#reportChanges(known);
+    this.#complete(revision);
     return true;
   }
 
-  /**
-   * Applies a peer's copy if it is newer, and returns whether it was applied.
-   * The watch then resumes at the copy's revision, even if it had advanced
-   * further without receiving events.
-   */
+  /** Applies a peer's copy if it is newer, and returns whether it was applied. */
   applyCopy(copy: ObjectsCopy): boolean {
     const { era = FIRST_STORE_ERA, revision, objects } = copy;
     if (!this.#isNewer(era, revision)) return this.#takeGenerations(objects);
     this.#enterEra(era);
-    const after = this.#completeRevision;
     this.#replaceAll(objects, revision);
-    this.#revision = revision;
-    this.#advanceComplete(revision);
     this.#newsVersion = Math.max(this.#newsVersion, copy.newsVersion);
-    this.#reportChanges(after);
+    this.#complete(revision);
     return true;
   }
 
@@ -198,7 +198,7 @@
     return unconfirmed.length;
   }
 
-  /** @param after The revision up to which every change was known before */
+  /** @param after What is reported has changed after this revision */
   #reportChanges(after: number | undefined): void {
     const events = this.#changes;
     if (events.length === 0) return;
@@ -240,8 +240,9 @@
     const change = { from: this.#era, to: era };
     const isReturn = this.#completeRevision !== undefined;
     this.#era = era;
-    this.#revision = undefined;
     this.#completeRevision = undefined;
+    this.#contentRevision = undefined;
+    this.#reachedRevision = 0;
     this.#newsVersion = 0;
     if (isReturn) this.#options.onEraChanged?.(change);
   }
@@ -261,7 +262,16 @@
     return [{ ...object, version: EARLIER_ERA_VERSION }];
   }
 
-  #advanceComplete(revision: number): void {
+  /** Every change up to the revision has been applied. */
+  #complete(revision: number): void {
+    const after = this.#contentRevision;
+    this.#completeUnchanged(revision);
+    this.#contentRevision = this.#completeRevision;
+    this.#reportChanges(after);
+  }
+
+  /** Nothing has changed between the complete revision and this one. */
+  #completeUnchanged(revision: number): void {
     this.#completeRevision = Math.max(this.#completeRevision ?? 0, revision);
   }
 
--- a/packages/daemon/src/deployment/object_mirror_test.ts
+++ b/packages/daemon/src/deployment/object_mirror_test.ts
@@ -4,6 +4,7 @@
 import { encodeFrame } from "../peers/frame_codec.js";
 import { nestedValue } from "../testing/nested_value.js";
 import { ObjectMirror } from "./object_mirror.js";
+import { applyWatch } from "./testing/apply_watch.js";
 
 function makeMirror(): {
   readonly mirror: ObjectMirror;
@@ -49,7 +50,7 @@
       revision: 5,
       objects: [object("a", 3), object("b", 4)],
     });
-    mirror.applyEvents({
+    applyWatch(mirror, {
       revision: 6,
       events: [{ kind: "updated", object: object("a", 6) }],
     });
@@ -85,7 +86,7 @@
       newsVersion: 7,
       objects: [object("b", 7)],
     });
-    expect(mirror.revision).toEqual(7);
+    expect(mirror.watchPosition?.after).toEqual(7);
     expect(mirror.newsVersion).toEqual(7);
     expect(changes).toEqual(["servers/a@3", "-servers/a", "servers/b@7"]);
   });
@@ -98,13 +99,13 @@
       revision: 4,
       objects: [{ ...object("a", 3), value: "rewritten" }],
     });
-    mirror.applyEvents({
+    applyWatch(mirror, {
       era: SECOND_ERA,
       revision: 5,
       events: [{ kind: "updated", object: object("b", 5) }],
     });
     mirror.applyListing({ revision: 10, objects: [object("c", 10)] });
-    expect(mirror.revision).toEqual(5);
+    expect(mirror.watchPosition?.after).toEqual(5);
     expect(changes).toEqual(["servers/a@8", "servers/a@3", "servers/b@5"]);
   });
 
@@ -118,7 +119,7 @@
     expect(mirror.objects.length).toEqual(2);
     expect(mirror.confirmed("servers/a")).toEqual(undefined);
     expect(mirror.copy()?.objects).toEqual([]);
-    mirror.applyEvents({
+    applyWatch(mirror, {
       era: SECOND_ERA,
       revision: 5,
       events: [{ kind: "updated", object: object("a", 5) }],
@@ -146,7 +147,7 @@
     expect(copy !== undefined && started.applyCopy(copy)).toEqual(true);
     started.applyListing({ era: SECOND_ERA, revision: 5, objects: [] });
     expect(started.objects.map(({ value }) => value)).toEqual([2]);
-    started.applyEvents({
+    applyWatch(started, {
       era: SECOND_ERA,
       revision: 6,
       events: [{ kind: "updated", object: generation(2, 6) }],
@@ -157,7 +158,7 @@
   it("ignores a deletion that is older than the object", () => {
     const { mirror, changes } = makeMirror();
     mirror.applyListing({ revision: 9, objects: [object("a", 9)] });
-    mirror.applyEvents({
+    applyWatch(mirror, {
       revision: 9,
       events: [{ kind: "deleted", key: "servers/a", version: 8 }],
     });
@@ -168,6 +169,7 @@
   // copy told before a held-up watch response with its last update came.
   it("doesn't bring back what a peer's copy lacks by a late watch response", () => {
     const { mirror, changes } = makeMirror();
+    const start = { after: 5, reached: 5 };
     mirror.applyListing({ revision: 5, objects: [object("a", 4)] });
     mirror.applyCopy({
       prefix: "servers/",
@@ -175,14 +177,37 @@
       newsVersion: 7,
       objects: [],
     });
-    const ignored = mirror.applyEvents({
+    const ignored = mirror.applyWatchResponse(start, {
       revision: 6,
       events: [{ kind: "updated", object: object("a", 6) }],
     });
     expect(changes).toEqual(["servers/a@4", "-servers/a"]);
     expect(ignored).toEqual(1);
     expect(mirror.completeRevision).toEqual(7);
-    expect(mirror.revision).toEqual(7);
+    expect(mirror.watchPosition?.after).toEqual(7);
+  });
+
+  // Guards against a VM passing its objects on as complete up to a change that it
+  // lacks, so that others take them for newer and drop what they know.
+  it("doesn't count changes as known that a watch hasn't told yet", () => {
+    const { mirror } = makeMirror();
+    // A later page of the listing has an object that changed since the first.
+    mirror.applyListing({ revision: 4, objects: [object("a", 7)] });
+    applyWatch(mirror, {
+      revision: 5,
+      events: [{ kind: "updated", object: object("b", 5) }],
+    });
+    expect(mirror.copy()?.revision).toEqual(5);
+    expect(mirror.watchPosition?.after).toEqual(5);
+  });
+
+  it("knows after a watch without events what had not changed when it began", () => {
+    const { mirror } = makeMirror();
+    mirror.applyListing({ revision: 4, objects: [] });
+    applyWatch(mirror, { revision: 6, events: [] });
+    expect(mirror.completeRevision).toEqual(4);
+    applyWatch(mirror, { revision: 9, events: [] });
+    expect(mirror.completeRevision).toEqual(6);
   });
 
   // Guards against one odd object keeping all others from being applied,
--- a/packages/daemon/src/deployment/objects_confirmation.ts
+++ b/packages/daemon/src/deployment/objects_confirmation.ts
@@ -75,7 +75,7 @@
       metrics.countEvent("objectsNotConfirmed");
       logger.info("objectsNotConfirmed", {
         objects: mirror.prefix,
-        revision: mirror.revision,
+        revision: mirror.completeRevision,
         error: String(error),
       });
       return false;
--- a/packages/daemon/src/deployment/objects_confirmation_test.ts
+++ b/packages/daemon/src/deployment/objects_confirmation_test.ts
@@ -59,7 +59,7 @@
     expect(store.calls.length).toEqual(2);
     store.calls[1]?.resolve(listing(6));
     expect(await Promise.all(later)).toEqual(later.map(() => true));
-    expect(mirror.revision).toEqual(6);
+    expect(mirror.watchPosition?.after).toEqual(6);
     expect(store.calls.length).toEqual(2);
   });
 
--- a/packages/daemon/src/deployment/returning_store_test.ts
+++ b/packages/daemon/src/deployment/returning_store_test.ts
@@ -8,6 +8,7 @@
 import fc from "fast-check";
 import { describe, it } from "node:test";
 import { ObjectMirror } from "./object_mirror.js";
+import { applyWatch } from "./testing/apply_watch.js";
 
 const KEYS = ["objects/a", "objects/b", "objects/c"];
 const MIRROR_COUNT = 3;
@@ -69,12 +70,12 @@
   /** Lists if the store doesn't have the mirror's revision in its era. */
   update(mirror: ObjectMirror): void {
     const { revision, events } = this.#state;
-    const from = mirror.revision;
+    const from = mirror.watchPosition?.after;
     if (mirror.era !== this.era || from === undefined || from > revision) {
       mirror.applyListing(this.list());
       return;
     }
-    mirror.applyEvents({
+    applyWatch(mirror, {
       era: toStoreEra(this.era),
       revision,
       events: events.filter((entry) => entry.revision > from)
--- a/packages/daemon/src/deployment/share_changes_test.ts
+++ b/packages/daemon/src/deployment/share_changes_test.ts
@@ -11,6 +11,7 @@
 import { ObjectMirror } from "./object_mirror.js";
 import { ChangeSharing } from "./share_changes.js";
 import type { StoreRole, StoreWatchers } from "./store_watchers.js";
+import { applyWatch } from "./testing/apply_watch.js";
 
 const WAIT_MS = 20;
 
@@ -71,7 +72,7 @@
 describe("ChangeSharing", () => {
   it("tells followers what a watcher learns by a watch", async () => {
     const { watcher, follower } = startPair();
-    watcher.servers.applyEvents({
+    applyWatch(watcher.servers, {
       revision: 14,
       events: [
         updated("servers/b", 12),
@@ -81,7 +82,7 @@
     await sleep(WAIT_MS);
     expect(keysOf(follower)).toEqual(["servers/b"]);
     expect(follower.servers.completeRevision).toEqual(14);
-    expect(follower.servers.revision).toEqual(14);
+    expect(follower.servers.watchPosition?.after).toEqual(14);
   });
 
   it("tells followers what a watcher learns by a listing", async () => {
@@ -97,7 +98,7 @@
 
   it("doesn't pass on what a follower is told", async () => {
     const { watcher, follower } = startPair();
-    watcher.servers.applyEvents({
+    applyWatch(watcher.servers, {
       revision: 12,
       events: [updated("servers/b", 12)],
     });
@@ -108,12 +109,12 @@
   it("asks for a copy if earlier changes are missing, and applies nothing", async () => {
     const { watcher, follower } = startPair();
     watcher.vm.isLinked = false;
-    watcher.servers.applyEvents({
+    applyWatch(watcher.servers, {
       revision: 12,
       events: [updated("servers/b", 12)],
     });
     watcher.vm.isLinked = true;
-    watcher.servers.applyEvents({
+    applyWatch(watcher.servers, {
       revision: 14,
       events: [updated("servers/c", 14)],
     });
@@ -124,15 +125,15 @@
 
   it("doesn't bring back what a follower knows to be deleted", async () => {
     const { watcher, follower } = startPair();
-    follower.servers.applyEvents({
+    applyWatch(follower.servers, {
       revision: 15,
       events: [{ kind: "deleted", key: "servers/b", version: 15 }],
     });
-    watcher.servers.applyEvents({
+    applyWatch(watcher.servers, {
       revision: 12,
       events: [updated("servers/b", 12)],
     });
-    watcher.servers.applyEvents({
+    applyWatch(watcher.servers, {
       revision: 16,
       events: [updated("servers/c", 16)],
     });
@@ -142,7 +143,7 @@
 
   it("tells followers when an outage of the store has ended", async () => {
     const { watcher, follower } = startPair();
-    watcher.servers.applyEvents({
+    applyWatch(watcher.servers, {
       revision: 12,
       events: [{ kind: "deleted", key: "servers/a", version: 12 }],
     });
--- a/packages/daemon/src/deployment/share_objects_test.ts
+++ b/packages/daemon/src/deployment/share_objects_test.ts
@@ -8,6 +8,7 @@
 import { LinkedVm } from "../stage_graphs/testing/linked_vms.js";
 import { ObjectMirror } from "./object_mirror.js";
 import { ObjectSharing } from "./share_objects.js";
+import { applyWatch } from "./testing/apply_watch.js";
 
 const NO_OP_LISTENER = {
   onUpdated: () => undefined,
@@ -70,13 +71,13 @@
     const upToDate = makeReplica(b);
     // One VM learns of the server's deletion by an event, the other by a
     // listing.
-    outdated.servers.applyEvents(update("servers/s", 5));
-    outdated.servers.applyEvents({
+    applyWatch(outdated.servers, update("servers/s", 5));
+    applyWatch(outdated.servers, {
       revision: 8,
       events: [{ kind: "deleted", key: "servers/s", version: 8 }],
     });
     upToDate.servers.applyListing({ revision: 8, objects: [] });
-    upToDate.configuration.applyEvents(update("config/main", 7));
+    applyWatch(upToDate.configuration, update("config/main", 7));
     await sleep(WAIT_MS);
     expect(configurationOf(outdated)).toEqual([7]);
   });
@@ -87,11 +88,11 @@
     link(a, b);
     const outdated = makeReplica(a);
     const upToDate = makeReplica(b);
-    upToDate.configuration.applyEvents(update("config/main", 7));
-    outdated.configuration.applyEvents({ revision: 9, events: [] });
+    applyWatch(upToDate.configuration, update("config/main", 7));
+    applyWatch(outdated.configuration, { revision: 9, events: [] });
     await sleep(WAIT_MS);
     expect(configurationOf(outdated)).toEqual([7]);
-    expect(outdated.configuration.revision).toEqual(7);
+    expect(outdated.configuration.watchPosition?.after).toEqual(7);
   });
 
   it("sends no request while no peer has newer objects", async () => {
@@ -101,8 +102,8 @@
     const first = makeReplica(a);
     const second = makeReplica(b);
     first.servers.applyListing({ revision: 30, objects: [] });
-    second.servers.applyEvents(update("servers/s", 25));
-    first.servers.applyEvents(update("servers/s", 25));
+    applyWatch(second.servers, update("servers/s", 25));
+    applyWatch(first.servers, update("servers/s", 25));
     await sleep(WAIT_MS);
     expect([...a.sent, ...b.sent]).toEqual([]);
   });
--- a/packages/daemon/src/deployment/watch_objects.ts
+++ b/packages/daemon/src/deployment/watch_objects.ts
@@ -9,6 +9,7 @@
 import {
   FIRST_STORE_ERA,
   type StoreEra,
+  type WatchResponse,
 } from "@sassafrasstage/protocol/platform_objects";
 import type { Clock } from "../clock.js";
 import type { Logger } from "../observability/logger.js";
@@ -18,6 +19,7 @@
   isBrokenConnection,
   isTimeout,
 } from "../platform/platform_transport.js";
+import type { WatchPosition } from "../platform/watch_position.js";
 import type { ObjectMirror } from "./object_mirror.js";
 
 export interface ObjectWatchOptions {
@@ -131,10 +133,10 @@
   }
 
   async #step(): Promise<void> {
-    const { revision } = this.#options.mirror;
-    if (this.#needsListing || revision === undefined) await this.#list();
+    const { watchPosition } = this.#options.mirror;
+    if (this.#needsListing || watchPosition === undefined) await this.#list();
     else if (this.#isFollowing()) await this.#waitWhileFollowing();
-    else await this.#watchFrom(revision);
+    else await this.#watchFrom(watchPosition);
   }
 
   #isFollowing(): boolean {
@@ -181,7 +183,7 @@
     onListed?.();
   }
 
-  async #watchFrom(revision: number): Promise<void> {
+  async #watchFrom(start: WatchPosition): Promise<void> {
     const { mirror, metrics, logger, clock } = this.#options;
     const { minIntervalMs = 0 } = this.#options;
     const { era } = mirror;
@@ -191,7 +193,7 @@
       return;
     }
     this.#watchedAtMs = clock.nowMs();
-    const result = await this.#callWatch(revision);
+    const result = await this.#callWatch(start.after);
     if (result === "restarted") {
       this.#needsListing = true;
       return;
@@ -200,12 +202,15 @@
     if (result.kind === "events") {
       const responseEra = result.answer.era ?? FIRST_STORE_ERA;
       if (responseEra === era && mirror.era === era) {
-        this.#recordOutdated(mirror.applyEvents(result.answer), revision);
+        this.#apply(start, result.answer);
       } else this.#needsListing = true;
       return;
     }
     metrics.countEvent("watchTooOld");
-    logger.info("watchTooOld", { objects: mirror.prefix, revision });
+    logger.info("watchTooOld", {
+      objects: mirror.prefix,
+      revision: start.after,
+    });
     this.#needsListing = true;
   }
 
@@ -232,15 +237,22 @@
     }
   }
 
-  #recordOutdated(events: number, after: number): void {
-    if (events === 0) return;
-    const { metrics, logger, mirror } = this.#options;
+  #apply(start: WatchPosition, response: WatchResponse): void {
+    const { mirror, metrics, logger } = this.#options;
+    const objects = mirror.prefix;
+    const missed = countMissed(start, response);
+    if (missed > 0) {
+      metrics.countEvent("watchMissedChanges");
+      logger.warn("watchMissedChanges", { objects, ...start, missed });
+    }
+    const ignored = mirror.applyWatchResponse(start, response);
+    if (ignored === 0) return;
     metrics.countEvent("watchResponseOutdated");
     logger.info("watchResponseOutdated", {
-      objects: mirror.prefix,
-      after,
+      objects,
+      after: start.after,
       known: mirror.completeRevision,
-      ignored: events,
+      ignored,
     });
   }
 
@@ -250,7 +262,7 @@
     logger.warn("listingIgnored", {
       objects: mirror.prefix,
       revision,
-      known: mirror.revision,
+      known: mirror.completeRevision,
     });
   }
 
@@ -296,3 +308,13 @@
       .catch(() => undefined);
   }
 }
+
+/** Counts the updates that an earlier response from the position lacked. */
+function countMissed(
+  { reached }: WatchPosition,
+  { events }: WatchResponse,
+): number {
+  return events.filter((event) =>
+    event.kind === "updated" && event.object.version <= reached
+  ).length;
+}
