Apply a listing's difference only to the objects that it was made from

A watcher that lists tells its followers the difference to its former objects. A follower that knew more than the watcher's former revision, from another watcher, applied it too. A server that came and went in between is in no event of the difference, so such a follower kept it and called its objects complete.

Change: a difference names the revision that it was made from. A follower whose revision lies after that asks for a copy. The field is optional: followers of older builds ignore it, and watchers of older builds don't send it.

--- a/packages/daemon/src/deployment/object_mirror.ts
+++ b/packages/daemon/src/deployment/object_mirror.ts
@@ -128,8 +128,9 @@
       return false;
     }
     this.#enterEra(era);
+    const previous = this.#completeRevision;
     this.#replaceAll(objects, revision);
-    this.#complete(revision);
+    this.#complete(revision, previous);
     return true;
   }
 
@@ -154,8 +155,10 @@
    */
   applyChanges(changes: ObjectChanges): boolean {
     const { era = FIRST_STORE_ERA, after, revision, events } = changes;
+    const { differenceFrom = Infinity } = changes;
     const known = this.#completeRevision;
     if (era !== this.#era || known === undefined || known < after) return false;
+    if (known > differenceFrom && known < revision) return false;
     this.#applyEach(events);
     this.#complete(revision);
     return true;
@@ -166,9 +169,10 @@
     const { era = FIRST_STORE_ERA, revision, objects } = copy;
     if (!this.#isNewer(era, revision)) return this.#takeGenerations(objects);
     this.#enterEra(era);
+    const previous = this.#completeRevision;
     this.#replaceAll(objects, revision);
     this.#newsVersion = Math.max(this.#newsVersion, copy.newsVersion);
-    this.#complete(revision);
+    this.#complete(revision, previous);
     return true;
   }
 
@@ -199,7 +203,7 @@
   }
 
   /** @param after What is reported has changed after this revision */
-  #reportChanges(after: number | undefined): void {
+  #reportChanges(after: number | undefined, differenceFrom?: number): void {
     const events = this.#changes;
     if (events.length === 0) return;
     this.#changes = [];
@@ -209,6 +213,7 @@
       ...(this.#era !== FIRST_STORE_ERA && { era: this.#era }),
       after: after ?? revision,
       revision,
+      ...(differenceFrom !== undefined && { differenceFrom }),
       events,
     };
     for (const listener of this.#listeners) listener(changes);
@@ -262,12 +267,16 @@
     return [{ ...object, version: EARLIER_ERA_VERSION }];
   }
 
-  /** Every change up to the revision has been applied. */
-  #complete(revision: number): void {
+  /**
+   * Every change up to the revision has been applied.
+   *
+   * @param differenceFrom If only their outcome since this revision is known
+   */
+  #complete(revision: number, differenceFrom?: number): void {
     const after = this.#contentRevision;
     this.#completeUnchanged(revision);
     this.#contentRevision = this.#completeRevision;
-    this.#reportChanges(after);
+    this.#reportChanges(after, differenceFrom);
   }
 
   /** Nothing has changed between the complete revision and this one. */
--- a/packages/daemon/src/deployment/share_changes_test.ts
+++ b/packages/daemon/src/deployment/share_changes_test.ts
@@ -123,6 +123,28 @@
     expect(follower.vm.sent).toEqual(["objectsRequest"]);
   });
 
+  // Guards against a follower keeping a server that was removed between its own
+  // revision and that of the listing whose difference it is told.
+  it("asks for a copy if a listing's difference doesn't fit what a follower knows", async () => {
+    const { watcher, follower } = startPair();
+    watcher.vm.isLinked = false;
+    applyWatch(follower.servers, {
+      revision: 12,
+      events: [updated("servers/gone", 12)],
+    });
+    watcher.vm.isLinked = true;
+    watcher.servers.applyListing({
+      revision: 20,
+      objects: [
+        { key: "servers/a", version: 5, value: 5 },
+        { key: "servers/c", version: 18, value: 1 },
+      ],
+    });
+    await sleep(WAIT_MS);
+    expect(follower.vm.sent).toEqual(["objectsRequest"]);
+    expect(follower.servers.completeRevision).toEqual(12);
+  });
+
   it("doesn't bring back what a follower knows to be deleted", async () => {
     const { watcher, follower } = startPair();
     applyWatch(follower.servers, {
--- a/packages/daemon/src/peers/message_check.ts
+++ b/packages/daemon/src/peers/message_check.ts
@@ -291,6 +291,7 @@
       era: optional(isNonNegativeInteger),
       after: isNonNegativeInteger,
       revision: isNonNegativeInteger,
+      differenceFrom: optional(isNonNegativeInteger),
       events: arrayOf(isObjectEvent),
     }),
     recoveredAgeMs: optional(isNonNegativeNumber),
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -305,6 +305,12 @@
   readonly after: number;
   /** Changes up to this revision are included. */
   readonly revision: number;
+  /**
+   * Absent if every change is included. The events are otherwise the difference
+   * between the objects at this revision and at `revision`, without objects that
+   * came and went in between.
+   */
+  readonly differenceFrom?: number;
   readonly events: readonly WatchEvent[];
 }
 
