Watch the accepted configuration from where all changes are known

Callers saw nothing yet; on the product's own interface they would see one VM that goes on with an older configuration until the next change.

The watch of the head went on from the revision of any response, also of one without events, though the store may not have told the waiting call of a change.

Change: the head is watched from the revision that provenRevision gives.

The in-memory store can leave a watch untold, which replaces the connection of watch_objects_test that did.

--- a/packages/daemon/src/configuration/start_configuration_manager_test.ts
+++ b/packages/daemon/src/configuration/start_configuration_manager_test.ts
@@ -92,6 +92,19 @@
     await waitUntil(() => haveGeneration([disconnected], 1));
   });
 
+  // Guards against a configuration that is in force everywhere else never
+  // reaching a daemon whose waiting watch the store didn't tell of it.
+  it("reads a change that its watch wasn't told of", async () => {
+    const watcher = await fleet.start("vm-1");
+    await submit(watcher, 1001);
+    const other = await fleet.start("vm-2", "catania");
+    watcher.network.isDisconnected = true;
+    watcher.connection.deafWatches = 1;
+    await waitUntil(() => watcher.connection.deafWatches === 0);
+    await submit(other, 1002);
+    await waitUntil(() => haveGeneration([watcher], 2));
+  });
+
   it("reports a submission as unavailable while the platform is down", async () => {
     const daemon = await fleet.start("vm-a1");
     await submit(daemon, 1001);
--- a/packages/daemon/src/configuration/watch_head.ts
+++ b/packages/daemon/src/configuration/watch_head.ts
@@ -12,6 +12,10 @@
 import type { Metrics } from "../observability/metrics.js";
 import type { PeerNetwork } from "../peers/peer_network.js";
 import type { ObjectStore } from "../platform/object_store.js";
+import {
+  provenRevision,
+  type WatchPosition,
+} from "../platform/watch_position.js";
 import type { AdoptedConfiguration } from "./adopted_configuration.js";
 import { chooseWatchers, listLiveLocalDaemons } from "./choose_watchers.js";
 import { HEAD_KEY, type StoredHead } from "./configuration_head.js";
@@ -47,7 +51,7 @@
   readonly #abort = new AbortController();
   readonly #finished: Promise<void>;
   /** Where the watch resumes; undefined when the head has to be listed. */
-  #revision: number | undefined;
+  #position: WatchPosition | undefined;
   #failures = 0;
   /** Ends the current delay early. */
   #delayAbort: AbortController | undefined;
@@ -93,32 +97,38 @@
 
   async #watch(): Promise<void> {
     const { store } = this.#options;
-    const afterRevision = this.#revision ?? await this.#list();
+    const start = this.#position ?? await this.#list();
     const result = await store.watch(
-      { prefix: HEAD_KEY, afterRevision, waitMs: WATCH_WAIT_MS },
+      { prefix: HEAD_KEY, afterRevision: start.after, waitMs: WATCH_WAIT_MS },
       this.#abort.signal,
     );
     if (result.kind === "tooOld") {
       this.#options.metrics.countEvent("configurationWatchTooOld");
-      this.#revision = undefined;
+      this.#position = undefined;
       return;
     }
-    for (const event of result.answer.events) {
+    const { answer } = result;
+    for (const event of answer.events) {
       if (event.kind === "updated") await this.#adoptObject(event.object);
     }
-    this.#revision = result.answer.revision;
+    this.#position = {
+      after: provenRevision(start, answer),
+      reached: Math.max(start.reached, answer.revision),
+    };
   }
 
-  async #list(): Promise<number> {
+  async #list(): Promise<WatchPosition> {
     const listing = await this.#options.store.list(HEAD_KEY);
     for (const object of listing.objects) await this.#adoptObject(object);
-    this.#revision = listing.revision;
-    return listing.revision;
+    const { revision } = listing;
+    const position = { after: revision, reached: revision };
+    this.#position = position;
+    return position;
   }
 
   async #poll(): Promise<void> {
     const { network, clock, store } = this.#options;
-    this.#revision = undefined;
+    this.#position = undefined;
     const localDaemonCount =
       listLiveLocalDaemons(network.view(clock.nowMs())).length;
     await this.#delay(jitter(POLL_INTERVAL_MS * localDaemonCount));
--- a/packages/daemon/src/deployment/watch_objects_test.ts
+++ b/packages/daemon/src/deployment/watch_objects_test.ts
@@ -18,7 +18,6 @@
 import { ObjectWatch, type ObjectWatchOptions } from "./watch_objects.js";
 
 const WAIT_MS = 500;
-const DEAF_MS = 250;
 
 const watches: ObjectWatch[] = [];
 afterEach(async () => {
@@ -67,22 +66,6 @@
   }
 }
 
-/** Its first watch isn't told of what changes while it waits. */
-class DeafConnection extends MemoryConnection {
-  #isDeaf = true;
-
-  override async watch(
-    request: WatchRequest,
-    signal: AbortSignal,
-  ): Promise<WatchResult> {
-    if (!this.#isDeaf) return super.watch(request, signal);
-    this.#isDeaf = false;
-    await sleep(DEAF_MS);
-    const { revision } = await this.list(request.prefix);
-    return { kind: "events", answer: { revision, events: [] } };
-  }
-}
-
 /** Its responses to watches wait until they are released. */
 class HeldConnection extends MemoryConnection {
   #release: () => void = () => undefined;
@@ -173,8 +156,10 @@
   it("learns by the next watch of what a watch wasn't told", async () => {
     const store = new MemoryObjectStore();
     const mirror = makeMirror("config/");
-    startWatch(new DeafConnection(store), mirror);
-    await sleep(DEAF_MS / 2);
+    const connection = store.connect();
+    connection.deafWatches = 1;
+    startWatch(connection, mirror);
+    await sleep(WAIT_MS);
     store.put("config/main", "missed");
     await sleep(WAIT_MS);
     expect(mirror.objects.map(({ value }) => value)).toEqual(["missed"]);
--- a/packages/daemon/src/platform/testing/memory_object_store.ts
+++ b/packages/daemon/src/platform/testing/memory_object_store.ts
@@ -129,6 +129,8 @@
 /** The connection of one daemon to the store. */
 export class MemoryConnection implements StatusStore {
   isDisconnected = false;
+  /** Number of upcoming watches that aren't told of the event that ends them. */
+  deafWatches = 0;
   readonly #store: MemoryObjectStore;
 
   constructor(store: MemoryObjectStore) {
@@ -196,6 +198,7 @@
   ): Promise<WatchResult> {
     await this.#beginCall("watch");
     const { prefix, afterRevision, waitMs } = request;
+    if (this.deafWatches > 0) return this.#watchDeafly(request, signal);
     if (this.#store.eventsAfter(prefix, afterRevision)?.length === 0) {
       await this.#store.waitForEvent(waitMs, signal);
     }
@@ -206,6 +209,21 @@
     return { kind: "events", answer: structuredClone({ revision, events }) };
   }
 
+  /** Ends without events as soon as there is one. */
+  async #watchDeafly(
+    { prefix, afterRevision, waitMs }: WatchRequest,
+    signal: AbortSignal,
+  ): Promise<WatchResult> {
+    this.deafWatches -= 1;
+    while (this.#store.eventsAfter(prefix, afterRevision)?.length === 0) {
+      await this.#store.waitForEvent(waitMs, signal);
+      if (signal.aborted) break;
+    }
+    this.#expectReachable();
+    const { revision } = this.#store;
+    return { kind: "events", answer: { revision, events: [] } };
+  }
+
   async listVms(): Promise<VmListing> {
     await this.#beginCall("listVms");
     return { vms: [] };
