Take a response with an invalid status for a broken one

Cause: whatever wasn't informational (below 200) counted as an answer. 000 and 099 counted as informational responses.

Change: one function tells informational, final and invalid statuses apart, for requests, stage calls, the store and calls through peers alike. A response with an invalid status closes its connection and fails the call as broken, so the failure counts against the server, what isn't idempotent isn't sent again, and nothing is called "not run". The owner of a call checks it too, as a peer of an older build passes such heads on.

--- a/packages/daemon/src/http/bounded_connection.ts
+++ b/packages/daemon/src/http/bounded_connection.ts
@@ -13,6 +13,8 @@
   | "foreignResponse"
   /** Nothing in the response says which call it belongs to. */
   | "unattributedResponse"
+  /** A server that states an invalid status doesn't speak HTTP. */
+  | "invalidStatus"
   /** Handling the response costs more than its bytes are worth. */
   | "wastefulResponse"
   /** More informational responses than a server has reason to send. */
--- a/packages/daemon/src/http/buffered_exchange.ts
+++ b/packages/daemon/src/http/buffered_exchange.ts
@@ -14,9 +14,9 @@
   ConnectionHandler,
 } from "./bounded_connection.js";
 import { ResponseChunks } from "./response_chunks.js";
+import { kindOfStatus } from "./response_status.js";
 import type { SmallChunkLimiter } from "./small_chunk_limiter.js";
 
-const FIRST_FINAL_STATUS = 200;
 const MAX_INFORMATIONAL_RESPONSES = 10;
 /** Many times what is sent; each costs far more than its bytes. */
 const MAX_HEADER_FIELDS = 1000;
@@ -143,25 +143,43 @@
     if (this.#isFinished) return true;
     if (rawHeaders.length > MAX_HEADER_FIELDS * 2) {
       this.#close("oversizedResponse");
-    } else if (status < FIRST_FINAL_STATUS) {
-      this.#informationalResponses += 1;
-      if (this.#informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
-        this.#close("tooManyInformationalResponses");
-      }
-    } else {
-      this.#status = status;
-      this.#headers = util.parseHeaders(rawHeaders);
-      this.#chunks = new ResponseChunks({
-        limiter: this.#limits.chunkLimiter,
-        onBytes: (bytes) => {
-          this.#append(bytes);
-        },
-        onError: (error) => {
-          this.#fail(toError(error));
-        },
-      }, resume);
+      return true;
     }
-    return true;
+    switch (kindOfStatus(status)) {
+      case "informational":
+        this.#countInformational();
+        return true;
+      case "invalid":
+        this.#close("invalidStatus");
+        return true;
+      case "final":
+        this.#receiveHead(status, rawHeaders, resume);
+        return true;
+    }
+  }
+
+  #countInformational(): void {
+    this.#informationalResponses += 1;
+    if (this.#informationalResponses <= MAX_INFORMATIONAL_RESPONSES) return;
+    this.#close("tooManyInformationalResponses");
+  }
+
+  #receiveHead(
+    status: number,
+    rawHeaders: Buffer[],
+    resume: () => void,
+  ): void {
+    this.#status = status;
+    this.#headers = util.parseHeaders(rawHeaders);
+    this.#chunks = new ResponseChunks({
+      limiter: this.#limits.chunkLimiter,
+      onBytes: (bytes) => {
+        this.#append(bytes);
+      },
+      onError: (error) => {
+        this.#fail(toError(error));
+      },
+    }, resume);
   }
 
   onData(chunk: Buffer): boolean {
--- a/packages/daemon/src/server_reach/relayed_call_client.ts
+++ b/packages/daemon/src/server_reach/relayed_call_client.ts
@@ -13,6 +13,7 @@
   ServerCallFailure,
   ServerCallListener,
 } from "../forwarding/server_caller.js";
+import { kindOfStatus } from "../http/response_status.js";
 import type { Logger } from "../observability/logger.js";
 import type { Metrics } from "../observability/metrics.js";
 import type { PeerNetwork } from "../peers/peer_network.js";
@@ -119,7 +120,9 @@
         listener.onSend();
         return;
       case "head":
-        listener.onHead(event.head);
+        if (kindOfStatus(event.head.status) === "final") {
+          listener.onHead(event.head);
+        } else this.#refuseHead(from, callNumber);
         return;
       case "data":
         this.#acknowledge(from, callNumber, event.data.length);
@@ -137,6 +140,17 @@
     }
   }
 
+  /** A peer of an older build passes on responses with any status. */
+  #refuseHead(peer: VmId, callNumber: number): void {
+    this.#options.network.send(peer, { type: "serverCallCancel", callNumber });
+    this.#fail(callNumber, {
+      kind: "broken",
+      detail: "invalidStatus",
+      remainingConnections: "notChecked",
+      isPeerFailure: false,
+    });
+  }
+
   #acknowledge(peer: VmId, callNumber: number, bytes: number): void {
     this.#options.network.send(peer, {
       type: "serverCallCredit",
--- a/packages/daemon/src/server_reach/relaying_server_caller_test.ts
+++ b/packages/daemon/src/server_reach/relaying_server_caller_test.ts
@@ -320,6 +320,17 @@
       .toEqual(true);
   });
 
+  // Guards against a peer of an older build passing on a response without a
+  // status of HTTP, which the client got as an answer.
+  it("takes no response with an invalid status from the peer", async () => {
+    const made = await startAtPeer();
+    made.listener.onHead({ ...HEAD, status: 600 });
+    await sleep(SETTLE_MS);
+    expect(listener.heads).toEqual([]);
+    expect(listener.failures.map(({ kind }) => kind)).toEqual(["broken"]);
+    expect(madeCall().isCanceled).toEqual(true);
+  });
+
   it("takes the load that a response states at the owner too", async () => {
     const made = await startAtPeer();
     const load = {
