Take no part of a response for a whole one

Cause: the end of such a response is that of its connection. It was asked once, in the end event, whether the connection had been reset; a server that closes with unread data sends the end first and the reset after it. Nothing asked whether the request had been sent. Stage calls, engines' reports and the store asked nothing at all.

Change: whole_response.ts decides for all of them. Where the end of the connection is the only mark, the server has to have taken the whole request, closed in order, and sent no reset within 10 ms; the end event waits for that long, the bytes don't. Such calls end as broken: unsafe ones aren't sent again.

--- a/packages/daemon/src/http/bounded_connection.ts
+++ b/packages/daemon/src/http/bounded_connection.ts
@@ -6,6 +6,9 @@
 
 import type { Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher, errors } from "undici";
+import { wasReset } from "./connection_resets.js";
+import { readTcpState } from "./tcp_state.js";
+import type { ConnectionEnd } from "./whole_response.js";
 
 /** Why a connection can't be used for another call. */
 export type ConnectionFault =
@@ -40,32 +43,78 @@
  */
 const SLOWED_READ_BYTES = 4096;
 
+/**
+ * A server that closes without having read the whole request resets the
+ * connection next.
+ */
+const RESET_AFTER_CLOSE_MS = 10;
+
+export interface ConnectionEvents {
+  readonly onFault: (fault: ConnectionFault) => void;
+  /** The server has reset the connection. */
+  readonly onReset?: () => void;
+}
+
+/** The connection in use; the library makes a new one after its end. */
+interface CurrentConnection {
+  socket: Socket | undefined;
+  isSlowed: boolean;
+  end: ConnectionEnd;
+}
+
 /** Connects again when a call comes after its connection was closed. */
 export class BoundedConnection extends Client {
   readonly #onFault: (fault: ConnectionFault) => void;
-  readonly #current: { socket: Socket | undefined; isSlowed: boolean };
+  readonly #current: CurrentConnection;
 
   constructor(
     origin: URL,
     options: BoundedConnectionOptions,
-    onFault: (fault: ConnectionFault) => void,
+    events: ConnectionEvents,
   ) {
-    const current: { socket: Socket | undefined; isSlowed: boolean } = {
+    const current: CurrentConnection = {
       socket: undefined,
       isSlowed: false,
+      end: "open",
     };
     super(origin, {
       ...options,
       connect: (connectOptions, callback) => {
         options.connect(connectOptions, (...result) => {
-          current.socket = result[1] ?? undefined;
+          const socket = result[1] ?? undefined;
+          current.socket = socket;
           current.isSlowed = false;
+          if (socket !== undefined) watchEnd(socket, current, events.onReset);
           callback(...result);
         });
       },
     });
     this.#current = current;
-    this.#onFault = onFault;
+    this.#onFault = events.onFault;
+  }
+
+  /** To be read while the library reports a response as complete. */
+  get connectionEnd(): ConnectionEnd {
+    return this.#current.end;
+  }
+
+  /**
+   * Called when the end of the connection will be that of the response: a reset
+   * that follows a close at once then counts as the end.
+   */
+  awaitReset(): void {
+    const { socket } = this.#current;
+    if (socket === undefined) return;
+    // Otherwise Node.js would end and destroy the socket meanwhile.
+    socket.allowHalfOpen = true;
+    const emit = socket.emit.bind(socket);
+    socket.emit = (event: string, ...values: unknown[]): boolean => {
+      if (event !== "end") return emit(event, ...values);
+      setTimeout(() => {
+        if (!socket.destroyed) emit(event);
+      }, RESET_AFTER_CLOSE_MS);
+      return true;
+    };
   }
 
   override dispatch(
@@ -100,3 +149,32 @@
         : read();
   }
 }
+
+/** Prepends the listeners so that they run before the HTTP library's. */
+function watchEnd(
+  socket: Socket,
+  current: CurrentConnection,
+  onReset: (() => void) | undefined,
+): void {
+  function record(end: ConnectionEnd): void {
+    current.end = end;
+    if (end === "reset") onReset?.();
+    // All listeners of the event run before the next microtask.
+    queueMicrotask(() => {
+      current.end = "open";
+    });
+  }
+  socket.prependListener("error", () => {
+    record("reset");
+  });
+  socket.prependListener("end", () => {
+    if (wasReset(socket)) record("reset");
+    else record(hasTakenAll(socket) ? "closed" : "closedEarly");
+  });
+}
+
+/** Whether the other side's kernel has all that was written. */
+function hasTakenAll(socket: Socket): boolean {
+  if (socket.writableLength > 0) return false;
+  return readTcpState(socket)?.isAllAcked ?? true;
+}
--- a/packages/daemon/src/http/buffered_exchange.ts
+++ b/packages/daemon/src/http/buffered_exchange.ts
@@ -16,6 +16,11 @@
 import { ResponseChunks } from "./response_chunks.js";
 import { kindOfStatus } from "./response_status.js";
 import type { SmallChunkLimiter } from "./small_chunk_limiter.js";
+import {
+  type BodyFraming,
+  detectFraming,
+  isWholeResponse,
+} from "./whole_response.js";
 
 const MAX_INFORMATIONAL_RESPONSES = 10;
 /** Many times what is sent; each costs far more than its bytes. */
@@ -48,6 +53,17 @@
   readonly closeConnection: (fault: ConnectionFault) => void;
 }
 
+/** The connection ended before the response was whole. */
+export class CutResponseError extends Error {
+  override readonly name = "CutResponseError";
+  /** That of the HTTP library for connections that the server closed. */
+  readonly code = "UND_ERR_SOCKET";
+
+  constructor() {
+    super("The response isn't whole");
+  }
+}
+
 /** The response broke a limit; its connection was closed. */
 export class ResponseFaultError extends Error {
   override readonly name = "ResponseFaultError";
@@ -103,6 +119,7 @@
   #chunks: ResponseChunks | undefined;
   #status = 0;
   #headers: IncomingHttpHeaders = {};
+  #framing: BodyFraming = "byLength";
   #informationalResponses = 0;
   #isFinished = false;
 
@@ -171,6 +188,12 @@
   ): void {
     this.#status = status;
     this.#headers = util.parseHeaders(rawHeaders);
+    this.#framing = detectFraming({
+      method: this.#call.method,
+      status,
+      rawHeaders: rawHeaders.map((part) => part.toString("latin1")),
+    });
+    if (this.#framing === "byConnectionEnd") this.#connection?.awaitReset();
     this.#chunks = new ResponseChunks({
       limiter: this.#limits.chunkLimiter,
       onBytes: (bytes) => {
@@ -199,7 +222,12 @@
   onComplete(): void {
     if (!this.#isFinished) this.#chunks?.flush();
     const text = this.#body.view().toString();
+    const isWhole = this.#isWhole();
     if (!this.#finish()) return;
+    if (!isWhole) {
+      this.#outcome.reject(new CutResponseError());
+      return;
+    }
     this.#outcome.resolve({
       status: this.#status,
       headers: this.#headers,
@@ -210,6 +238,12 @@
     });
   }
 
+  #isWhole(): boolean {
+    const connection = this.#connection;
+    return connection !== undefined &&
+      isWholeResponse(this.#framing, connection.connectionEnd);
+  }
+
   onError(error: Error): void {
     if (this.#finish()) this.#outcome.reject(error);
   }
--- a/packages/daemon/src/http/tcp_state.ts
+++ b/packages/daemon/src/http/tcp_state.ts
@@ -9,11 +9,12 @@
 
 /** Of Linux. */
 const TCP_INFO = { level: 6, name: 11 };
-/** Of `struct tcp_info`, up to the bytes acknowledged. */
-const INFO_WORDS = 32;
+/** Of `struct tcp_info`, up to the bytes that haven't been sent. */
+const INFO_WORDS = 37;
 const UNACKED_WORD = 6;
 const ACKED_LOW_WORD = 30;
 const ACKED_HIGH_WORD = 31;
+const NOT_SENT_WORD = 36;
 const WORD_RANGE = 2 ** 32;
 const STATE_MASK = 0xff;
 const TCP_CLOSE = 7;
@@ -22,6 +23,8 @@
 export interface TcpState {
   /** Bytes that the other side's kernel has received. */
   readonly ackedBytes: number;
+  /** Whether the other side's kernel has all that this one was given. */
+  readonly isAllAcked: boolean;
   /** Whether the other side has closed, even if that wasn't read yet. */
   readonly isClosedByPeer: boolean;
 }
@@ -35,6 +38,7 @@
   const high = (info[ACKED_HIGH_WORD] ?? 0) >>> 0;
   return {
     ackedBytes: high * WORD_RANGE + low,
+    isAllAcked: info[UNACKED_WORD] === 0 && info[NOT_SENT_WORD] === 0,
     isClosedByPeer: state === TCP_CLOSE || state === TCP_CLOSE_WAIT,
   };
 }
--- a/packages/daemon/src/platform/create_platform_client.ts
+++ b/packages/daemon/src/platform/create_platform_client.ts
@@ -9,7 +9,11 @@
   StoredObject,
   VmListing,
 } from "@sassafrasstage/protocol/platform_objects";
-import { Agent } from "undici";
+import { buildConnector, Pool } from "undici";
+import {
+  BoundedConnection,
+  type BoundedConnectionOptions,
+} from "../http/bounded_connection.js";
 import type { ResponseLimits } from "../http/buffered_exchange.js";
 import { createSmallChunkLimiter } from "../http/small_chunk_limiter.js";
 import { BufferAccount } from "../memory/buffer_account.js";
@@ -83,7 +87,7 @@
 
 class HttpPlatformClient implements PlatformClient {
   readonly #options: PlatformClientOptions;
-  readonly #agent: Agent;
+  readonly #pool: Pool;
   readonly #limits: ResponseLimits;
   readonly #limiter: CallLimiter;
   readonly #reachability = new Reachability();
@@ -92,11 +96,25 @@
   constructor(options: PlatformClientOptions) {
     const { platform, vm } = options.settings;
     this.#options = options;
-    this.#agent = new Agent({
-      connect: { timeout: platform.call_timeout_ms },
+    this.#pool = new Pool(new URL(platform.url).origin, {
+      connect: buildConnector({ timeout: platform.call_timeout_ms }),
       ...(vm.source_address === undefined
         ? {}
         : { localAddress: vm.source_address }),
+      factory: (origin, connectionOptions) =>
+        new BoundedConnection(
+          origin,
+          // The pool hands on its own options.
+          connectionOptions as BoundedConnectionOptions,
+          {
+            onFault: (fault) => {
+              options.metrics.countEvent(`platformConnectionClosed.${fault}`);
+              options.logger.warn("platformConnectionClosed", {
+                reason: fault,
+              });
+            },
+          },
+        ),
     });
     const { clock } = options;
     this.#limits = {
@@ -196,7 +214,7 @@
   }
 
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await this.#pool.destroy();
   }
 
   async #call(kind: CallKind, input: CallInput): Promise<PlatformReply> {
@@ -231,7 +249,7 @@
     let reply: PlatformReply;
     try {
       reply = await sendCall({
-        dispatcher: this.#agent,
+        dispatcher: this.#pool,
         limits: this.#limits,
       }, call);
     } catch (error) {
