--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -118,6 +118,7 @@
       at: Date.now(),
       engine: this.id,
       kind: isFull ? "rejected" : "taken",
+      deadlineMs: Number(request.headers["x-deadline-ms"]),
     });
     let bytes = 0;
     request.on("data", (chunk) => {
